member: number the heartbeats and send across zones by delegates only

Cause: the skeleton knew heartbeats but neither to whom a host sends them nor how one zone learns of another's hosts; every host would have had to send to every other one.

--- /dev/null
+++ b/internal/host/member/targets.go
@@ -0,0 +1,132 @@
+package member
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Backoff towards hosts that do not answer.
+const (
+	firstTry = BeatEvery
+	lastTry  = 8 * time.Second // also the time after which a healed cut is noticed
+)
+
+// attempt is the backoff towards one silent address.
+type attempt struct {
+	count int
+	next  time.Time // not sent to before
+}
+
+// Targets returns the hosts that are to be sent a heartbeat now, sorted by
+// address. It begins a new interval: call it every BeatEvery, send each of them
+// the Beat for it, and report with Unreachable where that failed.
+//
+// Within the zone these are all hosts that are not dead. To another zone only
+// the delegate sends, every CrossEvery, to the delegate of that zone. Dead
+// hosts and seeds that were never heard of are tried with backoff.
+func (t *Table) Targets(now time.Time) []Host {
+	t.tick(now)
+	t.seq++
+	t.forget(now)
+	t.passing = t.pass(now)
+	hosts := t.zoneTargets(now)
+	for _, zone := range t.otherZones() {
+		hosts = append(hosts, t.crossTargets(zone, now)...)
+	}
+	for _, s := range t.unheardSeeds("") {
+		if t.tryNow(s.Address, now) {
+			hosts = append(hosts, s)
+		}
+	}
+	sort.Slice(hosts, func(i, j int) bool { return hosts[i].Address < hosts[j].Address })
+	return hosts
+}
+
+func (t *Table) zoneTargets(now time.Time) []Host {
+	var hosts []Host
+	for address, e := range t.peers {
+		if e.Zone == t.self.Zone && (t.state(e, now) != Dead || t.tryNow(address, now)) {
+			hosts = append(hosts, e.Host)
+		}
+	}
+	for _, s := range t.unheardSeeds(t.self.Zone) {
+		if t.tryNow(s.Address, now) {
+			hosts = append(hosts, s)
+		}
+	}
+	return hosts
+}
+
+func (t *Table) crossTargets(zone string, now time.Time) []Host {
+	mine, ok := t.Delegate(t.self.Zone, zone, now)
+	if !ok || mine.Address != t.self.Address {
+		return nil
+	}
+	if theirs, ok := t.Delegate(zone, t.self.Zone, now); ok {
+		if now.Before(t.crossed[zone]) {
+			return nil
+		}
+		t.crossed[zone] = now.Add(CrossEvery - BeatEvery/2) // the calls are not exact
+		return []Host{theirs}
+	}
+	var hosts []Host
+	for address, e := range t.peers {
+		if e.Zone == zone && t.tryNow(address, now) {
+			hosts = append(hosts, e.Host)
+		}
+	}
+	for _, s := range t.unheardSeeds(zone) {
+		if t.tryNow(s.Address, now) {
+			hosts = append(hosts, s)
+		}
+	}
+	return hosts
+}
+
+// otherZones returns the known zones but the own one, sorted.
+func (t *Table) otherZones() []string {
+	set := map[string]bool{}
+	for _, e := range t.peers {
+		set[e.Zone] = true
+	}
+	for _, s := range t.seeds {
+		set[s.Zone] = true
+	}
+	delete(set, t.self.Zone)
+	delete(set, "")
+	zones := make([]string, 0, len(set))
+	for z := range set {
+		zones = append(zones, z)
+	}
+	sort.Strings(zones)
+	return zones
+}
+
+// unheardSeeds returns the seeds given with the zone that nothing is known of.
+func (t *Table) unheardSeeds(zone string) []Host {
+	var seeds []Host
+	for _, s := range t.seeds {
+		if _, heard := t.peers[s.Address]; !heard && s.Zone == zone && s.Address != t.self.Address {
+			seeds = append(seeds, s)
+		}
+	}
+	return seeds
+}
+
+// tryNow reports whether a silent address is due, and if so puts its next turn
+// off: doubled each time up to lastTry, with jitter that is a function of the
+// two addresses, so that hosts that started together do not call together.
+func (t *Table) tryNow(address string, now time.Time) bool {
+	a := t.tries[address]
+	if now.Before(a.next) {
+		return false
+	}
+	wait := min(firstTry<<min(a.count, 10), lastTry)
+	seed := xxhash.Sum64String(t.self.Address + " " + address)
+	jitter := rand.New(rand.NewPCG(seed, uint64(a.count))).Int64N(int64(wait)/2 + 1)
+	t.tries[address] = attempt{count: a.count + 1, next: now.Add(wait/2 + time.Duration(jitter))}
+	return true
+}
