--- a/internal/platform/ledger/ledger.go
+++ b/internal/platform/ledger/ledger.go
@@ -2,175 +2,177 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/google/uuid"
 
 	"guavaglade.example/guavaglade/internal/fleet/target"
 	"guavaglade.example/guavaglade/internal/platform/table"
-	"guavaglade.example/guavaglade/internal/work/job"
 )
 
-// ErrBase says that a configuration was based on another version than the
-// current one.
-var ErrBase = errors.New("not based on the current version")
+// Defaults of a ledger.
+const (
+	// Keep is how long the record of an ended job stays. A request id may be
+	// used again for another request after that, not before.
+	Keep = 24 * time.Hour
+	// ClaimKeep is how long a record stays that shows no outcome and belongs to
+	// no durable job.
+	ClaimKeep = 7 * 24 * time.Hour
+	// LargeAnswer is the length in bytes above which an answer goes to the
+	// object store.
+	LargeAnswer = 16 << 10
+)
 
-// Ledger reads and writes the rows of one host.
+const (
+	maxRounds    = 16   // conditional writes of one call that may lose a race
+	maxUnsettled = 4096 // claims remembered that are not known
+)
+
+// Errors of the ledger. They are wrapped with the step and the job.
+var (
+	// ErrBase says that a configuration was based on another version than the
+	// current one.
+	ErrBase = errors.New("not based on the current version")
+	// ErrOtherChange says that a change id was used before for another text.
+	ErrOtherChange = errors.New("change id was used for another text")
+	// ErrOtherRequest says that a request id was used before for another request.
+	ErrOtherRequest = errors.New("request id was used for another request")
+	// ErrEnded says that the job has an outcome already.
+	ErrEnded = errors.New("job has ended")
+	// ErrFenced says that a newer attempt or another outcome stands; the report
+	// was dropped.
+	ErrFenced = errors.New("fenced by what is recorded")
+	// ErrContended says that other writers came first again and again.
+	ErrContended = errors.New("lost the race for the row too often")
+	// ErrDigest says that a body is not the one that was recorded.
+	ErrDigest = errors.New("body does not match its digest")
+	// ErrRow says that a row cannot be read.
+	ErrRow = errors.New("row cannot be read")
+)
+
+// Ledger reads and writes the rows of one host. It is safe for use by several
+// goroutines.
 type Ledger struct {
-	table table.Table
-	self  string // address and incarnation of this host; unique in time
+	table   table.Table
+	objects table.Objects // nil: large answers stay in their row
+	self    string        // address and incarnation of this host; unique in time
+	now     func() time.Time
+	nonce   func() string // unique for ever
+	keep    time.Duration
+	large   int
+	report  func(key string, err error)
+
+	mu        sync.Mutex
+	unsettled map[target.Lease]string // nonces of claims that are not known
+	sweptTo   string                  // key after which the next Sweep begins
 }
 
-// New returns the ledger of a host.
-func New(t table.Table, self string) *Ledger { return &Ledger{table: t, self: self} }
+// Option sets a property of a new ledger.
+type Option func(*Ledger)
 
-type claimRow struct {
-	Attempt int    `json:"attempt"`
-	By      string `json:"by"`
-	Refused bool   `json:"refused,omitempty"`
-}
+// WithObjects sends answers above LargeAnswer to the object store.
+func WithObjects(o table.Objects) Option { return func(l *Ledger) { l.objects = o } }
 
-// Claim tries to win the right to start the attempt. Won is true only if this
-// host's write is the row. An error means that it is not known or did not
-// happen; nothing may be started then.
-func (l *Ledger) Claim(ctx context.Context, lease target.Lease) (won bool, err error) {
-	return l.claim(ctx, lease.Job, claimRow{Attempt: lease.Attempt, By: l.self})
-}
+// WithClock sets the clock, by default time.Now. It dates what is stored and
+// does not bound waits.
+func WithClock(now func() time.Time) Option { return func(l *Ledger) { l.now = now } }
 
-// Refuse tries to win the right to say that the job never ran and never will.
-func (l *Ledger) Refuse(ctx context.Context, id job.ID) (won bool, err error) {
-	return l.claim(ctx, id, claimRow{By: l.self, Refused: true})
-}
+// WithNonces sets the source of nonces, by default random UUIDs.
+func WithNonces(next func() string) Option { return func(l *Ledger) { l.nonce = next } }
 
-func (l *Ledger) claim(ctx context.Context, id job.ID, want claimRow) (bool, error) {
-	value, err := json.Marshal(want)
-	if err != nil {
-		return false, fmt.Errorf("claim %s: %w", id, err)
-	}
-	res, err := l.table.Apply(ctx, []table.Write{{Key: "claims/" + string(id), Value: value}})
-	if err != nil {
-		return false, fmt.Errorf("claim %s: %w", id, err)
-	}
-	if res[0].Err == nil {
-		return true, nil
-	}
-	var found claimRow
-	if err := json.Unmarshal(res[0].Row.Value, &found); err != nil {
-		return false, fmt.Errorf("claim %s: read the row back: %w", id, err)
-	}
-	return found == want, nil
-}
+// WithKeep sets how long records of ended jobs stay, by default Keep.
+func WithKeep(d time.Duration) Option { return func(l *Ledger) { l.keep = d } }
 
-// Admit writes the row of a durable job.
-func (l *Ledger) Admit(ctx context.Context, j job.Job) error {
-	value, err := json.Marshal(j)
-	if err != nil {
-		return fmt.Errorf("admit %s: %w", j.ID(), err)
-	}
-	_, err = l.table.Apply(ctx, []table.Write{{Key: "jobs/" + j.Zone() + "/" + string(j.ID()), Value: value}})
-	if err != nil {
-		return fmt.Errorf("admit %s: %w", j.ID(), err)
-	}
-	return nil
+// WithReport is told of each row that cannot be read and is passed over.
+func WithReport(report func(key string, err error)) Option {
+	return func(l *Ledger) { l.report = report }
 }
 
-// Record writes the outcome of a job and takes its job row out.
-func (l *Ledger) Record(ctx context.Context, j job.Job, o job.Outcome) error {
-	value, err := json.Marshal(o)
-	if err != nil {
-		return fmt.Errorf("record %s: %w", o.Job, err)
-	}
-	writes := []table.Write{
-		{Key: "outcomes/" + string(o.Job), Value: value},
-		{Key: "jobs/" + j.Zone() + "/" + string(o.Job), Delete: true, Expect: table.AnyVersion},
+// New returns the ledger of a host.
+func New(t table.Table, self string, opts ...Option) *Ledger {
+	l := &Ledger{
+		table: t, self: self, now: time.Now, nonce: uuid.NewString, keep: Keep, large: LargeAnswer,
+		report: func(string, error) {}, unsettled: map[target.Lease]string{},
 	}
-	if _, err := l.table.Apply(ctx, writes); err != nil {
-		return fmt.Errorf("record %s: %w", o.Job, err)
+	for _, o := range opts {
+		o(l)
 	}
-	return nil
+	return l
 }
 
-// Outcome reads the outcome of a job; ok is false if none is written.
-func (l *Ledger) Outcome(ctx context.Context, id job.ID) (o job.Outcome, ok bool, err error) {
-	row, err := l.table.Get(ctx, "outcomes/"+string(id))
-	if err != nil {
-		return job.Outcome{}, false, fmt.Errorf("read outcome of %s: %w", id, err)
-	}
-	if row.Version == 0 {
-		return job.Outcome{}, false, nil
-	}
-	if err := json.Unmarshal(row.Value, &o); err != nil {
-		return job.Outcome{}, false, fmt.Errorf("read outcome of %s: %w", id, err)
+// write makes one conditional write and settles it if its answer is lost. It
+// reports whether the row is this write's; if not, found is the row that stands
+// in the way. Mine recognises this write's value, and must not recognise any
+// other write's that decides otherwise.
+//
+// Settling by writing again is safe: both writes have the same condition, so at
+// most one of them takes effect, also if the first one is still on its way; and
+// a conflict shows the row as it is, where a read may show an older one.
+func (l *Ledger) write(ctx context.Context, w table.Write, mine func([]byte) bool) (ok bool, found table.Row, err error) {
+	pauses := newPauses()
+	unknown := false
+	for {
+		res, err := l.table.Apply(ctx, []table.Write{w})
+		if err == nil {
+			r := res[0]
+			if r.Err == nil || errors.Is(r.Err, table.ErrConflict) && mine(r.Row.Value) {
+				return true, r.Row, nil
+			}
+			if errors.Is(r.Err, table.ErrConflict) {
+				return false, r.Row, nil
+			}
+			return false, table.Row{}, r.Err
+		}
+		// An answer that says neither that the write was refused nor that it
+		// was done leaves it open, and so does a refusal of a second try.
+		unknown = unknown || !errors.Is(err, table.ErrUnavailable) && !errors.Is(err, table.ErrConflict)
+		if !unknown {
+			return false, table.Row{}, err
+		}
+		if pauses.wait(ctx) != nil {
+			return false, table.Row{}, notKnown(err)
+		}
+		if row, err := l.table.Get(ctx, w.Key); err == nil && row.Version > 0 && mine(row.Value) {
+			return true, row, nil
+		}
 	}
-	return o, true, nil
 }
 
-// Unfinished returns the durable jobs of a zone that have no outcome.
-func (l *Ledger) Unfinished(ctx context.Context, zone string) ([]job.Job, error) {
-	rows, err := l.table.List(ctx, "jobs/"+zone+"/", "", 10000)
-	if err != nil {
-		return nil, fmt.Errorf("list unfinished jobs of %s: %w", zone, err)
-	}
-	jobs := make([]job.Job, 0, len(rows))
-	for _, r := range rows {
-		var j job.Job
-		if err := json.Unmarshal(r.Value, &j); err != nil {
-			return nil, fmt.Errorf("list unfinished jobs of %s: row %s: %w", zone, r.Key, err)
-		}
-		jobs = append(jobs, j)
+func notKnown(err error) error {
+	if errors.Is(err, table.ErrUnknown) {
+		return err
 	}
-	return jobs, nil
+	return fmt.Errorf("%w: %w", table.ErrUnknown, err)
 }
 
-// Config is a version of the configuration as it is stored.
-type Config struct {
-	Version int64  `json:"version"`
-	Change  string `json:"change"` // the operator's change id
-	Body    []byte `json:"body"`
-}
+// pauses are the waits between the tries to settle a write.
+type pauses struct{ next *backoff.ExponentialBackOff }
 
-// Current reads the version that is current; version 0 if there is none.
-func (l *Ledger) Current(ctx context.Context) (Config, error) {
-	row, err := l.table.Get(ctx, "config/current")
-	if err != nil {
-		return Config{}, fmt.Errorf("read current configuration: %w", err)
-	}
-	if row.Version == 0 {
-		return Config{}, nil
-	}
-	var c Config
-	if err := json.Unmarshal(row.Value, &c); err != nil {
-		return Config{}, fmt.Errorf("read current configuration: %w", err)
-	}
-	return c, nil
+func newPauses() pauses {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = 20 * time.Millisecond
+	b.Multiplier = 2
+	b.MaxInterval = time.Second
+	return pauses{next: b}
 }
 
-// Change makes the text current if base is the current version. It returns the
-// configuration that is current afterwards; the error wraps ErrBase if another
-// change came first. The same change id given again is no error.
-func (l *Ledger) Change(ctx context.Context, base int64, change string, body []byte) (Config, error) {
-	c := Config{Version: base + 1, Change: change, Body: body}
-	value, err := json.Marshal(c)
-	if err != nil {
-		return Config{}, fmt.Errorf("change configuration: %w", err)
-	}
-	res, err := l.table.Apply(ctx, []table.Write{{Key: "config/current", Value: value, Expect: base}})
-	if err != nil {
-		return Config{}, fmt.Errorf("change configuration: %w", err)
-	}
-	if res[0].Err == nil {
-		return c, nil
-	}
-	var found Config
-	if res[0].Row.Version > 0 {
-		if err := json.Unmarshal(res[0].Row.Value, &found); err != nil {
-			return Config{}, fmt.Errorf("change configuration: %w", err)
-		}
-	}
-	if found.Change == change {
-		return found, nil
+// wait waits for the next try. It fails at once if the context would end first:
+// whoever waits gets the answer "not known" when that is certain, not later.
+func (p pauses) wait(ctx context.Context) error {
+	d := p.next.NextBackOff()
+	if until, ok := ctx.Deadline(); ok && time.Until(until) <= d {
+		return context.DeadlineExceeded
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	return found, fmt.Errorf("change configuration: base %s, current %s: %w",
-		strconv.FormatInt(base, 10), strconv.FormatInt(found.Version, 10), ErrBase)
 }
