intake: remember each job until its outcome is known

Cause: an entry must answer its callers whatever becomes of the placer. Change: a pure machine that gives jobs to the zone's placer, again on silence or change, passes on what the home zone can never run, and drops answers that are not whole. Before: no entry logic.

--- /dev/null
+++ b/internal/host/intake/event.go
@@ -0,0 +1,74 @@
+package intake
+
+import (
+	"guavaglade.example/guavaglade/internal/work/job"
+)
+
+// Event is something that the machine is told.
+type Event interface{ event() }
+
+// Accepted adds a job that the entry answers for. A job that is known changes
+// nothing.
+type Accepted struct{ Job job.Job }
+
+// PlacersSeen says who places for each zone now, by zone: the placer's address
+// with its incarnation. A zone without a live host is not in it.
+type PlacersSeen struct{ Placers map[string]string }
+
+// Taken says that the placer has the job.
+type Taken struct {
+	Job    job.ID
+	Placer string
+}
+
+// OutcomeArrived is a placer's word on what became of a job.
+type OutcomeArrived struct {
+	Placer  string
+	Outcome job.Outcome
+}
+
+// Told is a line of a job's story from its placer.
+type Told struct {
+	Job  job.ID
+	Line Line
+}
+
+// CancelAsked says that the caller no longer wants the job.
+type CancelAsked struct{ Job job.ID }
+
+// Ticked says that time has passed.
+type Ticked struct{}
+
+func (Accepted) event()       {}
+func (PlacersSeen) event()    {}
+func (Taken) event()          {}
+func (OutcomeArrived) event() {}
+func (Told) event()           {}
+func (CancelAsked) event()    {}
+func (Ticked) event()         {}
+
+// Command is something that the machine asks to be done.
+type Command interface{ command() }
+
+// Give hands a job to a placer; the answer is a Taken or silence.
+type Give struct {
+	Placer string
+	Job    job.Job
+}
+
+// CancelAt passes the caller's cancellation on to the placer.
+type CancelAt struct {
+	Placer string
+	Job    job.ID
+}
+
+// Finish gives the final outcome to whoever waits for it. It comes once for
+// each job.
+type Finish struct {
+	Job     job.Job
+	Outcome job.Outcome
+}
+
+func (Give) command()     {}
+func (CancelAt) command() {}
+func (Finish) command()   {}
--- /dev/null
+++ b/internal/host/intake/machine.go
@@ -0,0 +1,253 @@
+package intake
+
+import (
+	"fmt"
+	"sort"
+	"time"
+
+	"guavaglade.example/guavaglade/internal/work/job"
+)
+
+// Times and bounds of an entry.
+const (
+	// GiveAgainAfter is how long a placer may be silent before it is given the
+	// job again. The placer, or its incarnation, may have changed unseen.
+	GiveAgainAfter = time.Second
+	// ConfirmEvery is how often a job that was taken is given again, so that a
+	// placer that lost its memory without a change of address gets it back.
+	ConfirmEvery = 10 * time.Second
+	// KeepFor is how long an outcome is kept for callers that ask again.
+	KeepFor = 15 * time.Minute
+	// MaxLines bounds the story of one job; the oldest lines go first, the
+	// first line stays.
+	MaxLines = 64
+)
+
+// Line is one line of a job's story.
+type Line struct {
+	At    time.Time `json:"at"`
+	State job.State `json:"state,omitempty"`
+	Step  string    `json:"step"`
+	Peer  string    `json:"peer,omitempty"` // the host that says so
+	Text  string    `json:"text"`
+}
+
+// Machine is the state of one entry host.
+type Machine struct {
+	zone    string
+	placers map[string]string // by zone: address with incarnation
+	records map[job.ID]*Record
+}
+
+// Record is what the entry knows of a job.
+type Record struct {
+	job       job.Job
+	state     job.State
+	zone      string    // whose placer the job is given to
+	placer    string    // whom it was given to last; empty for nobody
+	taken     bool      // the placer said that it has it
+	giveAt    time.Time // when it is given again
+	cancelled bool
+	outcome   job.Outcome // valid if state is final
+	forgetAt  time.Time   // valid if state is final
+	lines     []Line
+}
+
+// Job returns the job.
+func (r *Record) Job() job.Job { return r.job }
+
+// State returns where the job stands as far as the entry knows.
+func (r *Record) State() job.State { return r.state }
+
+// Outcome returns the outcome; ok is false while the job is not final.
+func (r *Record) Outcome() (o job.Outcome, ok bool) { return r.outcome, r.state.Final() }
+
+// Lines returns the job's story, oldest first.
+func (r *Record) Lines() []Line { return append([]Line(nil), r.lines...) }
+
+// New returns the machine of an entry host in a zone.
+func New(zone string) *Machine {
+	return &Machine{zone: zone, placers: map[string]string{}, records: map[job.ID]*Record{}}
+}
+
+// Record returns what is known of a job; ok is false if nothing is.
+func (m *Machine) Record(id job.ID) (r *Record, ok bool) {
+	r, ok = m.records[id]
+	return r, ok
+}
+
+// Records returns all that is known, sorted by job id.
+func (m *Machine) Records() []*Record {
+	rs := make([]*Record, 0, len(m.records))
+	for _, r := range m.records {
+		rs = append(rs, r)
+	}
+	sort.Slice(rs, func(i, j int) bool { return rs[i].job.ID() < rs[j].job.ID() })
+	return rs
+}
+
+// Open returns how many jobs have no outcome yet.
+func (m *Machine) Open() int {
+	n := 0
+	for _, r := range m.records {
+		if !r.state.Final() {
+			n++
+		}
+	}
+	return n
+}
+
+// Step takes an event at a time and returns what is to be done about it.
+func (m *Machine) Step(ev Event, now time.Time) []Command {
+	switch e := ev.(type) {
+	case Accepted:
+		return m.accepted(e, now)
+	case PlacersSeen:
+		return m.placersSeen(e, now)
+	case Taken:
+		m.tookIt(e, now)
+	case OutcomeArrived:
+		return m.outcomeArrived(e, now)
+	case Told:
+		m.told(e)
+	case CancelAsked:
+		return m.cancelAsked(e, now)
+	case Ticked:
+		return m.ticked(now)
+	}
+	return nil
+}
+
+func (m *Machine) accepted(e Accepted, now time.Time) []Command {
+	if _, ok := m.records[e.Job.ID()]; ok {
+		return nil
+	}
+	r := &Record{job: e.Job, state: job.Queued, zone: m.zone}
+	r.add(Line{At: now, State: job.Queued, Step: "admitted", Text: fmt.Sprintf("shape %s of account %s", e.Job.Shape(), e.Job.Account())})
+	m.records[e.Job.ID()] = r
+	return m.give(r, now)
+}
+
+func (m *Machine) give(r *Record, now time.Time) []Command {
+	r.placer, r.taken = m.placers[r.zone], false
+	r.giveAt = now.Add(GiveAgainAfter)
+	if r.placer == "" {
+		return nil
+	}
+	cs := []Command{Give{Placer: r.placer, Job: r.job}}
+	if r.cancelled {
+		cs = append(cs, CancelAt{Placer: r.placer, Job: r.job.ID()})
+	}
+	return cs
+}
+
+func (m *Machine) placersSeen(e PlacersSeen, now time.Time) []Command {
+	m.placers = e.Placers
+	var cs []Command
+	for _, r := range m.Records() {
+		if !r.state.Final() && r.placer != m.placers[r.zone] {
+			cs = append(cs, m.give(r, now)...)
+		}
+	}
+	return cs
+}
+
+func (m *Machine) tookIt(e Taken, now time.Time) {
+	r, ok := m.records[e.Job]
+	if !ok || r.placer != e.Placer {
+		return
+	}
+	r.taken = true
+	r.giveAt = now.Add(ConfirmEvery)
+}
+
+func (m *Machine) outcomeArrived(e OutcomeArrived, now time.Time) []Command {
+	r, ok := m.records[e.Outcome.Job]
+	if !ok || r.state.Final() || !e.Outcome.State.Final() {
+		return nil
+	}
+	// An answer that was cut or crossed on its way is not passed on: the
+	// placer keeps the outcome until it is taken and gives it again.
+	if !e.Outcome.Answer.Whole() {
+		r.add(Line{At: now, Step: "answer", Peer: e.Placer, Text: "the answer is not whole; asked again"})
+		return nil
+	}
+	if next, ok := m.elsewhere(r, e.Outcome); ok {
+		r.zone, r.job = next, r.job.PassedOn()
+		r.add(Line{At: now, Step: "passedOn", Text: "to zone " + next + ": " + e.Outcome.Reason})
+		return m.give(r, now)
+	}
+	return m.finish(r, e.Outcome, now)
+}
+
+// elsewhere returns the zone that a job goes to which the home zone can never
+// run: one hop, and only if nothing was started.
+func (m *Machine) elsewhere(r *Record, o job.Outcome) (zone string, ok bool) {
+	never := o.State == job.NotRun && o.Attempt == 0 && o.RetryAfter.IsZero()
+	if !never || r.cancelled || r.job.Hops() > 0 || !r.job.Deadline().IsZero() && !o.At.Before(r.job.Deadline()) {
+		return "", false
+	}
+	var zones []string
+	for z := range m.placers {
+		if z != m.zone {
+			zones = append(zones, z)
+		}
+	}
+	if len(zones) == 0 {
+		return "", false
+	}
+	sort.Strings(zones)
+	return zones[0], true
+}
+
+func (m *Machine) finish(r *Record, o job.Outcome, now time.Time) []Command {
+	r.state, r.outcome, r.forgetAt = o.State, o, now.Add(KeepFor)
+	r.add(Line{At: now, State: o.State, Step: "answered", Text: o.Reason})
+	return []Command{Finish{Job: r.job, Outcome: o}}
+}
+
+func (m *Machine) told(e Told) {
+	r, ok := m.records[e.Job]
+	if !ok {
+		return
+	}
+	if !r.state.Final() && e.Line.State != "" && !e.Line.State.Final() {
+		r.state = e.Line.State
+	}
+	r.add(e.Line)
+}
+
+func (m *Machine) cancelAsked(e CancelAsked, now time.Time) []Command {
+	r, ok := m.records[e.Job]
+	if !ok || r.state.Final() || r.cancelled {
+		return nil
+	}
+	r.cancelled = true
+	r.add(Line{At: now, Step: "cancel", Text: "asked for by the caller"})
+	if r.placer == "" {
+		return nil
+	}
+	return []Command{CancelAt{Placer: r.placer, Job: e.Job}}
+}
+
+func (m *Machine) ticked(now time.Time) []Command {
+	var cs []Command
+	for _, r := range m.Records() {
+		switch {
+		case r.state.Final():
+			if !now.Before(r.forgetAt) {
+				delete(m.records, r.job.ID())
+			}
+		case !now.Before(r.giveAt):
+			cs = append(cs, m.give(r, now)...)
+		}
+	}
+	return cs
+}
+
+func (r *Record) add(l Line) {
+	if len(r.lines) == MaxLines {
+		r.lines = append(r.lines[:1], r.lines[2:]...)
+	}
+	r.lines = append(r.lines, l)
+}
