standin, remote, peer: stand-ins, HTTP clients and the transport between hosts

Cause: the thin path needs a platform, targets and peers to talk to. Change: in-memory platform and pure stand-in workers behind HTTP with faults that can be switched on; clients that tell what was never sent from what may have happened; JSON-RPC connections between hosts. Before: interfaces only. Conclusion: the wiring can start.

--- a/internal/fleet/target/target.go
+++ b/internal/fleet/target/target.go
@@ -16,6 +16,8 @@
 	ErrRefused = errors.New("refused by worker")
 	// ErrLapsed says that the lease is over or was never there.
 	ErrLapsed = errors.New("lease lapsed")
+	// ErrUnreached says that the worker was not reached: nothing was sent.
+	ErrUnreached = errors.New("worker not reached")
 	// ErrUnknown says that no answer came; the worker may have done it.
 	ErrUnknown = errors.New("outcome at the worker not known")
 )
--- /dev/null
+++ b/internal/host/peer/net.go
@@ -0,0 +1,191 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// DialTime bounds the making of a connection.
+const DialTime = 500 * time.Millisecond
+
+// ErrBadParams is wrapped by a handler that refuses what it was sent.
+var ErrBadParams = errors.New("bad parameters")
+
+// ErrNoMethod is wrapped by a handler that does not know a method, as a host
+// of an older version does.
+var ErrNoMethod = errors.New("method not known")
+
+// Handler answers a call. params is the call's JSON; the result is sent as
+// JSON. It is called by several goroutines at once.
+type Handler func(ctx context.Context, method string, params json.RawMessage) (any, error)
+
+// Net is one host's connections to its peers, safe for several goroutines.
+type Net struct {
+	handler Handler
+	tls     *tls.Config // of outgoing connections; nil for plain TCP
+	mu      sync.Mutex
+	conns   map[string]*jsonrpc2.Conn // by address
+	closed  bool
+	served  map[*jsonrpc2.Conn]bool
+}
+
+// New returns a net whose incoming calls go to h. If client is nil, it dials
+// plain TCP.
+func New(h Handler, client *tls.Config) *Net {
+	return &Net{handler: h, tls: client, conns: map[string]*jsonrpc2.Conn{}, served: map[*jsonrpc2.Conn]bool{}}
+}
+
+// Serve answers the calls of peers that connect to the listener until it is
+// closed, and returns the listener's error then.
+func (n *Net) Serve(l net.Listener) error {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return fmt.Errorf("accept peers on %s: %w", l.Addr(), err)
+		}
+		n.serve(c)
+	}
+}
+
+func (n *Net) serve(c net.Conn) {
+	conn := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(c), n.incoming())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		_ = conn.Close()
+		return
+	}
+	n.served[conn] = true
+	go func() {
+		<-conn.DisconnectNotify()
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.served, conn)
+	}()
+}
+
+func (n *Net) incoming() jsonrpc2.Handler {
+	answer := func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
+		var params json.RawMessage
+		if r.Params != nil {
+			params = *r.Params
+		}
+		res, err := n.handler(ctx, r.Method, params)
+		return res, wireError(err)
+	}
+	return jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(answer).SuppressErrClosed())
+}
+
+func wireError(err error) error {
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, ErrNoMethod):
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: err.Error()}
+	case errors.Is(err, ErrBadParams):
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	default:
+		return &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error()}
+	}
+}
+
+// Call asks a peer at IP:port and reads its answer into result; a nil result
+// drops it. The call ends with the context.
+func (n *Net) Call(ctx context.Context, address, method string, params, result any) error {
+	conn, err := n.conn(ctx, address)
+	if err != nil {
+		return fmt.Errorf("%s: peer %s: %w", method, address, err)
+	}
+	err = conn.Call(ctx, method, params, result)
+	if err == nil {
+		return nil
+	}
+	var answered *jsonrpc2.Error
+	if errors.As(err, &answered) {
+		if answered.Code == jsonrpc2.CodeMethodNotFound {
+			err = fmt.Errorf("%w: %w", ErrNoMethod, err)
+		}
+		return fmt.Errorf("%s: peer %s: %w", method, address, err)
+	}
+	if !errors.Is(err, context.Canceled) {
+		n.drop(address, conn)
+	}
+	return fmt.Errorf("%s: peer %s: %w", method, address, err)
+}
+
+func (n *Net) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	n.mu.Lock()
+	conn, ok := n.conns[address]
+	n.mu.Unlock()
+	if ok {
+		select {
+		case <-conn.DisconnectNotify():
+		default:
+			return conn, nil
+		}
+	}
+	return n.dial(ctx, address)
+}
+
+func (n *Net) dial(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, DialTime)
+	defer cancel()
+	c, err := n.dialNet(ctx, address)
+	if err != nil {
+		return nil, fmt.Errorf("dial: %w", err)
+	}
+	conn := jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(c), n.incoming())
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		_ = conn.Close()
+		return nil, net.ErrClosed
+	}
+	if other, ok := n.conns[address]; ok {
+		select {
+		case <-other.DisconnectNotify():
+		default:
+			_ = conn.Close()
+			return other, nil
+		}
+	}
+	n.conns[address] = conn
+	return conn, nil
+}
+
+func (n *Net) dialNet(ctx context.Context, address string) (net.Conn, error) {
+	if n.tls == nil {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}
+	return (&tls.Dialer{Config: n.tls}).DialContext(ctx, "tcp", address)
+}
+
+func (n *Net) drop(address string, conn *jsonrpc2.Conn) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.conns[address] == conn {
+		delete(n.conns, address)
+	}
+	_ = conn.Close()
+}
+
+// Close ends all connections. Calls in progress fail.
+func (n *Net) Close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.closed = true
+	for _, c := range n.conns {
+		_ = c.Close()
+	}
+	for c := range n.served {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/internal/standin/fleet/server.go
@@ -0,0 +1,190 @@
+package fleet
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"guavaglade.example/guavaglade/internal/fleet/target"
+	"guavaglade.example/guavaglade/internal/work/job"
+)
+
+// Server puts one Worker behind HTTP with the real clock.
+type Server struct {
+	mu      sync.Mutex
+	worker  *Worker
+	changed chan struct{} // closed and replaced at each change
+	last    int64         // change number when changed was last replaced
+	timer   *time.Timer
+}
+
+// NewServer returns a server of the worker.
+func NewServer(w *Worker) *Server {
+	s := &Server{worker: w, changed: make(chan struct{})}
+	s.timer = time.AfterFunc(time.Hour, func() { s.with(func(w *Worker, now time.Time) { w.Advance(now) }) })
+	return s
+}
+
+// With runs f on the worker, alone.
+func (s *Server) With(f func(w *Worker)) {
+	s.with(func(w *Worker, _ time.Time) { f(w) })
+}
+
+func (s *Server) with(f func(w *Worker, now time.Time)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s.worker, time.Now())
+	if s.worker.Change() != s.last {
+		s.last = s.worker.Change()
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+	if next := s.worker.Next(); !next.IsZero() {
+		s.timer.Reset(max(0, time.Until(next)) + time.Millisecond)
+	}
+}
+
+// Handler returns the HTTP surface of the worker.
+func (s *Server) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/hold", s.hold).Methods(http.MethodPost)
+	r.HandleFunc("/v1/start", s.start).Methods(http.MethodPost)
+	r.HandleFunc("/v1/renew", s.renew).Methods(http.MethodPost)
+	r.HandleFunc("/v1/stop", s.stop).Methods(http.MethodPost)
+	r.HandleFunc("/v1/throttle", s.throttle).Methods(http.MethodPost)
+	r.HandleFunc("/v1/faults", s.faults).Methods(http.MethodPut)
+	return r
+}
+
+func (s *Server) hold(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		target.Hold
+		TTLMillis int64 `json:"ttlMillis"`
+	}
+	if !read(w, r, &body) {
+		return
+	}
+	s.answer(w, func(k *Worker, now time.Time) error { return k.Hold(body.Hold, millis(body.TTLMillis), now) })
+}
+
+func (s *Server) start(w http.ResponseWriter, r *http.Request) {
+	var l target.Lease
+	if !read(w, r, &l) {
+		return
+	}
+	s.answer(w, func(k *Worker, now time.Time) error { return k.Start(l, now) })
+}
+
+func (s *Server) stop(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Lease       target.Lease `json:"lease"`
+		Checkpoint  bool         `json:"checkpoint"`
+		GraceMillis int64        `json:"graceMillis"`
+	}
+	if !read(w, r, &body) {
+		return
+	}
+	s.answer(w, func(k *Worker, now time.Time) error {
+		return k.Stop(body.Lease, body.Checkpoint, millis(body.GraceMillis), now)
+	})
+}
+
+func (s *Server) throttle(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Lease target.Lease `json:"lease"`
+	}
+	if !read(w, r, &body) {
+		return
+	}
+	s.answer(w, func(*Worker, time.Time) error { return nil })
+}
+
+func (s *Server) renew(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Leases     []target.Lease `json:"leases"`
+		TTLMillis  int64          `json:"ttlMillis"`
+		Since      int64          `json:"since"`
+		WaitMillis int64          `json:"waitMillis"`
+	}
+	if !read(w, r, &body) {
+		return
+	}
+	until := time.After(millis(body.WaitMillis))
+	for {
+		var rep target.Report
+		var changed chan struct{}
+		s.with(func(k *Worker, now time.Time) {
+			rep = k.Renew(body.Leases, millis(body.TTLMillis), body.Since, now)
+		})
+		s.mu.Lock()
+		changed = s.changed
+		s.mu.Unlock()
+		if len(rep.Tasks) > 0 || len(rep.Lapsed) > 0 || body.WaitMillis == 0 {
+			reply(w, rep)
+			return
+		}
+		// The leases were renewed above; while waiting only changes count.
+		body.Leases = nil
+		select {
+		case <-changed:
+		case <-until:
+			body.WaitMillis = 0
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Server) faults(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Leaving bool `json:"leaving"`
+		Failing bool `json:"failing"`
+	}
+	if !read(w, r, &body) {
+		return
+	}
+	s.With(func(k *Worker) {
+		k.SetLeaving(body.Leaving)
+		k.SetFailing(body.Failing)
+	})
+	reply(w, body)
+}
+
+func (s *Server) answer(w http.ResponseWriter, f func(k *Worker, now time.Time) error) {
+	var err error
+	s.with(func(k *Worker, now time.Time) { err = f(k, now) })
+	switch {
+	case err == nil:
+		reply(w, struct{}{})
+	case errors.Is(err, target.ErrLapsed):
+		http.Error(w, err.Error(), http.StatusGone)
+	default:
+		http.Error(w, err.Error(), http.StatusConflict)
+	}
+}
+
+// Starts returns how often members of the job were started on the worker.
+func (s *Server) Starts(id job.ID) int {
+	n := 0
+	s.With(func(w *Worker) { n = w.Starts(id) })
+	return n
+}
+
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func read(w http.ResponseWriter, r *http.Request, into any) bool {
+	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
