settings: read, check and print a host's settings

Cause: a process learns its addresses and zone from its settings, and a wrong line has to be named before the host serves anybody. The INI library gives no lines and stops at the first line it cannot read. Conclusion: all faults come at once with file and line (15 cases), and what is printed reads back.

--- /dev/null
+++ b/internal/host/settings/check.go
@@ -0,0 +1,48 @@
+package settings
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net/netip"
+	"regexp"
+)
+
+var zoneName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9-]{0,62}$`)
+
+func checkZone(name string) error {
+	if !zoneName.MatchString(name) {
+		return fmt.Errorf("zone %q: want 1 to 63 letters, digits and dashes", name)
+	}
+	return nil
+}
+
+// checkOwn checks an address that this host listens on and gives to others.
+// Port 0 lets the operating system choose.
+func checkOwn(address string) error {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return fmt.Errorf("%q is not IP:port; host names are not allowed", address)
+	}
+	if a.Addr().IsUnspecified() {
+		return fmt.Errorf("%q: others are told this address, so it must be one they can reach", address)
+	}
+	return nil
+}
+
+// checkReached checks an address that this host connects to.
+func checkReached(address string) error {
+	if err := checkOwn(address); err != nil {
+		return err
+	}
+	if netip.MustParseAddrPort(address).Port() == 0 {
+		return fmt.Errorf("%q: port 0 cannot be reached", address)
+	}
+	return nil
+}
+
+func checkHash(hash string) error {
+	if b, err := hex.DecodeString(hash); err != nil || len(b) != 32 {
+		return fmt.Errorf("not a SHA-256 of 64 hexadecimal digits")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/host/settings/field.go
@@ -0,0 +1,98 @@
+package settings
+
+import (
+	"strconv"
+	"time"
+
+	"guavaglade.example/guavaglade/internal/config/document"
+)
+
+// field is one key of the settings: how it is read, checked and shown.
+type field struct {
+	section, key string
+	unit         string // and what an unset key means
+	required     bool
+	secret       bool // shown as set or not set only
+	read         func(d *document.Section, key string, s *Settings)
+	show         func(s *Settings) string // empty: not set
+}
+
+func (f field) name() string { return f.section + "." + f.key }
+
+// fields are all keys but those of the peers, in the order they are shown.
+var fields = []field{
+	textField("host", "zone", "name of the availability zone", true, checkZone, func(s *Settings) *string { return &s.zone }),
+	textField("host", "callerAddress", "IP:port that callers and operators reach", true, checkOwn, func(s *Settings) *string { return &s.callerAddress }),
+	textField("host", "peerAddress", "IP:port that other hosts reach", true, checkOwn, func(s *Settings) *string { return &s.peerAddress }),
+	{
+		section: "host", key: "logLevel", unit: "debug, info, warn or error",
+		read: func(d *document.Section, key string, s *Settings) {
+			s.logLevel = d.Choice(key, s.logLevel, "debug", "info", "warn", "error")
+		},
+		show: func(s *Settings) string { return s.logLevel },
+	},
+	textField("platform", "address", "IP:port of the platform's service", true, checkReached, func(s *Settings) *string { return &s.platform.Address }),
+	rateField("writesPerSecond", "writes a second of all hosts together", func(s *Settings) *float64 { return &s.platform.WritesPerSecond }),
+	rateField("readsPerSecond", "reads a second of all hosts together", func(s *Settings) *float64 { return &s.platform.ReadsPerSecond }),
+	fileField("callerCert", "PEM file; not set: callers connect without TLS", func(s *Settings) *string { return &s.tls.CallerCert }),
+	fileField("callerKey", "PEM file", func(s *Settings) *string { return &s.tls.CallerKey }),
+	fileField("peerCert", "PEM file; not set: hosts connect without TLS", func(s *Settings) *string { return &s.tls.PeerCert }),
+	fileField("peerKey", "PEM file", func(s *Settings) *string { return &s.tls.PeerKey }),
+	fileField("peerCA", "PEM file of the authorities of other hosts", func(s *Settings) *string { return &s.tls.PeerCA }),
+	operatorField(),
+	sizeField("maxBody", "bytes of a request's body", 1, 1<<30, func(s *Settings) *int { return &s.limits.MaxBody }),
+	sizeField("maxHeader", "bytes of a request's headers", 1<<10, 1<<20, func(s *Settings) *int { return &s.limits.MaxHeader }),
+	sizeField("maxConnections", "callers' connections at once", 1, 1<<20, func(s *Settings) *int { return &s.limits.MaxConnections }),
+	timeField("requestTimeout", "duration to read a request, and to write an answer", 100*time.Millisecond, time.Hour, func(s *Settings) *time.Duration { return &s.limits.RequestTimeout }),
+	timeField("maxWait", "duration, longest ?wait= of a caller", 0, 24*time.Hour, func(s *Settings) *time.Duration { return &s.limits.MaxWait }),
+	timeField("stopGrace", "duration that a planned stop waits for callers' answers", 0, time.Hour, func(s *Settings) *time.Duration { return &s.limits.StopGrace }),
+	sizeField("queueLimit", "jobs that wait in one zone's queue", 1, 1<<20, func(s *Settings) *int { return &s.limits.QueueLimit }),
+}
+
+func textField(section, key, unit string, required bool, check func(string) error, at func(*Settings) *string) field {
+	read := func(d *document.Section, key string, s *Settings) {
+		v := d.Text(key, "")
+		if v == "" {
+			return
+		}
+		if err := check(v); err != nil {
+			d.Fault(key, err.Error())
+			return
+		}
+		*at(s) = v
+	}
+	return field{section, key, unit, required, false, read, func(s *Settings) string { return *at(s) }}
+}
+
+func fileField(key, unit string, at func(*Settings) *string) field {
+	return textField("tls", key, unit, false, func(string) error { return nil }, at)
+}
+
+func operatorField() field {
+	at := func(s *Settings) *string { return &s.operatorKey }
+	f := textField("operator", "keyHash", "SHA-256 in hexadecimal of the key that may apply the first configuration", false, checkHash, at)
+	f.secret = true
+	return f
+}
+
+func rateField(key, unit string, at func(*Settings) *float64) field {
+	read := func(d *document.Section, key string, s *Settings) {
+		*at(s) = d.Float(key, *at(s), 1, 1e6)
+	}
+	show := func(s *Settings) string { return strconv.FormatFloat(*at(s), 'g', -1, 64) }
+	return field{"platform", key, unit, false, false, read, show}
+}
+
+func sizeField(key, unit string, least, most int, at func(*Settings) *int) field {
+	read := func(d *document.Section, key string, s *Settings) {
+		*at(s) = d.Int(key, *at(s), least, most)
+	}
+	return field{"limits", key, unit, false, false, read, func(s *Settings) string { return strconv.Itoa(*at(s)) }}
+}
+
+func timeField(key, unit string, least, most time.Duration, at func(*Settings) *time.Duration) field {
+	read := func(d *document.Section, key string, s *Settings) {
+		*at(s) = d.Duration(key, *at(s), least, most)
+	}
+	return field{"limits", key, unit, false, false, read, func(s *Settings) string { return at(s).String() }}
+}
--- /dev/null
+++ b/internal/host/settings/settings.go
@@ -0,0 +1,193 @@
+package settings
+
+import (
+	"cmp"
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+)
+
+// Settings is what a process is told when it starts. Settings never change
+// once made. The zero Settings is not valid: make settings with New, Load or
+// Parse.
+type Settings struct {
+	zone          string // never empty
+	callerAddress string // IP:port, not the unspecified IP
+	peerAddress   string // IP:port, not the unspecified IP
+	logLevel      string // debug, info, warn or error
+	peers         []Peer // sorted by zone and address, without the host itself
+	platform      Platform
+	tls           TLS
+	operatorKey   string // SHA-256 in hexadecimal, empty for none
+	limits        Limits
+	origins       map[string]string // section.key to where it was set; absent: default
+}
+
+// Peer is another host of the system.
+type Peer struct {
+	Address string // IP:port that other hosts reach
+	Zone    string // its availability zone
+}
+
+// Platform is how the platform is reached and how much of it may be used.
+type Platform struct {
+	Address         string  // IP:port
+	WritesPerSecond float64 // of all hosts together, above 0
+	ReadsPerSecond  float64 // of all hosts together, above 0
+}
+
+// TLS names PEM files. The callers' files are both set or both empty, the
+// peers' files are all set or all empty; empty means plain TCP.
+type TLS struct {
+	CallerCert, CallerKey     string
+	PeerCert, PeerKey, PeerCA string
+}
+
+// Limits bound what one host takes on.
+type Limits struct {
+	MaxBody        int           // bytes of a request's body
+	MaxHeader      int           // bytes of a request's headers
+	MaxConnections int           // callers' connections at once
+	RequestTimeout time.Duration // to read a request, and to write an answer
+	MaxWait        time.Duration // longest ?wait= of a caller
+	StopGrace      time.Duration // of a planned stop, for callers that wait
+	QueueLimit     int           // jobs that wait in one zone's queue
+}
+
+// Option sets one property of new settings.
+type Option func(*Settings)
+
+// New returns settings for a host of the zone. What no option sets has its
+// default. It refuses a zone or an address that would be refused in a file.
+func New(zone, callerAddress, peerAddress, platform string, opts ...Option) (Settings, error) {
+	s := defaults()
+	s.zone, s.callerAddress, s.peerAddress, s.platform.Address = zone, callerAddress, peerAddress, platform
+	for _, o := range opts {
+		o(&s)
+	}
+	for _, check := range []error{
+		checkZone(zone), checkOwn(callerAddress), checkOwn(peerAddress), checkReached(platform),
+	} {
+		if check != nil {
+			return Settings{}, fmt.Errorf("settings: %w", check)
+		}
+	}
+	for _, p := range s.peers {
+		if err := cmp.Or(checkZone(p.Zone), checkReached(p.Address)); err != nil {
+			return Settings{}, fmt.Errorf("settings: peer: %w", err)
+		}
+	}
+	s.settle()
+	return s, nil
+}
+
+// WithPeers names the other hosts. The host itself may be among them.
+func WithPeers(peers ...Peer) Option {
+	return func(s *Settings) { s.peers = append(s.peers, peers...) }
+}
+
+// WithTLS sets the TLS files.
+func WithTLS(t TLS) Option { return func(s *Settings) { s.tls = t } }
+
+// WithLimits replaces the limits.
+func WithLimits(l Limits) Option { return func(s *Settings) { s.limits = l } }
+
+// WithPlatformRates sets the share of the platform that all hosts may use.
+func WithPlatformRates(writes, reads float64) Option {
+	return func(s *Settings) { s.platform.WritesPerSecond, s.platform.ReadsPerSecond = writes, reads }
+}
+
+// WithOperatorKey sets the SHA-256, in hexadecimal, of the key that may apply
+// the first configuration.
+func WithOperatorKey(hash string) Option { return func(s *Settings) { s.operatorKey = hash } }
+
+// WithLogLevel sets the least level that is logged.
+func WithLogLevel(level string) Option { return func(s *Settings) { s.logLevel = level } }
+
+func defaults() Settings {
+	return Settings{
+		logLevel: "info",
+		platform: Platform{WritesPerSecond: 300, ReadsPerSecond: 2000},
+		limits: Limits{
+			MaxBody:        1 << 20,
+			MaxHeader:      16 << 10,
+			MaxConnections: 4096,
+			RequestTimeout: 10 * time.Second,
+			MaxWait:        60 * time.Second,
+			StopGrace:      20 * time.Second,
+			QueueLimit:     20000,
+		},
+		origins: map[string]string{},
+	}
+}
+
+// settle sorts the peers and takes the host itself out.
+func (s *Settings) settle() {
+	s.peers = slices.DeleteFunc(slices.Clone(s.peers), func(p Peer) bool { return p.Address == s.peerAddress })
+	slices.SortFunc(s.peers, func(a, b Peer) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Address, b.Address))
+	})
+}
+
+// Zone returns the host's availability zone.
+func (s Settings) Zone() string { return s.zone }
+
+// CallerAddress returns the IP:port that callers and operators reach.
+func (s Settings) CallerAddress() string { return s.callerAddress }
+
+// PeerAddress returns the IP:port that other hosts reach.
+func (s Settings) PeerAddress() string { return s.peerAddress }
+
+// Peers returns the other hosts, sorted by zone and address. The caller must
+// not change them.
+func (s Settings) Peers() []Peer { return s.peers }
+
+// Platform returns the IP:port of the platform's service.
+func (s Settings) Platform() string { return s.platform.Address }
+
+// PlatformWritesPerSecond returns the writes that all hosts together may send
+// to the platform in a second.
+func (s Settings) PlatformWritesPerSecond() float64 { return s.platform.WritesPerSecond }
+
+// PlatformReadsPerSecond returns the reads that all hosts together may send to
+// the platform in a second.
+func (s Settings) PlatformReadsPerSecond() float64 { return s.platform.ReadsPerSecond }
+
+// TLS returns the TLS files; empty names mean plain TCP.
+func (s Settings) TLS() TLS { return s.tls }
+
+// OperatorKeyHash returns the SHA-256 in hexadecimal of the key that may act as
+// operator while no configuration is in force, empty for none.
+func (s Settings) OperatorKeyHash() string { return s.operatorKey }
+
+// MaxBody returns the largest body of a caller's request in bytes.
+func (s Settings) MaxBody() int { return s.limits.MaxBody }
+
+// MaxHeader returns the largest headers of a caller's request in bytes.
+func (s Settings) MaxHeader() int { return s.limits.MaxHeader }
+
+// MaxConnections returns how many callers' connections are open at once.
+func (s Settings) MaxConnections() int { return s.limits.MaxConnections }
+
+// RequestTimeout returns how long a request may take to be read, and an answer
+// to be written, beside the time that a caller asks to wait.
+func (s Settings) RequestTimeout() time.Duration { return s.limits.RequestTimeout }
+
+// MaxWait returns the longest wait that a caller is given.
+func (s Settings) MaxWait() time.Duration { return s.limits.MaxWait }
+
+// StopGrace returns how long a planned stop waits for callers' answers.
+func (s Settings) StopGrace() time.Duration { return s.limits.StopGrace }
+
+// QueueLimit returns how many jobs may wait in one zone's queue.
+func (s Settings) QueueLimit() int { return s.limits.QueueLimit }
+
+// LogLevel returns the least level that is logged.
+func (s Settings) LogLevel() slog.Level {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(s.logLevel)); err != nil {
+		return slog.LevelInfo
+	}
+	return l
+}
--- /dev/null
+++ b/internal/host/settings/settings_test.go
@@ -0,0 +1,114 @@
+package settings_test
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/sebdah/goldie/v2"
+
+	"guavaglade.example/guavaglade/internal/host/settings"
+)
+
+const whole = `[host]
+zone = bajio-1
+callerAddress = 127.0.0.1:8080
+peerAddress = 127.0.0.1:9080
+[peers bajio-1]
+addresses = 127.0.0.1:9081, 127.0.0.1:9080
+[peers bajio-2]
+addresses = [::1]:9082
+[platform]
+address = 127.0.0.1:7000
+[operator]
+keyHash = 9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08
+[limits]
+maxWait = 90s
+`
+
+func TestParse(t *testing.T) {
+	is := is.New(t)
+	s, err := settings.Parse("host.ini", []byte(whole))
+	is.NoErr(err)
+	is.Equal(s.Zone(), "bajio-1")
+	is.Equal(s.Platform(), "127.0.0.1:7000")
+	is.Equal(s.MaxWait(), 90*time.Second)
+	is.Equal(s.MaxBody(), 1<<20)
+	want := []settings.Peer{{Address: "127.0.0.1:9081", Zone: "bajio-1"}, {Address: "[::1]:9082", Zone: "bajio-2"}}
+	is.Equal(s.Peers(), want) // without the host itself
+}
+
+func TestParseNamesEachFaultyLine(t *testing.T) {
+	cases := []struct{ name, old, new, want string }{
+		{"host name", "127.0.0.1:7000", "platform:7000", `host.ini: line 10: [platform] address: "platform:7000" is not IP:port; host names are not allowed`},
+		{"host name of a peer", "127.0.0.1:9081", "localhost:9081", `line 6: [peers bajio-1] addresses: "localhost:9081" is not IP:port`},
+		{"no port", "127.0.0.1:8080", "127.0.0.1", `line 3: [host] callerAddress: "127.0.0.1" is not IP:port`},
+		{"unreachable IP", "127.0.0.1:8080", "0.0.0.0:8080", `line 3: [host] callerAddress: "0.0.0.0:8080": others are told this address`},
+		{"unreachable port", "127.0.0.1:7000", "127.0.0.1:0", `line 10: [platform] address: "127.0.0.1:0": port 0`},
+		{"unknown key", "maxWait", "maxWaiting", "line 14: [limits] maxWaiting: unknown key; known here: maxBody"},
+		{"unknown section", "[limits]", "[limit]", "line 13: [limit] unknown section"},
+		{"missing key", "zone = bajio-1\n", "", "line 1: [host] zone: missing"},
+		{"missing section", "[platform]\naddress = 127.0.0.1:7000\n", "", "host.ini: [platform] address: missing"},
+		{"empty value", "zone = bajio-1", "zone =", "line 2: [host] zone: without a value"},
+		{"bad duration", "90s", "90", `line 14: [limits] maxWait: "90" is not a duration`},
+		{"out of range", "90s", "-1s", `line 14: [limits] maxWait: "-1s" is out of range, want 0s to 24h0m0s`},
+		{"short hash", "9f86d08", "9f", "line 12: [operator] keyHash: not a SHA-256"},
+		{"same peer twice", "[::1]:9082", "127.0.0.1:9081", "line 8: [peers bajio-2] addresses: 127.0.0.1:9081 stands already on line 6"},
+		{"half of TLS", "[limits]", "[tls]\ncallerCert = a.pem\n[limits]", "line 13: [tls] callerKey: missing; callerCert, callerKey are set together"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(strings.Contains(whole, c.old)) // the case changes something
+			_, err := settings.Parse("host.ini", []byte(strings.Replace(whole, c.old, c.new, 1)))
+			is.True(err != nil)
+			if !strings.Contains(err.Error(), c.want) {
+				t.Fatalf("got\n%v\nwant\n%s", err, c.want)
+			}
+		})
+	}
+}
+
+func TestParseTellsAllFaultsAtOnce(t *testing.T) {
+	is := is.New(t)
+	_, err := settings.Parse("host.ini", []byte("[host]\nzone = a b\ncallerAddress = x\nspare = 1\n[other]\n"))
+	var e *settings.Error
+	is.True(errors.As(err, &e))
+	lines := []int{}
+	for _, f := range e.Faults() {
+		lines = append(lines, f.Line)
+	}
+	is.Equal(lines, []int{0, 1, 2, 3, 4, 5}) // platform, peerAddress, zone, callerAddress, spare, [other]
+}
+
+func TestPrintReadsBack(t *testing.T) {
+	is := is.New(t)
+	file := filepath.Join(t.TempDir(), "host.ini")
+	is.NoErr(os.WriteFile(file, []byte(whole), 0o600))
+	s, err := settings.Load(file)
+	is.NoErr(err)
+	var first bytes.Buffer
+	is.NoErr(s.Print(&first))
+	again, err := settings.Parse("printed", first.Bytes())
+	is.NoErr(err)
+	is.Equal(again.Peers(), s.Peers())
+	is.Equal(again.MaxWait(), s.MaxWait())
+	is.Equal(again.Zone(), s.Zone())
+	goldie.New(t).Assert(t, "print", bytes.ReplaceAll(first.Bytes(), []byte(file), []byte("host.ini")))
+}
+
+func TestNewRefusesHostNames(t *testing.T) {
+	is := is.New(t)
+	_, err := settings.New("z", "127.0.0.1:0", "127.0.0.1:0", "localhost:1")
+	is.True(err != nil)
+	_, err = settings.New("z", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:1", settings.WithPeers(settings.Peer{Address: "a:1", Zone: "z"}))
+	is.True(err != nil)
+	s, err := settings.New("z", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:1", settings.WithPlatformRates(5, 6))
+	is.NoErr(err)
+	is.Equal(s.PlatformWritesPerSecond(), 5.0)
+}
