server, api, command, demo: serve a request end to end

Cause: nothing was served yet. Change: one event loop per host around the pure machines; callers' and operators' HTTP; hosts' calls; the command line; a demo with stand-ins, six hosts and three zones over real TCP. Before: no request served. Seen and left for the placer's own work: after a refused hold the placer tries again at once, up to 88 attempts for one small job, since no backoff is there yet.

--- a/cmd/guavaglade/main.go
+++ b/cmd/guavaglade/main.go
@@ -2,4 +2,10 @@
 // guarantees.
 package main
 
-func main() {}
+import (
+	"os"
+
+	"guavaglade.example/guavaglade/internal/operator/command"
+)
+
+func main() { os.Exit(command.Run(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/internal/host/api/api.go
@@ -0,0 +1,163 @@
+package api
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"guavaglade.example/guavaglade/internal/config/text"
+	"guavaglade.example/guavaglade/internal/host/server"
+)
+
+// API serves callers and operators of one host.
+type API struct {
+	node    *server.Node
+	metrics http.Handler // serves /metrics; nil for none
+}
+
+// New returns the API of a node. If metrics is nil, /metrics is not there.
+func New(n *server.Node, metrics http.Handler) *API { return &API{node: n, metrics: metrics} }
+
+// Handler returns the HTTP surface.
+func (a *API) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/healthz", a.health).Methods(http.MethodGet)
+	r.HandleFunc("/readyz", a.ready).Methods(http.MethodGet)
+	if a.metrics != nil {
+		r.Handle("/metrics", a.metrics).Methods(http.MethodGet)
+	}
+	v1 := r.PathPrefix("/v1").Subrouter()
+	v1.HandleFunc("/jobs", a.as(a.submit)).Methods(http.MethodPost)
+	v1.HandleFunc("/jobs", a.as(a.list)).Methods(http.MethodGet)
+	v1.HandleFunc("/jobs/{id}", a.as(a.get)).Methods(http.MethodGet)
+	v1.HandleFunc("/jobs/{id}", a.as(a.cancel)).Methods(http.MethodDelete)
+	v1.HandleFunc("/jobs/{id}/explain", a.as(a.explain)).Methods(http.MethodGet)
+	v1.HandleFunc("/configuration", a.asOperator(a.getConfiguration)).Methods(http.MethodGet)
+	v1.HandleFunc("/configuration", a.asOperator(a.putConfiguration)).Methods(http.MethodPut)
+	v1.HandleFunc("/inforce", a.asOperator(a.inForce)).Methods(http.MethodGet)
+	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		Problem{Status: http.StatusNotFound, Detail: "no such path: " + r.URL.Path}.write(w, time.Now())
+	})
+	return http.MaxBytesHandler(r, int64(a.node.Settings().MaxBody()))
+}
+
+// caller is who makes a request.
+type caller struct {
+	account  text.Account
+	operator bool
+	config   *text.Config
+}
+
+type handler func(w http.ResponseWriter, r *http.Request, c caller)
+
+// as lets only a known key through.
+func (a *API) as(h handler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		c, ok := a.callerOf(r)
+		if !ok {
+			a.node.Metrics().Counter("callers_refused").Inc(1)
+			Problem{Status: http.StatusUnauthorized, Detail: "show a client account's key as a bearer token"}.write(w, time.Now())
+			return
+		}
+		h(w, r, c)
+	}
+}
+
+// asOperator lets only an operator's key through.
+func (a *API) asOperator(h handler) http.HandlerFunc {
+	return a.as(func(w http.ResponseWriter, r *http.Request, c caller) {
+		if !c.operator {
+			Problem{Status: http.StatusForbidden, Detail: "only an operator's key may do this"}.write(w, time.Now())
+			return
+		}
+		h(w, r, c)
+	})
+}
+
+// callerOf finds the account whose key the request shows. All accounts are
+// compared, each in constant time, so the time taken tells nothing of a key.
+func (a *API) callerOf(r *http.Request) (caller, bool) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return caller{}, false
+	}
+	config, err := a.node.Config(r.Context())
+	if err != nil {
+		return caller{}, false
+	}
+	sum := sha256.Sum256([]byte(key))
+	hash := []byte(hex.EncodeToString(sum[:]))
+	c, found := caller{config: config}, false
+	for _, name := range config.Accounts() {
+		account, _ := config.Account(name)
+		if subtle.ConstantTimeCompare(hash, []byte(account.KeyHash())) == 1 {
+			c.account, c.operator, found = account, account.Operator(), true
+		}
+	}
+	if subtle.ConstantTimeCompare(hash, []byte(a.node.Settings().OperatorKeyHash())) == 1 {
+		c.operator, found = true, true
+	}
+	return c, found
+}
+
+func (a *API) health(w http.ResponseWriter, r *http.Request) {
+	if _, err := a.node.Config(r.Context()); err != nil {
+		Problem{Status: http.StatusServiceUnavailable, Detail: err.Error()}.write(w, time.Now())
+		return
+	}
+	reply(w, http.StatusOK, struct {
+		Host string `json:"host"`
+	}{a.node.ID()})
+}
+
+func (a *API) ready(w http.ResponseWriter, r *http.Request) {
+	if err := a.node.Ready(r.Context()); err != nil {
+		Problem{Status: http.StatusServiceUnavailable, Detail: err.Error()}.write(w, time.Now())
+		return
+	}
+	reply(w, http.StatusOK, struct {
+		Host string `json:"host"`
+	}{a.node.ID()})
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// read parses a body; it answers bad input and returns false.
+func (a *API) read(w http.ResponseWriter, r *http.Request, into any) bool {
+	d := json.NewDecoder(r.Body)
+	d.DisallowUnknownFields()
+	err := d.Decode(into)
+	if err == nil {
+		return true
+	}
+	a.node.Metrics().Counter("callers_bad_input").Inc(1)
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		Problem{Status: http.StatusRequestEntityTooLarge, Detail: err.Error()}.write(w, time.Now())
+		return false
+	}
+	Problem{Status: http.StatusBadRequest, Detail: "body: " + err.Error()}.write(w, time.Now())
+	return false
+}
+
+// unavailable answers that this host could not ask itself or a peer.
+func unavailable(w http.ResponseWriter, err error) {
+	now := time.Now()
+	status := http.StatusServiceUnavailable
+	if errors.Is(err, context.DeadlineExceeded) {
+		status = http.StatusGatewayTimeout
+	}
+	Problem{Status: status, Detail: err.Error(), RetryAfter: now.Add(time.Second)}.write(w, now)
+}
--- /dev/null
+++ b/internal/host/server/entering.go
@@ -0,0 +1,219 @@
+package server
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"guavaglade.example/guavaglade/internal/host/intake"
+	"guavaglade.example/guavaglade/internal/work/job"
+)
+
+// stepEntry gives the entry an event and carries out what it asks for.
+func (n *Node) stepEntry(ctx context.Context, ev intake.Event, now time.Time) {
+	for _, c := range n.entry.Step(ev, now) {
+		switch c := c.(type) {
+		case intake.Give:
+			n.spawn(func() { n.give(ctx, c) })
+		case intake.CancelAt:
+			n.spawn(func() { n.cancelAt(ctx, c) })
+		case intake.Finish:
+			n.finished(c)
+		}
+	}
+}
+
+func (n *Node) give(ctx context.Context, c intake.Give) {
+	if err := n.call(ctx, c.Placer, "placer.submit", c.Job, nil); err != nil {
+		n.log.Info("job", "job", c.Job.ID(), "step", "give", "peer", c.Placer, "error", err.Error())
+		return
+	}
+	n.post(ctx, func() { n.stepEntry(ctx, intake.Taken{Job: c.Job.ID(), Placer: c.Placer}, time.Now()) })
+}
+
+func (n *Node) cancelAt(ctx context.Context, c intake.CancelAt) {
+	body := struct {
+		Job job.ID `json:"job"`
+	}{c.Job}
+	if err := n.call(ctx, c.Placer, "placer.cancel", body, nil); err != nil {
+		n.log.Info("job", "job", c.Job, "step", "cancel", "peer", c.Placer, "error", err.Error())
+	}
+}
+
+func (n *Node) finished(c intake.Finish) {
+	id := c.Job.ID()
+	if done, ok := n.waiting[id]; ok {
+		close(done)
+		delete(n.waiting, id)
+	}
+	n.metrics.Tagged(map[string]string{"state": string(c.Outcome.State)}).Counter("jobs_finished").Inc(1)
+	n.log.Info("job", "job", id, "step", "answered", "state", string(c.Outcome.State), "attempt", c.Outcome.Attempt,
+		"reason", c.Outcome.Reason)
+}
+
+// View is what a host knows of a job.
+type View struct {
+	Job     job.Job       `json:"job"`
+	State   job.State     `json:"state"`
+	Outcome job.Outcome   `json:"outcome,omitzero"` // valid if the state is final
+	Lines   []intake.Line `json:"lines,omitempty"`
+	// Durable says that the job outlives its host; Entry is the host that answers.
+	Durable    bool   `json:"durable,omitempty"`
+	Entry      string `json:"entry,omitempty"`
+	AskAgainAt string `json:"askAgainAt,omitempty"` // IP:port for callers; set at a planned stop
+}
+
+func (n *Node) viewOf(r *intake.Record) View {
+	v := View{Job: r.Job(), State: r.State(), Lines: r.Lines(), Durable: n.durable[r.Job().ID()], Entry: n.id}
+	if o, ok := r.Outcome(); ok {
+		v.Outcome = o
+		return v
+	}
+	v.AskAgainAt = n.askAgainAt
+	return v
+}
+
+// local returns what this host itself knows of a job.
+func (n *Node) local(ctx context.Context, id job.ID) (v View, ok bool, err error) {
+	err = n.ask(ctx, func() {
+		if r, found := n.entry.Record(id); found {
+			v, ok = n.viewOf(r), true
+		}
+	})
+	return v, ok, err
+}
+
+// Jobs returns the jobs that this host answers for, of one account, or of all
+// if the account is empty.
+func (n *Node) Jobs(ctx context.Context, account string) ([]View, error) {
+	var views []View
+	err := n.ask(ctx, func() {
+		for _, r := range n.entry.Records() {
+			if account == "" || r.Job().Account() == account {
+				views = append(views, n.viewOf(r))
+			}
+		}
+	})
+	return views, err
+}
+
+// Accept takes a job and answers for it from now on. Accepting it again
+// changes nothing.
+func (n *Node) Accept(ctx context.Context, j job.Job) error {
+	return n.ask(ctx, func() {
+		n.stepEntry(context.WithoutCancel(ctx), intake.Accepted{Job: j}, time.Now())
+	})
+}
+
+// Cancel says that the caller no longer wants a job that was found. It is the
+// host that answers for the job which cancels it.
+func (n *Node) Cancel(ctx context.Context, v View) error {
+	if v.State.Final() {
+		return nil
+	}
+	body := struct {
+		Job job.ID `json:"job"`
+	}{v.Job.ID()}
+	return n.call(ctx, v.Entry, "entry.cancel", body, nil)
+}
+
+// Wait returns what is known of a job when it is final or the deadline has
+// passed, whichever is first; ok is false if this host does not know the job.
+func (n *Node) Wait(ctx context.Context, id job.ID, deadline time.Time) (v View, ok bool, err error) {
+	var done chan struct{}
+	err = n.ask(ctx, func() {
+		r, found := n.entry.Record(id)
+		if !found || r.State().Final() {
+			return
+		}
+		if n.waiting[id] == nil {
+			n.waiting[id] = make(chan struct{})
+		}
+		done = n.waiting[id]
+	})
+	if err != nil {
+		return View{}, false, err
+	}
+	if done != nil {
+		bounded, cancel := context.WithDeadline(ctx, deadline)
+		defer cancel()
+		select {
+		case <-done:
+		case <-bounded.Done():
+		}
+	}
+	return n.local(ctx, id)
+}
+
+// Find returns what any host or the platform knows of a job: first this host,
+// then the hosts of its zone, then all others, then the outcomes in the table.
+// If until is not zero, it waits until then for a job of this host to be final.
+func (n *Node) Find(ctx context.Context, id job.ID, until time.Time) (v View, ok bool, err error) {
+	if v, ok, err = n.Wait(ctx, id, until); ok || err != nil {
+		return v, ok, err
+	}
+	var near, far []string
+	if err := n.ask(ctx, func() {
+		now := time.Now()
+		near = n.peerIDs(n.settings.Zone(), now)
+		far = slices.DeleteFunc(n.peerIDs("", now), func(id string) bool { return slices.Contains(near, id) })
+	}); err != nil {
+		return View{}, false, err
+	}
+	for _, ids := range [][]string{near, far} {
+		if v, ok := n.findAt(ctx, ids, id); ok {
+			return v, true, nil
+		}
+	}
+	o, ok, err := n.ledger.Outcome(ctx, id)
+	return View{State: o.State, Outcome: o}, ok, err
+}
+
+func (n *Node) findAt(ctx context.Context, hosts []string, id job.ID) (View, bool) {
+	found := make(chan View, len(hosts))
+	for _, h := range hosts {
+		n.spawn(func() {
+			var v View
+			body := struct {
+				Job job.ID `json:"job"`
+			}{id}
+			if err := n.call(ctx, h, "entry.find", body, &v); err != nil {
+				v = View{}
+			}
+			found <- v
+		})
+	}
+	for range hosts {
+		if v := <-found; v.State != "" {
+			return v, true
+		}
+	}
+	return View{}, false
+}
+
+// adoptOrphans takes over the durable jobs of its zone whose entry is gone. One
+// host of the zone does it at a time; two at once would only both answer.
+func (n *Node) adoptOrphans(ctx context.Context, now time.Time) {
+	if n.placer == nil || n.stopping {
+		return
+	}
+	live := map[string]bool{n.id: true}
+	for _, id := range n.peerIDs("", now) {
+		live[id] = true
+	}
+	n.spawn(func() {
+		bounded, cancel := context.WithTimeout(ctx, callTime)
+		defer cancel()
+		jobs, err := n.ledger.Unfinished(bounded, n.settings.Zone())
+		if err != nil {
+			n.log.V(1).Info("adopt", "step", "list", "error", err.Error())
+			return
+		}
+		for _, j := range jobs {
+			if live[j.Entry()] {
+				continue
+			}
+			n.post(ctx, func() { n.stepEntry(ctx, intake.Accepted{Job: j.AdoptedBy(n.id)}, time.Now()) })
+		}
+	})
+}
--- /dev/null
+++ b/internal/host/server/peers.go
@@ -0,0 +1,123 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"guavaglade.example/guavaglade/internal/host/intake"
+	"guavaglade.example/guavaglade/internal/host/peer"
+	"guavaglade.example/guavaglade/internal/platform/ledger"
+	"guavaglade.example/guavaglade/internal/platform/table"
+	"guavaglade.example/guavaglade/internal/work/job"
+	"guavaglade.example/guavaglade/internal/work/placer"
+)
+
+// errNotPlacer says that this host does not place for its zone.
+var errNotPlacer = errors.New("not the placer")
+
+// handle answers a peer's call. Its context ends with the peer's connection,
+// so what is begun for good is begun without it.
+func (n *Node) handle(ctx context.Context, method string, params json.RawMessage) (any, error) {
+	n.metrics.Tagged(map[string]string{"method": method}).Counter("peer_calls").Inc(1)
+	keep := context.WithoutCancel(ctx)
+	switch method {
+	case "member.beat":
+		return n.handleBeat(ctx, params)
+	case "placer.submit":
+		var j job.Job
+		return n.toPlacer(ctx, params, &j, func(now time.Time) { n.stepPlacer(keep, placer.Submitted{Job: j}, now) })
+	case "placer.cancel":
+		var b struct {
+			Job job.ID `json:"job"`
+		}
+		return n.toPlacer(ctx, params, &b, func(now time.Time) { n.stepPlacer(keep, placer.CancelAsked{Job: b.Job}, now) })
+	case "entry.outcome":
+		var b outcomeBody
+		return n.toEntry(ctx, params, &b, func(now time.Time) { n.stepEntry(keep, intake.OutcomeArrived(b), now) })
+	case "entry.told":
+		var b toldBody
+		return n.toEntry(ctx, params, &b, func(now time.Time) { n.stepEntry(keep, intake.Told(b), now) })
+	case "entry.cancel":
+		var b struct {
+			Job job.ID `json:"job"`
+		}
+		return n.toEntry(ctx, params, &b, func(now time.Time) { n.stepEntry(keep, intake.CancelAsked{Job: b.Job}, now) })
+	case "entry.adopt":
+		var b adoptBody
+		_, err := n.toEntry(ctx, params, &b, func(now time.Time) { n.adopt(keep, b.Jobs, now) })
+		return adoptAnswer{CallerAddress: n.settings.CallerAddress()}, err
+	case "entry.find":
+		return n.handleFind(ctx, params)
+	case "config.get":
+		version, body, _, err := n.Configuration(ctx)
+		return ledger.Config{Version: version, Body: body}, err
+	case "fleet.targets":
+		var ts []table.Target
+		err := n.ask(ctx, func() { ts = n.targets })
+		return ts, err
+	default:
+		return nil, fmt.Errorf("%s: %w", method, peer.ErrNoMethod)
+	}
+}
+
+func (n *Node) handleBeat(ctx context.Context, params json.RawMessage) (any, error) {
+	var b beatBody
+	if err := n.read("member.beat", params, &b); err != nil {
+		return nil, err
+	}
+	var back beatBody
+	err := n.ask(ctx, func() {
+		n.heard(context.WithoutCancel(ctx), b, time.Now())
+		back = beatBody{Host: n.members.Self(), Version: n.config.Version(), Since: n.config.Since()}
+	})
+	return back, err
+}
+
+func (n *Node) handleFind(ctx context.Context, params json.RawMessage) (any, error) {
+	var b struct {
+		Job job.ID `json:"job"`
+	}
+	if err := n.read("entry.find", params, &b); err != nil {
+		return nil, err
+	}
+	v, ok, err := n.local(ctx, b.Job)
+	if err != nil || !ok {
+		return nil, err
+	}
+	return v, nil
+}
+
+func (n *Node) toPlacer(ctx context.Context, params json.RawMessage, into any, f func(now time.Time)) (any, error) {
+	if err := n.read("placer", params, into); err != nil {
+		return nil, err
+	}
+	refused := error(nil)
+	err := n.ask(ctx, func() {
+		if n.placer == nil {
+			refused = errNotPlacer
+			return
+		}
+		f(time.Now())
+	})
+	return struct{}{}, errors.Join(err, refused)
+}
+
+func (n *Node) toEntry(ctx context.Context, params json.RawMessage, into any, f func(now time.Time)) (any, error) {
+	if err := n.read("entry", params, into); err != nil {
+		return nil, err
+	}
+	err := n.ask(ctx, func() { f(time.Now()) })
+	return struct{}{}, err
+}
+
+// read parses what a peer sent. Bad input is counted and refused to its sender.
+func (n *Node) read(step string, params json.RawMessage, into any) error {
+	if err := json.Unmarshal(params, into); err != nil {
+		n.metrics.Counter("peer_bad_input").Inc(1)
+		return fmt.Errorf("%s: %w: %w", step, peer.ErrBadParams, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/host/server/placing.go
@@ -0,0 +1,176 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"guavaglade.example/guavaglade/internal/fleet/remote"
+	"guavaglade.example/guavaglade/internal/fleet/target"
+	"guavaglade.example/guavaglade/internal/host/intake"
+	"guavaglade.example/guavaglade/internal/work/job"
+	"guavaglade.example/guavaglade/internal/work/placer"
+)
+
+func newPlacer(zone string) *placer.Machine { return placer.New(zone, nil) }
+
+// stepPlacer gives the placer an event and carries out what it asks for.
+func (n *Node) stepPlacer(ctx context.Context, ev placer.Event, now time.Time) {
+	for _, c := range n.placer.Step(ev, now) {
+		n.carryOut(ctx, c)
+	}
+}
+
+// placerEvent gives an event to the placer that asked for it. An answer that
+// comes after this host ceased to place, or began again, is dropped: the later
+// placer starts from the workers' lists.
+func (n *Node) placerEvent(ctx context.Context, term int, ev placer.Event) {
+	n.post(ctx, func() {
+		if n.placer != nil && n.term == term {
+			n.stepPlacer(ctx, ev, time.Now())
+		}
+	})
+}
+
+func (n *Node) carryOut(ctx context.Context, c placer.Command) {
+	term := n.term
+	switch c := c.(type) {
+	case placer.HoldOn:
+		n.atWorker(ctx, c.Worker, func(w target.Worker) {
+			n.placerEvent(ctx, term, placer.HoldAnswered{Worker: c.Worker, Lease: c.Hold.Lease, Err: w.Hold(ctx, c.Hold)})
+		})
+	case placer.StartOn:
+		n.atWorker(ctx, c.Worker, func(w target.Worker) {
+			n.placerEvent(ctx, term, placer.StartAnswered{Worker: c.Worker, Lease: c.Lease, Err: startBefore(ctx, w, c)})
+		})
+	case placer.RenewOn:
+		n.atWorker(ctx, c.Worker, func(w target.Worker) {
+			rep, err := w.Renew(ctx, c.Renewal)
+			n.placerEvent(ctx, term, placer.Reported{
+				Worker: c.Worker, Report: rep, Err: err, Renewed: c.Renewal.Leases, Expires: c.Renewal.Expires,
+			})
+		})
+	case placer.StopOn:
+		n.atWorker(ctx, c.Worker, func(w target.Worker) {
+			if err := w.Stop(ctx, c.Stop); err != nil && !errors.Is(err, target.ErrLapsed) {
+				n.log.Info("worker", "step", "stop", "peer", c.Worker, "job", c.Stop.Lease.Job, "error", err.Error())
+			}
+		})
+	case placer.ThrottleOn:
+		n.atWorker(ctx, c.Worker, func(w target.Worker) {
+			if err := w.Throttle(ctx, c.Lease, c.Cores); err != nil {
+				n.log.Info("worker", "step", "throttle", "peer", c.Worker, "job", c.Lease.Job, "error", err.Error())
+			}
+		})
+	case placer.ClaimRow:
+		n.spawn(func() { n.claim(ctx, term, c) })
+	case placer.Answer:
+		n.deliver(ctx, term, c)
+	case placer.Tell:
+		n.tell(ctx, c)
+	}
+}
+
+// startBefore starts what is held unless the lease's deadline has passed: a
+// process that was paused must not act on a lease that it only believes to hold.
+func startBefore(ctx context.Context, w target.Worker, c placer.StartOn) error {
+	if !time.Now().Before(c.Deadline) {
+		return target.ErrLapsed
+	}
+	return w.Start(ctx, c.Lease)
+}
+
+// atWorker runs f with the worker's client outside of the loop. A worker that
+// is not on the list has no address and f is not called; the lease lapses.
+func (n *Node) atWorker(ctx context.Context, id string, f func(target.Worker)) {
+	for _, t := range n.targets {
+		if t.ID != id {
+			continue
+		}
+		if n.addresses[id] != t.Address {
+			n.addresses[id], n.workers[id] = t.Address, remote.New(t.Address, n.workerRT)
+		}
+		w := n.workers[id]
+		n.spawn(func() { f(w) })
+		return
+	}
+	n.log.Info("worker", "step", "find", "peer", id, "error", "not on the platform's list")
+	_ = ctx
+}
+
+func (n *Node) claim(ctx context.Context, term int, c placer.ClaimRow) {
+	bounded, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	won, err := n.ledger.Claim(bounded, c.Lease)
+	if err != nil {
+		n.log.Info("claim", "step", "claim", "job", c.Lease.Job, "attempt", c.Lease.Attempt, "error", err.Error())
+	}
+	n.placerEvent(ctx, term, placer.ClaimAnswered{Lease: c.Lease, Won: won, Err: err})
+}
+
+// deliver records the outcome if it must outlive its hosts and gives it to the
+// entry. The placer asks again until both are done.
+func (n *Node) deliver(ctx context.Context, term int, c placer.Answer) {
+	id := c.Job.ID()
+	if n.delivering[id] {
+		return
+	}
+	n.delivering[id] = true
+	n.spawn(func() {
+		err := n.recordOutcome(ctx, c)
+		if sent := n.sendOutcome(ctx, c); err == nil {
+			err = sent
+		}
+		n.post(ctx, func() { delete(n.delivering, id) })
+		if err != nil {
+			n.log.Info("outcome", "step", "deliver", "job", id, "peer", c.Job.Entry(), "error", err.Error())
+			return
+		}
+		n.placerEvent(ctx, term, placer.OutcomeTaken{Job: id})
+	})
+}
+
+func (n *Node) recordOutcome(ctx context.Context, c placer.Answer) error {
+	if !c.Job.NeedsClaim() {
+		return nil
+	}
+	bounded, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	return n.ledger.Record(bounded, c.Job, c.Outcome)
+}
+
+func (n *Node) sendOutcome(ctx context.Context, c placer.Answer) error {
+	body := outcomeBody{Placer: n.id, Outcome: c.Outcome}
+	return n.call(ctx, c.Job.Entry(), "entry.outcome", body, nil)
+}
+
+// tell logs a line of a job's story and passes it on to the job's entry.
+func (n *Node) tell(ctx context.Context, c placer.Tell) {
+	if c.Job.ID() == "" {
+		n.log.Info("placer", "step", c.Step, "text", c.Text)
+		return
+	}
+	n.log.Info("job", "job", c.Job.ID(), "step", c.Step, "state", string(c.State), "text", c.Text)
+	line := intake.Line{At: time.Now(), State: c.State, Step: c.Step, Peer: n.id, Text: c.Text}
+	body := toldBody{Job: c.Job.ID(), Line: line}
+	entry := c.Job.Entry()
+	if entry == n.id {
+		n.stepEntry(ctx, intake.Told(body), line.At)
+		return
+	}
+	n.spawn(func() {
+		if err := n.call(ctx, entry, "entry.told", body, nil); err != nil {
+			n.metrics.Counter("stories_lost").Inc(1)
+		}
+	})
+}
+
+type outcomeBody struct {
+	Placer  string      `json:"placer"`
+	Outcome job.Outcome `json:"outcome"`
+}
+
+type toldBody struct {
+	Job  job.ID      `json:"job"`
+	Line intake.Line `json:"line"`
+}
--- /dev/null
+++ b/internal/host/server/stopping.go
@@ -0,0 +1,125 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"guavaglade.example/guavaglade/internal/host/intake"
+	"guavaglade.example/guavaglade/internal/work/job"
+)
+
+// Times of a planned stop.
+const (
+	balancerLag = 300 * time.Millisecond // until the balancer has seen that the host is not ready
+	stopPoll    = 50 * time.Millisecond
+)
+
+// Stop ends the host's part as planned. The balancer is told first and new
+// requests are still taken while it lags; peers are told, so another host
+// places; callers who wait are answered if their job ends before the grace is
+// over, and told where to ask again if not; jobs without an outcome are handed
+// to another host of the zone.
+func (n *Node) Stop(ctx context.Context, grace time.Time) error {
+	n.log.Info("stop", "step", "begin", "host", n.id)
+	if err := n.ask(ctx, func() { n.stopping = true }); err != nil {
+		return err
+	}
+	if err := sleep(ctx, balancerLag); err != nil {
+		return err
+	}
+	if err := n.ask(ctx, func() {
+		n.members.Leave()
+		n.beat(context.WithoutCancel(ctx), time.Now())
+	}); err != nil {
+		return err
+	}
+	for time.Now().Before(grace) {
+		open := 0
+		if err := n.ask(ctx, func() { open = n.unsettled() }); err != nil {
+			return err
+		}
+		if open == 0 {
+			break
+		}
+		if err := sleep(ctx, stopPoll); err != nil {
+			return err
+		}
+	}
+	err := n.handOver(ctx)
+	n.log.Info("stop", "step", "end", "host", n.id)
+	return err
+}
+
+// unsettled counts what the host must not leave behind: callers who wait, and
+// outcomes on their way.
+func (n *Node) unsettled() int { return len(n.waiting) + len(n.delivering) }
+
+// handOver gives the jobs without an outcome to another host of the zone and
+// tells whoever still waits where to ask again.
+func (n *Node) handOver(ctx context.Context) error {
+	var open []job.Job
+	var heirs []string
+	if err := n.ask(ctx, func() {
+		heirs = n.peerIDs(n.settings.Zone(), time.Now())
+		for _, r := range n.entry.Records() {
+			if !r.State().Final() {
+				open = append(open, r.Job())
+			}
+		}
+	}); err != nil {
+		return err
+	}
+	var to adoptAnswer
+	err := fmt.Errorf("hand over %d jobs: no live host in zone %s", len(open), n.settings.Zone())
+	for _, h := range heirs {
+		if err = n.call(ctx, h, "entry.adopt", adoptBody{Jobs: open}, &to); err == nil {
+			break
+		}
+	}
+	if len(open) == 0 {
+		err = nil
+	}
+	return firstError(err, n.ask(ctx, func() { n.release(to.CallerAddress) }))
+}
+
+// release wakes all who wait; they are told where to ask again.
+func (n *Node) release(askAgainAt string) {
+	n.askAgainAt = askAgainAt
+	for id, done := range n.waiting {
+		close(done)
+		delete(n.waiting, id)
+	}
+}
+
+type adoptBody struct {
+	Jobs []job.Job `json:"jobs"`
+}
+
+type adoptAnswer struct {
+	CallerAddress string `json:"callerAddress"`
+}
+
+func (n *Node) adopt(ctx context.Context, jobs []job.Job, now time.Time) {
+	for _, j := range jobs {
+		n.stepEntry(ctx, intake.Accepted{Job: j.AdoptedBy(n.id)}, now)
+	}
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/host/server/submitting.go
@@ -0,0 +1,169 @@
+package server
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"regexp"
+	"time"
+
+	"guavaglade.example/guavaglade/internal/config/text"
+	"guavaglade.example/guavaglade/internal/work/job"
+)
+
+// Request is what a caller asks for.
+type Request struct {
+	Account   string `json:"-"` // set from the caller's key
+	RequestID string `json:"requestId"`
+	Service   string `json:"service"`
+	Job       string `json:"job"`
+	Input     []byte `json:"input,omitempty"` // base64 in JSON
+	Ticket    string `json:"ticket,omitempty"`
+}
+
+// Refusal is an answer to a request that was not taken.
+type Refusal struct {
+	Status     int       // of HTTP
+	NotRun     bool      // it did not run and will not run
+	RetryAfter time.Time // when asking again makes sense; zero for never
+	reason     string
+}
+
+// Error returns the reason.
+func (r *Refusal) Error() string { return r.reason }
+
+func refuse(status int, format string, args ...any) *Refusal {
+	return &Refusal{Status: status, NotRun: true, reason: fmt.Sprintf(format, args...)}
+}
+
+func (r *Refusal) retry(at time.Time) *Refusal {
+	r.RetryAfter = at
+	return r
+}
+
+// requestID is what a caller may choose: it becomes part of keys and paths.
+var requestID = regexp.MustCompile(`^[A-Za-z0-9._-]{1,100}$`)
+
+// Submit takes a request and returns what is known of its job at once or, if
+// until is not zero, when it is final or until has passed. A request that is
+// not taken gets a *Refusal.
+func (n *Node) Submit(ctx context.Context, r Request, until time.Time) (View, error) {
+	now := time.Now()
+	j, err := n.jobOf(ctx, r, now)
+	if err != nil {
+		return View{}, err
+	}
+	if v, ok, err := n.known(ctx, j); ok || err != nil {
+		return v, err
+	}
+	if err := n.secure(ctx, j); err != nil {
+		return View{}, err
+	}
+	if err := n.Accept(ctx, j); err != nil {
+		return View{}, err
+	}
+	if until.IsZero() {
+		until = now
+	}
+	v, _, err := n.Wait(ctx, j.ID(), until)
+	return v, err
+}
+
+// jobOf makes the job that a request asks for.
+func (n *Node) jobOf(ctx context.Context, r Request, now time.Time) (job.Job, error) {
+	if !requestID.MatchString(r.RequestID) {
+		return job.Job{}, refuse(http.StatusBadRequest, "requestId %q: want 1 to 100 letters, digits, dots, lines", r.RequestID)
+	}
+	config, err := n.Config(ctx)
+	if err != nil {
+		return job.Job{}, err
+	}
+	service, ok := config.Service(r.Service)
+	if !ok {
+		return job.Job{}, refuse(http.StatusBadRequest, "no service %q in the configuration in force", r.Service)
+	}
+	kind, ok := service.Kind(r.Job)
+	if !ok {
+		return job.Job{}, refuse(http.StatusBadRequest, "service %s runs no job %q", r.Service, r.Job)
+	}
+	return n.jobOfKind(r, kind, now)
+}
+
+func (n *Node) jobOfKind(r Request, kind text.Kind, now time.Time) (job.Job, error) {
+	var startBy time.Time
+	if kind.StartIn() > 0 {
+		startBy = now.Add(kind.StartIn())
+	}
+	return job.New(
+		job.NewID(r.Account, r.RequestID), r.Account, r.Service, kind.Shape(),
+		job.WithKind(r.Job), job.WithRequest(r.RequestID), job.Repeatable(kind.Repeatable()), job.Long(kind.Long()),
+		job.Urgent(kind.Urgent()), job.Stoppable(kind.Stoppable()), job.Guaranteed(kind.Guaranteed()),
+		job.Declared(kind.Declared()), job.StartBy(startBy), job.SubmittedAt(now, n.id, n.settings.Zone()),
+		job.WithTicket(r.Ticket), job.WithInput(r.Input),
+	)
+}
+
+// known returns what is known of a job that was submitted before: submitting it
+// again is idempotent. A job that must outlive its host is also looked up in
+// the platform; without the platform a job that may run once only is refused.
+func (n *Node) known(ctx context.Context, j job.Job) (View, bool, error) {
+	if v, ok, err := n.local(ctx, j.ID()); ok || err != nil {
+		return v, ok, err
+	}
+	if !j.NeedsClaim() {
+		return View{}, false, nil
+	}
+	bounded, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	o, ok, err := n.ledger.Outcome(bounded, j.ID())
+	if err == nil {
+		return View{Job: j, State: o.State, Outcome: o, Durable: true}, ok, nil
+	}
+	if j.Repeatable() {
+		return View{}, false, nil
+	}
+	now := time.Now()
+	return View{}, false, refuse(http.StatusServiceUnavailable,
+		"job %s may run once only and the platform is not reached: %v", j.ID(), err).retry(now.Add(5 * time.Second))
+}
+
+// secure writes the row of a durable job. Without the platform the job is
+// taken all the same and its caller is told that it is not durable.
+func (n *Node) secure(ctx context.Context, j job.Job) error {
+	if !j.Long() {
+		return nil
+	}
+	bounded, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	if err := n.ledger.Admit(bounded, j); err != nil {
+		n.log.Info("job", "job", j.ID(), "step", "admit", "durable", false, "error", err.Error())
+		return nil
+	}
+	return n.ask(ctx, func() { n.durable[j.ID()] = true })
+}
+
+// Config returns the meaning of the configuration in force; nil if there is none.
+func (n *Node) Config(ctx context.Context) (c *text.Config, err error) {
+	err = n.ask(ctx, func() { c = n.config.Config() })
+	return c, err
+}
+
+// Ready returns nil if the balancer may send callers here.
+func (n *Node) Ready(ctx context.Context) error {
+	var reason string
+	if err := n.ask(ctx, func() {
+		switch {
+		case n.stopping:
+			reason = "stopping"
+		case n.config.Version() == 0:
+			reason = "no configuration in force"
+		}
+	}); err != nil {
+		return err
+	}
+	if reason != "" {
+		return errors.New(reason)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/operator/client/client.go
@@ -0,0 +1,169 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"guavaglade.example/guavaglade/internal/host/api"
+	"guavaglade.example/guavaglade/internal/host/server"
+)
+
+// MaxBody bounds what is read of one answer, in bytes.
+const MaxBody = 64 << 20
+
+// Client calls hosts with a key. A call goes to the first host that takes the
+// connection, as it would behind a balancer.
+type Client struct {
+	bases []string // http://IP:port
+	key   string
+	http  *http.Client
+}
+
+// New returns a client of the hosts at the addresses, each IP:port or a URL.
+// If rt is nil, the default transport is used.
+func New(addresses []string, key string, rt http.RoundTripper) *Client {
+	bases := make([]string, 0, len(addresses))
+	for _, a := range addresses {
+		if !strings.Contains(a, "://") {
+			a = "http://" + a
+		}
+		bases = append(bases, strings.TrimSuffix(a, "/"))
+	}
+	return &Client{bases: bases, key: key, http: &http.Client{Transport: rt}}
+}
+
+// Error is a problem that a host answered with.
+type Error struct {
+	api.Problem
+	Peer string // the host's address
+}
+
+// Error returns the detail with the host and the faults, if any.
+func (e *Error) Error() string {
+	s := fmt.Sprintf("%s (%d) from %s", e.Detail, e.Status, e.Peer)
+	for _, f := range e.Faults {
+		s += "\n" + f
+	}
+	return s
+}
+
+// Submit asks for a job and waits up to wait for its end; 0 does not wait.
+func (c *Client) Submit(ctx context.Context, r server.Request, wait time.Duration) (api.JobView, error) {
+	var v api.JobView
+	err := c.do(ctx, http.MethodPost, "/v1/jobs?wait="+wait.String(), r, &v)
+	return v, err
+}
+
+// Job returns where a job stands, waiting up to wait for its end.
+func (c *Client) Job(ctx context.Context, id string, wait time.Duration) (api.JobView, error) {
+	var v api.JobView
+	err := c.do(ctx, http.MethodGet, "/v1/jobs/"+url.PathEscape(id)+"?wait="+wait.String(), nil, &v)
+	return v, err
+}
+
+// Jobs returns the jobs that the host answers for.
+func (c *Client) Jobs(ctx context.Context) ([]api.JobView, error) {
+	var vs []api.JobView
+	err := c.do(ctx, http.MethodGet, "/v1/jobs", nil, &vs)
+	return vs, err
+}
+
+// Explain returns a job with its story.
+func (c *Client) Explain(ctx context.Context, id string) (api.Story, error) {
+	var s api.Story
+	err := c.do(ctx, http.MethodGet, "/v1/jobs/"+url.PathEscape(id)+"/explain", nil, &s)
+	return s, err
+}
+
+// Cancel says that a job is no longer wanted.
+func (c *Client) Cancel(ctx context.Context, id string) (api.JobView, error) {
+	var v api.JobView
+	err := c.do(ctx, http.MethodDelete, "/v1/jobs/"+url.PathEscape(id), nil, &v)
+	return v, err
+}
+
+// Configuration returns the text in force on the host.
+func (c *Client) Configuration(ctx context.Context) (api.ConfigurationView, error) {
+	var v api.ConfigurationView
+	err := c.do(ctx, http.MethodGet, "/v1/configuration", nil, &v)
+	return v, err
+}
+
+// Apply makes a text current that was based on a version.
+func (c *Client) Apply(ctx context.Context, base int64, change, text string) (api.ConfigurationView, error) {
+	body := struct {
+		Base   int64  `json:"base"`
+		Change string `json:"change"`
+		Text   string `json:"text"`
+	}{base, change, text}
+	var v api.ConfigurationView
+	err := c.do(ctx, http.MethodPut, "/v1/configuration", body, &v)
+	return v, err
+}
+
+// InForce returns what each host has in force.
+func (c *Client) InForce(ctx context.Context) ([]server.InForce, error) {
+	var rows []server.InForce
+	err := c.do(ctx, http.MethodGet, "/v1/inforce", nil, &rows)
+	return rows, err
+}
+
+// Get reads any path into a value.
+func (c *Client) Get(ctx context.Context, path string, into any) error {
+	return c.do(ctx, http.MethodGet, path, nil, into)
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body, into any) error {
+	var value []byte
+	if body != nil {
+		var err error
+		if value, err = json.Marshal(body); err != nil {
+			return fmt.Errorf("%s %s: %w", method, path, err)
+		}
+	}
+	last := fmt.Errorf("%s %s: no host is named", method, path)
+	for _, base := range c.bases {
+		res, err := c.send(ctx, method, base+path, value)
+		if err != nil {
+			last = fmt.Errorf("%s %s: %w", method, path, err)
+			continue
+		}
+		return answer(res, base, into)
+	}
+	return last
+}
+
+func (c *Client) send(ctx context.Context, method, target string, value []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(value))
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	return c.http.Do(req)
+}
+
+func answer(res *http.Response, base string, into any) error {
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(res.Body, MaxBody))
+	if err != nil {
+		return fmt.Errorf("read the answer of %s: %w", base, err)
+	}
+	if res.StatusCode >= http.StatusBadRequest {
+		problem := &Error{Peer: base}
+		if err := json.Unmarshal(body, &problem.Problem); err != nil {
+			return fmt.Errorf("%s: status %d", base, res.StatusCode)
+		}
+		return problem
+	}
+	if err := json.Unmarshal(body, into); err != nil {
+		return fmt.Errorf("read the answer of %s: %w", base, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/operator/command/demo.go
@@ -0,0 +1,24 @@
+package command
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"guavaglade.example/guavaglade/internal/operator/demo"
+)
+
+// demoTime bounds the demo.
+const demoTime = 28 * time.Second
+
+func runDemo(s streams, verbose bool) error {
+	log := logr.Discard()
+	if verbose {
+		log = logr.FromSlogHandler(slog.NewTextHandler(s.err, nil))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), demoTime)
+	defer cancel()
+	return demo.Run(ctx, s.out, log)
+}
--- a/internal/platform/remote/client.go
+++ b/internal/platform/remote/client.go
@@ -96,6 +96,14 @@
 	return ts, err
 }
 
+// Register puts workers on the platform's list. Only the stand-in fleet does.
+func (c *Client) Register(ctx context.Context, ts []table.Target) error {
+	if err := c.write(ctx, http.MethodPost, "/v1/targets", ts, nil); err != nil {
+		return fmt.Errorf("register %d workers: %w", len(ts), err)
+	}
+	return nil
+}
+
 func (c *Client) read(ctx context.Context, step, path string, into any) error {
 	if err := c.do(ctx, http.MethodGet, path, nil, into); err != nil {
 		return fmt.Errorf("%s: platform %s: %w: %w", step, c.address, table.ErrUnavailable, err)
--- a/internal/work/job/job.go
+++ b/internal/work/job/job.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -21,6 +22,16 @@
 	return ID(fmt.Sprintf("%s-%s-%016x", account, request, h))
 }
 
+// Of reports whether the id is that of a request of the account.
+func (id ID) Of(account string) bool {
+	const suffix = 17 // the dash and the hash
+	request, ok := strings.CutPrefix(string(id), account+"-")
+	if !ok || len(request) < suffix {
+		return false
+	}
+	return NewID(account, request[:len(request)-suffix]) == id
+}
+
 // Job is one request of a client account. Jobs are values and never change
 // once made. The zero Job is not valid: make jobs with New.
 type Job struct {
