placement: choose among first fit, best fit and cells

Cause: the skeleton had first fit only, sorted its workers at each Add and looked them up by name in each decision. Change: an inventory of racks that are kept sorted, with a count of free room per block size by which a search passes over racks; a View of what is free in several inventories at once; the policies BestFit and Cells; the option WithoutPlan, which does nothing yet. A worker that is removed and comes back still holds what its owners did not give back.

--- a/internal/fleet/cell/inventory.go
+++ b/internal/fleet/cell/inventory.go
@@ -3,23 +3,17 @@
 import (
 	"fmt"
 	"math/bits"
+	"slices"
 	"sort"
+	"strings"
 )
 
 // Inventory knows the workers of one zone and what of them is taken. It is
 // not safe for use by several goroutines.
 type Inventory struct {
-	workers map[string]*room
-	order   []string            // ids, sorted by rack and then by id
-	held    map[string]*holding // by owner
-}
-
-type room struct {
-	worker Worker
-	taken  uint64 // accelerators given out, one bit each
-	cores  int    // given out
-	memory int    // given out, MB
-	slots  int    // given out
+	rooms map[string]*room    // by worker id; those of removed workers stay while something is held there
+	racks []*rack             // sorted by name, none empty
+	held  map[string]*holding // by owner
 }
 
 type holding struct {
@@ -30,59 +24,109 @@
 // NewInventory returns an inventory of the workers with nothing taken. A later
 // worker with the same id replaces an earlier one.
 func NewInventory(workers ...Worker) *Inventory {
-	inv := &Inventory{workers: map[string]*room{}, held: map[string]*holding{}}
+	inv := &Inventory{rooms: map[string]*room{}, held: map[string]*holding{}}
 	for _, w := range workers {
 		inv.Add(w)
 	}
 	return inv
 }
 
-// Add puts a worker into the inventory, with nothing taken if it is new. If
-// the worker is known its sizes are replaced and what it holds stays.
+// Add puts a worker into the inventory. If the worker is known its sizes are
+// replaced and what it holds stays. A worker that was removed and comes back
+// still holds what its owners did not give back in the meantime: its tasks may
+// have gone on while it was out of sight, and their room must not be given out
+// a second time.
 func (v *Inventory) Add(w Worker) {
-	if r, ok := v.workers[w.id]; ok {
-		r.worker = w
-	} else {
-		v.workers[w.id] = &room{worker: w}
-		v.order = append(v.order, w.id)
-	}
-	sort.Slice(v.order, func(i, j int) bool {
-		a, b := v.workers[v.order[i]].worker, v.workers[v.order[j]].worker
-		if a.rack != b.rack {
-			return a.rack < b.rack
-		}
-		return a.id < b.id
-	})
+	r, ok := v.rooms[w.id]
+	if !ok {
+		r = &room{}
+		v.rooms[w.id] = r
+	}
+	if r.rack != nil && r.worker == w {
+		return
+	}
+	if r.rack != nil {
+		v.leaveRack(r)
+	}
+	r.worker = w
+	v.joinRack(r)
 }
 
 // Remove takes a worker out. Holdings with a member on it stay until they are
 // freed. An unknown worker is no error.
 func (v *Inventory) Remove(id string) {
-	if _, ok := v.workers[id]; !ok {
+	r, ok := v.rooms[id]
+	if !ok || r.rack == nil {
 		return
 	}
-	delete(v.workers, id)
-	for i, o := range v.order {
-		if o == id {
-			v.order = append(v.order[:i], v.order[i+1:]...)
-			return
-		}
+	v.leaveRack(r)
+	r.closed = false
+	v.forget(r)
+}
+
+// Bar says whether a worker is kept out of every View. What it holds stays.
+func (v *Inventory) Bar(id string, barred bool) {
+	r, ok := v.rooms[id]
+	if !ok || r.rack == nil {
+		return
+	}
+	r.rack.uncount(r)
+	r.closed = barred
+	r.rack.count(r)
+}
+
+// Barred reports whether the worker is barred or not known.
+func (v *Inventory) Barred(id string) bool {
+	r, ok := v.rooms[id]
+	return !ok || r.rack == nil || r.closed
+}
+
+func (v *Inventory) joinRack(r *room) {
+	i, ok := slices.BinarySearchFunc(v.racks, r.worker.rack, func(k *rack, name string) int {
+		return strings.Compare(k.name, name)
+	})
+	if !ok {
+		v.racks = slices.Insert(v.racks, i, &rack{name: r.worker.rack})
+	}
+	r.rack = v.racks[i]
+	r.rack.insert(r)
+	r.rack.count(r)
+}
+
+func (v *Inventory) leaveRack(r *room) {
+	k := r.rack
+	k.uncount(r)
+	k.remove(r)
+	r.rack = nil
+	if len(k.rooms) > 0 {
+		return
+	}
+	i := sort.Search(len(v.racks), func(i int) bool { return v.racks[i].name >= k.name })
+	v.racks = slices.Delete(v.racks, i, i+1)
+}
+
+// forget drops a removed worker's room once nothing is held there.
+func (v *Inventory) forget(r *room) {
+	if r.rack == nil && len(r.owners) == 0 {
+		delete(v.rooms, r.worker.id)
 	}
 }
 
 // Workers returns the workers sorted by rack and id.
 func (v *Inventory) Workers() []Worker {
-	ws := make([]Worker, 0, len(v.order))
-	for _, id := range v.order {
-		ws = append(ws, v.workers[id].worker)
+	ws := make([]Worker, 0, len(v.rooms))
+	for _, k := range v.racks {
+		for _, r := range k.rooms {
+			ws = append(ws, r.worker)
+		}
 	}
 	return ws
 }
 
 // Worker returns a worker by id; ok is false if it is not known.
 func (v *Inventory) Worker(id string) (w Worker, ok bool) {
-	r, ok := v.workers[id]
-	if !ok {
+	r, ok := v.rooms[id]
+	if !ok || r.rack == nil {
 		return Worker{}, false
 	}
 	return r.worker, true
@@ -91,15 +135,21 @@
 // Free returns what of a worker is free: the accelerators as a mask, cores,
 // memory in MB and slots. All are zero for an unknown worker.
 func (v *Inventory) Free(id string) (accelerators uint64, cores, memory, slots int) {
-	r, ok := v.workers[id]
-	if !ok {
+	r, ok := v.rooms[id]
+	if !ok || r.rack == nil {
 		return 0, 0, 0, 0
 	}
-	all := uint64(1)<<r.worker.accelerators - 1
-	if r.worker.accelerators == MaxAccelerators {
-		all = ^uint64(0)
+	return r.freeMask(), r.worker.cores - r.cores, r.worker.memory - r.memory, r.worker.slots - r.slots
+}
+
+// Owners returns who holds something on a worker, each once, in the order in
+// which they came. The caller must not change it.
+func (v *Inventory) Owners(id string) []string {
+	r, ok := v.rooms[id]
+	if !ok {
+		return nil
 	}
-	return all &^ r.taken, r.worker.cores - r.cores, r.worker.memory - r.memory, r.worker.slots - r.slots
+	return r.owners
 }
 
 // Take gives the assignment to the owner. It refuses, and changes nothing, if
@@ -113,8 +163,8 @@
 		return fmt.Errorf("take: %s: %d grants for %d members", owner, len(a), s.members)
 	}
 	for i, g := range a {
-		if err := v.takeOne(s, g); err != nil {
-			v.giveBack(s, a[:i])
+		if err := v.takeOne(owner, s, g); err != nil {
+			v.giveBack(owner, s, a[:i])
 			return fmt.Errorf("take: %s member %d: %w", owner, g.Member, err)
 		}
 	}
@@ -122,35 +172,32 @@
 	return nil
 }
 
-func (v *Inventory) takeOne(s Shape, g Grant) error {
-	free, cores, memory, slots := v.Free(g.Worker)
-	if _, ok := v.workers[g.Worker]; !ok {
+func (v *Inventory) takeOne(owner string, s Shape, g Grant) error {
+	r, ok := v.rooms[g.Worker]
+	if !ok || r.rack == nil {
 		return fmt.Errorf("worker %s is not known", g.Worker)
 	}
-	if bits.OnesCount64(g.Accelerators) != s.accelerators || g.Accelerators&^free != 0 {
+	if bits.OnesCount64(g.Accelerators) != s.accelerators || g.Accelerators&^r.freeMask() != 0 {
 		return fmt.Errorf("worker %s: accelerators %b are not free", g.Worker, g.Accelerators)
 	}
+	cores, memory, slots := r.worker.cores-r.cores, r.worker.memory-r.memory, r.worker.slots-r.slots
 	if cores < s.cores || memory < s.memory || slots < 1 {
 		return fmt.Errorf("worker %s: cores %d, memory %d, slots %d left", g.Worker, cores, memory, slots)
 	}
-	r := v.workers[g.Worker]
-	r.taken |= g.Accelerators
-	r.cores += s.cores
-	r.memory += s.memory
-	r.slots++
+	r.change(s, g, 1)
+	r.addOwner(owner)
 	return nil
 }
 
-func (v *Inventory) giveBack(s Shape, a Assignment) {
+func (v *Inventory) giveBack(owner string, s Shape, a Assignment) {
 	for _, g := range a {
-		r, ok := v.workers[g.Worker]
+		r, ok := v.rooms[g.Worker]
 		if !ok {
 			continue
 		}
-		r.taken &^= g.Accelerators
-		r.cores -= s.cores
-		r.memory -= s.memory
-		r.slots--
+		r.change(s, g, -1)
+		r.dropOwner(owner)
+		v.forget(r)
 	}
 }
 
@@ -160,7 +207,7 @@
 	if !ok {
 		return
 	}
-	v.giveBack(h.shape, h.assignment)
+	v.giveBack(owner, h.shape, h.assignment)
 	delete(v.held, owner)
 }
 
--- a/internal/fleet/placement/zone.go
+++ b/internal/fleet/placement/zone.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"math/bits"
 	"time"
 
 	"guavaglade.example/guavaglade/internal/fleet/cell"
@@ -27,6 +26,7 @@
 	Shape      cell.Shape
 	Guaranteed bool // may use the account's own guaranteed room
 	Stoppable  bool // may borrow guaranteed room that is idle
+	Urgent     bool // may use the account's own guaranteed room, asked for or not
 	Weights    Weights
 }
 
@@ -42,18 +42,32 @@
 // Zone is the room of one availability zone.
 type Zone struct {
 	policy     Policy
+	planned    bool // keeps non-stoppable borrowers off guaranteed room
 	inventory  *cell.Inventory
+	free       *cell.View // of the inventory
 	guarantees []guarantee.Guarantee
 	holders    map[string]*Holder // by owner
-	barred     map[string]bool    // workers that get no new work
 }
 
-// NewZone returns a zone without workers. If p is nil, the first fit is used.
-func NewZone(p Policy) *Zone {
+// Option changes how a zone is made.
+type Option func(*Zone)
+
+// WithoutPlan makes a zone that notes guarantees and counts claims, but lends
+// guaranteed room to work that cannot be stopped as well. It is for baselines:
+// how often a guarantee cannot be given back is then a measured figure.
+func WithoutPlan() Option { return func(z *Zone) { z.planned = false } }
+
+// NewZone returns a zone without workers. If p is nil, Cells is used.
+func NewZone(p Policy, opts ...Option) *Zone {
 	if p == nil {
-		p = FirstFit{}
+		p = Cells{}
 	}
-	return &Zone{policy: p, inventory: cell.NewInventory(), holders: map[string]*Holder{}, barred: map[string]bool{}}
+	inv := cell.NewInventory()
+	z := &Zone{policy: p, planned: true, inventory: inv, free: cell.NewView(inv), holders: map[string]*Holder{}}
+	for _, o := range opts {
+		o(z)
+	}
+	return z
 }
 
 // AddWorker adds a worker, or changes the sizes of one that is known.
@@ -61,19 +75,10 @@
 
 // RemoveWorker takes a worker out. Gangs with a member on it keep their other
 // members' room until they are freed.
-func (z *Zone) RemoveWorker(id string) {
-	z.inventory.Remove(id)
-	delete(z.barred, id)
-}
+func (z *Zone) RemoveWorker(id string) { z.inventory.Remove(id) }
 
 // Bar says whether a worker gets new work: a leaving or quarantined one does not.
-func (z *Zone) Bar(id string, barred bool) {
-	if barred {
-		z.barred[id] = true
-		return
-	}
-	delete(z.barred, id)
-}
+func (z *Zone) Bar(id string, barred bool) { z.inventory.Bar(id, barred) }
 
 // SetGuarantees replaces what is guaranteed. It refuses, and changes nothing,
 // if the shapes cannot all be packed at once on the zone's workers.
@@ -89,7 +94,7 @@
 // Place returns where the request fits now without stopping anything; ok is
 // false if it does not. It changes nothing.
 func (z *Zone) Place(r Request) (a cell.Assignment, ok bool) {
-	return z.policy.Choose(z.inventory, r, func(worker string) bool { return !z.barred[worker] })
+	return z.policy.Choose(z.free, r)
 }
 
 // Reclaim returns where the request would stand and the owners that must be
@@ -134,29 +139,23 @@
 // CanEver returns ErrNever, with the reason, for a shape that the zone could
 // not place even if all of its workers were free.
 func (z *Zone) CanEver(s cell.Shape) error {
-	empty := cell.NewInventory(z.inventory.Workers()...)
-	if _, ok := (FirstFit{}).Choose(empty, Request{Shape: s}, func(string) bool { return true }); !ok {
+	empty := cell.NewView(cell.NewInventory(z.inventory.Workers()...))
+	if _, ok := empty.Smallest(s, cell.Compact); !ok {
 		return fmt.Errorf("shape %s: %w", s, ErrNever)
 	}
 	return nil
 }
 
-// Fragmentation returns the share of the free accelerators, 0 to 1, that a gang
-// of the shape cannot use. It is 0 when nothing is free.
+// Fragmentation returns the share of the free accelerators, 0 to 1, that gangs
+// of the shape cannot use: what is over when as many whole gangs as possible
+// stand, with their adjacency. It is 0 when nothing is free or the shape asks
+// for no accelerators.
 func (z *Zone) Fragmentation(s cell.Shape) float64 {
-	free, usable := 0, 0
-	for _, w := range z.inventory.Workers() {
-		mask, _, _, _ := z.inventory.Free(w.ID())
-		n := bits.OnesCount64(mask)
-		free += n
-		if s.Accelerators() > 0 {
-			usable += n / s.Accelerators() * s.Accelerators()
-		}
-	}
-	if free == 0 {
+	free := z.free.FreeAccelerators()
+	if free == 0 || s.Total() == 0 {
 		return 0
 	}
-	return float64(free-usable) / float64(free)
+	return 1 - float64(z.free.Gangs(s)*s.Total())/float64(free)
 }
 
 // Inventory returns the zone's inventory, to be read only.
