placer: a gang's start, end and takeover as a machine of its own

Cause: the thin placer sent a stop once and never again, did not notice a lost worker, doubled the renewals of a worker with every start, decided in map order, and forgot attempts at a takeover. Change: package gang holds the start protocol (holding, claiming, starting, running, checking, ending); the placer keeps records of jobs, adopts what workers report, gives outcomes until taken, and asks each worker one question at a time. Additive: ClaimTicket, StopAnswered, OutcomeTaken.Entry, options.

--- a/internal/work/placer/command.go
+++ b/internal/work/placer/command.go
@@ -23,6 +23,14 @@
 	Job   job.Job
 }
 
+// ClaimTicket asks the host that issued the job's ticket whether this attempt
+// may start; a ticketed job is never claimed in the table. The answer is a
+// ClaimAnswered.
+type ClaimTicket struct {
+	Lease target.Lease
+	Job   job.Job
+}
+
 // StartOn asks a worker to start what it holds. It must not be sent after the
 // deadline. The answer is a StartAnswered.
 type StartOn struct {
@@ -66,11 +74,12 @@
 	Text  string
 }
 
-func (HoldOn) command()     {}
-func (ClaimRow) command()   {}
-func (StartOn) command()    {}
-func (RenewOn) command()    {}
-func (StopOn) command()     {}
-func (ThrottleOn) command() {}
-func (Answer) command()     {}
-func (Tell) command()       {}
+func (HoldOn) command()      {}
+func (ClaimRow) command()    {}
+func (ClaimTicket) command() {}
+func (StartOn) command()     {}
+func (RenewOn) command()     {}
+func (StopOn) command()      {}
+func (ThrottleOn) command()  {}
+func (Answer) command()      {}
+func (Tell) command()        {}
--- a/internal/work/placer/event.go
+++ b/internal/work/placer/event.go
@@ -43,6 +43,14 @@
 	Err    error
 }
 
+// StopAnswered is a worker's answer to Stop. It is optional: without it a stop
+// is settled by the worker's report or by the end of the lease.
+type StopAnswered struct {
+	Worker string
+	Lease  target.Lease
+	Err    error
+}
+
 // Reported is a worker's answer to Renew.
 type Reported struct {
 	Worker string
@@ -64,7 +72,10 @@
 }
 
 // OutcomeTaken says that the entry has the outcome and the placer may forget it.
-type OutcomeTaken struct{ Job job.ID }
+type OutcomeTaken struct {
+	Job   job.ID
+	Entry string // the entry that took it; empty for every entry that asked
+}
 
 // Ticked says that time has passed.
 type Ticked struct{}
@@ -74,6 +85,7 @@
 func (HoldAnswered) event()  {}
 func (ClaimAnswered) event() {}
 func (StartAnswered) event() {}
+func (StopAnswered) event()  {}
 func (Reported) event()      {}
 func (TargetsListed) event() {}
 func (Configured) event()    {}
--- a/internal/work/placer/machine.go
+++ b/internal/work/placer/machine.go
@@ -1,308 +1,174 @@
 package placer
 
 import (
-	"fmt"
-	"strings"
+	"math/rand/v2"
 	"time"
 
-	"guavaglade.example/guavaglade/internal/fleet/cell"
+	"guavaglade.example/guavaglade/internal/config/text"
 	"guavaglade.example/guavaglade/internal/fleet/placement"
-	"guavaglade.example/guavaglade/internal/fleet/target"
+	"guavaglade.example/guavaglade/internal/work/gang"
 	"guavaglade.example/guavaglade/internal/work/job"
 	"guavaglade.example/guavaglade/internal/work/schedule"
 )
 
-// Times of the leases.
+// Times and bounds of a placer.
 const (
-	LeaseTime  = 10 * time.Second // from a renewal to the lapse
+	LeaseTime  = gang.LeaseTime   // from a renewal to the lapse
 	RenewEvery = 3 * time.Second  // from a renewal to the next
+	GivenFor   = 30 * time.Second // a queued job that no entry gave again for so long is dropped
+	// OrphanAfter is when a running job that is not durable is stopped because
+	// no entry has asked for it.
+	OrphanAfter = 60 * time.Second
+	// ElsewhereFor is how long a job whose claim another placer won is looked
+	// for on the workers before it is given up as lost.
+	ElsewhereFor = LeaseTime + gang.CheckFor
+	SilentAfter  = 8 * time.Second  // a worker that was not heard for so long gets no new work
+	TakenFor     = 30 * time.Second // an outcome is kept for entries that ask late
+	UntakenFor   = 10 * time.Minute // an outcome that no entry takes is forgotten then
+	MaxOutcomes  = 10000            // outcomes kept; the oldest go first
+	MaxCrashes   = 3                // attempts of a repeatable job that may fail
+	MaxEntries   = 4                // entries that one job is answered to
+	pauseAfter   = 2 * time.Second  // between two steps: the machine was paused
 )
 
-// Machine is the state of one zone's placer.
+// Machine is the state of one zone's placer. Make it with New. It is not safe
+// for use by several goroutines.
 type Machine struct {
 	zone      string
+	salt      int
+	random    *rand.Rand
 	scheduler *schedule.Scheduler
+	config    *text.Config
+	keeper    *keeper
 	workers   map[string]*worker
-	gangs     map[job.ID]*gang
-	attempts  map[job.ID]int
-	outcomes  map[job.ID]Answer // not yet taken by the entry
-	answered  time.Time         // when the outcomes were last given
+	records   map[job.ID]*record
+	order     []job.ID              // of records, oldest first
+	found     map[job.ID]*gang.Gang // reported, not adopted: the newest attempt of each job
+	foundAt   map[job.ID]time.Time  // when it was found
+	heard     map[job.ID]heardOf    // the newest attempts that workers told of
+	settled   int                   // records with an outcome
+	stepped   time.Time             // when the last step was
+	dirty     bool                  // something that the scheduler decides about has changed
 }
 
-type worker struct {
-	change  int64 // newest change seen
-	renewed time.Time
+type heardOf struct {
+	round int
+	at    time.Time
 }
 
-type gang struct {
-	job      job.Job
-	lease    target.Lease
-	place    cell.Assignment
-	workers  []string // in the fixed order of holds
-	held     int
-	started  map[string]bool
-	ended    map[string]target.Task
-	claimed  bool
-	stopping bool
-	expires  time.Time
-}
-
-// New returns the machine of a zone.
-func New(zone string, p placement.Policy) *Machine {
-	return &Machine{
+// New returns the machine of a zone. If p is nil the first fit is used.
+func New(zone string, p placement.Policy, opts ...Option) *Machine {
+	m := &Machine{
 		zone:      zone,
+		random:    rand.New(rand.NewPCG(1, 1)),
 		scheduler: schedule.New(placement.NewZone(p)),
+		keeper:    newKeeper(),
 		workers:   map[string]*worker{},
-		gangs:     map[job.ID]*gang{},
-		attempts:  map[job.ID]int{},
-		outcomes:  map[job.ID]Answer{},
+		records:   map[job.ID]*record{},
+		found:     map[job.ID]*gang.Gang{},
+		foundAt:   map[job.ID]time.Time{},
+		heard:     map[job.ID]heardOf{},
 	}
+	for _, o := range opts {
+		o(m)
+	}
+	return m
 }
 
-// Step takes an event at a time and returns what is to be done about it.
+// Scheduler returns the queue and the room that the machine decides with, to be
+// read only.
+func (m *Machine) Scheduler() *schedule.Scheduler { return m.scheduler }
+
+// Step takes an event at a time and returns what is to be done about it, in
+// order.
+//
+// A host that was paused may believe in leases that are over. The first step
+// after a pause therefore checks every stored deadline before the event is
+// looked at and before anything is decided.
 func (m *Machine) Step(ev Event, now time.Time) []Command {
 	var cs []Command
+	if !m.stepped.IsZero() && now.Sub(m.stepped) > pauseAfter {
+		cs = m.ticked(now)
+	}
+	m.stepped = now
+	cs = append(cs, m.handle(ev, now)...)
+	return append(cs, m.decide(now)...)
+}
+
+func (m *Machine) handle(ev Event, now time.Time) []Command {
 	switch e := ev.(type) {
 	case Submitted:
-		cs = m.submitted(e, now)
+		return m.submitted(e, now)
 	case CancelAsked:
-		cs = m.cancelAsked(e, now)
+		return m.cancelAsked(e, now)
 	case HoldAnswered:
-		cs = m.holdAnswered(e, now)
+		return m.holdAnswered(e, now)
 	case ClaimAnswered:
-		cs = m.claimAnswered(e, now)
+		return m.claimAnswered(e, now)
 	case StartAnswered:
-		cs = m.startAnswered(e, now)
+		return m.startAnswered(e, now)
+	case StopAnswered:
+		return m.stopAnswered(e, now)
 	case Reported:
-		cs = m.reported(e, now)
+		return m.reported(e, now)
 	case TargetsListed:
-		m.targetsListed(e)
+		m.targetsListed(e, now)
 	case Configured:
-		if err := m.scheduler.Configure(e.Config, m.zone); err != nil {
-			cs = append(cs, Tell{Step: "configured", Text: err.Error()})
-		}
+		return m.configured(e)
 	case OutcomeTaken:
-		delete(m.outcomes, e.Job)
+		m.outcomeTaken(e, now)
 	case Ticked:
-		cs = m.ticked(now)
+		return m.ticked(now)
 	}
-	return append(cs, m.decide(now)...)
-}
-
-func (m *Machine) submitted(e Submitted, now time.Time) []Command {
-	if a, ok := m.outcomes[e.Job.ID()]; ok {
-		return []Command{a}
-	}
-	if _, ok := m.gangs[e.Job.ID()]; ok {
-		return nil
-	}
-	if m.scheduler.Waiting(e.Job.ID()) {
-		return nil
-	}
-	m.scheduler.Submit(e.Job, now)
-	return []Command{Tell{Job: e.Job, State: job.Queued, Step: "queued", Text: "in the queue of zone " + m.zone}}
+	return nil
 }
 
-func (m *Machine) cancelAsked(e CancelAsked, now time.Time) []Command {
-	if g, ok := m.gangs[e.Job]; ok {
-		return m.finish(g, job.Outcome{State: job.Cancelled, Reason: "cancelled by its caller"}, now)
+func (m *Machine) configured(e Configured) []Command {
+	m.config, m.dirty = e.Config, true
+	if err := m.scheduler.Configure(e.Config, m.zone); err != nil {
+		return []Command{Tell{Step: "configured", Text: err.Error()}}
 	}
 	return nil
 }
 
-func (m *Machine) decide(now time.Time) []Command {
+func (m *Machine) ticked(now time.Time) []Command {
 	var cs []Command
-	for _, d := range m.scheduler.Decide(now) {
-		switch d.Action {
-		case schedule.Start:
-			cs = append(cs, m.begin(d, now)...)
-		case schedule.Refuse:
-			cs = append(cs, m.answer(d.Job, job.Outcome{Job: d.Job.ID(), State: job.NotRun, Reason: d.Reason, RetryAfter: d.RetryAfter, At: now}))
-		case schedule.Stop:
-		}
-	}
-	return cs
-}
-
-func (m *Machine) begin(d schedule.Decision, now time.Time) []Command {
-	id := d.Job.ID()
-	m.attempts[id]++
-	g := &gang{
-		job: d.Job, place: d.Assignment, workers: d.Assignment.Workers(),
-		lease:   target.Lease{Job: id, Attempt: m.attempts[id]},
-		started: map[string]bool{}, ended: map[string]target.Task{},
-		expires: now.Add(LeaseTime),
-	}
-	m.gangs[id] = g
-	tell := Tell{Job: d.Job, State: job.Starting, Step: "placed", Text: fmt.Sprintf("on %s: %s", strings.Join(g.workers, " "), d.Reason)}
-	return []Command{tell, m.hold(g)}
-}
-
-func (m *Machine) hold(g *gang) Command {
-	w := g.workers[g.held]
-	return HoldOn{Worker: w, Hold: target.Hold{
-		Lease: g.lease, Job: g.job, Grants: g.place.On(w), Workers: len(g.workers), Expires: g.expires,
-	}}
-}
-
-func (m *Machine) holdAnswered(e HoldAnswered, now time.Time) []Command {
-	g, ok := m.gangs[e.Lease.Job]
-	if !ok || g.lease != e.Lease || g.held >= len(g.workers) || g.workers[g.held] != e.Worker {
-		return nil
-	}
-	if e.Err != nil {
-		return m.abort(g, schedule.NotStarted, e.Worker, now)
-	}
-	g.held++
-	if g.held < len(g.workers) {
-		return []Command{m.hold(g)}
-	}
-	if g.job.NeedsClaim() {
-		return []Command{ClaimRow{Lease: g.lease, Job: g.job}}
-	}
-	return m.startAll(g)
-}
-
-func (m *Machine) claimAnswered(e ClaimAnswered, now time.Time) []Command {
-	g, ok := m.gangs[e.Lease.Job]
-	if !ok || g.lease != e.Lease || g.claimed {
-		return nil
-	}
-	if e.Err != nil || !e.Won {
-		return m.abort(g, schedule.NotStarted, "", now)
-	}
-	g.claimed = true
-	return m.startAll(g)
-}
-
-func (m *Machine) startAll(g *gang) []Command {
-	cs := []Command{Tell{Job: g.job, State: job.Starting, Step: "held", Text: "all members are held"}}
-	for _, w := range g.workers {
-		cs = append(cs, StartOn{Worker: w, Lease: g.lease, Deadline: g.expires})
-	}
-	return cs
-}
-
-func (m *Machine) startAnswered(e StartAnswered, now time.Time) []Command {
-	g, ok := m.gangs[e.Lease.Job]
-	if !ok || g.lease != e.Lease {
-		return nil
-	}
-	if e.Err != nil {
-		if !g.job.Repeatable() {
-			return m.finish(g, job.Outcome{State: job.Lost, Reason: e.Err.Error()}, now)
+	for _, id := range append([]job.ID(nil), m.order...) {
+		if r, ok := m.records[id]; ok {
+			cs = append(cs, m.tickRecord(r, now)...)
 		}
-		return m.abort(g, schedule.NotStarted, e.Worker, now)
 	}
-	g.started[e.Worker] = true
-	if len(g.started) < len(g.workers) {
-		return nil
-	}
-	cs := []Command{Tell{Job: g.job, State: job.Running, Step: "started", Text: "all starts are acknowledged"}}
-	for _, w := range g.workers {
+	cs = append(cs, m.tickFound(now)...)
+	for _, w := range m.keeper.due(now) {
 		cs = append(cs, m.renew(w, now))
 	}
+	m.forget(now)
+	m.dirty = true
 	return cs
 }
 
-func (m *Machine) renew(w string, now time.Time) Command {
-	state := m.workers[w]
-	state.renewed = now
-	r := target.Renewal{Since: state.change, Expires: now.Add(LeaseTime), Wait: now.Add(RenewEvery)}
-	for _, g := range m.gangs {
-		if len(g.started) == len(g.workers) && len(g.place.On(w)) > 0 {
-			r.Leases = append(r.Leases, g.lease)
-		}
-	}
-	return RenewOn{Worker: w, Renewal: r}
-}
-
-func (m *Machine) reported(e Reported, now time.Time) []Command {
-	state, ok := m.workers[e.Worker]
-	if !ok || e.Err != nil {
+func (m *Machine) decide(now time.Time) []Command {
+	wake := m.scheduler.NextWake(now)
+	if !m.dirty && (wake.IsZero() || now.Before(wake)) {
 		return nil
 	}
-	state.change = e.Report.Change
+	m.dirty = false
+	m.bar(now)
 	var cs []Command
-	for _, t := range e.Report.Tasks {
-		cs = append(cs, m.taskReported(e.Worker, t, now)...)
-	}
-	return append(cs, m.renew(e.Worker, now))
-}
-
-func (m *Machine) taskReported(w string, t target.Task, now time.Time) []Command {
-	g, ok := m.gangs[t.Lease.Job]
-	if !ok || g.lease != t.Lease || !t.State.Ended() {
-		return nil
-	}
-	g.ended[w] = t
-	if t.State != target.Succeeded {
-		return m.finish(g, job.Outcome{State: job.Failed, Reason: t.Reason}, now)
-	}
-	if len(g.ended) < len(g.workers) {
-		return nil
-	}
-	return m.finish(g, job.Outcome{State: job.Succeeded, Answer: g.ended[g.workers[0]].Answer}, now)
-}
-
-func (m *Machine) finish(g *gang, o job.Outcome, now time.Time) []Command {
-	o.Job, o.Attempt, o.At = g.job.ID(), g.lease.Attempt, now
-	cs := m.stopAll(g)
-	delete(m.gangs, g.job.ID())
-	m.scheduler.Ended(g.job.ID(), schedule.Done, "", now)
-	return append(cs, m.answer(g.job, o))
-}
-
-func (m *Machine) abort(g *gang, end schedule.End, worker string, now time.Time) []Command {
-	cs := m.stopAll(g)
-	delete(m.gangs, g.job.ID())
-	m.scheduler.Ended(g.job.ID(), end, worker, now)
-	return cs
-}
-
-func (m *Machine) stopAll(g *gang) []Command {
-	var cs []Command
-	for _, w := range g.workers {
-		if _, ended := g.ended[w]; !ended {
-			cs = append(cs, StopOn{Worker: w, Stop: target.Stop{Lease: g.lease}})
-		}
-	}
-	return cs
-}
-
-func (m *Machine) answer(j job.Job, o job.Outcome) Command {
-	a := Answer{Job: j, Outcome: o}
-	m.outcomes[j.ID()] = a
-	return a
-}
-
-func (m *Machine) targetsListed(e TargetsListed) {
-	for _, t := range e.Targets {
-		w, err := cell.NewWorker(t.ID, t.Zone, t.Rack, t.Accelerators, t.Cores, t.Memory, t.Slots)
-		if err != nil {
+	for _, d := range m.scheduler.Decide(now) {
+		r, ok := m.records[d.Job.ID()]
+		if !ok {
+			m.scheduler.Ended(d.Job.ID(), schedule.Done, "", now)
 			continue
 		}
-		if _, ok := m.workers[t.ID]; !ok {
-			m.workers[t.ID] = &worker{}
-		}
-		m.scheduler.Zone().AddWorker(w)
-		m.scheduler.Zone().Bar(t.ID, t.Leaving)
-	}
-}
-
-func (m *Machine) ticked(now time.Time) []Command {
-	var cs []Command
-	for id, w := range m.workers {
-		if !now.Before(w.renewed.Add(2 * RenewEvery)) {
-			cs = append(cs, m.renew(id, now))
+		switch d.Action {
+		case schedule.Start:
+			cs = append(cs, m.begin(r, d, now)...)
+		case schedule.Refuse:
+			cs = append(cs, m.refuse(r, d, now)...)
+		case schedule.Stop:
+			cs = append(cs, m.reclaim(r, d, now)...)
 		}
 	}
-	if now.Before(m.answered.Add(time.Second)) {
-		return cs
-	}
-	m.answered = now
-	for _, a := range m.outcomes {
-		cs = append(cs, a)
-	}
 	return cs
 }
