fleet: say since when a lease runs only once it was started

Cause: the stand-in gave a held lease a start time, so a lease that lapsed before its start looked as if it had run; a job that must not be repeated would be told lost for nothing. Change: Since stays zero until Start, as package target says.

--- a/internal/standin/fleet/worker.go
+++ b/internal/standin/fleet/worker.go
@@ -82,7 +82,7 @@
 		return fmt.Errorf("%w: %w", target.ErrRefused, err)
 	}
 	l := &lease{expires: now.Add(ttl), task: target.Task{
-		Lease: h.Lease, Job: h.Job, Grants: h.Grants, Workers: h.Workers, State: target.Held, Since: now,
+		Lease: h.Lease, Job: h.Job, Grants: h.Grants, Workers: h.Workers, State: target.Held,
 	}}
 	w.leases[h.Lease] = l
 	w.touch(l)
