--- a/internal/host/member/member.go
+++ b/internal/host/member/member.go
@@ -19,7 +19,7 @@
 	DeadAfter = 5 * time.Second
 	// RefreshEvery is the time after which a sighting of another zone's host is
 	// passed on within the zone although nothing about it changed.
-	RefreshEvery = 10 * time.Second
+	RefreshEvery = 15 * time.Second
 	// ForeignSuspectAfter is SuspectAfter for hosts of other zones, of which
 	// most hosts hear every RefreshEvery only.
 	ForeignSuspectAfter = 3 * RefreshEvery
@@ -38,9 +38,9 @@
 // Host is a host of the system as it announces itself.
 type Host struct {
 	Address     string `json:"address"` // IP:port for peers
-	Zone        string `json:"zone"`
-	Incarnation int64  `json:"incarnation"` // rises with each start at the address
-	Protocol    int    `json:"protocol"`    // newest protocol version it speaks
+	Zone        string `json:"zone,omitempty"`
+	Incarnation int64  `json:"incarnation"`        // rises with each start at the address
+	Protocol    int    `json:"protocol,omitempty"` // newest protocol version it speaks
 	Leaving     bool   `json:"leaving,omitempty"`
 }
 
@@ -65,7 +65,8 @@
 	seeds   []Host            // from the settings; the zone may be empty
 	tries   map[string]attempt
 	methods map[string]int       // protocol version from which a method is spoken
-	crossed map[string]time.Time // by zone: when the next heartbeat is due
+	changed time.Time            // when the own heartbeat last said something new
+	crosses map[string]*crossing // by zone
 	passing []Sighting           // other zones' hosts in this interval's heartbeats
 	listed  map[string]bool      // addresses seen in the platform's list
 	asOf    time.Time            // of the newest list taken
@@ -79,6 +80,7 @@
 // entry is what is known of one peer.
 type entry struct {
 	Sighting
+	since       time.Time // when the first heartbeat of the incarnation was learned of
 	heard       time.Time // when the newest heartbeat was first learned of
 	direct      time.Time // when it was last learned from a host of its own zone
 	passed      time.Time // when it was last passed on within the own zone
@@ -106,7 +108,7 @@
 func New(self Host, opts ...Option) *Table {
 	t := &Table{
 		self: self, peers: map[string]*entry{}, tries: map[string]attempt{},
-		crossed: map[string]time.Time{}, listed: map[string]bool{}, picks: map[string]*choice{},
+		crosses: map[string]*crossing{}, listed: map[string]bool{}, picks: map[string]*choice{},
 	}
 	for _, o := range opts {
 		o(t)
@@ -122,12 +124,18 @@
 // the next heartbeats at once.
 func (t *Table) Leave() {
 	t.self.Leaving = true
-	t.crossed = map[string]time.Time{}
+	t.changed = t.ticked
 	t.forgetPicks()
 }
 
-// Announce sets what the own heartbeats say from now on.
-func (t *Table) Announce(v Version, l Load) { t.config, t.load = v, l }
+// Announce sets what the own heartbeats say from now on. A change of the load
+// alone travels with the next full heartbeat.
+func (t *Table) Announce(v Version, l Load) {
+	if v != t.config {
+		t.changed = t.ticked
+	}
+	t.config, t.load = v, l
+}
 
 // Live returns the live hosts of a zone that are not leaving, itself included,
 // sorted by address. An empty zone means all zones.
--- a/internal/host/member/targets.go
+++ b/internal/host/member/targets.go
@@ -66,10 +66,9 @@
 		return nil
 	}
 	if theirs, ok := t.Delegate(zone, t.self.Zone, now); ok {
-		if now.Before(t.crossed[zone]) {
+		if !t.cross(zone, now) {
 			return nil
 		}
-		t.crossed[zone] = now.Add(CrossEvery - BeatEvery/2) // the calls are not exact
 		return []Host{theirs}
 	}
 	var hosts []Host
@@ -86,6 +85,42 @@
 	return hosts
 }
 
+// crossing is this host's heartbeats to another zone while it is the delegate.
+type crossing struct {
+	next    time.Time // not sent to before
+	count   int
+	changed time.Time // when something changed in the own zone
+	digest  bool      // the newest heartbeat carries a digest
+}
+
+// cross reports whether a heartbeat to another zone is due, and decides whether
+// it carries a digest: often while something changed, else now and then.
+func (t *Table) cross(zone string, now time.Time) bool {
+	c, ok := t.crosses[zone]
+	if !ok {
+		c = &crossing{}
+		t.crosses[zone] = c
+	}
+	if now.Before(c.next) {
+		return false
+	}
+	c.next = now.Add(CrossEvery - BeatEvery/2) // the calls are not exact
+	c.digest = c.count%DigestEvery == 0 || now.Sub(c.changed) <= CrossEvery
+	c.count++
+	return true
+}
+
+// zoneChanged notes a change of a host, which is told to other zones if the host
+// is of the own one.
+func (t *Table) zoneChanged(zone string, now time.Time) {
+	if zone != t.self.Zone {
+		return
+	}
+	for _, c := range t.crosses {
+		c.changed = now
+	}
+}
+
 // otherZones returns the known zones but the own one, sorted.
 func (t *Table) otherZones() []string {
 	set := map[string]bool{}
