--- a/internal/host/retry/peer.go
+++ b/internal/host/retry/peer.go
@@ -81,7 +81,7 @@
 func (p *peer) closes() time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	at := p.opened.Add(p.rest)
+	at := p.opened.Add(p.rest + time.Millisecond) // a call passes after the rest, not at its end
 	if now := time.Now(); at.Before(now) {
 		at = now.Add(p.rest) // a call is on its way that decides
 	}
--- a/internal/platform/ledger/config.go
+++ b/internal/platform/ledger/config.go
@@ -190,7 +190,7 @@
 // currentFrom reads the current version, again if what it reads is older than
 // the base that an operator has seen: the platform may serve an older row.
 func (l *Ledger) currentFrom(ctx context.Context, base int64) (current, error) {
-	pauses := newPauses()
+	pauses := l.pauses()
 	for read := 1; ; read++ {
 		c, err := l.current(ctx)
 		if err != nil || c.Version >= base || read == baseReads || pauses.wait(ctx) != nil {
--- a/internal/platform/ledger/group.go
+++ b/internal/platform/ledger/group.go
@@ -57,6 +57,7 @@
 	queued  int     // writes in waiting
 	sends   int     // groups on their way, at most MaxSends
 	timed   bool    // a timer will send what waits
+	held    bool    // what waits has lingered and is sent as soon as a group is back
 }
 
 // call is one caller's writes. Its fields are guarded by the group's mutex
@@ -207,6 +208,7 @@
 		g.sends++
 		go g.carry(group)
 	}
+	g.held = len(g.waiting) > 0
 }
 
 // next takes out the first calls, up to max writes but at least one call.
@@ -255,5 +257,7 @@
 		close(c.done)
 	}
 	g.sends--
-	g.send()
+	if g.held {
+		g.send()
+	}
 }
--- a/internal/platform/ledger/ledger.go
+++ b/internal/platform/ledger/ledger.go
@@ -65,10 +65,14 @@
 	keep    time.Duration
 	large   int
 	report  func(key string, err error)
+	sleep   func(ctx context.Context, d time.Duration) error // between tries
 
 	mu        sync.Mutex
 	unsettled map[target.Lease]string // nonces of claims that are not known
-	sweptTo   string                  // key after which the next Sweep begins
+
+	sweeping sync.Mutex // held by the one that sweeps; guards the two below
+	sweptTo  string     // key after which the next Sweep begins
+	marks    []mark     // made by this host, to be removed
 }
 
 // Option sets a property of a new ledger.
@@ -96,7 +100,7 @@
 func New(t table.Table, self string, opts ...Option) *Ledger {
 	l := &Ledger{
 		table: t, self: self, now: time.Now, nonce: uuid.NewString, keep: Keep, large: LargeAnswer,
-		report: func(string, error) {}, unsettled: map[target.Lease]string{},
+		report: func(string, error) {}, sleep: sleep, unsettled: map[target.Lease]string{},
 	}
 	for _, o := range opts {
 		o(l)
@@ -113,7 +117,7 @@
 // most one of them takes effect, also if the first one is still on its way; and
 // a conflict shows the row as it is, where a read may show an older one.
 func (l *Ledger) write(ctx context.Context, w table.Write, mine func([]byte) bool) (ok bool, found table.Row, err error) {
-	pauses := newPauses()
+	pauses := l.pauses()
 	unknown := false
 	for {
 		res, err := l.table.Apply(ctx, []table.Write{w})
@@ -150,20 +154,24 @@
 }
 
 // pauses are the waits between the tries to settle a write.
-type pauses struct{ next *backoff.ExponentialBackOff }
+type pauses struct {
+	next  *backoff.ExponentialBackOff
+	sleep func(ctx context.Context, d time.Duration) error
+}
 
-func newPauses() pauses {
+func (l *Ledger) pauses() pauses {
 	b := backoff.NewExponentialBackOff()
 	b.InitialInterval = 20 * time.Millisecond
 	b.Multiplier = 2
 	b.MaxInterval = time.Second
-	return pauses{next: b}
+	return pauses{next: b, sleep: l.sleep}
 }
 
-// wait waits for the next try. It fails at once if the context would end first:
-// whoever waits gets the answer "not known" when that is certain, not later.
-func (p pauses) wait(ctx context.Context) error {
-	d := p.next.NextBackOff()
+func (p pauses) wait(ctx context.Context) error { return p.sleep(ctx, p.next.NextBackOff()) }
+
+// sleep waits. It fails at once if the context would end first: whoever waits
+// gets the answer "not known" when that is certain, not later.
+func sleep(ctx context.Context, d time.Duration) error {
 	if until, ok := ctx.Deadline(); ok && time.Until(until) <= d {
 		return context.DeadlineExceeded
 	}
--- a/internal/platform/ledger/pending.go
+++ b/internal/platform/ledger/pending.go
@@ -132,7 +132,7 @@
 		}
 		err := p.write(ctx, i)
 		var over *OverloadedError
-		if errors.As(err, &over) && waitUntil(ctx, over.RetryAt) == nil {
+		if errors.As(err, &over) && sleep(ctx, time.Until(over.RetryAt)) == nil {
 			continue
 		}
 		if err != nil && !final(err) {
@@ -191,17 +191,3 @@
 		delete(p.admits, i.job.ID())
 	}
 }
-
-func waitUntil(ctx context.Context, at time.Time) error {
-	if until, ok := ctx.Deadline(); ok && !at.Before(until) {
-		return context.DeadlineExceeded
-	}
-	t := time.NewTimer(time.Until(at))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/platform/ledger/sweep.go
+++ b/internal/platform/ledger/sweep.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"strings"
 	"time"
@@ -11,9 +12,27 @@
 	"guavaglade.example/guavaglade/internal/work/job"
 )
 
-// WriteLife is the time after which a write that was sent, and whose answer was
-// lost, is taken not to take effect any more.
-const WriteLife = time.Minute
+// Times of a removal.
+const (
+	// WriteLife is the time after which a write that was decided upon, and whose
+	// answer was lost, is taken not to take effect any more. The clocks of hosts
+	// are taken to differ by less.
+	WriteLife = time.Minute
+	// decisionLife is how long after a row was listed it is still written to.
+	decisionLife = WriteLife / 3
+	// removeUntil is the age of a mark up to which its maker removes the record.
+	removeUntil = 3 * WriteLife / 2
+	// takeOver is the age of a mark from which another one may replace it.
+	takeOver = 3 * WriteLife
+)
+
+// mark is a record that this host has marked to be removed.
+type mark struct {
+	row  table.Row // as the mark left it
+	id   job.ID
+	zone string    // of the job's own row, empty for none
+	at   time.Time // when it was marked
+}
 
 // Swept is what one call of Sweep did.
 type Swept struct {
@@ -25,80 +44,105 @@
 
 // Sweep removes the records of jobs that ended longer ago than they are kept,
 // with what is left of their job rows, and the texts of old configurations. It
-// looks at no more than limit records and goes on there at the next call. Any
-// host may sweep, also several at once.
+// looks at no more than limit records and goes on there at the next call, which
+// is to come within half of WriteLife. Any host may sweep, also several at once.
 //
-// A request id may be used again as soon as its record is gone, and the row
-// then begins at version 1 like the removed one did. A removal that was decided
-// on the old row must not hit the new one. So a sweeper first marks the record,
-// which ends all other use of it, and then removes exactly the version that its
-// own mark made. A mark that is left over is taken over after WriteLife, by a
-// mark of its own, when no older removal can be on its way any more.
+// A request id may be used again as soon as its record is gone, and the new row
+// then begins at version 1 like the removed one did. A write that was decided on
+// the old row, by a sweeper that was paused, must not hit the new one. So a
+// sweeper first marks the record, which ends all other use of it. It removes
+// exactly the version that its own mark made, once, and not before WriteLife has
+// passed, when whatever others decided on the unmarked record is void. A mark
+// that is left over is replaced by another one when its maker can remove it no
+// more. Seen without the wait: a second sweeper's mark on a new record.
 func (l *Ledger) Sweep(ctx context.Context, limit int) (Swept, error) {
-	l.mu.Lock()
-	after := l.sweptTo
-	l.mu.Unlock()
-	rows, err := l.table.List(ctx, claimPrefix, after, limit)
+	l.sweeping.Lock()
+	defer l.sweeping.Unlock()
+	s := Swept{Removed: l.removeMarked(ctx)}
+	listed := l.now()
+	rows, err := l.table.List(ctx, claimPrefix, l.sweptTo, limit)
 	if err != nil {
-		return Swept{}, fmt.Errorf("sweep: %w", err)
+		return s, fmt.Errorf("sweep: %w", err)
 	}
-	var s Swept
 	for _, row := range rows {
+		if l.now().Sub(listed) >= decisionLife {
+			return s, nil // this host was paused, or the platform is slow
+		}
 		s.Looked++
-		removed, err := l.sweepRow(ctx, row)
-		if err != nil {
+		if err := l.markRow(ctx, row); err != nil {
 			s.Passed++
 			l.report(row.Key, err)
 		}
-		if removed {
-			s.Removed++
-		}
-		after = row.Key
+		l.sweptTo = row.Key
 	}
 	if s.Round = len(rows) < limit; s.Round {
-		after = ""
+		l.sweptTo = ""
 		if err := l.sweepBodies(ctx, limit); err != nil {
 			return s, fmt.Errorf("sweep: %w", err)
 		}
 	}
-	l.mu.Lock()
-	l.sweptTo = after
-	l.mu.Unlock()
 	return s, nil
 }
 
-func (l *Ledger) sweepRow(ctx context.Context, row table.Row) (bool, error) {
+// markRow marks a record if it is to be removed.
+func (l *Ledger) markRow(ctx context.Context, row table.Row) error {
 	r, err := parse(row)
 	if err != nil {
-		return false, err
+		return err
 	}
 	now := l.now()
-	id := job.ID(strings.TrimPrefix(row.Key, claimPrefix))
-	if r.Until.IsZero() || now.Before(r.Until) || now.Sub(r.Swept) < WriteLife {
-		return false, nil
+	marked := !r.Swept.IsZero() && now.Sub(r.Swept) < takeOver
+	if r.Until.IsZero() || now.Before(r.Until) || marked {
+		return nil
 	}
+	id := job.ID(strings.TrimPrefix(row.Key, claimPrefix))
 	if r.Zone != "" && r.Outcome == nil && !r.Refused {
 		left, err := l.table.Get(ctx, jobKey(r.Zone, id))
 		if err != nil || left.Version > 0 {
-			return false, err // the job is not finished, however old it is
+			return err // the job is not finished, however old it is
 		}
 	}
 	r.Swept, r.By, r.Nonce = now.UTC(), l.self, l.nonce()
 	value, err := json.Marshal(r)
 	if err != nil {
-		return false, err
+		return err
 	}
 	res, err := l.table.Apply(ctx, []table.Write{{Key: row.Key, Value: value, Expect: row.Version}})
-	if err != nil || res[0].Err != nil {
-		return false, err // somebody else uses or removes it, or the next round will
+	if err != nil || errors.Is(res[0].Err, table.ErrConflict) {
+		return err // another host was faster
 	}
-	if r.Zone != "" {
-		if err := l.removeJob(ctx, r.Zone, id); err != nil {
-			return false, err
+	l.marks = append(l.marks, mark{row: res[0].Row, id: id, zone: r.Zone, at: now})
+	return res[0].Err
+}
+
+// removeMarked removes the records that this host has marked for long enough,
+// and returns how many. Each is tried once: after a failure the mark is left
+// over.
+func (l *Ledger) removeMarked(ctx context.Context) int {
+	removed := 0
+	var rest []mark
+	for _, m := range l.marks {
+		age := l.now().Sub(m.at)
+		if age < WriteLife {
+			rest = append(rest, m)
+			continue
+		}
+		if age < removeUntil && l.removeRecord(ctx, m) {
+			removed++
 		}
 	}
-	res, err = l.table.Apply(ctx, []table.Write{{Key: row.Key, Delete: true, Expect: res[0].Row.Version}})
-	return err == nil && res[0].Err == nil, err
+	l.marks = rest
+	return removed
+}
+
+// removeRecord removes the job's own row first: while the record is marked no
+// new one can be written.
+func (l *Ledger) removeRecord(ctx context.Context, m mark) bool {
+	if m.zone != "" && l.removeJob(ctx, m.zone, m.id) != nil {
+		return false
+	}
+	res, err := l.table.Apply(ctx, []table.Write{{Key: m.row.Key, Delete: true, Expect: m.row.Version}})
+	return err == nil && res[0].Err == nil
 }
 
 // sweepBodies removes texts of versions that are no longer kept.
