--- a/internal/host/member/member_test.go
+++ b/internal/host/member/member_test.go
@@ -164,7 +164,7 @@
 			}
 		}
 		next := old
-		for next == old {
+		for next == old && z.now.Sub(killed) < DeadAfter {
 			z.run(BeatEvery)
 			for _, v := range z.tables {
 				if v.self != old {
@@ -253,6 +253,27 @@
 	is.True(!v.Heard(host(0, "a", 9), morning)) // its own address
 }
 
+// A brief heartbeat says that its sender is as before. One of a process that
+// replaced the known one, or of an unknown one, says nothing yet.
+func TestBriefBeats(t *testing.T) {
+	is := is.New(t)
+	v := New(host(0, "a", 1))
+	brief := func(incarnation, seq int64) bool {
+		b := Beat{From: Host{Address: address(1), Incarnation: incarnation}, Seq: seq, ConfigVersion: seq}
+		taken, err := v.Hear(b, morning)
+		is.NoErr(err)
+		return taken
+	}
+	is.True(!brief(1, 1))
+	is.True(v.Heard(host(1, "a", 1), morning))
+	is.True(brief(1, 2))
+	is.True(!brief(1, 2))
+	is.True(!brief(2, 3))
+	is.Equal(v.peers[address(1)].Incarnation, int64(1))
+	is.Equal(v.peers[address(1)].Zone, "a")
+	is.Equal(v.peers[address(1)].Config.Number, int64(2))
+}
+
 // A leaving host hands over: from then on it has no duty in any view.
 func TestLeavingHostHandsOver(t *testing.T) {
 	z := newZones(t, 4, 4)
--- a/internal/platform/ledger/doc.go
+++ b/internal/platform/ledger/doc.go
@@ -19,9 +19,11 @@
 //   - A refusal is written only if the record shows no attempt, and a claim only
 //     if it shows no refusal: a job that was refused never starts, one that may
 //     have started is never refused.
-//   - An outcome is written only if its attempt is not older than the record's.
-//     Late, doubled and crossed reports change nothing. After an outcome there
-//     are no more claims.
+//   - An outcome is written only if there is none yet and its attempt is not
+//     older than the one that was claimed. Late, doubled and crossed reports
+//     change nothing. After an outcome there are no more claims.
+//   - That a claimed attempt did not run is taken only from the host that
+//     claimed it.
 //   - A record is removed a stated time after it ended.
 //
 // A write whose answer was lost is settled by reading the row back and by
--- a/internal/platform/ledger/ledger_test.go
+++ b/internal/platform/ledger/ledger_test.go
@@ -48,7 +48,7 @@
 	}
 }
 
-// The platform stops answering after it took a claim. The host must neither
+// The platform takes a claim, loses the answer and goes down. The host must neither
 // start the job nor call it not run before it knows, must say so before its
 // caller's deadline and not later, and must know its own claim afterwards.
 func TestClaimNotKnownThenSettled(t *testing.T) {
@@ -56,7 +56,7 @@
 		is := is.New(t)
 		f, j := newFake(), testJob("r")
 		l, lease := New(f, "host1"), target.Lease{Job: j.ID(), Attempt: 1}
-		f.fault = func() fault { return lostAfter }
+		f.fault = failing(lostAfter, down, down, down, down, down, down, down, down, down)
 		f.stale = func(int) int { return 0 }
 		f.history[claimKey(j.ID())] = []table.Row{{}} // reads lag behind the claim
 		ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
@@ -142,8 +142,24 @@
 	err = l.Admit(t.Context(), testJob("r", job.SubmittedAt(time.Unix(9, 0), "10.0.0.3:7000", "b")))
 	is.True(errors.As(err, &elsewhere))
 	is.Equal(elsewhere.Zone, "a")
+	other := testJob("r", job.WithInput([]byte("another")))
+	is.True(errors.Is(l.Record(t.Context(), other, succeeded(other, 1, "x")), ErrFenced)) // crossed
 	is.NoErr(l.Record(t.Context(), j, succeeded(j, 1, "x")))
 	is.True(errors.Is(l.Admit(t.Context(), j), ErrEnded))
+	is.True(errors.Is(l.Admit(t.Context(), other), ErrOtherRequest))
+}
+
+// A job was said not to have run, and then a report comes that it ran.
+func TestRefusalStands(t *testing.T) {
+	is := is.New(t)
+	l, j := New(newFake(), "host1"), testJob("r")
+	ok, err := l.Refuse(t.Context(), j.ID())
+	is.NoErr(err)
+	is.True(ok)
+	is.True(errors.Is(l.Record(t.Context(), j, succeeded(j, 1, "x")), ErrFenced))
+	ok, err = New(l.table, "host2").Refuse(t.Context(), j.ID()) // true for every host
+	is.NoErr(err)
+	is.True(ok)
 }
 
 // A zone has more unfinished jobs than a page holds, and one row that this
--- a/internal/platform/ledger/outcome.go
+++ b/internal/platform/ledger/outcome.go
@@ -23,7 +23,7 @@
 	}
 	content := contentOf(j)
 	stands, _, err := l.update(ctx, o.Job, l.nonce(), func(found record) (*record, error) {
-		if err := outcomeFits(found, o, content); err != nil || found.Outcome != nil && found.Outcome.Attempt == o.Attempt {
+		if err := l.outcomeFits(found, o, content); err != nil || found.Outcome != nil {
 			return nil, err
 		}
 		found.Attempt, found.Outcome, found.Object, found.Content = o.Attempt, &stored, object, content
@@ -46,32 +46,43 @@
 }
 
 // outcomeFits returns nil if an outcome may be written over a record, or is the
-// one that stands there. Without it the report of a placer that was paused
-// replaces the answer of the attempt that came after its own.
-func outcomeFits(found record, o job.Outcome, content string) error {
+// one that stands there. An outcome is final: a caller may have been told. It
+// must not be older than the attempt that was claimed, else the report of a
+// placer that was paused takes the place of the attempt that came after its own.
+// That a claimed attempt did not run can be known only to the host that claimed
+// it: another one that says so has tried to start the same attempt and lost.
+func (l *Ledger) outcomeFits(found record, o job.Outcome, content string) error {
 	if found.Content != "" && found.Content != content {
 		return fmt.Errorf("%w: the id stands for another request", ErrFenced)
 	}
+	if f := found.Outcome; f != nil {
+		return sameOutcome(*f, o)
+	}
+	if !found.Swept.IsZero() {
+		return fmt.Errorf("%w: it ended long ago", ErrFenced)
+	}
 	if o.Attempt < found.Attempt {
 		return fmt.Errorf("%w: attempt %d", ErrFenced, found.Attempt)
 	}
-	if o.State == job.NotRun && found.Attempt > 0 && o.Attempt != found.Attempt {
+	if o.State == job.NotRun && found.Attempt > 0 && (o.Attempt != found.Attempt || found.By != l.self) {
 		return fmt.Errorf("%w: attempt %d may have run", ErrFenced, found.Attempt)
 	}
 	if found.Refused && o.State != job.NotRun && o.State != job.Cancelled {
 		return fmt.Errorf("%w: it was refused", ErrFenced)
 	}
-	if !found.Swept.IsZero() {
-		return fmt.Errorf("%w: it ended long ago", ErrFenced)
-	}
-	if f := found.Outcome; f != nil && f.Attempt == o.Attempt {
-		if f.State != o.State || f.Answer.Digest() != o.Answer.Digest() {
-			return fmt.Errorf("%w: it %s", ErrFenced, f.State)
-		}
-	}
 	return nil
 }
 
+// sameOutcome returns nil if an outcome is a doubled report of the one that
+// stands.
+func sameOutcome(stands, o job.Outcome) error {
+	same := stands.State == o.State && stands.Answer.Digest() == o.Answer.Digest()
+	if same && (stands.Attempt == o.Attempt || o.State == job.NotRun) {
+		return nil
+	}
+	return fmt.Errorf("%w: attempt %d %s", ErrFenced, stands.Attempt, stands.State)
+}
+
 // storeAnswer puts a large answer into the object store, under a key that is
 // its own for each content. It returns the outcome without the body then.
 func (l *Ledger) storeAnswer(ctx context.Context, o job.Outcome) (stored job.Outcome, key string, err error) {
--- a/internal/platform/ledger/property_test.go
+++ b/internal/platform/ledger/property_test.go
@@ -83,7 +83,10 @@
 			r.record(ctx, host, j, job.Outcome{Job: j.ID(), Attempt: attempt, State: job.Succeeded})
 		}
 	case 4:
-		r.record(ctx, host, j, job.Outcome{Job: j.ID(), State: job.NotRun})
+		// An attempt that was not won, whether it was claimed or not.
+		if attempt--; !r.won[target.Lease{Job: j.ID(), Attempt: attempt}][host] {
+			r.record(ctx, host, j, job.Outcome{Job: j.ID(), Attempt: attempt, State: job.NotRun})
+		}
 	}
 	r.check()
 }
