placer: ask a worker that was not heard without waiting for news

Cause: a new placer's first question to an idle worker was held open for 3 s, and nothing is placed on a worker that was not heard. Change: no wait until the worker was heard. Conclusion: takeover begins to place after one exchange with each worker.

--- a/internal/work/placer/worker.go
+++ b/internal/work/placer/worker.go
@@ -101,6 +101,11 @@
 	w := m.workers[id]
 	m.keeper.ask(id, now)
 	r := target.Renewal{Since: w.change, Expires: now.Add(LeaseTime), Wait: now.Add(RenewEvery)}
+	if !m.fresh(w, now) {
+		// Nothing is placed on a worker that was not heard, so a new placer
+		// must not wait for news that an idle worker does not have.
+		r.Wait = time.Time{}
+	}
 	for _, g := range w.gangs {
 		if g.Renewable(id, now) {
 			r.Leases = append(r.Leases, g.Lease())
