server: wire membership, ledger, tickets, takeover and the planned stop

Cause: the thin wiring knew none of what the packages now do. Change: heartbeats by delegates, the platform's budget shared, group writes, catch-up, sweeping, claims that answer what is recorded, tickets passed on to their host, copies of jobs that are not durable, a placer that drains. Before: thin wiring.

--- a/internal/host/api/api.go
+++ b/internal/host/api/api.go
@@ -40,6 +40,7 @@
 	v1.HandleFunc("/jobs/{id}", a.as(a.get)).Methods(http.MethodGet)
 	v1.HandleFunc("/jobs/{id}", a.as(a.cancel)).Methods(http.MethodDelete)
 	v1.HandleFunc("/jobs/{id}/explain", a.as(a.explain)).Methods(http.MethodGet)
+	v1.HandleFunc("/tickets", a.as(a.ticket)).Methods(http.MethodPost)
 	v1.HandleFunc("/configuration", a.asOperator(a.getConfiguration)).Methods(http.MethodGet)
 	v1.HandleFunc("/configuration", a.asOperator(a.putConfiguration)).Methods(http.MethodPut)
 	v1.HandleFunc("/inforce", a.asOperator(a.inForce)).Methods(http.MethodGet)
--- a/internal/host/api/configuration.go
+++ b/internal/host/api/configuration.go
@@ -20,12 +20,12 @@
 }
 
 func (a *API) getConfiguration(w http.ResponseWriter, r *http.Request, _ caller) {
-	version, body, since, err := a.node.Configuration(r.Context())
+	c, since, err := a.node.InForceText(r.Context())
 	if err != nil {
 		unavailable(w, err)
 		return
 	}
-	reply(w, http.StatusOK, ConfigurationView{Version: version, Since: since, Text: string(body)})
+	reply(w, http.StatusOK, ConfigurationView{Version: c.Version, Since: since, Change: c.Change, Text: string(c.Body)})
 }
 
 func (a *API) putConfiguration(w http.ResponseWriter, r *http.Request, _ caller) {
--- a/internal/host/api/jobs.go
+++ b/internal/host/api/jobs.go
@@ -10,6 +10,7 @@
 
 	"guavaglade.example/guavaglade/internal/host/intake"
 	"guavaglade.example/guavaglade/internal/host/server"
+	"guavaglade.example/guavaglade/internal/work/gang"
 	"guavaglade.example/guavaglade/internal/work/job"
 )
 
@@ -36,7 +37,7 @@
 	if !v.State.Final() {
 		return out
 	}
-	out.ID, out.Attempt, out.Reason, out.RetryAfter = v.Outcome.Job, v.Outcome.Attempt, v.Outcome.Reason, v.Outcome.RetryAfter
+	out.ID, out.Attempt, out.Reason, out.RetryAfter = v.Outcome.Job, gang.Round(v.Outcome.Attempt), v.Outcome.Reason, v.Outcome.RetryAfter
 	if v.State == job.Succeeded {
 		out.Answer = &v.Outcome.Answer
 	}
@@ -147,6 +148,25 @@
 	reply(w, http.StatusAccepted, viewOf(v))
 }
 
+func (a *API) ticket(w http.ResponseWriter, r *http.Request, c caller) {
+	if c.account.Name() == "" {
+		Problem{Status: http.StatusForbidden, Detail: "the key is no client account's"}.write(w, time.Now())
+		return
+	}
+	text, deadline, err := a.node.Ticket(r.Context(), c.account.Name())
+	if err != nil {
+		unavailable(w, err)
+		return
+	}
+	reply(w, http.StatusOK, TicketView{Ticket: text, Deadline: deadline})
+}
+
+// TicketView is a ticket as its caller sees it.
+type TicketView struct {
+	Ticket   string    `json:"ticket"`
+	Deadline time.Time `json:"deadline"` // it cannot be spent after it
+}
+
 func (a *API) list(w http.ResponseWriter, r *http.Request, c caller) {
 	account := c.account.Name()
 	if c.operator {
--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -55,7 +55,10 @@
 		Prefix: "guavaglade", CachedReporter: reporter, Separator: promreporter.DefaultSeparator,
 		SanitizeOptions: &promreporter.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
 	}, metricsEvery)
-	node := server.New(s, remote.New(s.Platform(), nil), started.UnixMilli(), server.WithLog(log), server.WithMetrics(scope))
+	node, err := server.New(s, remote.New(s.Platform(), nil), started.UnixMilli(), server.WithLog(log), server.WithMetrics(scope))
+	if err != nil {
+		return nil, err
+	}
 	p := &Process{node: node, callers: callers, peers: peers, log: log, metrics: closer.Close}
 	p.http = &http.Server{
 		Handler: api.New(node, reporter.HTTPHandler()).Handler(), MaxHeaderBytes: s.MaxHeader(),
--- a/internal/host/server/entering.go
+++ b/internal/host/server/entering.go
@@ -18,7 +18,7 @@
 		case intake.CancelAt:
 			n.spawn(func() { n.cancelAt(ctx, c) })
 		case intake.Finish:
-			n.finished(c)
+			n.finished(ctx, c)
 		}
 	}
 }
@@ -40,12 +40,16 @@
 	}
 }
 
-func (n *Node) finished(c intake.Finish) {
+func (n *Node) finished(ctx context.Context, c intake.Finish) {
 	id := c.Job.ID()
 	if done, ok := n.waiting[id]; ok {
 		close(done)
 		delete(n.waiting, id)
 	}
+	if c.Job.Long() && !n.durable[id] {
+		n.spawn(func() { n.dropCopies(ctx, c.Job) })
+	}
+	delete(n.durable, id)
 	n.metrics.Tagged(map[string]string{"state": string(c.Outcome.State)}).Counter("jobs_finished").Inc(1)
 	n.log.Info("job", "job", id, "step", "answered", "state", string(c.Outcome.State), "attempt", c.Outcome.Attempt,
 		"reason", c.Outcome.Reason)
@@ -191,16 +195,21 @@
 	return View{}, false
 }
 
-// adoptOrphans takes over the durable jobs of its zone whose entry is gone. One
-// host of the zone does it at a time; two at once would only both answer.
+// adoptOrphans takes over jobs whose entry is gone: those that it keeps a copy
+// of and, if it places, the durable ones of its zone. Two hosts that adopt at
+// once would only both answer.
 func (n *Node) adoptOrphans(ctx context.Context, now time.Time) {
-	if n.placer == nil || n.stopping {
+	if n.stopping || n.members.Stale(now) {
 		return
 	}
 	live := map[string]bool{n.id: true}
 	for _, id := range n.peerIDs("", now) {
 		live[id] = true
 	}
+	n.adoptCopies(ctx, live, now)
+	if n.placer == nil {
+		return
+	}
 	n.spawn(func() {
 		bounded, cancel := context.WithTimeout(ctx, callTime)
 		defer cancel()
@@ -210,10 +219,18 @@
 			return
 		}
 		for _, j := range jobs {
-			if live[j.Entry()] {
-				continue
+			if !live[j.Entry()] {
+				n.post(ctx, func() { n.adoptDurable(ctx, j, time.Now()) })
 			}
-			n.post(ctx, func() { n.stepEntry(ctx, intake.Accepted{Job: j.AdoptedBy(n.id)}, time.Now()) })
 		}
 	})
 }
+
+func (n *Node) adoptDurable(ctx context.Context, j job.Job, now time.Time) {
+	if _, ok := n.entry.Record(j.ID()); ok {
+		return
+	}
+	n.log.Info("job", "job", j.ID(), "step", "adopt", "peer", j.Entry())
+	n.durable[j.ID()] = true
+	n.stepEntry(ctx, intake.Accepted{Job: j.AdoptedBy(n.id)}, now)
+}
--- a/internal/host/server/membership.go
+++ b/internal/host/server/membership.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"maps"
+	"encoding/json"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -12,41 +13,46 @@
 	"guavaglade.example/guavaglade/internal/work/placer"
 )
 
-// beatBody is a heartbeat on the wire.
-type beatBody struct {
-	Host    member.Host `json:"host"`
-	Version int64       `json:"version"` // of the configuration in force
-	Since   time.Time   `json:"since"`
-}
-
+// beat sends this interval's heartbeats.
 func (n *Node) beat(ctx context.Context, now time.Time) {
-	body := beatBody{Host: n.members.Self(), Version: n.config.Version(), Since: n.config.Since()}
-	n.versions[n.settings.PeerAddress()] = seen{host: body.Host, version: body.Version, since: body.Since, heard: now}
-	for _, p := range n.settings.Peers() {
-		n.spawn(func() { n.beatTo(ctx, p.Address, body) })
+	n.announce()
+	for _, to := range n.members.Targets(now) {
+		body := n.members.Beat(to, now)
+		n.spawn(func() { n.beatTo(ctx, to.Address, body) })
 	}
+	n.shareBudget(now)
+}
+
+// announce sets what the heartbeats say of this host.
+func (n *Node) announce() {
+	version := member.Version{Number: n.config.Version(), Since: n.config.Since()}
+	n.members.Announce(version, member.Load{})
 }
 
-func (n *Node) beatTo(ctx context.Context, address string, body beatBody) {
+func (n *Node) beatTo(ctx context.Context, address string, body member.Beat) {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	var back beatBody
-	if err := n.net.Call(ctx, address, "member.beat", body, &back); err != nil {
+	if err := n.net.Call(ctx, address, "member.beat", body, nil); err != nil {
 		n.metrics.Counter("heartbeats_failed").Inc(1)
-		return
+		n.post(ctx, func() { n.members.Unreachable(address) })
 	}
-	n.post(ctx, func() { n.heard(ctx, back, time.Now()) })
 }
 
-// heard takes a heartbeat, from the loop.
-func (n *Node) heard(ctx context.Context, b beatBody, now time.Time) {
-	if !n.members.Heard(b.Host, now) {
-		return
-	}
-	n.versions[b.Host.Address] = seen{host: b.Host, version: b.Version, since: b.Since, heard: now}
-	if b.Version > n.config.Version() {
-		n.fetchConfiguration(ctx, idOf(b.Host))
+func (n *Node) handleBeat(ctx context.Context, params json.RawMessage) (any, error) {
+	var b member.Beat
+	if err := n.read("member.beat", params, &b); err != nil {
+		return nil, err
 	}
+	var refused error
+	err := n.ask(ctx, func() {
+		now := time.Now()
+		if _, refused = n.members.Hear(b, now); refused != nil {
+			n.metrics.Counter("peer_bad_input").Inc(1)
+			return
+		}
+		n.followConfiguration(context.WithoutCancel(ctx), now)
+	})
+	return struct{}{}, firstError(err, refused)
 }
 
 // followPlacers tells the entry who places for each zone, and begins or ends
@@ -62,18 +68,25 @@
 		}
 	}
 	n.stepEntry(ctx, intake.PlacersSeen{Placers: placers}, now)
-	mine := placers[n.settings.Zone()] == n.id
+	mine := n.members.Places(now)
 	switch {
+	case mine && n.placer != nil && n.placer.Draining():
+		n.endPlacing()
 	case mine && n.placer == nil:
 		n.beginPlacing(ctx, now)
-	case !mine && n.placer != nil && !n.stopping:
+	case !mine && n.placer != nil && (n.members.Stale(now) || n.placer.Settled()):
 		n.endPlacing()
+	case !mine && n.placer != nil:
+		// Another host places from now on. What this one has begun it
+		// completes, so that no start is left half way, and begins no more.
+		n.placer.Drain()
 	}
 }
 
 func (n *Node) beginPlacing(ctx context.Context, now time.Time) {
 	n.term++
-	n.placer = newPlacer(n.settings.Zone())
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	n.placer = placer.New(n.settings.Zone(), nil, placer.WithIdentity(n.id), placer.WithRand(random))
 	n.log.Info("placing", "step", "begin", "zone", n.settings.Zone(), "host", n.id)
 	n.metrics.Counter("placer_begun").Inc(1)
 	if c := n.config.Config(); c != nil {
@@ -94,9 +107,15 @@
 
 // pollTargets reads the platform's list. When the platform is not reached the
 // last list stays in use, and a host that has none asks a peer for its own.
+// Every host keeps the list, since any may have to place when the platform is
+// down; only the placer needs it fresh.
 func (n *Node) pollTargets(ctx context.Context, now time.Time) {
-	peers := n.peerIDs(n.settings.Zone(), now)
 	empty := len(n.targets) == 0
+	if n.placer == nil && !empty && now.Before(n.targetsAt.Add(idleTargets)) {
+		return
+	}
+	n.targetsAt = now
+	peers := n.peerIDs(n.settings.Zone(), now)
 	n.spawn(func() {
 		bounded, cancel := context.WithTimeout(ctx, callTime)
 		defer cancel()
@@ -145,7 +164,7 @@
 	Version int64     `json:"version"`
 	Since   time.Time `json:"since,omitzero"`
 	Heard   time.Time `json:"heard"`
-	Live    bool      `json:"live"`
+	State   string    `json:"state"` // alive, suspect or dead, as this host sees it
 	Placer  bool      `json:"placer,omitempty"`
 	Leaving bool      `json:"leaving,omitempty"`
 }
@@ -155,15 +174,14 @@
 	var rows []InForce
 	err := n.ask(ctx, func() {
 		now := time.Now()
-		for _, address := range slices.Sorted(maps.Keys(n.versions)) {
-			s := n.versions[address]
-			p, _ := n.members.Placer(s.host.Zone, now)
+		n.announce()
+		for _, s := range n.members.Hosts(now) {
+			p, _ := n.members.Placer(s.Zone, now)
 			rows = append(rows, InForce{
-				Zone: s.host.Zone, Host: idOf(s.host), Version: s.version, Since: s.since, Heard: s.heard,
-				Live: now.Sub(s.heard) < member.SuspectAfter, Placer: idOf(p) == idOf(s.host), Leaving: s.host.Leaving,
+				Zone: s.Zone, Host: idOf(s.Host), Version: s.Config.Number, Since: s.Config.Since, Heard: s.Heard,
+				State: s.State.String(), Placer: idOf(p) == idOf(s.Host), Leaving: s.Leaving,
 			})
 		}
 	})
-	slices.SortStableFunc(rows, func(a, b InForce) int { return compareZones(a.Zone, b.Zone) })
 	return rows, err
 }
--- a/internal/host/server/node.go
+++ b/internal/host/server/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	crand "crypto/rand"
 	"crypto/tls"
 	"encoding/json"
 	"errors"
@@ -24,6 +25,8 @@
 	"guavaglade.example/guavaglade/internal/host/member"
 	"guavaglade.example/guavaglade/internal/host/peer"
 	"guavaglade.example/guavaglade/internal/host/settings"
+	"guavaglade.example/guavaglade/internal/host/ticket"
+	"guavaglade.example/guavaglade/internal/platform/budget"
 	"guavaglade.example/guavaglade/internal/platform/ledger"
 	"guavaglade.example/guavaglade/internal/platform/table"
 	"guavaglade.example/guavaglade/internal/work/job"
@@ -32,15 +35,17 @@
 
 // How often a host does what.
 const (
-	tickEvery      = 100 * time.Millisecond
-	beatEvery      = 400 * time.Millisecond
-	pollConfig     = 2 * time.Second
-	pollTargets    = time.Second
-	adoptEvery     = 5 * time.Second
-	callTime       = 2 * time.Second // bounds a call to a peer or the platform
-	workerShare    = 8               // connections to a worker from one host of up to eight
-	protocol       = 1               // newest protocol version between hosts
-	maxLoopBacklog = 4096
+	tickEvery        = 100 * time.Millisecond
+	pollConfig       = 2 * time.Second
+	pollTargetsEvery = time.Second
+	idleTargets      = 10 * time.Second // between two readings on a host that does not place
+	catchUpEvery     = time.Second
+	sweepEvery       = 30 * time.Second
+	adoptEvery       = 5 * time.Second
+	callTime         = 2 * time.Second // bounds a call to a peer or the platform
+	workerShare      = 8               // connections to a worker from one host of up to eight
+	protocol         = 1               // newest protocol version between hosts
+	maxLoopBacklog   = 4096
 )
 
 // Node is one running host.
@@ -48,6 +53,9 @@
 	settings settings.Settings
 	platform table.Platform
 	ledger   *ledger.Ledger
+	pending  *ledger.Pending // what could not be written while the platform was down
+	writes   *budget.Bucket
+	reads    *budget.Bucket
 	net      *peer.Net
 	log      logr.Logger
 	metrics  tally.Scope
@@ -60,17 +68,19 @@
 
 	// The loop owns all of the following.
 	members    *member.Table
-	versions   map[string]seen // what each host has in force, by peer address
 	config     inforce.Keeper
 	entry      *intake.Machine
 	waiting    map[job.ID]chan struct{} // closed when the job is final
 	placer     *placer.Machine          // nil while another host places
 	term       int                      // rises each time the placer begins or ends here
 	targets    []table.Target           // the platform's list as last read
+	targetsAt  time.Time                // when it was last asked for
 	workers    map[string]target.Worker // by id
 	addresses  map[string]string        // of the workers, by id
-	delivering map[job.ID]bool          // outcomes on their way to an entry
+	delivering map[delivery]bool        // outcomes on their way to an entry
 	durable    map[job.ID]bool          // jobs of this entry whose row is written
+	copies     map[job.ID]job.Job       // jobs that are not durable, kept for another entry
+	tickets    *ticket.Book
 	stopping   bool
 	askAgainAt string // caller address of the host that took over at a planned stop
 }
@@ -78,14 +88,6 @@
 // ErrEnded says that the host has ended.
 var ErrEnded = errors.New("host has ended")
 
-// seen is what a host says it has in force.
-type seen struct {
-	host    member.Host
-	version int64
-	since   time.Time
-	heard   time.Time
-}
-
 // Option sets one property of a new node.
 type Option func(*Node)
 
@@ -101,8 +103,9 @@
 }
 
 // New returns a node that is not running yet. incarnation must be higher than
-// that of any earlier process at the same peer address.
-func New(s settings.Settings, p table.Platform, incarnation int64, opts ...Option) *Node {
+// that of any earlier process at the same peer address. It refuses settings
+// whose budgets are not above 0.
+func New(s settings.Settings, p table.Platform, incarnation int64, opts ...Option) (*Node, error) {
 	n := &Node{
 		settings: s, platform: p, log: logr.Discard(), metrics: tally.NoopScope,
 		workerRT: remote.Transport(workerShare),
@@ -111,16 +114,31 @@
 		ended:    make(chan struct{}),
 		members: member.New(member.Host{
 			Address: s.PeerAddress(), Zone: s.Zone(), Incarnation: incarnation, Protocol: protocol,
-		}),
-		versions: map[string]seen{}, entry: intake.New(s.Zone()), waiting: map[job.ID]chan struct{}{},
-		workers: map[string]target.Worker{}, addresses: map[string]string{}, delivering: map[job.ID]bool{}, durable: map[job.ID]bool{},
+		}, member.WithSeeds(seedsOf(s)...)),
+		entry: intake.New(s.Zone()), waiting: map[job.ID]chan struct{}{},
+		workers: map[string]target.Worker{}, addresses: map[string]string{}, delivering: map[delivery]bool{}, durable: map[job.ID]bool{}, copies: map[job.ID]job.Job{},
 	}
 	n.net = peer.New(n.handle, nil)
 	for _, o := range opts {
 		o(n)
 	}
-	n.ledger = ledger.New(p, n.id)
-	return n
+	if err := n.openLedger(); err != nil {
+		return nil, fmt.Errorf("host %s: %w", n.id, err)
+	}
+	book, err := ticket.New(s.PeerAddress(), incarnation, crand.Reader)
+	if err != nil {
+		return nil, fmt.Errorf("host %s: %w", n.id, err)
+	}
+	n.tickets = book
+	return n, nil
+}
+
+func seedsOf(s settings.Settings) []member.Host {
+	var seeds []member.Host
+	for _, p := range s.Peers() {
+		seeds = append(seeds, member.Host{Address: p.Address, Zone: p.Zone})
+	}
+	return seeds
 }
 
 // ID returns the host's peer address with its incarnation.
@@ -145,10 +163,12 @@
 		<-serve
 	}()
 	n.every(ctx, tickEvery, n.tick)
-	n.every(ctx, beatEvery, n.beat)
+	n.every(ctx, member.BeatEvery, n.beat)
 	n.every(ctx, pollConfig, n.pollConfiguration)
-	n.every(ctx, pollTargets, n.pollTargets)
+	n.every(ctx, pollTargetsEvery, n.pollTargets)
 	n.every(ctx, adoptEvery, n.adoptOrphans)
+	n.every(ctx, catchUpEvery, n.catchUp)
+	n.every(ctx, sweepEvery, n.sweep)
 	n.log.Info("running", "host", n.id, "zone", n.settings.Zone())
 	for {
 		select {
--- a/internal/host/server/peers.go
+++ b/internal/host/server/peers.go
@@ -9,7 +9,6 @@
 
 	"guavaglade.example/guavaglade/internal/host/intake"
 	"guavaglade.example/guavaglade/internal/host/peer"
-	"guavaglade.example/guavaglade/internal/platform/ledger"
 	"guavaglade.example/guavaglade/internal/platform/table"
 	"guavaglade.example/guavaglade/internal/work/job"
 	"guavaglade.example/guavaglade/internal/work/placer"
@@ -49,11 +48,26 @@
 		var b adoptBody
 		_, err := n.toEntry(ctx, params, &b, func(now time.Time) { n.adopt(keep, b.Jobs, now) })
 		return adoptAnswer{CallerAddress: n.settings.CallerAddress()}, err
+	case "entry.copy":
+		var b copyBody
+		return n.toEntry(ctx, params, &b, func(time.Time) { n.keepCopy(b) })
+	case "ticket.submit":
+		var b ticketBody
+		if err := n.read(method, params, &b); err != nil {
+			return nil, err
+		}
+		return n.handleTicketSubmit(ctx, b)
+	case "ticket.claim":
+		var b leaveBody
+		if err := n.read(method, params, &b); err != nil {
+			return nil, err
+		}
+		return n.handleTicketClaim(ctx, b)
 	case "entry.find":
 		return n.handleFind(ctx, params)
 	case "config.get":
-		version, body, _, err := n.Configuration(ctx)
-		return ledger.Config{Version: version, Body: body}, err
+		c, _, err := n.InForceText(ctx)
+		return c, err
 	case "fleet.targets":
 		var ts []table.Target
 		err := n.ask(ctx, func() { ts = n.targets })
@@ -63,19 +77,6 @@
 	}
 }
 
-func (n *Node) handleBeat(ctx context.Context, params json.RawMessage) (any, error) {
-	var b beatBody
-	if err := n.read("member.beat", params, &b); err != nil {
-		return nil, err
-	}
-	var back beatBody
-	err := n.ask(ctx, func() {
-		n.heard(context.WithoutCancel(ctx), b, time.Now())
-		back = beatBody{Host: n.members.Self(), Version: n.config.Version(), Since: n.config.Since()}
-	})
-	return back, err
-}
-
 func (n *Node) handleFind(ctx context.Context, params json.RawMessage) (any, error) {
 	var b struct {
 		Job job.ID `json:"job"`
--- a/internal/host/server/placing.go
+++ b/internal/host/server/placing.go
@@ -12,8 +12,6 @@
 	"guavaglade.example/guavaglade/internal/work/placer"
 )
 
-func newPlacer(zone string) *placer.Machine { return placer.New(zone, nil) }
-
 // stepPlacer gives the placer an event and carries out what it asks for.
 func (n *Node) stepPlacer(ctx context.Context, ev placer.Event, now time.Time) {
 	for _, c := range n.placer.Step(ev, now) {
@@ -52,9 +50,11 @@
 		})
 	case placer.StopOn:
 		n.atWorker(ctx, c.Worker, func(w target.Worker) {
-			if err := w.Stop(ctx, c.Stop); err != nil && !errors.Is(err, target.ErrLapsed) {
+			err := w.Stop(ctx, c.Stop)
+			if err != nil && !errors.Is(err, target.ErrLapsed) {
 				n.log.Info("worker", "step", "stop", "peer", c.Worker, "job", c.Stop.Lease.Job, "error", err.Error())
 			}
+			n.placerEvent(ctx, term, placer.StopAnswered{Worker: c.Worker, Lease: c.Stop.Lease, Err: err})
 		})
 	case placer.ThrottleOn:
 		n.atWorker(ctx, c.Worker, func(w target.Worker) {
@@ -64,6 +64,8 @@
 		})
 	case placer.ClaimRow:
 		n.spawn(func() { n.claim(ctx, term, c) })
+	case placer.ClaimTicket:
+		n.spawn(func() { n.claimTicket(ctx, term, c) })
 	case placer.Answer:
 		n.deliver(ctx, term, c)
 	case placer.Tell:
@@ -98,50 +100,32 @@
 	_ = ctx
 }
 
-func (n *Node) claim(ctx context.Context, term int, c placer.ClaimRow) {
-	bounded, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
-	won, err := n.ledger.Claim(bounded, c.Lease)
-	if err != nil {
-		n.log.Info("claim", "step", "claim", "job", c.Lease.Job, "attempt", c.Lease.Attempt, "error", err.Error())
-	}
-	n.placerEvent(ctx, term, placer.ClaimAnswered{Lease: c.Lease, Won: won, Err: err})
-}
-
-// deliver records the outcome if it must outlive its hosts and gives it to the
+// deliver records the outcome if it must outlive its hosts and gives it to an
 // entry. The placer asks again until both are done.
 func (n *Node) deliver(ctx context.Context, term int, c placer.Answer) {
-	id := c.Job.ID()
-	if n.delivering[id] {
+	key := delivery{job: c.Job.ID(), entry: c.Job.Entry()}
+	if n.delivering[key] {
 		return
 	}
-	n.delivering[id] = true
+	n.delivering[key] = true
 	n.spawn(func() {
-		err := n.recordOutcome(ctx, c)
-		if sent := n.sendOutcome(ctx, c); err == nil {
-			err = sent
+		o, err := n.recordOutcome(ctx, c)
+		if err == nil {
+			err = n.call(ctx, key.entry, "entry.outcome", outcomeBody{Placer: n.id, Outcome: o}, nil)
 		}
-		n.post(ctx, func() { delete(n.delivering, id) })
+		n.post(ctx, func() { delete(n.delivering, key) })
 		if err != nil {
-			n.log.Info("outcome", "step", "deliver", "job", id, "peer", c.Job.Entry(), "error", err.Error())
+			n.log.Info("outcome", "step", "deliver", "job", key.job, "peer", key.entry, "error", err.Error())
 			return
 		}
-		n.placerEvent(ctx, term, placer.OutcomeTaken{Job: id})
+		n.placerEvent(ctx, term, placer.OutcomeTaken{Job: key.job, Entry: key.entry})
 	})
 }
 
-func (n *Node) recordOutcome(ctx context.Context, c placer.Answer) error {
-	if !c.Job.NeedsClaim() {
-		return nil
-	}
-	bounded, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
-	return n.ledger.Record(bounded, c.Job, c.Outcome)
-}
-
-func (n *Node) sendOutcome(ctx context.Context, c placer.Answer) error {
-	body := outcomeBody{Placer: n.id, Outcome: c.Outcome}
-	return n.call(ctx, c.Job.Entry(), "entry.outcome", body, nil)
+// delivery is an outcome on its way to one entry.
+type delivery struct {
+	job   job.ID
+	entry string
 }
 
 // tell logs a line of a job's story and passes it on to the job's entry.
--- a/internal/host/server/submitting.go
+++ b/internal/host/server/submitting.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"guavaglade.example/guavaglade/internal/config/text"
+	"guavaglade.example/guavaglade/internal/platform/ledger"
 	"guavaglade.example/guavaglade/internal/work/job"
 )
 
@@ -24,17 +25,17 @@
 
 // Refusal is an answer to a request that was not taken.
 type Refusal struct {
-	Status     int       // of HTTP
-	NotRun     bool      // it did not run and will not run
-	RetryAfter time.Time // when asking again makes sense; zero for never
-	reason     string
+	Status     int       `json:"status"`              // of HTTP
+	NotRun     bool      `json:"notRun"`              // it did not run and will not run
+	RetryAfter time.Time `json:"retryAfter,omitzero"` // when asking again makes sense; zero for never
+	Reason     string    `json:"reason"`
 }
 
 // Error returns the reason.
-func (r *Refusal) Error() string { return r.reason }
+func (r *Refusal) Error() string { return r.Reason }
 
 func refuse(status int, format string, args ...any) *Refusal {
-	return &Refusal{Status: status, NotRun: true, reason: fmt.Sprintf(format, args...)}
+	return &Refusal{Status: status, NotRun: true, Reason: fmt.Sprintf(format, args...)}
 }
 
 func (r *Refusal) retry(at time.Time) *Refusal {
@@ -54,7 +55,10 @@
 	if err != nil {
 		return View{}, err
 	}
-	if v, ok, err := n.known(ctx, j); ok || err != nil {
+	if r.Ticket != "" {
+		return n.submitTicketed(ctx, r, j, until)
+	}
+	if v, ok, err := n.known(ctx, j, until); ok || err != nil {
 		return v, err
 	}
 	if err := n.secure(ctx, j); err != nil {
@@ -107,8 +111,8 @@
 // known returns what is known of a job that was submitted before: submitting it
 // again is idempotent. A job that must outlive its host is also looked up in
 // the platform; without the platform a job that may run once only is refused.
-func (n *Node) known(ctx context.Context, j job.Job) (View, bool, error) {
-	if v, ok, err := n.local(ctx, j.ID()); ok || err != nil {
+func (n *Node) known(ctx context.Context, j job.Job, until time.Time) (View, bool, error) {
+	if v, ok, err := n.Wait(ctx, j.ID(), until); ok || err != nil {
 		return v, ok, err
 	}
 	if !j.NeedsClaim() {
@@ -137,12 +141,32 @@
 	bounded, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	if err := n.ledger.Admit(bounded, j); err != nil {
-		n.log.Info("job", "job", j.ID(), "step", "admit", "durable", false, "error", err.Error())
-		return nil
+		return n.withoutRow(ctx, j, err)
 	}
 	return n.ask(ctx, func() { n.durable[j.ID()] = true })
 }
 
+// withoutRow says what becomes of a long job whose row was not written: another
+// use of its request id is refused, and so is a job that may run once only. A
+// repeatable one is held by one more host until the platform is back.
+func (n *Node) withoutRow(ctx context.Context, j job.Job, err error) error {
+	now := time.Now()
+	switch {
+	case errors.Is(err, ledger.ErrOtherRequest):
+		return refuse(http.StatusConflict, "request id %s: %v", j.Request(), err)
+	case errors.Is(err, ledger.ErrEnded):
+		return refuse(http.StatusServiceUnavailable, "%v, ask for it again", err).retry(now.Add(time.Second))
+	case !j.Repeatable():
+		return refuse(http.StatusServiceUnavailable, "job %s may run once only: %v", j.ID(), err).retry(now.Add(5 * time.Second))
+	}
+	n.log.Info("job", "job", j.ID(), "step", "admit", "durable", false, "error", err.Error())
+	n.copyAway(ctx, j)
+	if err := n.pending.Admit(j); err != nil {
+		n.log.Info("job", "job", j.ID(), "step", "admit", "error", err.Error())
+	}
+	return nil
+}
+
 // Config returns the meaning of the configuration in force; nil if there is none.
 func (n *Node) Config(ctx context.Context) (c *text.Config, err error) {
 	err = n.ask(ctx, func() { c = n.config.Config() })
--- a/internal/operator/command/calls.go
+++ b/internal/operator/command/calls.go
@@ -130,9 +130,9 @@
 		return err
 	}
 	return c.print(c.streams, rows, func(w *tabwriter.Writer) {
-		_, _ = fmt.Fprintln(w, "ZONE\tHOST\tVERSION\tSINCE\tLIVE\tPLACER")
+		_, _ = fmt.Fprintln(w, "ZONE\tHOST\tVERSION\tSINCE\tSTATE\tPLACER")
 		for _, r := range rows {
-			_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%t\t%t\n", r.Zone, r.Host, r.Version, r.Since.Format(time.RFC3339Nano), r.Live, r.Placer)
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%t\n", r.Zone, r.Host, r.Version, r.Since.Format(time.RFC3339Nano), r.State, r.Placer)
 		}
 	})
 }
--- a/internal/work/placer/attempt.go
+++ b/internal/work/placer/attempt.go
@@ -248,6 +248,9 @@
 		return nil
 	}
 	r.claimed = e.Err == nil && e.Won
+	if e.Recorded.State.Final() {
+		return m.recorded(r, e.Recorded, now)
+	}
 	if r.gang == nil {
 		return nil
 	}
@@ -262,6 +265,20 @@
 	return append(cs, m.carry(r, steps, now)...)
 }
 
+// recorded gives up an attempt at a job whose outcome the platform holds, and
+// answers with that outcome: an entry that asked twice, or a host that replaced
+// the one that knew, must not hear another.
+func (m *Machine) recorded(r *record, o job.Outcome, now time.Time) []Command {
+	var cs []Command
+	if r.gang != nil {
+		cs = m.carry(r, r.gang.Claimed(false, nil, now), now)
+	}
+	if r.outcome != nil {
+		return cs
+	}
+	return append(cs, m.settle(r, o, now)...)
+}
+
 func (m *Machine) startAnswered(e StartAnswered, now time.Time) []Command {
 	r, ok := m.attemptOf(e.Lease)
 	if !ok {
--- a/internal/work/placer/event.go
+++ b/internal/work/placer/event.go
@@ -34,6 +34,9 @@
 	Lease target.Lease
 	Won   bool
 	Err   error
+	// Recorded is the outcome that the platform holds of a job that has ended
+	// or was refused for good; its State is empty if there is none.
+	Recorded job.Outcome
 }
 
 // StartAnswered is a worker's answer to Start.
--- a/internal/work/placer/machine.go
+++ b/internal/work/placer/machine.go
@@ -48,6 +48,7 @@
 	heard     map[job.ID]heardOf    // the newest attempts that workers told of
 	settled   int                   // records with an outcome
 	stepped   time.Time             // when the last step was
+	draining  bool                  // begins nothing more
 	dirty     bool                  // something that the scheduler decides about has changed
 }
 
@@ -149,7 +150,7 @@
 
 func (m *Machine) decide(now time.Time) []Command {
 	wake := m.scheduler.NextWake(now)
-	if !m.dirty && (wake.IsZero() || now.Before(wake)) {
+	if m.draining || !m.dirty && (wake.IsZero() || now.Before(wake)) {
 		return nil
 	}
 	m.dirty = false
