text: check the whole configuration text, each fault with its line

Cause: the thin reader took a bad number, duration or boolean as the default, did not know of unknown keys, and named no line. Change: Check and Parse find all faults at once over package document: unknown, missing, doubled and malformed keys; references; cycles of dependencies by name; shapes that no described worker or rack can hold; guarantees that cannot be packed on the described zones; shared keys; a text that leaves no operator. New section [zone NAME].

--- a/internal/config/text/parse.go
+++ b/internal/config/text/parse.go
@@ -1,123 +1,146 @@
 package text
 
 import (
-	"errors"
-	"fmt"
+	"regexp"
 	"sort"
 	"strings"
 
-	"gopkg.in/ini.v1"
-
+	"guavaglade.example/guavaglade/internal/config/document"
 	"guavaglade.example/guavaglade/internal/fleet/cell"
 	"guavaglade.example/guavaglade/internal/fleet/guarantee"
 )
 
+// Fault is one thing that is wrong with a text: line, section, key and reason.
+type Fault = document.Fault
+
+// Faults is all that is wrong with a text, sorted by line.
+type Faults = document.Faults
+
+var (
+	plainName  = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9_-]{0,62}$`)
+	targetName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:/-]{0,254}$`)
+)
+
 // Parse reads a text and returns what it means. If the text has faults it
-// returns them all, joined.
+// returns them all, as Faults.
 func Parse(body []byte) (*Config, error) {
-	file, err := ini.LoadSources(ini.LoadOptions{AllowNonUniqueSections: false}, body)
-	if err != nil {
-		return nil, fmt.Errorf("configuration: %w", err)
-	}
-	c := &Config{
-		services:   map[string]Service{},
-		accounts:   map[string]Account{},
-		guarantees: map[string][]guarantee.Guarantee{},
-		leaving:    map[string]bool{},
-	}
-	var faults []error
-	for _, s := range file.Sections() {
-		if err := c.section(s); err != nil {
-			faults = append(faults, fmt.Errorf("[%s]: %w", s.Name(), err))
-		}
-	}
-	if len(faults) > 0 {
-		return nil, errors.Join(faults...)
+	c, faults := read(body)
+	if err := faults.Err(); err != nil {
+		return nil, err
 	}
 	return c, nil
 }
 
-func (c *Config) section(s *ini.Section) error {
-	kind, name, _ := strings.Cut(s.Name(), " ")
-	switch kind {
-	case ini.DefaultSection:
-		return nil
-	case "service":
-		return c.service(name, s)
-	case "job":
-		return c.job(name, s)
-	case "account":
-		c.accounts[name] = Account{
-			name: name, keyHash: s.Key("keyHash").String(), weight: s.Key("weight").MustFloat64(1),
-			operator: s.Key("operator").MustBool(false),
-		}
-		return nil
-	case "guarantee":
-		return c.guarantee(name, s)
-	case "target":
-		c.leaving[name] = s.Key("leaving").MustBool(false)
-		return nil
-	default:
-		return fmt.Errorf("unknown section kind %q", kind)
-	}
+// Check returns all that is wrong with a text, nil if nothing is.
+func Check(body []byte) Faults {
+	_, faults := read(body)
+	return faults
 }
 
-func (c *Config) service(name string, s *ini.Section) error {
-	c.services[name] = Service{
-		name:          name,
-		completion:    s.Key("completionWeight").MustFloat64(0.5),
-		fragmentation: s.Key("fragmentationWeight").MustFloat64(0.5),
-		dependsOn:     s.Key("dependsOn").Strings(","),
-		objective:     Objective{Target: s.Key("objectiveTarget").MustFloat64(0), Within: s.Key("objectiveWithin").MustDuration(0)},
-		kinds:         map[string]Kind{},
+// reader takes a document through the checks. The sections are kept by name,
+// so that a check across sections can name a line.
+type reader struct {
+	doc        *document.Document
+	config     *Config
+	zones      map[string]*zone
+	services   []*document.Section // in the order of the text, as the others
+	jobs       []*document.Section
+	accounts   []*document.Section
+	guarantees []promise
+}
+
+// promise is a guarantee with its section.
+type promise struct {
+	at    *document.Section
+	value guarantee.Guarantee
+	zones []string
+}
+
+func read(body []byte) (*Config, Faults) {
+	r := &reader{
+		doc: document.Read(body),
+		config: &Config{
+			services:   map[string]Service{},
+			accounts:   map[string]Account{},
+			guarantees: map[string][]guarantee.Guarantee{},
+			leaving:    map[string]bool{},
+		},
+		zones: map[string]*zone{},
 	}
-	return nil
+	r.sections()
+	r.references()
+	r.fits()
+	return r.config, r.doc.Faults()
 }
 
-func (c *Config) job(name string, s *ini.Section) error {
-	service, kind, _ := strings.Cut(name, ".")
-	owner, ok := c.services[service]
-	if !ok {
-		return fmt.Errorf("service %q is not described before it", service)
+// sections reads the sections kind by kind, so that their order in the text
+// does not matter.
+func (r *reader) sections() {
+	kinds := []struct {
+		name string
+		read func(name string, at *document.Section)
+	}{
+		{"zone", r.zone},
+		{"service", r.service},
+		{"job", r.job},
+		{"account", r.account},
+		{"guarantee", r.guarantee},
+		{"target", r.target},
 	}
-	shape, err := shapeOf(s)
-	if err != nil {
-		return err
+	known := map[*document.Section]bool{}
+	for _, k := range kinds {
+		for _, at := range r.doc.Sections() {
+			kind, name, _ := strings.Cut(at.Name(), " ")
+			if kind != k.name {
+				continue
+			}
+			known[at] = true
+			k.read(name, at)
+			at.Unknown()
+		}
 	}
-	owner.kinds[kind] = Kind{
-		name: kind, shape: shape,
-		repeatable: s.Key("repeatable").MustBool(true),
-		long:       s.Key("long").MustBool(false),
-		urgent:     s.Key("urgent").MustBool(false),
-		stoppable:  s.Key("stoppable").MustBool(false),
-		guaranteed: s.Key("guaranteed").MustBool(false),
-		declared:   s.Key("declared").MustDuration(0),
-		startIn:    s.Key("startIn").MustDuration(0),
+	for _, at := range r.doc.Sections() {
+		if !known[at] {
+			at.Fault("", "unknown kind of section; known are zone, service, job, account, guarantee, target")
+		}
+	}
+	if len(r.doc.Sections()) == 0 && len(r.doc.Faults()) == 0 {
+		r.doc.Fault("empty text: it would take all services and client accounts out of force")
 	}
-	return nil
 }
 
-func (c *Config) guarantee(name string, s *ini.Section) error {
-	account, _, _ := strings.Cut(name, ".")
-	shape, err := shapeOf(s)
-	if err != nil {
-		return err
+// named reports whether a name is plain, and notes a fault if it is not.
+func named(at *document.Section, name string) bool {
+	if plainName.MatchString(name) {
+		return true
 	}
-	g, err := guarantee.New(account, shape, s.Key("count").MustInt(1))
-	if err != nil {
-		return err
-	}
-	for _, zone := range s.Key("zones").Strings(",") {
-		c.guarantees[zone] = append(c.guarantees[zone], g)
+	at.Faultf("", "name %q: want 1 to 63 letters, digits, dashes and underscores", name)
+	return false
+}
+
+// owned cuts OWNER.NAME, and notes a fault if it is not that.
+func owned(at *document.Section, full string) (owner, name string, ok bool) {
+	owner, name, ok = strings.Cut(full, ".")
+	if !ok {
+		at.Faultf("", "name %q: want OWNER.NAME with a dot", full)
+		return "", "", false
 	}
-	return nil
+	return owner, name, named(at, owner) && named(at, name)
 }
 
-func shapeOf(s *ini.Section) (cell.Shape, error) {
-	return cell.NewShape(
-		s.Key("members").MustInt(1), s.Key("accelerators").MustInt(0), s.Key("cores").MustInt(1),
-		s.Key("memory").MustInt(1024), cell.Adjacency(s.Key("adjacency").String()),
-	)
+func shapeOf(at *document.Section) (s cell.Shape, ok bool) {
+	const memoryDefault = 1024 // MB
+	members := at.Int("members", 1, 1, cell.MaxMembers)
+	accelerators := at.Int("accelerators", 0, 0, cell.MaxAccelerators)
+	cores := at.Int("cores", 1, 0, 1<<16)
+	memory := at.Int("memory", memoryDefault, 0, 1<<30)
+	adjacency := at.Choice("adjacency", string(cell.Any), string(cell.Any), string(cell.SameRack), string(cell.SameWorker))
+	s, err := cell.NewShape(members, accelerators, cores, memory, cell.Adjacency(adjacency))
+	if err != nil {
+		at.Fault("", err.Error())
+		return cell.Shape{}, false
+	}
+	return s, true
 }
 
 func sortedKeys[V any](m map[string]V) []string {
--- /dev/null
+++ b/internal/config/text/parse_test.go
@@ -0,0 +1,220 @@
+package text_test
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"guavaglade.example/guavaglade/internal/config/text"
+	"guavaglade.example/guavaglade/internal/proof/seeded"
+)
+
+// sound is a text without faults. Each broken text below changes one place.
+const sound = `[zone leon]
+workers = 4
+racks = 2
+acceleratorsPerWorker = 8
+cores = 64
+memory = 262144
+[service refill]
+completionWeight = 0.8
+fragmentationWeight = 0.2
+objectiveTarget = 0.99
+objectiveWithin = 10s
+dependsOn = catalogue
+[service catalogue]
+[job refill.order]
+members = 2
+accelerators = 8
+adjacency = rack
+repeatable = false
+declared = 2s
+[account kiosks]
+keyHash = 9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08
+weight = 2
+operator = true
+[guarantee kiosks.orders]
+zones = leon
+members = 2
+accelerators = 8
+adjacency = rack
+[target 127.0.0.1:7101]
+leaving = true
+`
+
+func TestParse(t *testing.T) {
+	is := is.New(t)
+	c, err := text.Parse([]byte(sound))
+	is.NoErr(err)
+	is.Equal(c.Services(), []string{"catalogue", "refill"})
+	s, ok := c.Service("refill")
+	is.True(ok)
+	is.Equal(s.Completion(), 0.8)
+	is.Equal(s.DependsOn(), []string{"catalogue"})
+	is.Equal(s.Objective(), text.Objective{Target: 0.99, Within: 10 * time.Second})
+	k, ok := s.Kind("order")
+	is.True(ok)
+	is.Equal(k.Shape().String(), "2x8/rack")
+	is.True(!k.Repeatable())
+	is.True(!k.Stoppable())
+	is.Equal(len(c.Guarantees("leon")), 1)
+	is.True(c.Leaving("127.0.0.1:7101"))
+	a, ok := c.Account("kiosks")
+	is.True(ok)
+	is.True(a.Operator())
+}
+
+func TestCheckNamesEachFaultyLine(t *testing.T) {
+	const key = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
+	cases := []struct {
+		name, old, new string
+		line           int
+		reason         string
+	}{
+		{"unknown kind of section", "[target", "[worker", 29, "unknown kind of section"},
+		{"section without a name", "[service catalogue]", "[service]", 13, `name "": want`},
+		{"section not closed", "[service catalogue]", "[service catalogue", 13, "not a section"},
+		{"section twice", "[target 127.0.0.1:7101]", "[service refill]", 29, "stands already on line 7"},
+		{"key before any section", "[zone leon]\n", "racks = 1\n[zone leon]\n", 1, "stands before any section"},
+		{"unknown key", "weight = 2", "wieght = 2", 22, "unknown key; known here: keyHash, weight, operator"},
+		{"key twice", "weight = 2", "weight = 2\nweight = 3", 23, "weight: stands already on line 22"},
+		{"no equals sign", "weight = 2", "weight 2", 22, "not a key"},
+		{"no value", "weight = 2", "weight =", 22, "without a value"},
+		{"bad number", "members = 2", "members = two", 15, `"two" is not a whole number`},
+		{"octal is not read as such", "members = 2", "members = 0x2", 15, "not a whole number"},
+		{"not a number at all", "completionWeight = 0.8", "completionWeight = NaN", 8, "out of range, want 0 to 1"},
+		{"weight out of range", "completionWeight = 0.8", "completionWeight = 1.5", 8, "out of range, want 0 to 1"},
+		{"both weights 0", "Weight = 0.8\nfragmentationWeight = 0.2", "Weight = 0\nfragmentationWeight = 0", 8, "both weights are 0"},
+		{"bad duration", "declared = 2s", "declared = 2", 19, `"2" is not a duration`},
+		{"bad boolean", "repeatable = false", "repeatable = never", 18, `"never" is not true or false`},
+		{"objective out of range", "objectiveTarget = 0.99", "objectiveTarget = 99", 10, "out of range"},
+		{"half an objective", "objectiveWithin = 10s\n", "", 7, "set together"},
+		{"missing key hash", "keyHash = " + key + "\n", "", 20, "missing"},
+		{"key hash not hexadecimal", "9f86d0", "9g86d0", 21, "not a SHA-256"},
+		{"key hash too short", "9f86d0", "9f", 21, "not a SHA-256"},
+		{"key of two accounts", "[target", "[account salons]\nkeyHash = " + key + "\n[target", 30, "is the key of account kiosks"},
+		{"no operator", "operator = true", "operator = false", 23, "nobody could change"},
+		{"unknown service of a job", "[job refill.", "[job refil.", 14, `service "refil" is not described`},
+		{"unknown dependency", "dependsOn = catalogue", "dependsOn = catalog", 12, `service "catalog" is not described`},
+		{"cycle of dependencies", "[service catalogue]", "[service catalogue]\ndependsOn = refill", 12, "refill -> catalogue -> refill"},
+		{"cycle of one", "[service catalogue]", "[service catalogue]\ndependsOn = catalogue", 14, "catalogue -> catalogue"},
+		{"unknown account of a guarantee", "[guarantee kiosks.", "[guarantee kiosk.", 24, `account "kiosk" is not described`},
+		{"name without an owner", "[guarantee kiosks.orders]", "[guarantee kiosks]", 24, "want OWNER.NAME"},
+		{"unknown zone of a guarantee", "zones = leon", "zones = leon, lyon", 25, `zone "lyon" is not described`},
+		{"empty part of a list", "zones = leon", "zones = leon,,", 25, "empty part"},
+		{"unknown adjacency", "adjacency = rack\nrep", "adjacency = row\nrep", 17, `"row" is not one of any, rack, worker`},
+		{"too many members", "members = 2", "members = 65", 15, "out of range, want 1 to 64"},
+		{"more accelerators than any worker", "accelerators = 8\nadjacency = rack\nrep", "accelerators = 9\nadjacency = rack\nrep", 14, "can run in none of the described zones"},
+		{"guarantee larger than a rack", "members = 2\naccelerators = 8\nadjacency = rack\n[", "members = 3\naccelerators = 8\nadjacency = rack\n[", 24, "zone leon: "},
+		{"more racks than workers", "racks = 2", "racks = 5", 3, "5 racks for 4 workers"},
+		{"stopped but not repeatable", "repeatable = false", "repeatable = false\nstoppable = true", 19, "cannot be stopped and started again"},
+		{"value over several lines", "weight = 2", "weight = `2\n`", 22, "values over several lines"},
+		{"reference to a key", "weight = 2", "weight = %(weight)s", 22, "references to other keys"},
+		{"not UTF-8", "weight = 2", "weight = \xff", 22, "not UTF-8"},
+		{"control character", "weight = 2", "weight = 2\x00", 22, "control character U+0000"},
+		{"very long line", "weight = 2", "weight = " + strings.Repeat("2", 70000), 22, "at most 65536"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(strings.Contains(sound, c.old)) // the case changes something
+			faults := text.Check([]byte(strings.Replace(sound, c.old, c.new, 1)))
+			for _, f := range faults {
+				if f.Line == c.line && strings.Contains(f.Error(), c.reason) {
+					return
+				}
+			}
+			t.Fatalf("want line %d: %s\ngot\n%v", c.line, c.reason, faults)
+		})
+	}
+}
+
+func TestCheckTellsAllFaultsAtOnce(t *testing.T) {
+	is := is.New(t)
+	body := strings.NewReplacer("weight = 2", "weight = x", "racks = 2", "racks 2", "[target", "[trgt").Replace(sound)
+	_, err := text.Parse([]byte(body))
+	var faults text.Faults
+	is.True(errors.As(err, &faults))
+	var lines []int
+	for _, f := range faults {
+		lines = append(lines, f.Line)
+	}
+	is.Equal(lines, []int{3, 22, 29})
+}
+
+func TestCheckOfTextsAsAWhole(t *testing.T) {
+	cases := []struct {
+		name, body string
+		sound      bool
+	}{
+		{"empty", "", false},
+		{"comments only", "# nothing\n; at all\n", false},
+		{"CRLF", strings.ReplaceAll(sound, "\n", "\r\n"), true},
+		{"byte order mark", "\ufeff" + sound, true},
+		{"no newline at the end", strings.TrimSpace(sound), true},
+		{"comments after values", strings.ReplaceAll(sound, "weight = 2", "weight = 2 # twice a salon"), true},
+		{"spaces in a section", strings.ReplaceAll(sound, "[service refill]", " [ service  refill ] ; kiosks"), true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			faults := text.Check([]byte(c.body))
+			if (len(faults) == 0) != c.sound {
+				t.Fatalf("got faults\n%v", faults)
+			}
+		})
+	}
+}
+
+// TestSectionsMayStandInAnyOrder has the sections shuffled: what the text
+// means must be the same, but for the order of guarantees.
+func TestSectionsMayStandInAnyOrder(t *testing.T) {
+	parts := strings.Split(strings.TrimPrefix(sound, "["), "\n[")
+	want, err := text.Parse([]byte(sound))
+	if err != nil {
+		t.Fatal(err)
+	}
+	seeded.Check(t, func(t *rapid.T) {
+		body := "[" + strings.Join(rapid.Permutation(parts).Draw(t, "order"), "\n[") + "\n"
+		got, err := text.Parse([]byte(body))
+		is := is.New(t)
+		is.NoErr(err)
+		is.Equal(got, want)
+	})
+}
+
+func TestExamplesAreSound(t *testing.T) {
+	for _, name := range []string{"recargaBella", "spf"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			body, err := os.ReadFile("../../../examples/" + name + ".ini")
+			is.NoErr(err)
+			c, err := text.Parse(body)
+			is.NoErr(err)
+			is.Equal(len(c.Accounts()), 5) // four client accounts and the automation
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(sound))
+	f.Add([]byte("\ufeff[zone a]\r\nworkers = 0\r\n[job a.b]\nmembers = -1\n"))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		faults := text.Check(body)
+		c, err := text.Parse(body)
+		if (err == nil) != (len(faults) == 0) || (err == nil) != (c != nil) {
+			t.Fatalf("Parse gave %v, Check %v", err, faults)
+		}
+		lines := strings.Count(string(body), "\n") + 1
+		for _, fault := range faults {
+			whole := strings.HasPrefix(fault.Reason, "empty text") || strings.HasPrefix(fault.Reason, "text of")
+			if fault.Reason == "" || fault.Line > lines || fault.Line < 1 && !whole {
+				t.Fatalf("fault without a place or reason: %+v", fault)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/config/text/zone.go
@@ -0,0 +1,114 @@
+package text
+
+import (
+	"fmt"
+	"strings"
+
+	"guavaglade.example/guavaglade/internal/config/document"
+	"guavaglade.example/guavaglade/internal/fleet/cell"
+	"guavaglade.example/guavaglade/internal/fleet/guarantee"
+	"guavaglade.example/guavaglade/internal/fleet/placement"
+)
+
+// mostWorkers bounds the workers of one zone that a text may describe.
+const mostWorkers = 1024
+
+// zone is an availability zone as the text describes it: equal workers, spread
+// evenly over its racks. It is used to check the text only; what is really
+// there is known from the platform.
+type zone struct {
+	name    string
+	workers []cell.Worker
+}
+
+func (r *reader) zone(name string, at *document.Section) {
+	at.Require("workers")
+	workers := at.Int("workers", 0, 1, mostWorkers)
+	racks := at.Int("racks", 1, 1, mostWorkers)
+	accelerators := at.Int("acceleratorsPerWorker", 0, 0, cell.MaxAccelerators)
+	cores := at.Int("cores", 1, 1, 1<<16)
+	memory := at.Int("memory", 1024, 1, 1<<30)
+	slots := at.Int("slots", 8, 1, 1<<16)
+	if !named(at, name) {
+		return
+	}
+	if workers > 0 && racks > workers {
+		at.Faultf("racks", "%d racks for %d workers; each rack needs one", racks, workers)
+	}
+	z := &zone{name: name}
+	for i := range workers {
+		id, rack := fmt.Sprintf("%s-w%05d", name, i), fmt.Sprintf("%s-r%05d", name, i*racks/workers)
+		w, err := cell.NewWorker(id, name, rack, accelerators, cores, memory, slots)
+		if err != nil {
+			at.Fault("", err.Error())
+			return
+		}
+		z.workers = append(z.workers, w)
+	}
+	r.zones[name] = z
+}
+
+// empty returns the zone's room with nothing placed.
+func (z *zone) empty() *placement.Zone {
+	room := placement.NewZone(nil)
+	for _, w := range z.workers {
+		room.AddWorker(w)
+	}
+	return room
+}
+
+// fits checks that each job fits in some zone and that the guarantees of each
+// zone can be packed at once. It needs every zone to be described.
+func (r *reader) fits() {
+	rooms := map[string]*placement.Zone{}
+	for name, z := range r.zones {
+		if len(z.workers) == 0 {
+			return // its section is at fault already
+		}
+		rooms[name] = z.empty()
+	}
+	if len(rooms) == 0 {
+		return
+	}
+	for _, at := range r.jobs {
+		r.jobFits(at, rooms)
+	}
+	kept := map[string][]guarantee.Guarantee{}
+	for _, p := range r.guarantees {
+		for _, name := range p.zones {
+			room, ok := rooms[name]
+			if !ok {
+				p.at.Faultf("zones", "zone %q is not described; add [zone %s]", name, name)
+				continue
+			}
+			kept[name] = pack(p, name, room, kept[name])
+		}
+	}
+}
+
+func (r *reader) jobFits(at *document.Section, rooms map[string]*placement.Zone) {
+	owner, name, _ := strings.Cut(strings.TrimPrefix(at.Name(), "job "), ".")
+	shape := r.config.services[owner].kinds[name].shape
+	var last error
+	for _, zone := range sortedKeys(rooms) {
+		if last = rooms[zone].CanEver(shape); last == nil {
+			return
+		}
+	}
+	at.Faultf("", "can run in none of the described zones: %v", last)
+}
+
+// pack adds a guarantee to those of a zone that were packed before it and
+// returns what is packed then.
+func pack(p promise, zone string, room *placement.Zone, before []guarantee.Guarantee) []guarantee.Guarantee {
+	if err := room.CanEver(p.value.Shape()); err != nil {
+		p.at.Faultf("", "zone %s: %v", zone, err)
+		return before
+	}
+	all := append(before[:len(before):len(before)], p.value)
+	if err := room.SetGuarantees(all); err != nil {
+		p.at.Faultf("", "zone %s: cannot be kept beside the guarantees before it: %v", zone, err)
+		return before
+	}
+	return all
+}
