guarantee: set room aside for each guaranteed gang, and reclaim it

Cause: guarantees were noted only; anybody could take their room for good. Change: a plan per zone sets concrete room aside for each unclaimed guaranteed gang, beside what cannot be stopped and what claims; others' room is moved only if all still fits, by a repack of bounded length if the cheap way fails. Place and Take claim, lend idle room to stoppable work only, and refuse the rest; Reclaim chooses victims by least work lost; AtRisk reports, returns of workers repair. Found by the property test: a gang on a worker that was away was forgotten when the guarantees changed and its room promised away (now a test); a claim over two racks passed for a guarantee in one rack (now a test); a guarantee that fitted was left at risk since the order of packing depended on the order given.

--- a/internal/fleet/cell/inventory.go
+++ b/internal/fleet/cell/inventory.go
@@ -172,6 +172,38 @@
 	return nil
 }
 
+// Keep is Take for a gang that runs already: on workers that are not known it
+// books the grants for the time when they come back. It refuses, and changes
+// nothing, what Take refuses on the workers that are known.
+func (v *Inventory) Keep(owner string, s Shape, a Assignment) error {
+	here := make(Assignment, 0, len(a))
+	for _, g := range a {
+		if _, ok := v.Worker(g.Worker); ok {
+			here = append(here, g)
+		}
+	}
+	if len(here) == len(a) {
+		return v.Take(owner, s, a)
+	}
+	if len(here) > 0 {
+		if err := v.Take(owner, s.Of(len(here)), here); err != nil {
+			return err
+		}
+		v.Release(owner)
+	}
+	for _, g := range a {
+		r, ok := v.rooms[g.Worker]
+		if !ok {
+			r = &room{worker: Worker{id: g.Worker}}
+			v.rooms[g.Worker] = r
+		}
+		r.change(s, g, 1)
+		r.addOwner(owner)
+	}
+	v.held[owner] = &holding{shape: s, assignment: a}
+	return nil
+}
+
 func (v *Inventory) takeOne(owner string, s Shape, g Grant) error {
 	r, ok := v.rooms[g.Worker]
 	if !ok || r.rack == nil {
--- a/internal/fleet/cell/search.go
+++ b/internal/fleet/cell/search.go
@@ -37,6 +37,25 @@
 	return v.overRacks(s, style)
 }
 
+// SmallestIn is Smallest within the rack of the name, for a gang of which every
+// member must stand there.
+func (v *View) SmallestIn(name string, s Shape, style Style) (a Assignment, ok bool) {
+	for i, k := range v.layers[0].racks {
+		if k.name != name {
+			continue
+		}
+		n := 0
+		for j := range v.Rooms(i) {
+			n += v.Room(i, j).Capacity(s)
+		}
+		if n < s.members {
+			return nil, false
+		}
+		return v.fillRack(nil, s, s.members, i, style), true
+	}
+	return nil, false
+}
+
 // fit weighs a worker for a whole gang: the smaller, the better.
 type fit struct {
 	left     int // free accelerators left on the worker
--- a/internal/fleet/cell/shape.go
+++ b/internal/fleet/cell/shape.go
@@ -105,3 +105,48 @@
 	*s = v
 	return nil
 }
+
+// Of returns the shape with another number of members, at least 1.
+func (s Shape) Of(members int) Shape {
+	s.members = max(members, 1)
+	return s
+}
+
+// Contains reports whether a gang of shape o stands within the cell of any
+// gang of shape s: enough room on its workers, and close enough together.
+func (s Shape) Contains(o Shape) bool {
+	each := s.perMember(o)
+	if each*s.members < o.members {
+		return false
+	}
+	switch {
+	case o.members == 1 || o.adjacency == Any || s.adjacency == SameWorker:
+		return true
+	case o.adjacency == SameRack:
+		return s.adjacency == SameRack || each >= o.members
+	default:
+		return each >= o.members
+	}
+}
+
+// perMember returns how many members of o stand in the room of one member of s.
+func (s Shape) perMember(o Shape) int {
+	n := MaxMembers
+	if o.accelerators > 0 {
+		n = min(n, s.accelerators/o.accelerators)
+	}
+	if o.cores > 0 {
+		n = min(n, s.cores/o.cores)
+	}
+	if o.memory > 0 {
+		n = min(n, s.memory/o.memory)
+	}
+	return n
+}
+
+// MembersFor returns how many members of s are needed to hold n members of o
+// on one worker. Contains must be true.
+func (s Shape) MembersFor(o Shape, n int) int {
+	each := max(s.perMember(o), 1)
+	return (n + each - 1) / each
+}
--- a/internal/fleet/placement/zone.go
+++ b/internal/fleet/placement/zone.go
@@ -1,8 +1,10 @@
 package placement
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"guavaglade.example/guavaglade/internal/fleet/cell"
@@ -13,40 +15,29 @@
 // all of it is free.
 var ErrNever = errors.New("fits nowhere in the zone")
 
-// Weights say what a service wants of its places: both from 0 to 1.
-type Weights struct {
-	Completion    float64 // start soon
-	Fragmentation float64 // keep large aligned cells whole
-}
-
-// Request asks a zone for room for one gang.
-type Request struct {
-	Owner      string // the job's id
-	Account    string
-	Shape      cell.Shape
-	Guaranteed bool // may use the account's own guaranteed room
-	Stoppable  bool // may borrow guaranteed room that is idle
-	Urgent     bool // may use the account's own guaranteed room, asked for or not
-	Weights    Weights
-}
-
-// Holder is a gang that holds room, as a reclaim weighs it.
-type Holder struct {
-	Request    Request
-	Assignment cell.Assignment
-	Since      time.Time // when it started
-	Checkpoint time.Time // newest checkpoint; zero for none
-	Claims     bool      // it stands in its account's guaranteed room
-}
-
 // Zone is the room of one availability zone.
+//
+// It keeps two inventories of the same workers: what runs, and the firm work
+// and the room set aside for guarantees (guarantee.Plan). Work that can be
+// stopped and claims nothing is in the first only, so it may stand on room that
+// is set aside.
 type Zone struct {
-	policy     Policy
-	planned    bool // keeps non-stoppable borrowers off guaranteed room
-	inventory  *cell.Inventory
-	free       *cell.View // of the inventory
-	guarantees []guarantee.Guarantee
-	holders    map[string]*Holder // by owner
+	policy    Policy
+	planned   bool // keeps non-stoppable borrowers off guaranteed room
+	inventory *cell.Inventory
+	plan      *guarantee.Plan
+	free      *cell.View          // what nobody holds
+	idle      *cell.View          // what nobody holds and is not set aside
+	firm      *cell.View          // what firm work does not hold and is not set aside
+	holders   map[string]*Holder  // by owner
+	never     map[cell.Shape]bool // answers of CanEver for the present workers
+	full      map[ask]bool        // asks that found no place since room last grew
+}
+
+// ask is what decides whether a request that claims nothing finds a place.
+type ask struct {
+	shape     cell.Shape
+	stoppable bool
 }
 
 // Option changes how a zone is made.
@@ -62,67 +53,162 @@
 	if p == nil {
 		p = Cells{}
 	}
-	inv := cell.NewInventory()
-	z := &Zone{policy: p, planned: true, inventory: inv, free: cell.NewView(inv), holders: map[string]*Holder{}}
+	z := &Zone{
+		policy: p, planned: true, inventory: cell.NewInventory(),
+		holders: map[string]*Holder{}, never: map[cell.Shape]bool{}, full: map[ask]bool{},
+	}
 	for _, o := range opts {
 		o(z)
 	}
+	z.plan = guarantee.NewPlan(z.planned)
+	z.free = cell.NewView(z.inventory)
+	z.idle = cell.NewView(z.inventory, z.plan.Firm())
+	z.firm = cell.NewView(z.plan.Firm())
 	return z
 }
 
 // AddWorker adds a worker, or changes the sizes of one that is known.
-func (z *Zone) AddWorker(w cell.Worker) { z.inventory.Add(w) }
+// Guarantees that are at risk get its room first. What is held on a worker
+// that was removed before is held on it still.
+func (z *Zone) AddWorker(w cell.Worker) {
+	if known, ok := z.inventory.Worker(w.ID()); ok && known == w {
+		return
+	}
+	z.inventory.Add(w)
+	z.plan.AddWorker(w)
+	clear(z.never)
+	clear(z.full)
+}
 
 // RemoveWorker takes a worker out. Gangs with a member on it keep their other
 // members' room until they are freed.
-func (z *Zone) RemoveWorker(id string) { z.inventory.Remove(id) }
+func (z *Zone) RemoveWorker(id string) {
+	z.inventory.Remove(id)
+	z.plan.RemoveWorker(id)
+	clear(z.never)
+}
 
 // Bar says whether a worker gets new work: a leaving or quarantined one does not.
-func (z *Zone) Bar(id string, barred bool) { z.inventory.Bar(id, barred) }
+func (z *Zone) Bar(id string, barred bool) {
+	z.inventory.Bar(id, barred)
+	z.plan.Bar(id, barred)
+	clear(z.full)
+}
 
 // SetGuarantees replaces what is guaranteed. It refuses, and changes nothing,
-// if the shapes cannot all be packed at once on the zone's workers.
+// if the shapes cannot all be packed at once on the zone's workers; the error
+// wraps *guarantee.Unpackable. A zone that knows no worker yet accepts all.
 func (z *Zone) SetGuarantees(gs []guarantee.Guarantee) error {
-	z.guarantees = gs
+	workers := z.inventory.Workers()
+	if len(workers) > 0 {
+		if err := guarantee.Check(workers, gs); err != nil {
+			return fmt.Errorf("set guarantees: %w", err)
+		}
+	}
+	z.ImposeGuarantees(gs)
 	return nil
 }
 
-// AtRisk returns the guarantees whose unclaimed part could not be given back
-// now, after losses of workers; nil if there are none.
-func (z *Zone) AtRisk() []guarantee.Guarantee { return nil }
+// ImposeGuarantees replaces what is guaranteed by what was accepted elsewhere,
+// also if workers are missing now: what finds no room is at risk. What runs is
+// not cut. Gangs that asked for guaranteed room claim what is new.
+func (z *Zone) ImposeGuarantees(gs []guarantee.Guarantee) {
+	for _, owner := range z.plan.Replace(gs) {
+		h := z.holders[owner]
+		z.noteClaim(h)
+		if !h.Request.Stoppable {
+			z.plan.ForceBlock(owner, h.Request.Shape, h.Assignment)
+		}
+	}
+	for _, h := range z.oldestFirst() {
+		if !h.Claims && h.Request.mayClaim() {
+			z.plan.Claim(h.Request.Owner, h.Request.Account, h.Request.Shape, h.Assignment)
+			z.noteClaim(h)
+		}
+	}
+	z.plan.Repair()
+	clear(z.full)
+}
 
-// Place returns where the request fits now without stopping anything; ok is
-// false if it does not. It changes nothing.
-func (z *Zone) Place(r Request) (a cell.Assignment, ok bool) {
-	return z.policy.Choose(z.free, r)
+// noteClaim copies from the plan what a holder claims.
+func (z *Zone) noteClaim(h *Holder) {
+	h.Guarantee, h.Claims = z.plan.ClaimedBy(h.Request.Owner)
 }
 
-// Reclaim returns where the request would stand and the owners that must be
-// stopped first, each a whole gang; ok is false if no victims would make room.
-// Only a request with a claim on guaranteed room may reclaim. It changes nothing.
-func (z *Zone) Reclaim(_ Request, _ time.Time) (a cell.Assignment, victims []string, ok bool) {
-	return nil, nil, false
+func (z *Zone) oldestFirst() []*Holder {
+	hs := make([]*Holder, 0, len(z.holders))
+	for _, h := range z.holders {
+		hs = append(hs, h)
+	}
+	slices.SortFunc(hs, func(a, b *Holder) int {
+		return cmp.Or(a.Since.Compare(b.Since), cmp.Compare(a.Request.Owner, b.Request.Owner))
+	})
+	return hs
 }
 
-// Take gives the request its place. claims says that it uses up guaranteed
-// room of its account. It refuses what is not free.
+// AtRisk returns the guarantees whose unclaimed part could not be given back
+// now, each with the number of gangs that could not: after losses of workers,
+// or while work runs that was there before the guarantee. It is nil if there
+// are none. In a zone made WithoutPlan it says what is breached.
+func (z *Zone) AtRisk() []guarantee.Guarantee { return z.plan.AtRisk() }
+
+// Take gives the request its place. It claims a guarantee of the account if the
+// request may and one is left that contains it. It refuses, and changes
+// nothing, if the place is not free or is kept for a guarantee
+// (guarantee.ErrKept).
 func (z *Zone) Take(r Request, a cell.Assignment, now time.Time) error {
 	if err := z.inventory.Take(r.Owner, r.Shape, a); err != nil {
 		return fmt.Errorf("place %s: %w", r.Owner, err)
 	}
-	z.holders[r.Owner] = &Holder{Request: r, Assignment: a, Since: now}
+	h := &Holder{Request: r, Assignment: a, Since: now}
+	if r.mayClaim() {
+		z.plan.Claim(r.Owner, r.Account, r.Shape, a)
+	}
+	z.noteClaim(h)
+	if !h.Claims && !r.Stoppable {
+		if err := z.plan.Block(r.Owner, r.Shape, a); err != nil {
+			z.inventory.Release(r.Owner)
+			return fmt.Errorf("place %s: %w", r.Owner, err)
+		}
+	}
+	z.holders[r.Owner] = h
+	return nil
+}
+
+// Adopt books a gang that runs already, as the workers' lists show it. Unlike
+// Take it does not refuse room that is kept for a guarantee: what runs is not
+// cut, and the guarantee may be at risk until it ends. It refuses room that is
+// taken.
+func (z *Zone) Adopt(r Request, a cell.Assignment, since time.Time) error {
+	if err := z.inventory.Take(r.Owner, r.Shape, a); err != nil {
+		return fmt.Errorf("adopt %s: %w", r.Owner, err)
+	}
+	h := &Holder{Request: r, Assignment: a, Since: since}
+	if r.mayClaim() {
+		z.plan.ForceClaim(r.Owner, r.Account, r.Shape, a)
+	}
+	z.noteClaim(h)
+	if !h.Claims && !r.Stoppable {
+		z.plan.ForceBlock(r.Owner, r.Shape, a)
+	}
+	z.holders[r.Owner] = h
 	return nil
 }
 
 // Free gives back what the owner holds. An unknown owner is no error.
 func (z *Zone) Free(owner string) {
+	if _, ok := z.holders[owner]; !ok {
+		return
+	}
 	z.inventory.Release(owner)
+	z.plan.Release(owner)
 	delete(z.holders, owner)
+	clear(z.full)
 }
 
 // Checkpointed notes the newest checkpoint of an owner.
 func (z *Zone) Checkpointed(owner string, at time.Time) {
-	if h, ok := z.holders[owner]; ok {
+	if h, ok := z.holders[owner]; ok && at.After(h.Checkpoint) {
 		h.Checkpoint = at
 	}
 }
@@ -139,8 +225,13 @@
 // CanEver returns ErrNever, with the reason, for a shape that the zone could
 // not place even if all of its workers were free.
 func (z *Zone) CanEver(s cell.Shape) error {
-	empty := cell.NewView(cell.NewInventory(z.inventory.Workers()...))
-	if _, ok := empty.Smallest(s, cell.Compact); !ok {
+	never, known := z.never[s]
+	if !known {
+		empty := cell.NewView(cell.NewInventory(z.inventory.Workers()...))
+		never = empty.Gangs(s) == 0
+		z.never[s] = never
+	}
+	if never {
 		return fmt.Errorf("shape %s: %w", s, ErrNever)
 	}
 	return nil
