server, api, demo: fleet and guarantee views, TLS, a reclaim and a planned stop in the demo

Cause: operators could not read the fleet or the guarantees; connections were plain; the demo showed neither a reclaim nor a planned stop. Change: placer's view over /v1/fleet and /v1/guarantees, shapes checked against the listed workers before a text is accepted, TLS from the settings, and two more parts of the demo. Left: a job adopted at a takeover succeeds with a reason that belongs to failures.

--- a/internal/host/api/api.go
+++ b/internal/host/api/api.go
@@ -2,18 +2,15 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/gorilla/mux"
 
 	"guavaglade.example/guavaglade/internal/config/text"
+	"guavaglade.example/guavaglade/internal/host/credential"
 	"guavaglade.example/guavaglade/internal/host/server"
 )
 
@@ -44,6 +41,8 @@
 	v1.HandleFunc("/configuration", a.asOperator(a.getConfiguration)).Methods(http.MethodGet)
 	v1.HandleFunc("/configuration", a.asOperator(a.putConfiguration)).Methods(http.MethodPut)
 	v1.HandleFunc("/inforce", a.asOperator(a.inForce)).Methods(http.MethodGet)
+	v1.HandleFunc("/fleet", a.asOperator(a.fleet)).Methods(http.MethodGet)
+	v1.HandleFunc("/guarantees", a.as(a.guarantees)).Methods(http.MethodGet)
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		Problem{Status: http.StatusNotFound, Detail: "no such path: " + r.URL.Path}.write(w, time.Now())
 	})
@@ -83,10 +82,9 @@
 	})
 }
 
-// callerOf finds the account whose key the request shows. All accounts are
-// compared, each in constant time, so the time taken tells nothing of a key.
+// callerOf finds the account whose key the request shows.
 func (a *API) callerOf(r *http.Request) (caller, bool) {
-	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	key, ok := credential.Bearer(r.Header.Get("Authorization"))
 	if !ok {
 		return caller{}, false
 	}
@@ -94,16 +92,12 @@
 	if err != nil {
 		return caller{}, false
 	}
-	sum := sha256.Sum256([]byte(key))
-	hash := []byte(hex.EncodeToString(sum[:]))
-	c, found := caller{config: config}, false
-	for _, name := range config.Accounts() {
-		account, _ := config.Account(name)
-		if subtle.ConstantTimeCompare(hash, []byte(account.KeyHash())) == 1 {
-			c.account, c.operator, found = account, account.Operator(), true
-		}
+	c := caller{config: config}
+	account, found := key.Account(config)
+	if found {
+		c.account, c.operator = account, account.Operator()
 	}
-	if subtle.ConstantTimeCompare(hash, []byte(a.node.Settings().OperatorKeyHash())) == 1 {
+	if key.Matches(a.node.Settings().OperatorKeyHash()) {
 		c.operator, found = true, true
 	}
 	return c, found
--- a/internal/host/api/configuration.go
+++ b/internal/host/api/configuration.go
@@ -42,7 +42,11 @@
 		Problem{Status: http.StatusBadRequest, Detail: "give a change id and the base version, 0 for the first text"}.write(w, now)
 		return
 	}
-	if _, err := text.Parse([]byte(body.Text)); err != nil {
+	config, err := text.Parse([]byte(body.Text))
+	if err == nil {
+		err = a.node.CheckPacking(r.Context(), config)
+	}
+	if err != nil {
 		Problem{
 			Status: http.StatusUnprocessableEntity, Detail: "the text has faults; nothing was changed",
 			Faults: strings.Split(err.Error(), "\n"),
@@ -51,6 +55,8 @@
 	}
 	c, err := a.node.Change(r.Context(), body.Base, body.Change, []byte(body.Text))
 	switch {
+	case errors.Is(err, ledger.ErrOtherChange):
+		Problem{Status: http.StatusUnprocessableEntity, Detail: err.Error()}.write(w, now)
 	case errors.Is(err, ledger.ErrBase):
 		Problem{Status: http.StatusConflict, Detail: err.Error(), Current: c.Version}.write(w, now)
 	case err != nil:
--- /dev/null
+++ b/internal/host/api/views.go
@@ -0,0 +1,39 @@
+package api
+
+import (
+	"net/http"
+
+	"guavaglade.example/guavaglade/internal/host/server"
+)
+
+// GuaranteeView is one guaranteed shape of an account in a zone.
+type GuaranteeView struct {
+	Zone string `json:"zone"`
+	server.GuaranteeView
+}
+
+func (a *API) fleet(w http.ResponseWriter, r *http.Request, _ caller) {
+	views, err := a.node.Fleet(r.Context())
+	if err != nil {
+		unavailable(w, err)
+		return
+	}
+	reply(w, http.StatusOK, views)
+}
+
+func (a *API) guarantees(w http.ResponseWriter, r *http.Request, c caller) {
+	views, err := a.node.Fleet(r.Context())
+	if err != nil {
+		unavailable(w, err)
+		return
+	}
+	rows := []GuaranteeView{}
+	for _, v := range views {
+		for _, g := range v.Guarantees {
+			if c.operator || g.Account == c.account.Name() {
+				rows = append(rows, GuaranteeView{Zone: v.Zone, GuaranteeView: g})
+			}
+		}
+	}
+	reply(w, http.StatusOK, rows)
+}
--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -14,6 +15,7 @@
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 
 	"guavaglade.example/guavaglade/internal/host/api"
+	"guavaglade.example/guavaglade/internal/host/credential"
 	"guavaglade.example/guavaglade/internal/host/server"
 	"guavaglade.example/guavaglade/internal/host/settings"
 	"guavaglade.example/guavaglade/internal/platform/remote"
@@ -55,7 +57,12 @@
 		Prefix: "guavaglade", CachedReporter: reporter, Separator: promreporter.DefaultSeparator,
 		SanitizeOptions: &promreporter.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
 	}, metricsEvery)
-	node, err := server.New(s, remote.New(s.Platform(), nil), started.UnixMilli(), server.WithLog(log), server.WithMetrics(scope))
+	opts := []server.Option{server.WithLog(log), server.WithMetrics(scope)}
+	callers, peers, opts, err := secured(s, callers, peers, opts, log)
+	if err != nil {
+		return nil, err
+	}
+	node, err := server.New(s, remote.New(s.Platform(), nil), started.UnixMilli(), opts...)
 	if err != nil {
 		return nil, err
 	}
@@ -67,6 +74,29 @@
 	return p, nil
 }
 
+// secured puts TLS on the listeners and on connections to peers, as far as the
+// settings name files for it.
+func secured(s settings.Settings, callers, peers net.Listener, opts []server.Option, log logr.Logger) (net.Listener, net.Listener, []server.Option, error) {
+	report := func(err error) { log.Error(err, "tls", "step", "read") }
+	files := s.TLS()
+	if files.CallerCert != "" {
+		c, err := credential.NewCertificate(files.CallerCert, files.CallerKey, report)
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		callers = tls.NewListener(callers, c.Server())
+	}
+	if files.PeerCert != "" {
+		m, err := credential.NewMutual(files.PeerCert, files.PeerKey, files.PeerCA, report)
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		peers = tls.NewListener(peers, m.Server())
+		opts = append(opts, server.WithPeerTLS(m.Client))
+	}
+	return callers, peers, opts, nil
+}
+
 // Node returns the host's node.
 func (p *Process) Node() *server.Node { return p.node }
 
--- a/internal/host/server/peers.go
+++ b/internal/host/server/peers.go
@@ -33,6 +33,10 @@
 			Job job.ID `json:"job"`
 		}
 		return n.toPlacer(ctx, params, &b, func(now time.Time) { n.stepPlacer(keep, placer.CancelAsked{Job: b.Job}, now) })
+	case "placer.view":
+		var v ZoneView
+		_, err := n.toPlacer(ctx, params, &struct{}{}, func(time.Time) { v = n.zoneView() })
+		return v, err
 	case "entry.outcome":
 		var b outcomeBody
 		return n.toEntry(ctx, params, &b, func(now time.Time) { n.stepEntry(keep, intake.OutcomeArrived(b), now) })
--- a/internal/operator/demo/demo.go
+++ b/internal/operator/demo/demo.go
@@ -31,6 +31,17 @@
 	otherKey    = "demo-sur"
 )
 
+// What the demo's jobs do, as the stand-in targets read it.
+var (
+	quick = []byte(`{"runMillis": 200}`)
+	slow  = []byte(`{"runMillis": 3000}`)
+)
+
+const (
+	quickRun  = 200 * time.Millisecond
+	pollEvery = 20 * time.Millisecond
+)
+
 // errUnexpected says that a request of the demo came out otherwise than it must.
 var errUnexpected = errors.New("a request came out otherwise than it must")
 
@@ -65,12 +76,57 @@
 		return nil, err
 	}
 	var rows []row
-	rows = append(rows, b.many(ctx, 12, "small jobs", accountKey, "refill.label", job.Succeeded)...)
-	rows = append(rows, b.one(ctx, 0, "gang of 16", accountKey, "refill.plan", "gang", job.Succeeded))
-	rows = append(rows, b.one(ctx, 1, "may run once only", accountKey, "refill.bill", "bill", job.Succeeded))
-	rows = append(rows, b.one(ctx, 2, "same request again", accountKey, "refill.bill", "bill", job.Succeeded))
-	rows = append(rows, b.one(ctx, 2, "can never run", accountKey, "refill.huge", "huge", job.NotRun))
-	return rows, nil
+	rows = append(rows, b.many(ctx, 12, "small jobs", accountKey, "refill.label", quick, job.Succeeded)...)
+	rows = append(rows,
+		b.one(ctx, 0, "gang of 16", accountKey, "refill.plan", "gang", quick, job.Succeeded),
+		b.one(ctx, 1, "may run once only", accountKey, "refill.bill", "bill", quick, job.Succeeded),
+		b.one(ctx, 2, "same request again", accountKey, "refill.bill", "bill", quick, job.Succeeded),
+		b.one(ctx, 2, "can never run", accountKey, "refill.huge", "huge", quick, job.NotRun),
+	)
+	rows = append(rows, b.reclaim(ctx)...)
+	return append(rows, b.plannedStop(ctx)...), nil
+}
+
+// reclaim fills a zone with borrowed work that can be stopped and then asks for
+// the room that another account is guaranteed there.
+func (b *bench) reclaim(ctx context.Context) []row {
+	const borrowers = 4 // each fills one of the zone's four workers
+	lent := make(chan []row)
+	go func() { lent <- b.sameHost(ctx, borrowers, 0, "borrows idle room", "refill.forecast", slow) }()
+	if !b.running(ctx, borrowers) {
+		return append(<-lent, row{part: "reclaim", err: errUnexpected, want: job.Succeeded})
+	}
+	urgent := b.one(ctx, 0, "takes its guarantee back", otherKey, "refill.urgent", "urgent", quick, job.Succeeded)
+	return append(<-lent, urgent)
+}
+
+// running waits until so many jobs of the first host run.
+func (b *bench) running(ctx context.Context, want int) bool {
+	c := client.New(b.callers(0), operatorKey, nil)
+	for ctx.Err() == nil {
+		n := 0
+		jobs, _ := c.Jobs(ctx)
+		for _, v := range jobs {
+			if v.State == job.Running {
+				n++
+			}
+		}
+		if n >= want {
+			return true
+		}
+		time.Sleep(pollEvery)
+	}
+	return false
+}
+
+// plannedStop stops the second host while callers wait at it.
+func (b *bench) plannedStop(ctx context.Context) []row {
+	const callers = 8
+	done := make(chan []row)
+	go func() { done <- b.sameHost(ctx, callers, 1, "waits while its host stops", "refill.label", slow) }()
+	time.Sleep(quickRun)
+	b.hosts[1].stop()
+	return <-done
 }
 
 // apply makes the text current and waits until all hosts have it in force.
@@ -106,18 +162,33 @@
 	return true
 }
 
-func (b *bench) one(ctx context.Context, first int, part, key, kind, request string, want job.State) row {
+func (b *bench) one(ctx context.Context, first int, part, key, kind, request string, input []byte, want job.State) row {
 	begun := time.Now()
 	service, name, _ := strings.Cut(kind, ".")
-	v, err := client.New(b.callers(first), key, nil).Submit(ctx, server.Request{RequestID: request, Service: service, Job: name}, 20*time.Second)
+	r := server.Request{RequestID: request, Service: service, Job: name, Input: input}
+	v, err := client.New(b.callers(first), key, nil).Submit(ctx, r, 20*time.Second)
 	return row{part: part, view: v, err: err, want: want, taken: time.Since(begun)}
 }
 
-func (b *bench) many(ctx context.Context, n int, part, key, kind string, want job.State) []row {
+// many submits jobs to all hosts in turn, at once.
+func (b *bench) many(ctx context.Context, n int, part, key, kind string, input []byte, want job.State) []row {
+	return gather(n, func(i int) row {
+		return b.one(ctx, i, part, key, kind, fmt.Sprintf("%s-%d", kind, i), input, want)
+	})
+}
+
+// sameHost submits jobs to one host, at once.
+func (b *bench) sameHost(ctx context.Context, n, host int, part, kind string, input []byte) []row {
+	return gather(n, func(i int) row {
+		return b.one(ctx, host, part, accountKey, kind, fmt.Sprintf("%s-at%d-%d", kind, host, i), input, job.Succeeded)
+	})
+}
+
+func gather(n int, f func(i int) row) []row {
 	rows := make([]row, n)
 	var wg sync.WaitGroup
 	for i := range n {
-		wg.Go(func() { rows[i] = b.one(ctx, i, part, key, kind, fmt.Sprintf("%s-%d", kind, i), want) })
+		wg.Go(func() { rows[i] = f(i) })
 	}
 	wg.Wait()
 	return rows
