--- a/internal/fleet/guarantee/bind.go
+++ b/internal/fleet/guarantee/bind.go
@@ -6,8 +6,11 @@
 	"guavaglade.example/guavaglade/internal/fleet/cell"
 )
 
-// repackRounds bounds how often a full repack starts over in another order.
-const repackRounds = 12
+// Bounds on how often a full repack starts over in another order.
+const (
+	repackRounds = 12 // when guarantees change or are at risk
+	settleRounds = 3  // when others' room is asked for, which is often
+)
 
 // undo remembers the places of units that were moved, so that a change that
 // does not work out can be taken back.
@@ -79,7 +82,7 @@
 	if p.bindAll(hardestFirst(un.units), cell.Compact) == nil {
 		return true
 	}
-	return p.repack(un, nil, repackRounds)
+	return p.repack(un, nil, settleRounds)
 }
 
 // repack lifts all unclaimed units and binds them and the extra ones from the
--- a/internal/fleet/guarantee/claim.go
+++ b/internal/fleet/guarantee/claim.go
@@ -149,7 +149,7 @@
 			p.lift(un, u)
 		}
 	}
-	return p.pack(without(un.units, claimed), repackRounds) == nil
+	return p.pack(without(un.units, claimed), settleRounds) == nil
 }
 
 // rollbackWith rolls back, also if the unit had no place before.
--- a/internal/fleet/placement/zone.go
+++ b/internal/fleet/placement/zone.go
@@ -30,6 +30,7 @@
 	idle      *cell.View          // what nobody holds and is not set aside
 	firm      *cell.View          // what firm work does not hold and is not set aside
 	holders   map[string]*Holder  // by owner
+	tasks     int                 // members of all holders
 	never     map[cell.Shape]bool // answers of CanEver for the present workers
 	full      map[ask]bool        // asks that found no place since room last grew
 }
@@ -172,6 +173,7 @@
 		}
 	}
 	z.holders[r.Owner] = h
+	z.tasks += len(a)
 	return nil
 }
 
@@ -192,6 +194,7 @@
 		z.plan.ForceBlock(r.Owner, r.Shape, a)
 	}
 	z.holders[r.Owner] = h
+	z.tasks += len(a)
 	return nil
 }
 
@@ -200,6 +203,7 @@
 	if _, ok := z.holders[owner]; !ok {
 		return
 	}
+	z.tasks -= len(z.holders[owner].Assignment)
 	z.inventory.Release(owner)
 	z.plan.Release(owner)
 	delete(z.holders, owner)
@@ -222,6 +226,9 @@
 	return *p, true
 }
 
+// Tasks returns how many members of gangs hold room.
+func (z *Zone) Tasks() int { return z.tasks }
+
 // CanEver returns ErrNever, with the reason, for a shape that the zone could
 // not place even if all of its workers were free.
 func (z *Zone) CanEver(s cell.Shape) error {
