--- /dev/null
+++ b/internal/report/burn/plot.go
@@ -0,0 +1,93 @@
+package burn
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+// The size of a plot.
+const (
+	plotWidth  = 20 * vg.Centimeter
+	plotHeight = 10 * vg.Centimeter
+)
+
+// plotRoom is how far the axis reaches above the fast threshold at least, so
+// that the legend stands free.
+const plotRoom = 6
+
+// WriteSVG writes a plot of each service's burn rate over 30 minutes, all
+// accounts together, with the thresholds of the alerts. Services without an
+// objective are left out.
+func (r Report) WriteSVG(w io.Writer) error {
+	p := plot.New()
+	p.Title.Text = "Burn rate over 30 minutes, " + r.At.Format("2006-01-02 15:04 MST")
+	p.X.Label.Text = "hours before now"
+	p.Y.Label.Text = "times the allowed rate"
+	p.Y.Min, p.Y.Max = 0, FastThreshold+plotRoom
+	p.X.Tick.Marker = plot.TickerFunc(hourTicks)
+	p.Legend.Top, p.Legend.Left = true, true
+	p.Add(plotter.NewGrid())
+	drawn := 0
+	for _, l := range r.Lines {
+		if l.Account != "" || l.Target == 0 || len(l.History) == 0 {
+			continue
+		}
+		if err := addLine(p, l.Service, points(l.History), drawn, plotutil.Dashes(0)); err != nil {
+			return err
+		}
+		drawn++
+	}
+	from := -(longest - shortOfSlow).Hours()
+	for i, threshold := range []float64{SlowThreshold, FastThreshold} {
+		name := []string{"slow alert", "fast alert"}[i]
+		level := plotter.XYs{{X: from, Y: threshold}, {X: 0, Y: threshold}}
+		if err := addLine(p, name, level, drawn+i, plotutil.Dashes(1)); err != nil {
+			return err
+		}
+	}
+	c := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(c))
+	if _, err := c.WriteTo(w); err != nil {
+		return fmt.Errorf("write burn plot: %w", err)
+	}
+	return nil
+}
+
+// hourTicks marks each whole hour.
+func hourTicks(least, most float64) []plot.Tick {
+	var ticks []plot.Tick
+	for hour := int(least); hour <= int(most); hour++ {
+		ticks = append(ticks, plot.Tick{Value: float64(hour), Label: strconv.Itoa(hour)})
+	}
+	return ticks
+}
+
+// points returns the history over hours, which end at 0.
+func points(history []float64) plotter.XYs {
+	xys := make(plotter.XYs, len(history))
+	for i, rate := range history {
+		back := len(history) - 1 - i
+		xys[i] = plotter.XY{X: -float64(back) * HistoryStep.Hours(), Y: rate}
+	}
+	return xys
+}
+
+func addLine(p *plot.Plot, name string, xys plotter.XYs, color int, dashes []vg.Length) error {
+	line, err := plotter.NewLine(xys)
+	if err != nil {
+		return fmt.Errorf("draw burn of %s: %w", name, err)
+	}
+	line.Color = plotutil.Color(color)
+	line.Dashes = dashes
+	p.Add(line)
+	p.Legend.Add(name, line)
+	return nil
+}
