--- a/internal/config/text/parse_test.go
+++ b/internal/config/text/parse_test.go
@@ -111,6 +111,8 @@
 		{"too many members", "members = 2", "members = 65", 15, "out of range, want 1 to 64"},
 		{"more accelerators than any worker", "accelerators = 8\nadjacency = rack\nrep", "accelerators = 9\nadjacency = rack\nrep", 14, "can run in none of the described zones"},
 		{"guarantee larger than a rack", "members = 2\naccelerators = 8\nadjacency = rack\n[", "members = 3\naccelerators = 8\nadjacency = rack\n[", 24, "zone leon: "},
+		{"more gangs than racks", "zones = leon\n", "zones = leon\ncount = 3\n", 24, "cannot be kept beside the guarantees before it"},
+		{"guarantees too large together", "[target", "[guarantee kiosks.more]\nzones = leon\nmembers = 3\naccelerators = 8\n[target", 29, "cannot be kept beside the guarantees before it"},
 		{"more racks than workers", "racks = 2", "racks = 5", 3, "5 racks for 4 workers"},
 		{"stopped but not repeatable", "repeatable = false", "repeatable = false\nstoppable = true", 19, "cannot be stopped and started again"},
 		{"value over several lines", "weight = 2", "weight = `2\n`", 22, "values over several lines"},
