api, site: burn report, tickets, fleet over HTTP and the command line; a site to test with

Cause: the burn report, tickets and the fleet's view had no way to a reader; failure tests need to cut the network. Change: /v1/burn, /v1/tickets, commands report, ticket, fleet; TLS for the command line; the launching of a site moved out of the demo, with a network that can be cut; hosts dial through an option.

--- a/internal/fleet/remote/client.go
+++ b/internal/fleet/remote/client.go
@@ -24,11 +24,14 @@
 )
 
 // Transport returns what all clients of a host share. connections is this
-// host's share of the connections that each worker takes.
-func Transport(connections int) *http.Transport {
-	d := &net.Dialer{Timeout: 500 * time.Millisecond}
+// host's share of the connections that each worker takes. If dial is nil, the
+// usual one is used with a short timeout.
+func Transport(connections int, dial func(ctx context.Context, network, address string) (net.Conn, error)) *http.Transport {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: 500 * time.Millisecond}).DialContext
+	}
 	return &http.Transport{
-		DialContext: d.DialContext, MaxConnsPerHost: connections, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute,
+		DialContext: dial, MaxConnsPerHost: connections, MaxIdleConnsPerHost: 2, IdleConnTimeout: time.Minute,
 	}
 }
 
--- a/internal/host/api/api.go
+++ b/internal/host/api/api.go
@@ -42,6 +42,7 @@
 	v1.HandleFunc("/configuration", a.asOperator(a.putConfiguration)).Methods(http.MethodPut)
 	v1.HandleFunc("/inforce", a.asOperator(a.inForce)).Methods(http.MethodGet)
 	v1.HandleFunc("/fleet", a.asOperator(a.fleet)).Methods(http.MethodGet)
+	v1.HandleFunc("/burn", a.asOperator(a.burn)).Methods(http.MethodGet)
 	v1.HandleFunc("/guarantees", a.as(a.guarantees)).Methods(http.MethodGet)
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		Problem{Status: http.StatusNotFound, Detail: "no such path: " + r.URL.Path}.write(w, time.Now())
--- a/internal/host/api/views.go
+++ b/internal/host/api/views.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"bytes"
 	"net/http"
 
 	"guavaglade.example/guavaglade/internal/host/server"
@@ -37,3 +38,26 @@
 	}
 	reply(w, http.StatusOK, rows)
 }
+
+// burn answers with the burn report as text, SVG or, by default, JSON.
+func (a *API) burn(w http.ResponseWriter, r *http.Request, _ caller) {
+	report, err := a.node.Burn(r.Context())
+	if err != nil {
+		unavailable(w, err)
+		return
+	}
+	var body bytes.Buffer
+	kind, write := "application/json", report.WriteJSON
+	switch r.URL.Query().Get("format") {
+	case "text":
+		kind, write = "text/plain; charset=utf-8", report.WriteText
+	case "svg":
+		kind, write = "image/svg+xml", report.WriteSVG
+	}
+	if err := write(&body); err != nil {
+		unavailable(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", kind)
+	_, _ = w.Write(body.Bytes())
+}
--- a/internal/host/peer/net.go
+++ b/internal/host/peer/net.go
@@ -30,9 +30,13 @@
 // Client returns the TLS configuration for one connection to a peer at IP:port.
 type Client func(address string) (*tls.Config, error)
 
+// Dial makes a connection, as net.Dialer's DialContext does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Net is one host's connections to its peers, safe for several goroutines.
 type Net struct {
 	handler Handler
+	dialTCP Dial
 	tls     Client // of outgoing connections; nil for plain TCP
 	mu      sync.Mutex
 	conns   map[string]*jsonrpc2.Conn // by address
@@ -41,9 +45,12 @@
 }
 
 // New returns a net whose incoming calls go to h. If client is nil, it dials
-// plain TCP.
-func New(h Handler, client Client) *Net {
-	return &Net{handler: h, tls: client, conns: map[string]*jsonrpc2.Conn{}, served: map[*jsonrpc2.Conn]bool{}}
+// plain TCP; if dial is nil, it dials as usual.
+func New(h Handler, client Client, dial Dial) *Net {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	return &Net{handler: h, dialTCP: dial, tls: client, conns: map[string]*jsonrpc2.Conn{}, served: map[*jsonrpc2.Conn]bool{}}
 }
 
 // Serve answers the calls of peers that connect to the listener until it is
@@ -165,14 +172,21 @@
 }
 
 func (n *Net) dialNet(ctx context.Context, address string) (net.Conn, error) {
-	if n.tls == nil {
-		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	c, err := n.dialTCP(ctx, "tcp", address)
+	if err != nil || n.tls == nil {
+		return c, err
 	}
 	config, err := n.tls(address)
 	if err != nil {
+		_ = c.Close()
+		return nil, err
+	}
+	secured := tls.Client(c, config)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = c.Close()
 		return nil, err
 	}
-	return (&tls.Dialer{Config: config}).DialContext(ctx, "tcp", address)
+	return secured, nil
 }
 
 func (n *Net) drop(address string, conn *jsonrpc2.Conn) {
--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -16,6 +16,7 @@
 
 	"guavaglade.example/guavaglade/internal/host/api"
 	"guavaglade.example/guavaglade/internal/host/credential"
+	"guavaglade.example/guavaglade/internal/host/peer"
 	"guavaglade.example/guavaglade/internal/host/server"
 	"guavaglade.example/guavaglade/internal/host/settings"
 	"guavaglade.example/guavaglade/internal/platform/remote"
@@ -34,6 +35,17 @@
 	metrics func() error // ends the metrics
 }
 
+// Option sets one property of a new process.
+type Option func(*options)
+
+type options struct {
+	dial peer.Dial // nil: the usual one
+}
+
+// WithDial sets how the process reaches peers, workers and the platform. Tests
+// cut the network with it.
+func WithDial(d peer.Dial) Option { return func(o *options) { o.dial = d } }
+
 // Listen takes the addresses that the settings name.
 func Listen(s settings.Settings) (callers, peers net.Listener, err error) {
 	callers, err = net.Listen("tcp", s.CallerAddress())
@@ -50,7 +62,11 @@
 
 // New returns a process on listeners that are open already. The incarnation is
 // the time of the start, so that it rises with each start at the address.
-func New(s settings.Settings, callers, peers net.Listener, log logr.Logger, started time.Time) (*Process, error) {
+func New(s settings.Settings, callers, peers net.Listener, log logr.Logger, started time.Time, more ...Option) (*Process, error) {
+	set := options{}
+	for _, o := range more {
+		o(&set)
+	}
 	registry := prometheus.NewRegistry()
 	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
@@ -62,7 +78,12 @@
 	if err != nil {
 		return nil, err
 	}
-	node, err := server.New(s, remote.New(s.Platform(), nil), started.UnixMilli(), opts...)
+	var toPlatform http.RoundTripper
+	if set.dial != nil {
+		toPlatform = &http.Transport{DialContext: set.dial}
+		opts = append(opts, server.WithDial(set.dial))
+	}
+	node, err := server.New(s, remote.New(s.Platform(), toPlatform), started.UnixMilli(), opts...)
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/internal/host/server/burning.go
@@ -0,0 +1,44 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"guavaglade.example/guavaglade/internal/report/burn"
+)
+
+// Burn returns the burn report of all hosts that answer.
+func (n *Node) Burn(ctx context.Context) (burn.Report, error) {
+	now := time.Now()
+	var objectives burn.Objectives
+	var peers []string
+	if err := n.ask(ctx, func() {
+		objectives = burn.ObjectivesOf(n.config.Config())
+		peers = n.peerIDs("", now)
+	}); err != nil {
+		return burn.Report{}, err
+	}
+	own := n.burn.Snapshot(now)
+	found := make(chan burn.Snapshot, len(peers))
+	for _, id := range peers {
+		n.spawn(func() {
+			var s burn.Snapshot
+			if err := n.call(ctx, id, "burn.snapshot", struct{}{}, &s); err != nil {
+				n.log.Info("burn", "step", "gather", "peer", id, "error", err.Error())
+			}
+			found <- s
+		})
+	}
+	all := []burn.Snapshot{own}
+	for range peers {
+		if s := <-found; len(s.Hosts) > 0 {
+			all = append(all, s)
+		}
+	}
+	merged, err := burn.Merge(all...)
+	if err != nil {
+		return burn.Report{}, fmt.Errorf("burn report of %d hosts: %w", len(all), err)
+	}
+	return merged.Report(now, objectives)
+}
--- a/internal/host/server/configuration.go
+++ b/internal/host/server/configuration.go
@@ -8,6 +8,7 @@
 
 	"guavaglade.example/guavaglade/internal/config/inforce"
 	"guavaglade.example/guavaglade/internal/platform/ledger"
+	"guavaglade.example/guavaglade/internal/report/burn"
 	"guavaglade.example/guavaglade/internal/work/placer"
 )
 
@@ -63,6 +64,7 @@
 		return
 	}
 	n.log.Info("configuration", "step", "inForce", "version", c.Version, "peer", from)
+	n.burn.SetObjectives(burn.ObjectivesOf(n.config.Config()))
 	n.metrics.Gauge("configuration_version").Update(float64(c.Version))
 	if n.placer != nil {
 		n.stepPlacer(ctx, placer.Configured{Config: n.config.Config(), Version: c.Version}, now)
--- a/internal/host/server/entering.go
+++ b/internal/host/server/entering.go
@@ -50,11 +50,24 @@
 		n.spawn(func() { n.dropCopies(ctx, c.Job) })
 	}
 	delete(n.durable, id)
+	n.score(c)
 	n.metrics.Tagged(map[string]string{"state": string(c.Outcome.State)}).Counter("jobs_finished").Inc(1)
 	n.log.Info("job", "job", id, "step", "answered", "state", string(c.Outcome.State), "attempt", c.Outcome.Attempt,
 		"reason", c.Outcome.Reason)
 }
 
+// score counts the request for the burn report. One that its caller took back
+// is neither good nor bad; nor is one that could never be served.
+func (n *Node) score(c intake.Finish) {
+	o := c.Outcome
+	never := o.State == job.NotRun && o.RetryAfter.IsZero() && c.Job.Deadline().IsZero()
+	if o.State == job.Cancelled || never {
+		return
+	}
+	now := time.Now()
+	n.burn.Record(c.Job.Service(), c.Job.Account(), now.Sub(c.Job.Submitted()), o.State == job.Succeeded, now)
+}
+
 // View is what a host knows of a job.
 type View struct {
 	Job     job.Job       `json:"job"`
--- a/internal/host/server/node.go
+++ b/internal/host/server/node.go
@@ -28,6 +28,7 @@
 	"guavaglade.example/guavaglade/internal/platform/budget"
 	"guavaglade.example/guavaglade/internal/platform/ledger"
 	"guavaglade.example/guavaglade/internal/platform/table"
+	"guavaglade.example/guavaglade/internal/report/burn"
 	"guavaglade.example/guavaglade/internal/work/job"
 	"guavaglade.example/guavaglade/internal/work/placer"
 )
@@ -59,6 +60,9 @@
 	log      logr.Logger
 	metrics  tally.Scope
 	workerRT http.RoundTripper
+	peerTLS  peer.Client // nil for plain TCP
+	dial     peer.Dial   // nil for the usual one
+	burn     *burn.Recorder
 	id       string // peer address with incarnation
 
 	work  chan func()
@@ -97,9 +101,10 @@
 func WithMetrics(s tally.Scope) Option { return func(n *Node) { n.metrics = s } }
 
 // WithPeerTLS sets the TLS of outgoing connections to other hosts.
-func WithPeerTLS(c peer.Client) Option {
-	return func(n *Node) { n.net = peer.New(n.handle, c) }
-}
+func WithPeerTLS(c peer.Client) Option { return func(n *Node) { n.peerTLS = c } }
+
+// WithDial sets how the node reaches peers and workers, by default as usual.
+func WithDial(d peer.Dial) Option { return func(n *Node) { n.dial = d } }
 
 // New returns a node that is not running yet. incarnation must be higher than
 // that of any earlier process at the same peer address. It refuses settings
@@ -107,20 +112,21 @@
 func New(s settings.Settings, p table.Platform, incarnation int64, opts ...Option) (*Node, error) {
 	n := &Node{
 		settings: s, platform: p, log: logr.Discard(), metrics: tally.NoopScope,
-		workerRT: remote.Transport(workerShare),
-		id:       s.PeerAddress() + "#" + strconv.FormatInt(incarnation, 10),
-		work:     make(chan func(), maxLoopBacklog),
-		ended:    make(chan struct{}),
+		id:    s.PeerAddress() + "#" + strconv.FormatInt(incarnation, 10),
+		work:  make(chan func(), maxLoopBacklog),
+		ended: make(chan struct{}),
+		burn:  burn.New(s.PeerAddress()),
 		members: member.New(member.Host{
 			Address: s.PeerAddress(), Zone: s.Zone(), Incarnation: incarnation, Protocol: protocol,
 		}, member.WithSeeds(seedsOf(s)...)),
 		entry: intake.New(s.Zone()), waiting: map[job.ID]chan struct{}{},
 		workers: map[string]target.Worker{}, addresses: map[string]string{}, delivering: map[delivery]bool{}, durable: map[job.ID]bool{}, copies: map[job.ID]job.Job{},
 	}
-	n.net = peer.New(n.handle, nil)
 	for _, o := range opts {
 		o(n)
 	}
+	n.net = peer.New(n.handle, n.peerTLS, n.dial)
+	n.workerRT = remote.Transport(workerShare, n.dial)
 	if err := n.openLedger(); err != nil {
 		return nil, fmt.Errorf("host %s: %w", n.id, err)
 	}
--- a/internal/host/server/peers.go
+++ b/internal/host/server/peers.go
@@ -33,6 +33,8 @@
 			Job job.ID `json:"job"`
 		}
 		return n.toPlacer(ctx, params, &b, func(now time.Time) { n.stepPlacer(keep, placer.CancelAsked{Job: b.Job}, now) })
+	case "burn.snapshot":
+		return n.burn.Snapshot(time.Now()), nil
 	case "placer.view":
 		var v ZoneView
 		_, err := n.toPlacer(ctx, params, &struct{}{}, func(time.Time) { v = n.zoneView() })
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -13,6 +13,7 @@
 
 	"guavaglade.example/guavaglade/internal/host/api"
 	"guavaglade.example/guavaglade/internal/host/server"
+	"guavaglade.example/guavaglade/internal/report/burn"
 )
 
 // MaxBody bounds what is read of one answer, in bytes.
@@ -115,9 +116,25 @@
 	return rows, err
 }
 
-// Get reads any path into a value.
-func (c *Client) Get(ctx context.Context, path string, into any) error {
-	return c.do(ctx, http.MethodGet, path, nil, into)
+// Fleet returns what the placer of each zone knows.
+func (c *Client) Fleet(ctx context.Context) ([]server.ZoneView, error) {
+	var vs []server.ZoneView
+	err := c.do(ctx, http.MethodGet, "/v1/fleet", nil, &vs)
+	return vs, err
+}
+
+// Burn returns the burn report of all hosts.
+func (c *Client) Burn(ctx context.Context) (burn.Report, error) {
+	var r burn.Report
+	err := c.do(ctx, http.MethodGet, "/v1/burn", nil, &r)
+	return r, err
+}
+
+// Ticket returns a ticket for one request that may run once only.
+func (c *Client) Ticket(ctx context.Context) (api.TicketView, error) {
+	var v api.TicketView
+	err := c.do(ctx, http.MethodPost, "/v1/tickets", nil, &v)
+	return v, err
 }
 
 func (c *Client) do(ctx context.Context, method, path string, body, into any) error {
--- a/internal/operator/command/calls.go
+++ b/internal/operator/command/calls.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
+	"net/http"
+	"os"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -25,10 +29,30 @@
 type target struct {
 	Host []string `long:"host" default:"127.0.0.1:7301" description:"IP:port of a host; give several to try each in turn"`
 	Key  string   `long:"key" env:"GUAVAGLADE_KEY" description:"key of a client account or operator"`
+	CA   string   `long:"ca" description:"PEM file of the authority that signed the hosts' certificate; the hosts are then called over TLS"`
 	JSON bool     `long:"json" description:"print JSON"`
 }
 
-func (t target) client() *client.Client { return client.New(t.Host, t.Key, nil) }
+// client returns a client of the hosts, over TLS if an authority is named.
+func (t target) client() (*client.Client, error) {
+	if t.CA == "" {
+		return client.New(t.Host, t.Key, nil), nil
+	}
+	pem, err := os.ReadFile(t.CA)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, fmt.Errorf("%s: no certificate in it", t.CA)
+	}
+	hosts := make([]string, 0, len(t.Host))
+	for _, h := range t.Host {
+		hosts = append(hosts, "https://"+h)
+	}
+	rt := &http.Transport{TLSClientConfig: &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}}
+	return client.New(hosts, t.Key, rt), nil
+}
 
 func (t target) context() (context.Context, context.CancelFunc) {
 	return context.WithTimeout(context.Background(), callTime)
@@ -89,8 +113,12 @@
 	}
 	ctx, cancel := c.context()
 	defer cancel()
+	k, err := c.client()
+	if err != nil {
+		return err
+	}
 	if c.Base < 0 {
-		current, err := c.client().Configuration(ctx)
+		current, err := k.Configuration(ctx)
 		if err != nil {
 			return err
 		}
@@ -99,7 +127,7 @@
 	if c.Change == "" {
 		c.Change = uuid.NewString()
 	}
-	v, err := c.client().Apply(ctx, c.Base, c.Change, string(body))
+	v, err := k.Apply(ctx, c.Base, c.Change, string(body))
 	if err != nil {
 		return fmt.Errorf("change %s: %w", c.Change, err)
 	}
@@ -118,14 +146,18 @@
 func (c *showCommand) Execute([]string) error {
 	ctx, cancel := c.context()
 	defer cancel()
+	k, err := c.client()
+	if err != nil {
+		return err
+	}
 	if c.Text {
-		v, err := c.client().Configuration(ctx)
+		v, err := k.Configuration(ctx)
 		if err != nil {
 			return err
 		}
 		return c.print(c.streams, v, func(w *tabwriter.Writer) { _, _ = fmt.Fprint(w, v.Text) })
 	}
-	rows, err := c.client().InForce(ctx)
+	rows, err := k.InForce(ctx)
 	if err != nil {
 		return err
 	}
@@ -167,7 +199,11 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), c.Wait+callTime)
 	defer cancel()
-	v, err := c.client().Submit(ctx, server.Request{
+	k, err := c.client()
+	if err != nil {
+		return err
+	}
+	v, err := k.Submit(ctx, server.Request{
 		RequestID: c.Request, Service: service, Job: kind, Input: input, Ticket: c.Ticket,
 	}, c.Wait)
 	if err != nil {
@@ -199,7 +235,11 @@
 func (c *jobsCommand) Execute([]string) error {
 	ctx, cancel := c.context()
 	defer cancel()
-	vs, err := c.client().Jobs(ctx)
+	k, err := c.client()
+	if err != nil {
+		return err
+	}
+	vs, err := k.Jobs(ctx)
 	if err != nil {
 		return err
 	}
@@ -226,7 +266,11 @@
 func (c *explainCommand) Execute([]string) error {
 	ctx, cancel := c.context()
 	defer cancel()
-	s, err := c.client().Explain(ctx, c.Args.Job)
+	k, err := c.client()
+	if err != nil {
+		return err
+	}
+	s, err := k.Explain(ctx, c.Args.Job)
 	if err != nil {
 		return err
 	}
@@ -248,7 +292,11 @@
 func (c *cancelCommand) Execute([]string) error {
 	ctx, cancel := c.context()
 	defer cancel()
-	v, err := c.client().Cancel(ctx, c.Args.Job)
+	k, err := c.client()
+	if err != nil {
+		return err
+	}
+	v, err := k.Cancel(ctx, c.Args.Job)
 	if err != nil {
 		return err
 	}
--- a/internal/operator/command/root.go
+++ b/internal/operator/command/root.go
@@ -60,6 +60,9 @@
 		{p.Command, "jobs", "list jobs", "Example: guavaglade jobs --host 127.0.0.1:7301 --key KEY", &jobsCommand{streams: s}},
 		{p.Command, "explain", "tell a job's whole story", "Example: guavaglade explain --host 127.0.0.1:7301 --key KEY JOB", &explainCommand{streams: s}},
 		{p.Command, "cancel", "cancel a job", "Example: guavaglade cancel --host 127.0.0.1:7301 --key KEY JOB", &cancelCommand{streams: s}},
+		{p.Command, "ticket", "get a ticket for a request that may run once only", "Example: guavaglade ticket --host 127.0.0.1:7301 --key KEY", &ticketCommand{streams: s}},
+		{p.Command, "fleet", "show workers, queues and guarantees of each zone", "Example: guavaglade fleet --host 127.0.0.1:7301 --key KEY", &fleetViewCommand{streams: s}},
+		{p.Command, "report", "print the burn report", "Example: guavaglade report --host 127.0.0.1:7301 --key KEY --svg burn.svg", &reportCommand{streams: s}},
 	} {
 		if _, err := c.to.AddCommand(c.name, c.short, c.long, c.options); err != nil {
 			return fmt.Errorf("command %s: %w", c.name, err)
--- a/internal/operator/demo/demo.go
+++ b/internal/operator/demo/demo.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	_ "embed" // the demo's configuration text
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
@@ -16,8 +14,10 @@
 	"github.com/go-logr/logr"
 
 	"guavaglade.example/guavaglade/internal/host/api"
+	"guavaglade.example/guavaglade/internal/host/credential"
 	"guavaglade.example/guavaglade/internal/host/server"
 	"guavaglade.example/guavaglade/internal/operator/client"
+	"guavaglade.example/guavaglade/internal/standin/site"
 	"guavaglade.example/guavaglade/internal/work/job"
 )
 
@@ -56,53 +56,61 @@
 
 // Run runs the demo and prints what became of each request.
 func Run(ctx context.Context, out io.Writer, log logr.Logger) error {
-	b, err := startBench(ctx, 2, hashOf(operatorKey), log)
+	b, err := site.Start(ctx, site.WithOperatorKey(credential.NewKey(operatorKey).Hash()), site.WithLog(log))
 	if err != nil {
 		return err
 	}
 	rows, err := play(ctx, b, out)
-	stopped := b.stop()
-	if err != nil {
-		return err
+	if err == nil {
+		err = printRows(out, rows)
 	}
-	if err := printRows(out, rows); err != nil {
+	if err == nil {
+		err = printBurn(ctx, b, out)
+	}
+	return errors.Join(err, b.Stop())
+}
+
+// printBurn prints the burn report of all hosts.
+func printBurn(ctx context.Context, b *site.Site, out io.Writer) error {
+	r, err := client.New(b.Callers(0), operatorKey, nil).Burn(ctx)
+	if err != nil {
 		return err
 	}
-	return stopped
+	return r.WriteText(out)
 }
 
-func play(ctx context.Context, b *bench, out io.Writer) ([]row, error) {
+func play(ctx context.Context, b *site.Site, out io.Writer) ([]row, error) {
 	if err := apply(ctx, b, out); err != nil {
 		return nil, err
 	}
 	var rows []row
-	rows = append(rows, b.many(ctx, 12, "small jobs", accountKey, "refill.label", quick, job.Succeeded)...)
+	rows = append(rows, many(ctx, b, 12, "small jobs", accountKey, "refill.label", quick, job.Succeeded)...)
 	rows = append(rows,
-		b.one(ctx, 0, "gang of 16", accountKey, "refill.plan", "gang", quick, job.Succeeded),
-		b.one(ctx, 1, "may run once only", accountKey, "refill.bill", "bill", quick, job.Succeeded),
-		b.one(ctx, 2, "same request again", accountKey, "refill.bill", "bill", quick, job.Succeeded),
-		b.one(ctx, 2, "can never run", accountKey, "refill.huge", "huge", quick, job.NotRun),
+		one(ctx, b, 0, "gang of 16", accountKey, "refill.plan", "gang", quick, job.Succeeded),
+		one(ctx, b, 1, "may run once only", accountKey, "refill.bill", "bill", quick, job.Succeeded),
+		one(ctx, b, 2, "same request again", accountKey, "refill.bill", "bill", quick, job.Succeeded),
+		one(ctx, b, 2, "can never run", accountKey, "refill.huge", "huge", quick, job.NotRun),
 	)
-	rows = append(rows, b.reclaim(ctx)...)
-	return append(rows, b.plannedStop(ctx)...), nil
+	rows = append(rows, reclaim(ctx, b)...)
+	return append(rows, plannedStop(ctx, b)...), nil
 }
 
 // reclaim fills a zone with borrowed work that can be stopped and then asks for
 // the room that another account is guaranteed there.
-func (b *bench) reclaim(ctx context.Context) []row {
+func reclaim(ctx context.Context, b *site.Site) []row {
 	const borrowers = 4 // each fills one of the zone's four workers
 	lent := make(chan []row)
-	go func() { lent <- b.sameHost(ctx, borrowers, 0, "borrows idle room", "refill.forecast", slow) }()
-	if !b.running(ctx, borrowers) {
+	go func() { lent <- sameHost(ctx, b, borrowers, 0, "borrows idle room", "refill.forecast", slow) }()
+	if !running(ctx, b, borrowers) {
 		return append(<-lent, row{part: "reclaim", err: errUnexpected, want: job.Succeeded})
 	}
-	urgent := b.one(ctx, 0, "takes its guarantee back", otherKey, "refill.urgent", "urgent", quick, job.Succeeded)
+	urgent := one(ctx, b, 0, "takes its guarantee back", otherKey, "refill.urgent", "urgent", quick, job.Succeeded)
 	return append(<-lent, urgent)
 }
 
 // running waits until so many jobs of the first host run.
-func (b *bench) running(ctx context.Context, want int) bool {
-	c := client.New(b.callers(0), operatorKey, nil)
+func running(ctx context.Context, b *site.Site, want int) bool {
+	c := client.New(b.Callers(0), operatorKey, nil)
 	for ctx.Err() == nil {
 		n := 0
 		jobs, _ := c.Jobs(ctx)
@@ -120,18 +128,18 @@
 }
 
 // plannedStop stops the second host while callers wait at it.
-func (b *bench) plannedStop(ctx context.Context) []row {
+func plannedStop(ctx context.Context, b *site.Site) []row {
 	const callers = 8
 	done := make(chan []row)
-	go func() { done <- b.sameHost(ctx, callers, 1, "waits while its host stops", "refill.label", slow) }()
+	go func() { done <- sameHost(ctx, b, callers, 1, "waits while its host stops", "refill.label", slow) }()
 	time.Sleep(quickRun)
-	b.hosts[1].stop()
+	b.Hosts()[1].Stop()
 	return <-done
 }
 
 // apply makes the text current and waits until all hosts have it in force.
-func apply(ctx context.Context, b *bench, out io.Writer) error {
-	c := client.New(b.callers(0), operatorKey, nil)
+func apply(ctx context.Context, b *site.Site, out io.Writer) error {
+	c := client.New(b.Callers(0), operatorKey, nil)
 	if _, err := c.Apply(ctx, 0, "demo-1", configuration); err != nil {
 		return fmt.Errorf("apply the demo's text: %w", err)
 	}
@@ -141,8 +149,8 @@
 		if err != nil {
 			return err
 		}
-		if len(rows) == len(b.hosts) && everywhere(rows, 1) {
-			_, err = fmt.Fprintf(out, "version 1 in force on %d hosts of %d zones after %s\n", len(rows), len(zones), time.Since(begun).Round(time.Millisecond))
+		if len(rows) == len(b.Hosts()) && everywhere(rows, 1) {
+			_, err = fmt.Fprintf(out, "version 1 in force on %d hosts of %d zones after %s\n", len(rows), len(b.Zones()), time.Since(begun).Round(time.Millisecond))
 			return err
 		}
 		select {
@@ -162,25 +170,25 @@
 	return true
 }
 
-func (b *bench) one(ctx context.Context, first int, part, key, kind, request string, input []byte, want job.State) row {
+func one(ctx context.Context, b *site.Site, first int, part, key, kind, request string, input []byte, want job.State) row {
 	begun := time.Now()
 	service, name, _ := strings.Cut(kind, ".")
 	r := server.Request{RequestID: request, Service: service, Job: name, Input: input}
-	v, err := client.New(b.callers(first), key, nil).Submit(ctx, r, 20*time.Second)
+	v, err := client.New(b.Callers(first), key, nil).Submit(ctx, r, 20*time.Second)
 	return row{part: part, view: v, err: err, want: want, taken: time.Since(begun)}
 }
 
 // many submits jobs to all hosts in turn, at once.
-func (b *bench) many(ctx context.Context, n int, part, key, kind string, input []byte, want job.State) []row {
+func many(ctx context.Context, b *site.Site, n int, part, key, kind string, input []byte, want job.State) []row {
 	return gather(n, func(i int) row {
-		return b.one(ctx, i, part, key, kind, fmt.Sprintf("%s-%d", kind, i), input, want)
+		return one(ctx, b, i, part, key, kind, fmt.Sprintf("%s-%d", kind, i), input, want)
 	})
 }
 
 // sameHost submits jobs to one host, at once.
-func (b *bench) sameHost(ctx context.Context, n, host int, part, kind string, input []byte) []row {
+func sameHost(ctx context.Context, b *site.Site, n, host int, part, kind string, input []byte) []row {
 	return gather(n, func(i int) row {
-		return b.one(ctx, host, part, accountKey, kind, fmt.Sprintf("%s-at%d-%d", kind, host, i), input, job.Succeeded)
+		return one(ctx, b, host, part, accountKey, kind, fmt.Sprintf("%s-at%d-%d", kind, host, i), input, job.Succeeded)
 	})
 }
 
@@ -217,8 +225,3 @@
 	}
 	return nil
 }
-
-func hashOf(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
-}
