--- a/internal/host/intake/machine.go
+++ b/internal/host/intake/machine.go
@@ -43,10 +43,11 @@
 type Record struct {
 	job       job.Job
 	state     job.State
-	zone      string    // whose placer the job is given to
-	placer    string    // whom it was given to last; empty for nobody
-	taken     bool      // the placer said that it has it
-	giveAt    time.Time // when it is given again
+	zone      string          // whose placer the job is given to
+	placer    string          // whom it was given to last; empty for nobody
+	givenTo   map[string]bool // placers that may have started it or may still
+	taken     bool            // the placer said that it has it
+	giveAt    time.Time       // when it is given again
 	cancelled bool
 	outcome   job.Outcome // valid if state is final
 	forgetAt  time.Time   // valid if state is final
@@ -122,7 +123,7 @@
 	if _, ok := m.records[e.Job.ID()]; ok {
 		return nil
 	}
-	r := &Record{job: e.Job, state: job.Queued, zone: m.zone}
+	r := &Record{job: e.Job, state: job.Queued, zone: m.zone, givenTo: map[string]bool{}}
 	r.add(Line{At: now, State: job.Queued, Step: "admitted", Text: fmt.Sprintf("shape %s of account %s", e.Job.Shape(), e.Job.Account())})
 	m.records[e.Job.ID()] = r
 	return m.give(r, now)
@@ -134,6 +135,7 @@
 	if r.placer == "" {
 		return nil
 	}
+	r.givenTo[r.placer] = true
 	cs := []Command{Give{Placer: r.placer, Job: r.job}}
 	if r.cancelled {
 		cs = append(cs, CancelAt{Placer: r.placer, Job: r.job.ID()})
@@ -172,12 +174,32 @@
 		r.add(Line{At: now, Step: "answer", Peer: e.Placer, Text: "the answer is not whole; asked again"})
 		return nil
 	}
+	if e.Outcome.State == job.NotRun {
+		return m.notRun(r, e, now)
+	}
+	return m.finish(r, e.Outcome, now)
+}
+
+// notRun takes a placer's word that it did not start the job and will not. It
+// says nothing for other placers: one that had the job before may have started
+// it, and the current one may be about to. Without this guard a caller would be
+// told not run of a job that runs, after a change of placers or a late copy of
+// a refusal.
+func (m *Machine) notRun(r *Record, e OutcomeArrived, now time.Time) []Command {
+	delete(r.givenTo, e.Placer)
+	if e.Placer != r.placer {
+		return nil
+	}
 	if next, ok := m.elsewhere(r, e.Outcome); ok {
 		r.zone, r.job = next, r.job.PassedOn()
 		r.add(Line{At: now, Step: "passedOn", Text: "to zone " + next + ": " + e.Outcome.Reason})
 		return m.give(r, now)
 	}
-	return m.finish(r, e.Outcome, now)
+	o := e.Outcome
+	if len(r.givenTo) > 0 {
+		o.State, o.Reason = job.Lost, "another placer had it before and may have started it: "+o.Reason
+	}
+	return m.finish(r, o, now)
 }
 
 // elsewhere returns the zone that a job goes to which the home zone can never
--- /dev/null
+++ b/internal/proof/machine/host_test.go
@@ -0,0 +1,449 @@
+package machine
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"guavaglade.example/guavaglade/internal/config/inforce"
+	"guavaglade.example/guavaglade/internal/fleet/target"
+	"guavaglade.example/guavaglade/internal/host/intake"
+	"guavaglade.example/guavaglade/internal/host/member"
+	"guavaglade.example/guavaglade/internal/host/ticket"
+	"guavaglade.example/guavaglade/internal/platform/ledger"
+	"guavaglade.example/guavaglade/internal/platform/table"
+	"guavaglade.example/guavaglade/internal/work/job"
+	"guavaglade.example/guavaglade/internal/work/placer"
+)
+
+// Times of a host's shell.
+const (
+	tickEvery = 250 * time.Millisecond
+	pollEvery = time.Second
+	callTime  = 2 * time.Second
+	leavingIn = 3 * time.Second // a worker that is leaving gets nothing new after that
+)
+
+// host is a shell around the real machines of one host: it carries messages and
+// decides nothing.
+type host struct {
+	node
+	w           *world
+	inc         int64
+	alive       bool
+	pausedUntil time.Time
+	table       *member.Table
+	entry       *intake.Machine
+	placer      *placer.Machine // nil until it first is the zone's placer
+	config      *inforce.Keeper
+	ledger      *ledger.Ledger
+	book        *ticket.Book
+	polled      time.Time
+	version     int64                // highest that was in force in this incarnation
+	toldLeaving map[string]time.Time // since when its placer is told so, by source and worker
+}
+
+func newHost(w *world, zone string, i int) *host {
+	return &host{node: node{fmt.Sprintf("10.0.%d.%d:7000", zone[0]-'a', i+1), zone}, w: w}
+}
+
+func (h *host) id() string { return h.idOf(h.inc) }
+
+func (h *host) idOf(inc int64) string { return fmt.Sprintf("%s#%d", h.name, inc) }
+
+func (h *host) self() member.Host {
+	return member.Host{Address: h.name, Zone: h.zone, Incarnation: h.inc, Protocol: 1}
+}
+
+// begin starts a new incarnation that knows nothing.
+func (h *host) begin() {
+	h.inc++
+	h.alive, h.pausedUntil, h.version, h.placer = true, time.Time{}, 0, nil
+	h.table, h.entry, h.config = member.New(h.self()), intake.New(h.zone), &inforce.Keeper{}
+	h.ledger = ledger.New(h.w.platform, h.id())
+	h.toldLeaving = map[string]time.Time{}
+	book, err := ticket.New(h.name, h.inc, rand.NewChaCha8([32]byte{byte(h.inc), h.name[5], h.name[7]}))
+	if err != nil {
+		panic(err)
+	}
+	h.book = book
+	h.tick()
+}
+
+func (h *host) kill() { h.alive = false }
+
+// guard returns do for this incarnation: not done by a later one, and after the
+// pause if the host is paused.
+func (h *host) guard(do func()) func() {
+	inc := h.inc
+	var run func()
+	run = func() {
+		switch {
+		case !h.alive || h.inc != inc:
+		case h.w.now.Before(h.pausedUntil):
+			h.w.at(h.pausedUntil, run)
+		default:
+			do()
+		}
+	}
+	return run
+}
+
+// call sends a request to another host.
+func (h *host) call(to *host, do func() func(), silent func()) {
+	h.w.call(h.node, to.node, callTime, func() func() {
+		if !to.alive || h.w.now.Before(to.pausedUntil) {
+			return nil
+		}
+		return wrap(h, do())
+	}, h.guard(silent))
+}
+
+func wrap(h *host, reply func()) func() {
+	if reply == nil {
+		return nil
+	}
+	return h.guard(reply)
+}
+
+func (h *host) tick() {
+	h.w.after(tickEvery, h.guard(h.tick))
+	placers := map[string]string{}
+	for _, zone := range []string{"a", "b"} {
+		if p, ok := h.table.Placer(zone, h.w.now); ok {
+			placers[zone] = fmt.Sprintf("%s#%d", p.Address, p.Incarnation)
+		}
+	}
+	if placers[h.zone] == h.id() && h.placer == nil {
+		h.place()
+	}
+	h.enter(intake.PlacersSeen{Placers: placers})
+	h.enter(intake.Ticked{})
+	h.step(placer.Ticked{})
+	if !h.w.now.Before(h.polled.Add(pollEvery)) {
+		h.polled = h.w.now
+		h.poll()
+	}
+}
+
+func (h *host) place() {
+	identity := h.id()
+	h.placer = placer.New(h.zone, nil, placer.WithIdentity(identity), placer.WithRand(rand.New(rand.NewPCG(h.w.rnd.Uint64(), 1))))
+	h.w.logf("%s places for zone %s", h.id(), h.zone)
+}
+
+// poll sends heartbeats and asks the platform for configuration and targets.
+func (h *host) poll() {
+	self, version, body := h.self(), h.config.Version(), h.config.Body()
+	for _, to := range h.w.hosts {
+		if to == h {
+			continue
+		}
+		h.w.send(h.node, to.node, func() {
+			to.guard(func() {
+				to.table.Heard(self, h.w.now)
+				to.offer(version, body)
+			})()
+		})
+	}
+	h.w.platform.ask(h, func(err error) func() {
+		if err != nil {
+			return func() {}
+		}
+		c, stale := h.w.platform.current(h.ledger)
+		var targets []table.Target
+		for _, k := range h.w.workers {
+			targets = append(targets, k.listed())
+		}
+		return func() {
+			h.offer(c.Version, c.Body)
+			_ = stale
+			h.targets(targets)
+		}
+	})
+}
+
+// current reads the configuration; one time in ten an older one than the
+// newest, as a replica that lags would.
+func (p *platform) current(l *ledger.Ledger) (c ledger.Config, stale bool) {
+	if len(p.versions) > 0 && p.w.chance(10) {
+		return p.versions[p.w.rnd.IntN(len(p.versions))], true
+	}
+	c, err := l.Current(context.Background())
+	if err != nil {
+		return ledger.Config{}, false
+	}
+	return c, false
+}
+
+// offer puts a version in force and checks that it never falls.
+func (h *host) offer(version int64, body []byte) {
+	if version == 0 {
+		return
+	}
+	if h.w.broken.forgetVersion {
+		h.config = &inforce.Keeper{}
+	}
+	if _, err := h.config.Offer(version, body, h.w.now); err != nil {
+		h.w.violate("config", "%v", err)
+	}
+	if h.config.Version() < h.version {
+		h.w.violate("versionFalls", "%s had version %d in force and now %d", h.id(), h.version, h.config.Version())
+	}
+	h.version = h.config.Version()
+	h.step(placer.Configured{Config: h.config.Config(), Version: version})
+}
+
+func (h *host) targets(ts []table.Target) {
+	for i := range ts {
+		h.hearLeaving("list "+ts[i].ID, ts[i].Leaving)
+		ts[i].Leaving = ts[i].Leaving && !h.w.broken.ignoreLeaving
+	}
+	h.step(placer.TargetsListed{Targets: ts})
+}
+
+// hearLeaving notes since when the placer was told by a source that a worker is
+// leaving.
+func (h *host) hearLeaving(source string, leaving bool) {
+	if _, ok := h.toldLeaving[source]; !leaving {
+		delete(h.toldLeaving, source)
+	} else if !ok && h.placer != nil {
+		h.toldLeaving[source] = h.w.now
+	}
+}
+
+// enter steps the entry's machine.
+func (h *host) enter(ev intake.Event) {
+	for _, c := range h.entry.Step(ev, h.w.now) {
+		switch c := c.(type) {
+		case intake.Give:
+			h.give(c)
+		case intake.CancelAt:
+			if to := h.w.hostOf(c.Placer); to != nil {
+				h.w.send(h.node, to.node, to.guard(func() { to.step(placer.CancelAsked{Job: c.Job}) }))
+			}
+		case intake.Finish:
+			h.w.finished(h, c)
+		}
+	}
+}
+
+func (h *host) give(c intake.Give) {
+	to := h.w.hostOf(c.Placer)
+	if to == nil {
+		return
+	}
+	h.call(to, func() func() {
+		if to.placer == nil {
+			return nil
+		}
+		to.step(placer.Submitted{Job: c.Job})
+		return func() { h.enter(intake.Taken{Job: c.Job.ID(), Placer: c.Placer}) }
+	}, func() {})
+}
+
+// hostOf returns the host of an address with incarnation if that one lives.
+func (w *world) hostOf(id string) *host {
+	for _, h := range w.hosts {
+		if h.alive && h.id() == id {
+			return h
+		}
+	}
+	return nil
+}
+
+// step steps the placer and carries its commands out, now and then with a pause
+// of the process between the decision and the sending.
+func (h *host) step(ev placer.Event) {
+	if h.placer == nil {
+		return
+	}
+	for _, c := range h.placer.Step(ev, h.w.now) {
+		if h.w.chance(h.w.noise.slow / 10) {
+			h.w.after(time.Duration(h.w.rnd.Int64N(int64(15*time.Second))), h.guard(func() { h.carry(c) }))
+			continue
+		}
+		h.carry(c)
+	}
+}
+
+func (h *host) carry(c placer.Command) {
+	switch c := c.(type) {
+	case placer.HoldOn:
+		h.hold(c)
+	case placer.ClaimRow:
+		h.claim(c)
+	case placer.ClaimTicket:
+		h.claimTicket(c)
+	case placer.StartOn:
+		h.start(c)
+	case placer.RenewOn:
+		h.renew(c)
+	case placer.StopOn:
+		h.stop(c)
+	case placer.Answer:
+		h.answer(c)
+	case placer.Tell:
+		h.w.logf("%s tells of %s: %s: %s", h.id(), c.Job.ID(), c.Step, c.Text)
+	}
+}
+
+func (h *host) hold(c placer.HoldOn) {
+	k, ttl := h.w.worker(c.Worker), c.Hold.Expires.Sub(h.w.now)
+	if ttl <= 0 {
+		return
+	}
+	ask := func(err error) func() {
+		if h.w.broken.ignoreRefusals {
+			err = nil
+		}
+		return h.guard(func() { h.step(placer.HoldAnswered{Worker: c.Worker, Lease: c.Hold.Lease, Err: err}) })
+	}
+	h.w.call(h.node, k.node, callTime, func() func() { return ask(k.hold(c.Hold, ttl)) }, ask(target.ErrUnknown))
+}
+
+func (h *host) start(c placer.StartOn) {
+	if !h.w.now.Before(c.Deadline) && !h.w.broken.ignoreDeadline {
+		return
+	}
+	k := h.w.worker(c.Worker)
+	ask := func(err error) func() {
+		if h.w.broken.ignoreStartErrors {
+			err = nil
+		}
+		return h.guard(func() { h.step(placer.StartAnswered{Worker: c.Worker, Lease: c.Lease, Err: err}) })
+	}
+	h.w.call(h.node, k.node, callTime, func() func() { return ask(k.start(c.Lease, h)) }, ask(target.ErrUnknown))
+}
+
+func (h *host) stop(c placer.StopOn) {
+	k := h.w.worker(c.Worker)
+	h.w.call(h.node, k.node, callTime, func() func() {
+		err := k.Stop(c.Stop.Lease, c.Stop.Checkpoint, max(0, c.Stop.Grace.Sub(h.w.now)), h.w.now)
+		k.changed()
+		return h.guard(func() { h.step(placer.StopAnswered{Worker: c.Worker, Lease: c.Stop.Lease, Err: err}) })
+	}, func() {})
+}
+
+func (h *host) renew(c placer.RenewOn) {
+	k := h.w.worker(c.Worker)
+	ttl, until := c.Renewal.Expires.Sub(h.w.now), c.Renewal.Wait
+	if until.IsZero() {
+		until = h.w.now
+	}
+	ev := placer.Reported{Worker: c.Worker, Renewed: c.Renewal.Leases, Expires: c.Renewal.Expires}
+	answered := false
+	arrive := func(rep target.Report) {
+		answered, ev.Report = true, rep
+		h.hearLeaving("word "+c.Worker, rep.Leaving)
+		ev.Report.Leaving = rep.Leaving && !h.w.broken.ignoreLeaving
+		h.step(ev)
+	}
+	h.w.send(h.node, k.node, func() {
+		if ttl <= 0 {
+			return
+		}
+		k.renew(c.Renewal, ttl, until, func(rep target.Report) {
+			switch {
+			case h.w.chance(h.w.noise.lose):
+				rep = cut(rep)
+				if h.w.broken.ignoreDigest {
+					rep = mend(rep)
+				}
+			case h.w.chance(h.w.noise.double / 4):
+				rep = h.w.workers[0].Renew(nil, 0, 0, h.w.now) // crossed with another's
+			}
+			h.w.send(k.node, h.node, h.guard(func() { arrive(rep) }))
+		})
+	})
+	h.w.at(until.Add(callTime), h.guard(func() {
+		if !answered {
+			ev.Err = target.ErrUnknown
+			h.step(ev)
+		}
+	}))
+}
+
+func (h *host) claim(c placer.ClaimRow) {
+	h.w.platform.ask(h, func(err error) func() {
+		won := false
+		if err == nil {
+			won, err = h.claimRow(c)
+		}
+		if h.w.broken.guessClaims && err != nil {
+			won, err = true, nil
+		}
+		if h.w.broken.skipClaims {
+			won, err = true, nil
+		}
+		return func() { h.step(placer.ClaimAnswered{Lease: c.Lease, Won: won, Err: err}) }
+	})
+}
+
+// claimRow asks the ledger, for which the platform's answers are there or lost at
+// once: it is given no time to ask again.
+func (h *host) claimRow(c placer.ClaimRow) (bool, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Nanosecond)
+	defer cancel()
+	claim, err := h.ledger.ClaimJob(ctx, c.Job, c.Lease.Attempt)
+	h.w.logf("%s claims %s: %+v, %v", h.id(), c.Lease, claim, err)
+	return claim.Won, err
+}
+
+func (h *host) claimTicket(c placer.ClaimTicket) {
+	fail := func() { h.step(placer.ClaimAnswered{Lease: c.Lease, Err: table.ErrUnavailable}) }
+	t, err := ticket.Read(c.Job.Ticket())
+	if err != nil {
+		panic(err)
+	}
+	to := h.w.hostOf(fmt.Sprintf("%s#%d", t.Host(), t.Incarnation()))
+	if to == nil {
+		h.w.after(callTime, h.guard(fail))
+		return
+	}
+	by := h.id()
+	if h.w.broken.skipTickets {
+		by = ""
+	}
+	h.call(to, func() func() {
+		won, err := to.book.Claim(c.Job.Ticket(), c.Lease, by)
+		if h.w.broken.skipTickets {
+			won = true
+		}
+		return func() { h.step(placer.ClaimAnswered{Lease: c.Lease, Won: won, Err: err}) }
+	}, fail)
+}
+
+// answer gives an outcome to the entry; one that the entry does not know any
+// more is taken as well.
+func (h *host) answer(c placer.Answer) {
+	to := h.w.hostOf(c.Job.Entry())
+	if to == nil {
+		return
+	}
+	from := h.id()
+	h.call(to, func() func() {
+		to.enter(intake.OutcomeArrived{Placer: from, Outcome: c.Outcome})
+		if r, ok := to.entry.Record(c.Job.ID()); ok && !r.State().Final() {
+			return nil
+		}
+		return func() { h.step(placer.OutcomeTaken{Job: c.Job.ID(), Entry: c.Job.Entry()}) }
+	}, func() {})
+}
+
+func (w *world) worker(id string) *worker {
+	for _, k := range w.workers {
+		if k.name == id {
+			return k
+		}
+	}
+	panic("no worker " + id)
+}
+
+// entryOf returns the address part of a job's entry.
+func entryOf(j job.Job) string {
+	address, _, _ := strings.Cut(j.Entry(), "#")
+	return address
+}
--- a/internal/work/gang/ending.go
+++ b/internal/work/gang/ending.go
@@ -69,6 +69,8 @@
 
 func (g *Gang) afterReport(now time.Time) []Step {
 	switch g.phase {
+	case Holding, Claiming:
+		return g.settleHold(now)
 	case Starting, Running:
 		if steps, ended := g.brokenOff(now); ended {
 			return steps
@@ -84,6 +86,20 @@
 	}
 }
 
+// settleHold takes reports while the parts are held. The report of a hold may
+// overtake the answer to it, or stand for one that was lost.
+func (g *Gang) settleHold(now time.Time) []Step {
+	for _, p := range g.parts {
+		if p.over {
+			return g.End(CauseNotStarted, p.worker, "the hold ended on "+p.worker, now)
+		}
+	}
+	if g.phase == Claiming {
+		return nil
+	}
+	return g.holdNext(now)
+}
+
 // brokenOff ends the gang if a part is over that did not succeed.
 func (g *Gang) brokenOff(now time.Time) (steps []Step, ended bool) {
 	for _, p := range g.parts {
@@ -250,8 +266,9 @@
 		if !now.Before(g.startBy) {
 			return g.End(CauseNotStarted, g.unanswered(), "not all members answered in time", now)
 		}
-		if g.phase == Claiming && !now.Before(g.claimAt) {
-			return g.claim(now)
+		if !g.claimAt.IsZero() && !now.Before(g.claimAt) {
+			g.claimAt = time.Time{}
+			return []Step{{Kind: Claim}}
 		}
 	case Running:
 		if g.anyLapsed(now) {
--- a/internal/work/gang/gang.go
+++ b/internal/work/gang/gang.go
@@ -66,7 +66,7 @@
 	blame   string
 	reason  string
 	claimed bool      // a claim is won or not needed
-	claimAt time.Time // when the claim is asked again
+	claimAt time.Time // when the claim is asked again; zero while it is asked
 	startBy time.Time // all starts acknowledged by then, or it is stopped
 	checkBy time.Time // valid while checking
 	ending  time.Time // when the ending began
@@ -183,16 +183,11 @@
 	}
 	if !g.claimed {
 		g.phase = Claiming
-		return g.claim(now)
+		return []Step{{Kind: Claim}}
 	}
 	return g.startAll(now)
 }
 
-func (g *Gang) claim(now time.Time) []Step {
-	g.claimAt = now.Add(ClaimEvery)
-	return []Step{{Kind: Claim}}
-}
-
 // startAll sends every start. A holder that was paused finds its deadline
 // passed here: the workers may have given the room away, so nothing is sent.
 func (g *Gang) startAll(now time.Time) []Step {
@@ -212,11 +207,11 @@
 // maybe held: the part is released like the others.
 func (g *Gang) Held(worker string, err error, now time.Time) []Step {
 	p := g.part(worker)
-	if p == nil || g.phase != Holding || !p.asked || p.held {
+	if p == nil || g.phase != Holding || !p.asked {
 		return nil
 	}
-	if err != nil {
-		p.over = p.over || errors.Is(err, target.ErrRefused)
+	if err != nil && !p.held {
+		p.over = errors.Is(err, target.ErrRefused) || errors.Is(err, target.ErrUnreached)
 		return g.End(CauseNotStarted, worker, "hold: "+err.Error(), now)
 	}
 	p.held = true
@@ -226,7 +221,11 @@
 // Claimed takes what became of the claim. Not known, it is asked again, never
 // guessed.
 func (g *Gang) Claimed(won bool, err error, now time.Time) []Step {
-	if g.phase != Claiming || err != nil {
+	if g.phase != Claiming {
+		return nil
+	}
+	if err != nil {
+		g.claimAt = now.Add(ClaimEvery)
 		return nil
 	}
 	if !won {
@@ -254,6 +253,8 @@
 		return nil
 	case errors.Is(err, target.ErrRefused):
 		p.refused = true
+	case errors.Is(err, target.ErrUnreached):
+		p.told = false
 	}
 	if g.phase != Starting {
 		return nil
--- a/internal/work/placer/attempt.go
+++ b/internal/work/placer/attempt.go
@@ -58,28 +58,35 @@
 // carry turns a gang's steps into commands and, when it is over, its result
 // into what follows for the job.
 func (m *Machine) carry(r *record, steps []gang.Step, now time.Time) []Command {
-	cs := m.commands(r.gang, r.claim, steps)
+	var cs []Command
+	for _, s := range steps {
+		if s.Kind != gang.Claim {
+			cs = append(cs, commandOf(r.gang, s))
+			continue
+		}
+		// An earlier attempt may have asked and not been answered: its answer
+		// is for this one too. Asked twice at once, the second answer would
+		// show the first one's row as another's.
+		if !r.claiming {
+			r.claiming = true
+			cs = append(cs, claimOf(r.job, r.claim))
+		}
+	}
 	if r.gang.Phase() == gang.Over {
 		cs = append(cs, m.attemptOver(r, now)...)
 	}
 	return cs
 }
 
-func (m *Machine) commands(g *gang.Gang, claim target.Lease, steps []gang.Step) []Command {
-	var cs []Command
-	for _, s := range steps {
-		switch s.Kind {
-		case gang.Hold:
-			cs = append(cs, HoldOn{Worker: s.Worker, Hold: g.HoldOn(s.Worker)})
-		case gang.Claim:
-			cs = append(cs, claimOf(g.Job(), claim))
-		case gang.Start:
-			cs = append(cs, StartOn{Worker: s.Worker, Lease: g.Lease(), Deadline: s.Deadline})
-		case gang.Stop:
-			cs = append(cs, StopOn{Worker: s.Worker, Stop: s.Stop})
-		}
+func commandOf(g *gang.Gang, s gang.Step) Command {
+	switch s.Kind {
+	case gang.Hold:
+		return HoldOn{Worker: s.Worker, Hold: g.HoldOn(s.Worker)}
+	case gang.Start:
+		return StartOn{Worker: s.Worker, Lease: g.Lease(), Deadline: s.Deadline}
+	default:
+		return StopOn{Worker: s.Worker, Stop: s.Stop}
 	}
-	return cs
 }
 
 // claimOf asks the platform for leave or, for a ticketed job, the ticket's host.
@@ -247,7 +254,7 @@
 	if !ok || r.claim != e.Lease || r.claimed {
 		return nil
 	}
-	r.claimed = e.Err == nil && e.Won
+	r.claiming, r.claimed = false, e.Err == nil && e.Won
 	if r.gang == nil {
 		return nil
 	}
--- a/internal/work/placer/machine.go
+++ b/internal/work/placer/machine.go
@@ -48,6 +48,7 @@
 	heard     map[job.ID]heardOf    // the newest attempts that workers told of
 	settled   int                   // records with an outcome
 	stepped   time.Time             // when the last step was
+	listed    bool                  // the platform's list has come: the zone's workers are known
 	dirty     bool                  // something that the scheduler decides about has changed
 }
 
@@ -152,6 +153,11 @@
 	if !m.dirty && (wake.IsZero() || now.Before(wake)) {
 		return nil
 	}
+	// A new placer that does not know the zone's workers yet would refuse every
+	// job as one that can never run.
+	if !m.listed {
+		return nil
+	}
 	m.dirty = false
 	m.bar(now)
 	var cs []Command
--- a/internal/work/placer/record.go
+++ b/internal/work/placer/record.go
@@ -22,6 +22,7 @@
 	crashes   int          // attempts that failed
 	ran       bool         // an attempt may have run
 	claim     target.Lease // what the claim is asked for; the same until it is known
+	claiming  bool         // the claim is asked and not answered
 	claimed   bool         // the claim is won: only this placer may start the job
 	retryAt   time.Time    // back into the queue then; zero if it is not waiting for that
 	elsewhere time.Time    // another holds the claim: lost then, if not found; zero if not so
@@ -163,6 +164,8 @@
 		m.scheduler.Cancel(r.job.ID())
 		m.drop(r.job.ID())
 		return nil
+	case !m.listed && !r.job.Deadline().IsZero() && !now.Before(r.job.Deadline()):
+		return m.refuse(r, schedule.Decision{Reason: "no worker of the zone was known by its deadline"}, now)
 	case !r.elsewhere.IsZero():
 		if !now.Before(r.elsewhere) {
 			return m.settle(r, job.Outcome{State: job.Lost, Attempt: r.attempt(), Reason: "another placer claimed it and no worker has it"}, now)
--- a/internal/work/placer/takeover.go
+++ b/internal/work/placer/takeover.go
@@ -53,7 +53,10 @@
 // foundStep adopts a found gang that runs on all its workers, and settles one
 // that is over for the job that asks for it.
 func (m *Machine) foundStep(g *gang.Gang, steps []gang.Step, now time.Time) []Command {
-	cs := m.commands(g, target.Lease{}, steps)
+	var cs []Command
+	for _, s := range steps {
+		cs = append(cs, commandOf(g, s))
+	}
 	switch g.Phase() {
 	case gang.Running:
 		return append(cs, m.adopt(g, now)...)
--- a/internal/work/placer/worker.go
+++ b/internal/work/placer/worker.go
@@ -33,6 +33,7 @@
 	if len(listed) == 0 {
 		return
 	}
+	m.listed = true
 	for id, w := range m.workers {
 		w.listed = listed[id]
 		if !w.listed && len(w.gangs) == 0 && !m.fresh(w, now) {
@@ -63,7 +64,7 @@
 	}
 	w.spec = t
 	m.scheduler.Zone().AddWorker(c)
-	m.scheduler.Zone().Bar(t.ID, w.barred)
+	m.scheduler.Bar(t.ID, w.barred)
 	m.dirty = true
 }
 
@@ -90,7 +91,7 @@
 		barred := m.leaves(id, w) || !m.fresh(w, now) || unsure[id]
 		if barred != w.barred {
 			w.barred = barred
-			m.scheduler.Zone().Bar(id, barred)
+			m.scheduler.Bar(id, barred)
 		}
 	}
 }
