--- a/internal/work/placer/machine.go
+++ b/internal/work/placer/machine.go
@@ -49,6 +49,7 @@
 	settled   int                   // records with an outcome
 	stepped   time.Time             // when the last step was
 	listed    bool                  // the platform's list has come: the zone's workers are known
+	draining  bool                  // begins nothing more
 	dirty     bool                  // something that the scheduler decides about has changed
 }
 
@@ -150,7 +151,7 @@
 
 func (m *Machine) decide(now time.Time) []Command {
 	wake := m.scheduler.NextWake(now)
-	if !m.dirty && (wake.IsZero() || now.Before(wake)) {
+	if m.draining || !m.dirty && (wake.IsZero() || now.Before(wake)) {
 		return nil
 	}
 	// A new placer that does not know the zone's workers yet would refuse every
