schedule: let a job of the head's class use the head's reservation

Cause: a job that was submitted before the head but arrived after it (a late message, or a placer that was told again) stands before the head in their bucket. It was kept out of the room reserved for the head, and the head was not tried behind it: neither started until the planned time, up to an hour, with the whole zone idle. Ruled out: bars, quarantine, the place itself (Place found one). Change: only jobs of other classes are kept out. Conclusion: found by the whole-system state machine.

--- a/internal/work/schedule/reservation.go
+++ b/internal/work/schedule/reservation.go
@@ -17,11 +17,12 @@
 // since these take each accelerator as it becomes free. Jobs that would outlast
 // the planned start do not get the workers it is planned on.
 type reservation struct {
-	head    job.ID    // empty for none
-	at      time.Time // the planned start
-	workers []string  // where it is planned
-	owners  []string  // what keeps these workers' free room, while it is kept
-	planned time.Time // when a plan was last made
+	head    job.ID      // empty for none
+	class   queue.Class // of the head
+	at      time.Time   // the planned start
+	workers []string    // where it is planned
+	owners  []string    // what keeps these workers' free room, while it is kept
+	planned time.Time   // when a plan was last made
 }
 
 // startedBy drops the reservation if it was the job's.
@@ -62,13 +63,15 @@
 		// Keeping that room idle would not let it start any sooner.
 		return
 	}
-	v.head, v.at, v.workers = it.Job.ID(), at, workers
+	v.head, v.class, v.at, v.workers = it.Job.ID(), queue.ClassOf(it.Job), at, workers
 }
 
 // outlasts reports whether a job started now may run past the planned start of
-// the head.
+// the head. A job of the head's own class is not kept from the head's room: one
+// that was submitted before the head but arrived after it stands before it in
+// their bucket, and neither would ever start.
 func (s *Scheduler) outlasts(j job.Job, now time.Time) bool {
-	if _, _, ok := s.Planned(); !ok || s.reserved.head == j.ID() {
+	if _, _, ok := s.Planned(); !ok || s.reserved.class == queue.ClassOf(j) {
 		return false
 	}
 	return now.Add(s.estimated(j, safeShare)).After(s.reserved.at)
