--- a/internal/work/placer/record.go
+++ b/internal/work/placer/record.go
@@ -115,6 +115,10 @@
 
 // settle makes an outcome final and gives it to the entries.
 func (m *Machine) settle(r *record, o job.Outcome, now time.Time) []Command {
+	if r.gang != nil {
+		m.detach(r.gang)
+		m.scheduler.Ended(r.job.ID(), schedule.Dropped, "", now)
+	}
 	m.scheduler.Cancel(r.job.ID())
 	o.Job, o.At = r.job.ID(), now
 	r.outcome, r.settledAt, r.backoff = &o, now, time.Second
