schedule: let a job that waited long probe the workers that it needs

Cause: a worker that is out comes back by a probe, and only small repeatable jobs probe. A gang that needs that worker waits for ever when no small job comes, with all of the zone idle. Change: after a minute of waiting any job may be the probe.

--- a/internal/work/schedule/decide.go
+++ b/internal/work/schedule/decide.go
@@ -203,12 +203,18 @@
 	return nil
 }
 
-// openProbes lets a small repeatable job onto workers that are out and due for
-// a probe, and shuts them for everything else.
+// probePatience is how long a job waits for others to probe the workers that it
+// needs. After that it may be the probe itself: without that a gang that needs a
+// worker that is out waits for ever when no small job comes.
+const probePatience = time.Minute
+
+// openProbes lets a small repeatable job, or one that waited long, onto workers
+// that are out and due for a probe, and shuts them for everything else.
 func (s *Scheduler) openProbes(j job.Job, now time.Time) {
 	small := j.Repeatable() && !j.Guaranteed() && j.Shape().Members() == 1
+	fit := small || now.Sub(j.Submitted()) >= probePatience
 	for w := range s.ill {
-		s.zone.Bar(w, s.leaving[w] || !small || !s.watch.MayProbe(w, now))
+		s.zone.Bar(w, s.leaving[w] || !fit || !s.watch.MayProbe(w, now))
 	}
 }
 
