--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -14,6 +15,8 @@
 	promreporter "github.com/uber-go/tally/v4/prometheus"
 
 	"guavaglade.example/guavaglade/internal/host/api"
+	"guavaglade.example/guavaglade/internal/host/credential"
+	"guavaglade.example/guavaglade/internal/host/peer"
 	"guavaglade.example/guavaglade/internal/host/server"
 	"guavaglade.example/guavaglade/internal/host/settings"
 	"guavaglade.example/guavaglade/internal/platform/remote"
@@ -32,6 +35,17 @@
 	metrics func() error // ends the metrics
 }
 
+// Option sets one property of a new process.
+type Option func(*options)
+
+type options struct {
+	dial peer.Dial // nil: the usual one
+}
+
+// WithDial sets how the process reaches peers, workers and the platform. Tests
+// cut the network with it.
+func WithDial(d peer.Dial) Option { return func(o *options) { o.dial = d } }
+
 // Listen takes the addresses that the settings name.
 func Listen(s settings.Settings) (callers, peers net.Listener, err error) {
 	callers, err = net.Listen("tcp", s.CallerAddress())
@@ -48,14 +62,31 @@
 
 // New returns a process on listeners that are open already. The incarnation is
 // the time of the start, so that it rises with each start at the address.
-func New(s settings.Settings, callers, peers net.Listener, log logr.Logger, started time.Time) (*Process, error) {
+func New(s settings.Settings, callers, peers net.Listener, log logr.Logger, started time.Time, more ...Option) (*Process, error) {
+	set := options{}
+	for _, o := range more {
+		o(&set)
+	}
 	registry := prometheus.NewRegistry()
 	reporter := promreporter.NewReporter(promreporter.Options{Registerer: registry, Gatherer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix: "guavaglade", CachedReporter: reporter, Separator: promreporter.DefaultSeparator,
 		SanitizeOptions: &promreporter.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
 	}, metricsEvery)
-	node := server.New(s, remote.New(s.Platform(), nil), started.UnixMilli(), server.WithLog(log), server.WithMetrics(scope))
+	opts := []server.Option{server.WithLog(log), server.WithMetrics(scope)}
+	callers, peers, opts, err := secured(s, callers, peers, opts, log)
+	if err != nil {
+		return nil, err
+	}
+	var toPlatform http.RoundTripper
+	if set.dial != nil {
+		toPlatform = &http.Transport{DialContext: set.dial}
+		opts = append(opts, server.WithDial(set.dial))
+	}
+	node, err := server.New(s, remote.New(s.Platform(), toPlatform), started.UnixMilli(), opts...)
+	if err != nil {
+		return nil, err
+	}
 	p := &Process{node: node, callers: callers, peers: peers, log: log, metrics: closer.Close}
 	p.http = &http.Server{
 		Handler: api.New(node, reporter.HTTPHandler()).Handler(), MaxHeaderBytes: s.MaxHeader(),
@@ -64,6 +95,29 @@
 	return p, nil
 }
 
+// secured puts TLS on the listeners and on connections to peers, as far as the
+// settings name files for it.
+func secured(s settings.Settings, callers, peers net.Listener, opts []server.Option, log logr.Logger) (net.Listener, net.Listener, []server.Option, error) {
+	report := func(err error) { log.Error(err, "tls", "step", "read") }
+	files := s.TLS()
+	if files.CallerCert != "" {
+		c, err := credential.NewCertificate(files.CallerCert, files.CallerKey, report)
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		callers = tls.NewListener(callers, c.Server())
+	}
+	if files.PeerCert != "" {
+		m, err := credential.NewMutual(files.PeerCert, files.PeerKey, files.PeerCA, report)
+		if err != nil {
+			return nil, nil, nil, err
+		}
+		peers = tls.NewListener(peers, m.Server())
+		opts = append(opts, server.WithPeerTLS(m.Client))
+	}
+	return callers, peers, opts, nil
+}
+
 // Node returns the host's node.
 func (p *Process) Node() *server.Node { return p.node }
 
--- a/internal/host/server/node.go
+++ b/internal/host/server/node.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"crypto/tls"
+	crand "crypto/rand"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -24,23 +24,28 @@
 	"guavaglade.example/guavaglade/internal/host/member"
 	"guavaglade.example/guavaglade/internal/host/peer"
 	"guavaglade.example/guavaglade/internal/host/settings"
+	"guavaglade.example/guavaglade/internal/host/ticket"
+	"guavaglade.example/guavaglade/internal/platform/budget"
 	"guavaglade.example/guavaglade/internal/platform/ledger"
 	"guavaglade.example/guavaglade/internal/platform/table"
+	"guavaglade.example/guavaglade/internal/report/burn"
 	"guavaglade.example/guavaglade/internal/work/job"
 	"guavaglade.example/guavaglade/internal/work/placer"
 )
 
 // How often a host does what.
 const (
-	tickEvery      = 100 * time.Millisecond
-	beatEvery      = 400 * time.Millisecond
-	pollConfig     = 2 * time.Second
-	pollTargets    = time.Second
-	adoptEvery     = 5 * time.Second
-	callTime       = 2 * time.Second // bounds a call to a peer or the platform
-	workerShare    = 8               // connections to a worker from one host of up to eight
-	protocol       = 1               // newest protocol version between hosts
-	maxLoopBacklog = 4096
+	tickEvery        = 100 * time.Millisecond
+	pollConfig       = 2 * time.Second
+	pollTargetsEvery = time.Second
+	idleTargets      = 10 * time.Second // between two readings on a host that does not place
+	catchUpEvery     = time.Second
+	sweepEvery       = 30 * time.Second
+	adoptEvery       = 5 * time.Second
+	callTime         = 2 * time.Second // bounds a call to a peer or the platform
+	workerShare      = 8               // connections to a worker from one host of up to eight
+	protocol         = 1               // newest protocol version between hosts
+	maxLoopBacklog   = 4096
 )
 
 // Node is one running host.
@@ -48,10 +53,16 @@
 	settings settings.Settings
 	platform table.Platform
 	ledger   *ledger.Ledger
+	pending  *ledger.Pending // what could not be written while the platform was down
+	writes   *budget.Bucket
+	reads    *budget.Bucket
 	net      *peer.Net
 	log      logr.Logger
 	metrics  tally.Scope
 	workerRT http.RoundTripper
+	peerTLS  peer.Client // nil for plain TCP
+	dial     peer.Dial   // nil for the usual one
+	burn     *burn.Recorder
 	id       string // peer address with incarnation
 
 	work  chan func()
@@ -60,17 +71,19 @@
 
 	// The loop owns all of the following.
 	members    *member.Table
-	versions   map[string]seen // what each host has in force, by peer address
 	config     inforce.Keeper
 	entry      *intake.Machine
 	waiting    map[job.ID]chan struct{} // closed when the job is final
 	placer     *placer.Machine          // nil while another host places
 	term       int                      // rises each time the placer begins or ends here
 	targets    []table.Target           // the platform's list as last read
+	targetsAt  time.Time                // when it was last asked for
 	workers    map[string]target.Worker // by id
 	addresses  map[string]string        // of the workers, by id
-	delivering map[job.ID]bool          // outcomes on their way to an entry
+	delivering map[delivery]bool        // outcomes on their way to an entry
 	durable    map[job.ID]bool          // jobs of this entry whose row is written
+	copies     map[job.ID]job.Job       // jobs that are not durable, kept for another entry
+	tickets    *ticket.Book
 	stopping   bool
 	askAgainAt string // caller address of the host that took over at a planned stop
 }
@@ -78,14 +91,6 @@
 // ErrEnded says that the host has ended.
 var ErrEnded = errors.New("host has ended")
 
-// seen is what a host says it has in force.
-type seen struct {
-	host    member.Host
-	version int64
-	since   time.Time
-	heard   time.Time
-}
-
 // Option sets one property of a new node.
 type Option func(*Node)
 
@@ -96,31 +101,49 @@
 func WithMetrics(s tally.Scope) Option { return func(n *Node) { n.metrics = s } }
 
 // WithPeerTLS sets the TLS of outgoing connections to other hosts.
-func WithPeerTLS(c *tls.Config) Option {
-	return func(n *Node) { n.net = peer.New(n.handle, c) }
-}
+func WithPeerTLS(c peer.Client) Option { return func(n *Node) { n.peerTLS = c } }
+
+// WithDial sets how the node reaches peers and workers, by default as usual.
+func WithDial(d peer.Dial) Option { return func(n *Node) { n.dial = d } }
 
 // New returns a node that is not running yet. incarnation must be higher than
-// that of any earlier process at the same peer address.
-func New(s settings.Settings, p table.Platform, incarnation int64, opts ...Option) *Node {
+// that of any earlier process at the same peer address. It refuses settings
+// whose budgets are not above 0.
+func New(s settings.Settings, p table.Platform, incarnation int64, opts ...Option) (*Node, error) {
 	n := &Node{
 		settings: s, platform: p, log: logr.Discard(), metrics: tally.NoopScope,
-		workerRT: remote.Transport(workerShare),
-		id:       s.PeerAddress() + "#" + strconv.FormatInt(incarnation, 10),
-		work:     make(chan func(), maxLoopBacklog),
-		ended:    make(chan struct{}),
+		id:    s.PeerAddress() + "#" + strconv.FormatInt(incarnation, 10),
+		work:  make(chan func(), maxLoopBacklog),
+		ended: make(chan struct{}),
+		burn:  burn.New(s.PeerAddress()),
 		members: member.New(member.Host{
 			Address: s.PeerAddress(), Zone: s.Zone(), Incarnation: incarnation, Protocol: protocol,
-		}),
-		versions: map[string]seen{}, entry: intake.New(s.Zone()), waiting: map[job.ID]chan struct{}{},
-		workers: map[string]target.Worker{}, addresses: map[string]string{}, delivering: map[job.ID]bool{}, durable: map[job.ID]bool{},
+		}, member.WithSeeds(seedsOf(s)...)),
+		entry: intake.New(s.Zone()), waiting: map[job.ID]chan struct{}{},
+		workers: map[string]target.Worker{}, addresses: map[string]string{}, delivering: map[delivery]bool{}, durable: map[job.ID]bool{}, copies: map[job.ID]job.Job{},
 	}
-	n.net = peer.New(n.handle, nil)
 	for _, o := range opts {
 		o(n)
 	}
-	n.ledger = ledger.New(p, n.id)
-	return n
+	n.net = peer.New(n.handle, n.peerTLS, n.dial)
+	n.workerRT = remote.Transport(workerShare, n.dial)
+	if err := n.openLedger(); err != nil {
+		return nil, fmt.Errorf("host %s: %w", n.id, err)
+	}
+	book, err := ticket.New(s.PeerAddress(), incarnation, crand.Reader)
+	if err != nil {
+		return nil, fmt.Errorf("host %s: %w", n.id, err)
+	}
+	n.tickets = book
+	return n, nil
+}
+
+func seedsOf(s settings.Settings) []member.Host {
+	var seeds []member.Host
+	for _, p := range s.Peers() {
+		seeds = append(seeds, member.Host{Address: p.Address, Zone: p.Zone})
+	}
+	return seeds
 }
 
 // ID returns the host's peer address with its incarnation.
@@ -145,10 +168,12 @@
 		<-serve
 	}()
 	n.every(ctx, tickEvery, n.tick)
-	n.every(ctx, beatEvery, n.beat)
+	n.every(ctx, member.BeatEvery, n.beat)
 	n.every(ctx, pollConfig, n.pollConfiguration)
-	n.every(ctx, pollTargets, n.pollTargets)
+	n.every(ctx, pollTargetsEvery, n.pollTargets)
 	n.every(ctx, adoptEvery, n.adoptOrphans)
+	n.every(ctx, catchUpEvery, n.catchUp)
+	n.every(ctx, sweepEvery, n.sweep)
 	n.log.Info("running", "host", n.id, "zone", n.settings.Zone())
 	for {
 		select {
