server, admission: shed load by class, refuse what needs a failing service, hand the burn counts over

Cause: a host took any number of jobs; a stopped host's counts were lost. Change: a gate by class on the open jobs, circuits per service, retries with a budget towards the platform, limited connections, counts handed to the heir. Before: no bound.

--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -13,6 +13,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	promreporter "github.com/uber-go/tally/v4/prometheus"
+	"golang.org/x/net/netutil"
 
 	"guavaglade.example/guavaglade/internal/host/api"
 	"guavaglade.example/guavaglade/internal/host/credential"
@@ -74,6 +75,7 @@
 		SanitizeOptions: &promreporter.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
 	}, metricsEvery)
 	opts := []server.Option{server.WithLog(log), server.WithMetrics(scope)}
+	callers = netutil.LimitListener(callers, s.MaxConnections())
 	callers, peers, opts, err := secured(s, callers, peers, opts, log)
 	if err != nil {
 		return nil, err
--- a/internal/host/server/burning.go
+++ b/internal/host/server/burning.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"guavaglade.example/guavaglade/internal/report/burn"
 )
 
+// burnKept is the longest window of the burn report.
+const burnKept = 6 * time.Hour
+
 // Burn returns the burn report of all hosts that answer.
 func (n *Node) Burn(ctx context.Context) (burn.Report, error) {
 	now := time.Now()
@@ -19,7 +23,10 @@
 	}); err != nil {
 		return burn.Report{}, err
 	}
-	own := n.burn.Snapshot(now)
+	own, err := n.ownBurn(ctx, now)
+	if err != nil {
+		return burn.Report{}, err
+	}
 	found := make(chan burn.Snapshot, len(peers))
 	for _, id := range peers {
 		n.spawn(func() {
@@ -42,3 +49,16 @@
 	}
 	return merged.Report(now, objectives)
 }
+
+// ownBurn returns what this host has counted, together with what hosts that
+// stopped as planned have handed over to it.
+func (n *Node) ownBurn(ctx context.Context, now time.Time) (burn.Snapshot, error) {
+	var all []burn.Snapshot
+	if err := n.ask(ctx, func() {
+		n.inherited = slices.DeleteFunc(n.inherited, func(s burn.Snapshot) bool { return now.Sub(s.At) > burnKept })
+		all = append(all, n.inherited...)
+	}); err != nil {
+		return burn.Snapshot{}, err
+	}
+	return burn.Merge(append(all, n.burn.Snapshot(now))...)
+}
--- a/internal/host/server/entering.go
+++ b/internal/host/server/entering.go
@@ -65,6 +65,9 @@
 		return
 	}
 	now := time.Now()
+	n.spawn(func() {
+		n.serviceEnded(context.Background(), c.Job.Service(), o.State == job.Failed || o.State == job.Lost)
+	})
 	n.burn.Record(c.Job.Service(), c.Job.Account(), now.Sub(c.Job.Submitted()), o.State == job.Succeeded, now)
 }
 
--- a/internal/host/server/node.go
+++ b/internal/host/server/node.go
@@ -20,9 +20,11 @@
 	"guavaglade.example/guavaglade/internal/config/inforce"
 	"guavaglade.example/guavaglade/internal/fleet/remote"
 	"guavaglade.example/guavaglade/internal/fleet/target"
+	"guavaglade.example/guavaglade/internal/host/admission"
 	"guavaglade.example/guavaglade/internal/host/intake"
 	"guavaglade.example/guavaglade/internal/host/member"
 	"guavaglade.example/guavaglade/internal/host/peer"
+	"guavaglade.example/guavaglade/internal/host/retry"
 	"guavaglade.example/guavaglade/internal/host/settings"
 	"guavaglade.example/guavaglade/internal/host/ticket"
 	"guavaglade.example/guavaglade/internal/platform/budget"
@@ -63,7 +65,10 @@
 	peerTLS  peer.Client // nil for plain TCP
 	dial     peer.Dial   // nil for the usual one
 	burn     *burn.Recorder
-	id       string // peer address with incarnation
+	gate     admission.Gate
+	retries  *retry.Caller // of calls to the platform that are idempotent
+	services *retry.Caller // circuits of the services, by name
+	id       string        // peer address with incarnation
 
 	work  chan func()
 	ended chan struct{}  // closed when the loop has ended
@@ -85,7 +90,8 @@
 	copies     map[job.ID]job.Job       // jobs that are not durable, kept for another entry
 	tickets    *ticket.Book
 	stopping   bool
-	askAgainAt string // caller address of the host that took over at a planned stop
+	inherited  []burn.Snapshot // of hosts that stopped as planned and handed over
+	askAgainAt string          // caller address of the host that took over at a planned stop
 }
 
 // ErrEnded says that the host has ended.
@@ -115,7 +121,6 @@
 		id:    s.PeerAddress() + "#" + strconv.FormatInt(incarnation, 10),
 		work:  make(chan func(), maxLoopBacklog),
 		ended: make(chan struct{}),
-		burn:  burn.New(s.PeerAddress()),
 		members: member.New(member.Host{
 			Address: s.PeerAddress(), Zone: s.Zone(), Incarnation: incarnation, Protocol: protocol,
 		}, member.WithSeeds(seedsOf(s)...)),
@@ -127,6 +132,13 @@
 	}
 	n.net = peer.New(n.handle, n.peerTLS, n.dial)
 	n.workerRT = remote.Transport(workerShare, n.dial)
+	n.burn, n.retries = burn.New(n.id), retry.New()
+	n.services = retry.New(retry.WithTries(1), retry.WithCircuit(serviceFailures, serviceRest))
+	gate, err := admission.New(s.QueueLimit())
+	if err != nil {
+		return nil, fmt.Errorf("host %s: %w", n.id, err)
+	}
+	n.gate = gate
 	if err := n.openLedger(); err != nil {
 		return nil, fmt.Errorf("host %s: %w", n.id, err)
 	}
--- a/internal/host/server/peers.go
+++ b/internal/host/server/peers.go
@@ -34,7 +34,7 @@
 		}
 		return n.toPlacer(ctx, params, &b, func(now time.Time) { n.stepPlacer(keep, placer.CancelAsked{Job: b.Job}, now) })
 	case "burn.snapshot":
-		return n.burn.Snapshot(time.Now()), nil
+		return n.ownBurn(ctx, time.Now())
 	case "placer.view":
 		var v ZoneView
 		_, err := n.toPlacer(ctx, params, &struct{}{}, func(time.Time) { v = n.zoneView() })
@@ -52,7 +52,7 @@
 		return n.toEntry(ctx, params, &b, func(now time.Time) { n.stepEntry(keep, intake.CancelAsked{Job: b.Job}, now) })
 	case "entry.adopt":
 		var b adoptBody
-		_, err := n.toEntry(ctx, params, &b, func(now time.Time) { n.adopt(keep, b.Jobs, now) })
+		_, err := n.toEntry(ctx, params, &b, func(now time.Time) { n.adopt(keep, b, now) })
 		return adoptAnswer{CallerAddress: n.settings.CallerAddress()}, err
 	case "entry.copy":
 		var b copyBody
--- a/internal/host/server/stopping.go
+++ b/internal/host/server/stopping.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"guavaglade.example/guavaglade/internal/host/intake"
+	"guavaglade.example/guavaglade/internal/report/burn"
 	"guavaglade.example/guavaglade/internal/work/job"
 )
 
@@ -70,10 +71,14 @@
 	}); err != nil {
 		return err
 	}
+	counted, err := n.ownBurn(ctx, time.Now())
+	if err != nil {
+		return err
+	}
 	var to adoptAnswer
-	err := fmt.Errorf("hand over %d jobs: no live host in zone %s", len(open), n.settings.Zone())
+	err = fmt.Errorf("hand over %d jobs: no live host in zone %s", len(open), n.settings.Zone())
 	for _, h := range heirs {
-		if err = n.call(ctx, h, "entry.adopt", adoptBody{Jobs: open}, &to); err == nil {
+		if err = n.call(ctx, h, "entry.adopt", adoptBody{Jobs: open, Burn: counted}, &to); err == nil {
 			break
 		}
 	}
@@ -93,15 +98,19 @@
 }
 
 type adoptBody struct {
-	Jobs []job.Job `json:"jobs"`
+	Jobs []job.Job     `json:"jobs,omitempty"`
+	Burn burn.Snapshot `json:"burn"` // what the host has counted
 }
 
 type adoptAnswer struct {
 	CallerAddress string `json:"callerAddress"`
 }
 
-func (n *Node) adopt(ctx context.Context, jobs []job.Job, now time.Time) {
-	for _, j := range jobs {
+func (n *Node) adopt(ctx context.Context, b adoptBody, now time.Time) {
+	if len(b.Burn.Hosts) > 0 {
+		n.inherited = append(n.inherited, b.Burn)
+	}
+	for _, j := range b.Jobs {
 		n.stepEntry(ctx, intake.Accepted{Job: j.AdoptedBy(n.id)}, now)
 	}
 }
--- a/internal/host/server/submitting.go
+++ b/internal/host/server/submitting.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"guavaglade.example/guavaglade/internal/config/text"
+	"guavaglade.example/guavaglade/internal/host/admission"
+	"guavaglade.example/guavaglade/internal/host/retry"
 	"guavaglade.example/guavaglade/internal/platform/ledger"
 	"guavaglade.example/guavaglade/internal/work/job"
 )
@@ -43,6 +45,17 @@
 	return r
 }
 
+// platformPeer names the platform among the peers that are called again.
+const platformPeer = "platform"
+
+// A service that fails so often in a row is taken to keep failing for a while.
+const (
+	serviceFailures = 5
+	serviceRest     = 5 * time.Second
+)
+
+var errFailing = errors.New("service keeps failing")
+
 // requestID is what a caller may choose: it becomes part of keys and paths.
 var requestID = regexp.MustCompile(`^[A-Za-z0-9._-]{1,100}$`)
 
@@ -61,6 +74,9 @@
 	if v, ok, err := n.known(ctx, j, until); ok || err != nil {
 		return v, err
 	}
+	if err := n.takes(ctx, j); err != nil {
+		return View{}, err
+	}
 	if err := n.secure(ctx, j); err != nil {
 		return View{}, err
 	}
@@ -120,7 +136,13 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	o, ok, err := n.ledger.Outcome(bounded, j.ID())
+	var o job.Outcome
+	var ok bool
+	err := n.retries.Do(bounded, platformPeer, func(ctx context.Context) error {
+		var err error
+		o, ok, err = n.ledger.Outcome(ctx, j.ID())
+		return err
+	})
 	if err == nil {
 		return View{Job: j, State: o.State, Outcome: o, Durable: true}, ok, nil
 	}
@@ -132,6 +154,40 @@
 		"job %s may run once only and the platform is not reached: %v", j.ID(), err).retry(now.Add(5 * time.Second))
 }
 
+// takes refuses a job early while this host holds too many open ones, or while
+// a service that the job's own needs keeps failing.
+func (n *Node) takes(ctx context.Context, j job.Job) error {
+	open := 0
+	var config *text.Config
+	if err := n.ask(ctx, func() { open, config = n.entry.Open(), n.config.Config() }); err != nil {
+		return err
+	}
+	now := time.Now()
+	if !n.gate.Takes(admission.ClassOf(j), open) {
+		n.metrics.Counter("jobs_shed").Inc(1)
+		return refuse(http.StatusServiceUnavailable, "host %s has %d open jobs", n.id, open).retry(now.Add(admission.ComeBack))
+	}
+	service, _ := config.Service(j.Service())
+	for _, d := range service.DependsOn() {
+		if !n.services.Available(d) {
+			n.metrics.Counter("jobs_refused_dependency").Inc(1)
+			return refuse(http.StatusServiceUnavailable, "service %s needs %s, which keeps failing", j.Service(), d).retry(now.Add(serviceRest))
+		}
+	}
+	return nil
+}
+
+// serviceEnded tells the circuit of a job's service how the job came out, so
+// that services which need it are refused early while it keeps failing.
+func (n *Node) serviceEnded(ctx context.Context, service string, failed bool) {
+	_ = n.services.Do(ctx, service, func(context.Context) error {
+		if failed {
+			return errFailing
+		}
+		return nil
+	})
+}
+
 // secure writes the row of a durable job. Without the platform the job is
 // taken all the same and its caller is told that it is not durable.
 func (n *Node) secure(ctx context.Context, j job.Job) error {
@@ -140,7 +196,14 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	if err := n.ledger.Admit(bounded, j); err != nil {
+	err := n.retries.Do(bounded, platformPeer, func(ctx context.Context) error {
+		err := n.ledger.Admit(ctx, j)
+		if errors.Is(err, ledger.ErrOtherRequest) || errors.Is(err, ledger.ErrEnded) {
+			return retry.Permanent(err)
+		}
+		return err
+	})
+	if err != nil {
 		return n.withoutRow(ctx, j, err)
 	}
 	return n.ask(ctx, func() { n.durable[j.ID()] = true })
