--- a/internal/host/member/bench_test.go
+++ b/internal/host/member/bench_test.go
@@ -119,3 +119,43 @@
 		})
 	})
 }
+
+// BenchmarkSpread reports the time from one host's putting a version in force
+// to the last host's, by heartbeats alone, as in zones cut off from the
+// platform. A host fetches a version in the interval in which it hears of it.
+func BenchmarkSpread(b *testing.B) {
+	forSizes(b, func(b *testing.B, z *zones) {
+		worst := time.Duration(0)
+		version := int64(3000)
+		for b.Loop() {
+			version++
+			start := z.now
+			z.tables[int(version)%len(z.tables)].Announce(Version{Number: version, Since: z.now}, Load{})
+			for done := false; !done; {
+				z.run(BeatEvery)
+				done = true
+				for _, t := range z.tables {
+					if v, _, ok := t.NewestConfig(z.now); ok {
+						t.Announce(Version{Number: v.Number, Since: z.now}, Load{})
+					}
+					done = done && t.config.Number == version
+				}
+			}
+			worst = max(worst, z.now.Sub(start))
+		}
+		b.ReportMetric(worst.Seconds(), "s-worst")
+	})
+}
+
+// BenchmarkView reports the memory of a view of so many hosts.
+func BenchmarkView(b *testing.B) {
+	forSizes(b, func(b *testing.B, z *zones) {
+		b.ReportAllocs()
+		for b.Loop() {
+			t := New(z.tables[0].self)
+			for i := range len(z.tables) {
+				t.Heard(Host{Address: address(i), Zone: "zone1", Incarnation: 1}, z.now)
+			}
+		}
+	})
+}
--- a/internal/host/member/duty.go
+++ b/internal/host/member/duty.go
@@ -1,6 +1,8 @@
 package member
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,6 +15,8 @@
 	hosts map[string]Host // by address
 	hash  *rendezvous.Rendezvous
 	until time.Time // not used from then on
+
+	delegates map[string]Host // by the other zone; nil until asked for
 }
 
 // Placer returns the host that places for a zone; ok is false if none is live.
@@ -25,9 +29,33 @@
 	return t.pick(zone, "keeper/"+worker, now)
 }
 
-// Delegate returns the host of the zone from that talks to the zone to.
+// Delegate returns the host of the zone from that talks to the zone to. No host
+// is delegate towards a second zone before all live hosts of its zone are one.
 func (t *Table) Delegate(from, to string, now time.Time) (h Host, ok bool) {
-	return t.pick(from, "delegate/"+to, now)
+	c := t.choice(from, now)
+	if c.delegates == nil {
+		c.delegates = t.delegates(c, from)
+	}
+	h, ok = c.delegates[to]
+	return h, ok
+}
+
+// delegates shares the other known zones out over the live hosts of a zone.
+func (t *Table) delegates(c *choice, from string) map[string]Host {
+	all := map[string]Host{}
+	var free []string
+	for _, to := range t.zones(from) {
+		if len(free) == 0 {
+			free = slices.Sorted(maps.Keys(c.hosts))
+		}
+		if len(free) == 0 {
+			break
+		}
+		name := rendezvous.New(free, xxhash.Sum64String).Lookup("delegate/" + to)
+		free = slices.DeleteFunc(free, func(n string) bool { return n == name })
+		all[to] = c.hosts[name]
+	}
+	return all
 }
 
 // Places reports whether the placing of the own zone falls to this host, which
@@ -57,15 +85,20 @@
 }
 
 func (t *Table) pick(zone, key string, now time.Time) (Host, bool) {
+	c := t.choice(zone, now)
+	if len(c.hosts) == 0 {
+		return Host{}, false
+	}
+	return c.hosts[c.hash.Lookup(key)], true
+}
+
+func (t *Table) choice(zone string, now time.Time) *choice {
 	c, ok := t.picks[zone]
 	if !ok || !now.Before(c.until) {
 		c = t.choose(zone, now)
 		t.picks[zone] = c
 	}
-	if len(c.hosts) == 0 {
-		return Host{}, false
-	}
-	return c.hosts[c.hash.Lookup(key)], true
+	return c
 }
 
 // choose gathers the live hosts of a zone. The choice holds until the first of
--- a/internal/host/member/fake_test.go
+++ b/internal/host/member/fake_test.go
@@ -27,7 +27,7 @@
 // seeds.
 func newZones(tb testing.TB, hosts, perZone int) *zones {
 	z := &zones{
-		tb: tb, now: time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC), paused: map[string]bool{},
+		tb: tb, now: time.Date(2026, 12, 2, 8, 0, 0, 123456789, time.UTC), paused: map[string]bool{},
 		cut: map[string]bool{}, sent: map[string]int{}, bytes: map[string]int{},
 		crossed: map[string]map[string]bool{},
 	}
--- a/internal/host/member/member.go
+++ b/internal/host/member/member.go
@@ -19,7 +19,7 @@
 	DeadAfter = 5 * time.Second
 	// RefreshEvery is the time after which a sighting of another zone's host is
 	// passed on within the zone although nothing about it changed.
-	RefreshEvery = 15 * time.Second
+	RefreshEvery = 20 * time.Second
 	// ForeignSuspectAfter is SuspectAfter for hosts of other zones, of which
 	// most hosts hear every RefreshEvery only.
 	ForeignSuspectAfter = 3 * RefreshEvery
@@ -131,6 +131,7 @@
 // Announce sets what the own heartbeats say from now on. A change of the load
 // alone travels with the next full heartbeat.
 func (t *Table) Announce(v Version, l Load) {
+	v.Since = v.Since.UTC().Truncate(time.Millisecond) // more digits only cost bytes
 	if v != t.config {
 		t.changed = t.ticked
 	}
--- a/internal/host/member/suspicion.go
+++ b/internal/host/member/suspicion.go
@@ -143,6 +143,7 @@
 		if now.Sub(e.heard) >= ForgetAfter {
 			delete(t.peers, address)
 			delete(t.tries, address)
+			t.forgetPicks()
 		}
 	}
 }
--- a/internal/host/member/targets.go
+++ b/internal/host/member/targets.go
@@ -1,7 +1,9 @@
 package member
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -33,7 +35,7 @@
 	t.forget(now)
 	t.passing = t.pass(now)
 	hosts := t.zoneTargets(now)
-	for _, zone := range t.otherZones() {
+	for _, zone := range t.zones(t.self.Zone) {
 		hosts = append(hosts, t.crossTargets(zone, now)...)
 	}
 	for _, s := range t.unheardSeeds("") {
@@ -121,23 +123,18 @@
 	}
 }
 
-// otherZones returns the known zones but the own one, sorted.
-func (t *Table) otherZones() []string {
-	set := map[string]bool{}
+// zones returns the known zones but one, sorted.
+func (t *Table) zones(but string) []string {
+	set := map[string]bool{t.self.Zone: true}
 	for _, e := range t.peers {
 		set[e.Zone] = true
 	}
 	for _, s := range t.seeds {
 		set[s.Zone] = true
 	}
-	delete(set, t.self.Zone)
+	delete(set, but)
 	delete(set, "")
-	zones := make([]string, 0, len(set))
-	for z := range set {
-		zones = append(zones, z)
-	}
-	sort.Strings(zones)
-	return zones
+	return slices.Sorted(maps.Keys(set))
 }
 
 // unheardSeeds returns the seeds given with the zone that nothing is known of.
