server: pass an entry's story on in order

Cause: each line of a job's story was sent by a goroutine of its own, so 'claimed' could overtake 'started' and a job that runs look as if it started. Ruled out: the placer, whose log shows the right order in the failing runs. Change: one sender for each entry, which sends all gathered lines in one call.

--- a/internal/host/server/peers.go
+++ b/internal/host/server/peers.go
@@ -43,8 +43,12 @@
 		var b outcomeBody
 		return n.toEntry(ctx, params, &b, func(now time.Time) { n.stepEntry(keep, intake.OutcomeArrived(b), now) })
 	case "entry.told":
-		var b toldBody
-		return n.toEntry(ctx, params, &b, func(now time.Time) { n.stepEntry(keep, intake.Told(b), now) })
+		var lines []toldBody
+		return n.toEntry(ctx, params, &lines, func(now time.Time) {
+			for _, l := range lines {
+				n.stepEntry(keep, intake.Told(l), now)
+			}
+		})
 	case "entry.cancel":
 		var b struct {
 			Job job.ID `json:"job"`
--- a/internal/host/server/placing.go
+++ b/internal/host/server/placing.go
@@ -136,17 +136,38 @@
 	}
 	n.log.Info("job", "job", c.Job.ID(), "step", c.Step, "state", string(c.State), "text", c.Text)
 	line := intake.Line{At: time.Now(), State: c.State, Step: c.Step, Peer: n.id, Text: c.Text}
-	body := toldBody{Job: c.Job.ID(), Line: line}
+	told := toldBody{Job: c.Job.ID(), Line: line}
 	entry := c.Job.Entry()
 	if entry == n.id {
-		n.stepEntry(ctx, intake.Told(body), line.At)
+		n.stepEntry(ctx, intake.Told(told), line.At)
 		return
 	}
-	n.spawn(func() {
-		if err := n.call(ctx, entry, "entry.told", body, nil); err != nil {
-			n.metrics.Counter("stories_lost").Inc(1)
+	_, sending := n.stories[entry]
+	n.stories[entry] = append(n.stories[entry], told)
+	if !sending {
+		n.spawn(func() { n.sendStories(ctx, entry) })
+	}
+}
+
+// sendStories passes an entry's lines on in their order, all that have gathered
+// in one call, until there are no more. Lines sent side by side would cross,
+// and a job that runs would look as if it were still starting.
+func (n *Node) sendStories(ctx context.Context, entry string) {
+	for {
+		var lines []toldBody
+		if err := n.ask(ctx, func() {
+			if lines = n.stories[entry]; len(lines) == 0 {
+				delete(n.stories, entry)
+				return
+			}
+			n.stories[entry] = nil
+		}); err != nil || len(lines) == 0 {
+			return
 		}
-	})
+		if err := n.call(ctx, entry, "entry.told", lines, nil); err != nil {
+			n.metrics.Counter("stories_lost").Inc(int64(len(lines)))
+		}
+	}
 }
 
 type outcomeBody struct {
