--- a/internal/fleet/guarantee/bind.go
+++ b/internal/fleet/guarantee/bind.go
@@ -124,13 +124,18 @@
 	if !p.setsAside || len(units) == 0 {
 		return
 	}
-	left := false
 	for _, u := range hardestFirst(units) {
 		if !u.claimed() && u.place == nil && !p.bind(u, cell.Compact) {
-			left = true
+			p.dirty = true
 		}
 	}
-	if left {
+}
+
+// Refresh calls Repair if room has come free or has gone since the last time.
+// Whoever decides by the plan calls it first, so that guarantees at risk get
+// room before anybody else does, and many changes cost one repair.
+func (p *Plan) Refresh() {
+	if p.dirty {
 		p.Repair()
 	}
 }
@@ -139,9 +144,15 @@
 // what is idle, then by packing all of them anew, then by packing each in turn
 // beside those that have room.
 func (p *Plan) Repair() {
-	if !p.setsAside {
-		return
+	if p.setsAside {
+		p.dropParts()
+		p.repair()
+		p.keepParts()
 	}
+	p.dirty = false
+}
+
+func (p *Plan) repair() {
 	var left []*unit
 	for _, u := range hardestFirst(p.without()) {
 		if !p.bind(u, cell.Compact) && p.view.FreeAccelerators() >= u.shape().Total() {
--- a/internal/fleet/guarantee/claim.go
+++ b/internal/fleet/guarantee/claim.go
@@ -45,13 +45,13 @@
 }
 
 // WithoutRoomOf calls f while the room of the unit that a gang of the shape
-// would claim counts as free.
+// would claim counts as free. f must not change the plan.
 func (p *Plan) WithoutRoomOf(account string, s cell.Shape, f func()) {
 	un := &undo{}
 	if us := p.candidates(account, s); len(us) > 0 {
 		p.lift(un, us[0])
 	}
-	f()
+	p.withoutParts(f)
 	p.rollback(un)
 }
 
@@ -75,7 +75,7 @@
 			return true
 		}
 	}
-	if p.claimAround(us[0], owner, s, a) {
+	if p.claimAround(us[0], owner, s, a) || p.dropParts() && p.claimAround(us[0], owner, s, a) {
 		return true
 	}
 	if blocked {
--- a/internal/fleet/guarantee/plan.go
+++ b/internal/fleet/guarantee/plan.go
@@ -27,6 +27,8 @@
 	byKey     map[string]*unit
 	byAccount map[string][]*unit
 	claims    map[string]*unit // by owner
+	parts     []*unit          // units at risk for which a part is kept
+	dirty     bool             // room has come free or has gone since the last Repair
 	serial    int              // of the newest unit
 	setsAside bool             // false: unclaimed units get no place
 }
@@ -44,8 +46,8 @@
 // Firm returns the inventory of firm work, to be read only.
 func (p *Plan) Firm() *cell.Inventory { return p.firm }
 
-// AddWorker adds a worker or changes its sizes, and gives room to guarantees
-// that are at risk before anybody else.
+// AddWorker adds a worker or changes its sizes. Guarantees that are at risk get
+// its room before anybody else.
 func (p *Plan) AddWorker(w cell.Worker) {
 	known, ok := p.firm.Worker(w.ID())
 	if ok && known == w {
@@ -54,7 +56,7 @@
 	moved := p.unbindOn(w.ID())
 	p.firm.Add(w)
 	p.rebind(moved)
-	p.Repair()
+	p.dirty = true
 }
 
 // RemoveWorker takes a worker out. Guarantees with room on it get other room or
@@ -76,7 +78,7 @@
 	}
 	p.firm.Bar(id, barred)
 	p.rebind(moved)
-	p.Repair()
+	p.dirty = true
 }
 
 // AtRisk returns the guarantees, each with the number of unclaimed gangs that
@@ -134,6 +136,7 @@
 	undo := &undo{}
 	p.clear(undo, s, a)
 	if p.firm.Keep(owner, s, a) != nil {
+		p.dropParts()
 		p.loosen(a)
 		_ = p.firm.Keep(owner, s, a) // nothing else stands in the way of a gang that runs
 	}
@@ -148,7 +151,7 @@
 	if ok {
 		p.unclaim(u)
 	}
-	p.Repair()
+	p.dirty = true
 }
 
 func (p *Plan) unclaim(u *unit) {
--- a/internal/fleet/guarantee/replace.go
+++ b/internal/fleet/guarantee/replace.go
@@ -45,6 +45,7 @@
 // gone, which are booked for nothing then; the caller books them anew and calls
 // Repair.
 func (p *Plan) Replace(gs []Guarantee) (unclaimed []string) {
+	p.dropParts()
 	old := p.byKind()
 	p.units, p.byKey, p.byAccount = nil, map[string]*unit{}, map[string][]*unit{}
 	for _, g := range gs {
--- a/internal/fleet/placement/guarantees_test.go
+++ b/internal/fleet/placement/guarantees_test.go
@@ -92,8 +92,10 @@
 	seeded.Check(t, func(t *rapid.T) {
 		f := newFleet(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "pick") })
 		var story []string
-		for range 30 {
-			story = append(story, f.step())
+		for range 15 {
+			for range 1 + f.pick(3) {
+				story = append(story, f.step())
+			}
 			v, err := f.check()
 			risky += v.risky
 			falsely += v.falselyRisky
@@ -252,3 +254,38 @@
 	z.Free("gang")
 	is.Equal(z.AtRisk(), nil)
 }
+
+// A rack switch goes, and an account's gang of two workers is at risk. The
+// workers come back one after the other. Work that cannot be stopped must not
+// settle on the first one, or the guarantee stays at risk until that ends.
+func TestReturningWorkersRepairGuaranteesFirst(t *testing.T) {
+	is := is.New(t)
+	pair, single := mustShape(2, 4, 1, 1, cell.SameRack), mustShape(1, 4, 1, 1, cell.Any)
+	var workers []cell.Worker
+	for _, id := range []string{"w0", "w1", "other"} {
+		w, err := cell.NewWorker(id, "z", map[string]string{"other": "r1"}[id], 4, 8, 8, 8)
+		is.NoErr(err)
+		workers = append(workers, w)
+	}
+	z := placement.NewZone(nil)
+	for _, w := range workers {
+		z.AddWorker(w)
+	}
+	is.NoErr(z.SetGuarantees([]guarantee.Guarantee{kind("a", pair)}))
+	z.RemoveWorker("w0")
+	z.RemoveWorker("w1")
+	is.Equal(z.AtRisk(), []guarantee.Guarantee{kind("a", pair)})
+
+	z.AddWorker(workers[0])
+	firm := placement.Request{Owner: "firm", Account: "b", Shape: single}
+	a, ok := z.Place(firm)
+	is.True(ok)
+	is.Equal(a[0].Worker, "other")
+	is.NoErr(z.Take(firm, a, time.Unix(0, 0)))
+	_, ok = z.Place(placement.Request{Owner: "next", Account: "b", Shape: single})
+	is.True(!ok) // w0 is the half of the guarantee that is back
+	_, ok = z.Place(placement.Request{Owner: "lent", Account: "b", Shape: single, Stoppable: true})
+	is.True(ok) // and idle, so it is lent
+	z.AddWorker(workers[1])
+	is.Equal(z.AtRisk(), nil)
+}
--- a/internal/fleet/placement/place.go
+++ b/internal/fleet/placement/place.go
@@ -13,6 +13,7 @@
 	if !z.planned {
 		return z.choose(z.free, r)
 	}
+	z.plan.Refresh()
 	if r.mayClaim() {
 		if a, ok := z.placeClaim(r); ok {
 			return a, true
--- a/internal/fleet/placement/reclaim.go
+++ b/internal/fleet/placement/reclaim.go
@@ -17,6 +17,7 @@
 	if !r.mayClaim() {
 		return nil, nil, false
 	}
+	z.plan.Refresh()
 	unit, room, ok := z.plan.Claimable(r.Account, r.Shape)
 	if !ok {
 		return nil, nil, false
--- a/internal/fleet/placement/zone.go
+++ b/internal/fleet/placement/zone.go
@@ -151,13 +151,17 @@
 // now, each with the number of gangs that could not: after losses of workers,
 // or while work runs that was there before the guarantee. It is nil if there
 // are none. In a zone made WithoutPlan it says what is breached.
-func (z *Zone) AtRisk() []guarantee.Guarantee { return z.plan.AtRisk() }
+func (z *Zone) AtRisk() []guarantee.Guarantee {
+	z.plan.Refresh()
+	return z.plan.AtRisk()
+}
 
 // Take gives the request its place. It claims a guarantee of the account if the
 // request may and one is left that contains it. It refuses, and changes
 // nothing, if the place is not free or is kept for a guarantee
 // (guarantee.ErrKept).
 func (z *Zone) Take(r Request, a cell.Assignment, now time.Time) error {
+	z.plan.Refresh()
 	if err := z.inventory.Take(r.Owner, r.Shape, a); err != nil {
 		return fmt.Errorf("place %s: %w", r.Owner, err)
 	}
@@ -182,6 +186,7 @@
 // cut, and the guarantee may be at risk until it ends. It refuses room that is
 // taken.
 func (z *Zone) Adopt(r Request, a cell.Assignment, since time.Time) error {
+	z.plan.Refresh()
 	if err := z.inventory.Take(r.Owner, r.Shape, a); err != nil {
 		return fmt.Errorf("adopt %s: %w", r.Owner, err)
 	}
