guarantee: count the slots of a claim's further members once

Cause: a gang with more members than its guarantee takes slots beside it; for room not set aside yet the guarantee's own slot was counted twice, and a place was given that Take then refused. A claim that failed also gave up the parts kept for guarantees at risk. Change: slots are counted for room that is set aside and room that is not; a claim that fails leaves the parts. The property test takes arbitrary places too and prints the sequence on a failure.

--- a/internal/fleet/guarantee/bind.go
+++ b/internal/fleet/guarantee/bind.go
@@ -188,7 +188,7 @@
 // returns them.
 func (p *Plan) unbindOn(worker string) []*unit {
 	var units []*unit
-	for _, key := range slices.Clone(p.firm.Owners(worker)) {
+	for _, key := range slices.Sorted(slices.Values(p.firm.Owners(worker))) {
 		if u, ok := p.byKey[key]; ok && !u.claimed() {
 			p.unbind(u)
 			units = append(units, u)
@@ -221,13 +221,15 @@
 	return ns
 }
 
-// clear lifts the unclaimed units that stand in the way of an assignment.
+// clear lifts the unclaimed units that stand in the way of an assignment, in
+// the order of their keys: a change that was tried and rolled back must come
+// out the same when it is made.
 func (p *Plan) clear(un *undo, s cell.Shape, a cell.Assignment) {
 	for _, n := range needs(a) {
 		if p.fits(n, s) {
 			continue
 		}
-		keys := slices.Clone(p.firm.Owners(n.worker))
+		keys := slices.Sorted(slices.Values(p.firm.Owners(n.worker)))
 		for _, key := range keys {
 			if u, ok := p.byKey[key]; ok && !u.claimed() && u.overlaps(n) {
 				p.lift(un, u)
--- a/internal/fleet/guarantee/claim.go
+++ b/internal/fleet/guarantee/claim.go
@@ -51,7 +51,10 @@
 	if us := p.candidates(account, s); len(us) > 0 {
 		p.lift(un, us[0])
 	}
-	p.withoutParts(f)
+	p.withoutParts(func() bool {
+		f()
+		return false
+	})
 	p.rollback(un)
 }
 
@@ -75,7 +78,8 @@
 			return true
 		}
 	}
-	if p.claimAround(us[0], owner, s, a) || p.dropParts() && p.claimAround(us[0], owner, s, a) {
+	around := func() bool { return p.claimAround(us[0], owner, s, a) }
+	if around() || len(p.parts) > 0 && p.withoutParts(around) {
 		return true
 	}
 	if blocked {
--- a/internal/fleet/guarantee/inside.go
+++ b/internal/fleet/guarantee/inside.go
@@ -13,33 +13,45 @@
 	if unit == s {
 		return room, isFree(all, s, room)
 	}
-	return p.part(unit, room, all).Smallest(s, cell.Compact)
+	return p.part(unit, room, all, true).Smallest(s, cell.Compact)
+}
+
+// InsideNew is Inside for room that is free in the plan and not set aside yet.
+func (p *Plan) InsideNew(unit cell.Shape, room cell.Assignment, s cell.Shape, all *cell.Inventory) (a cell.Assignment, ok bool) {
+	if unit == s {
+		return room, isFree(all, s, room)
+	}
+	return p.part(unit, room, all, false).Smallest(s, cell.Compact)
 }
 
 // Part returns a view of the room that is set aside for a guaranteed gang, as
 // if nothing ran there.
 func (p *Plan) Part(unit cell.Shape, room cell.Assignment) *cell.View {
-	return p.part(unit, room, p.firm)
+	return p.part(unit, room, p.firm, true)
 }
 
 // part returns a view of the room. Unless all is the plan's own inventory,
-// which has the room taken by its unit, only what is free in all is shown.
-func (p *Plan) part(unit cell.Shape, room cell.Assignment, all *cell.Inventory) *cell.View {
+// which has the room taken by its unit, only what is free in all is shown. A
+// gang with more members than the unit takes slots beside the unit's own.
+func (p *Plan) part(unit cell.Shape, room cell.Assignment, all *cell.Inventory, bound bool) *cell.View {
 	part := cell.NewInventory()
 	for _, n := range needs(room) {
-		p.addPart(part, unit, n, all)
+		p.addPart(part, unit, n, all, bound)
 	}
 	return cell.NewView(part)
 }
 
 // addPart adds what of a worker belongs to the room and is free.
-func (p *Plan) addPart(part *cell.Inventory, unit cell.Shape, n need, all *cell.Inventory) {
+func (p *Plan) addPart(part *cell.Inventory, unit cell.Shape, n need, all *cell.Inventory, bound bool) {
 	w, known := all.Worker(n.worker)
 	if !known || all.Barred(n.worker) {
 		return
 	}
-	_, _, _, spare := p.firm.Free(n.worker)
-	free, cores, memory, slots := n.accelerators, n.members*unit.Cores(), n.members*unit.Memory(), n.members+spare
+	_, _, _, slots := p.firm.Free(n.worker)
+	if bound {
+		slots += n.members
+	}
+	free, cores, memory := n.accelerators, n.members*unit.Cores(), n.members*unit.Memory()
 	if all != p.firm {
 		f, c, m, s := all.Free(n.worker)
 		free, cores, memory, slots = free&f, min(cores, c), min(memory, m), min(slots, s)
--- a/internal/fleet/guarantee/part.go
+++ b/internal/fleet/guarantee/part.go
@@ -36,26 +36,33 @@
 	}
 }
 
-// dropParts gives up all parts; it reports whether there were any.
-func (p *Plan) dropParts() bool {
-	for _, u := range p.parts {
-		p.firm.Release(partKey(u))
-	}
-	had := len(p.parts) > 0
+// dropParts gives up all parts until the next Repair.
+func (p *Plan) dropParts() {
+	p.liftParts()
+	p.dirty = p.dirty || len(p.parts) > 0
 	p.parts = p.parts[:0]
-	p.dirty = p.dirty || had
-	return had
 }
 
-// withoutParts calls f while no part is kept.
-func (p *Plan) withoutParts(f func()) {
+// liftParts takes the parts' room away and returns where it was.
+func (p *Plan) liftParts() []cell.Assignment {
 	kept := make([]cell.Assignment, len(p.parts))
 	for i, u := range p.parts {
 		_, kept[i], _ = p.firm.Held(partKey(u))
 		p.firm.Release(partKey(u))
 	}
-	f()
+	return kept
+}
+
+// withoutParts calls f while no part is kept. If f reports that it changed the
+// plan, the parts are given up.
+func (p *Plan) withoutParts(f func() (changed bool)) bool {
+	kept := p.liftParts()
+	if f() {
+		p.dropParts()
+		return true
+	}
 	for i, u := range p.parts {
-		_ = p.firm.Take(partKey(u), u.shape().Of(len(kept[i])), kept[i]) // f changes nothing
+		_ = p.firm.Take(partKey(u), u.shape().Of(len(kept[i])), kept[i]) // free, since nothing changed
 	}
+	return false
 }
--- a/internal/fleet/placement/fleet_test.go
+++ b/internal/fleet/placement/fleet_test.go
@@ -69,7 +69,7 @@
 // step does one thing at random and says what.
 func (f *fleet) step() string {
 	f.now = f.now.Add(time.Second)
-	switch f.pick(13) {
+	switch f.pick(14) {
 	case 0:
 		return f.configure()
 	case 1:
@@ -86,6 +86,8 @@
 		return f.checkpoint()
 	case 8:
 		return f.adopt()
+	case 9:
+		return f.grab()
 	default:
 		return f.take()
 	}
@@ -115,17 +117,24 @@
 	return fmt.Sprintf("take %+v at %v", r, a)
 }
 
-// mustTake takes a place that the zone gave; it must not be refused, and puts
-// no guarantee at risk.
+// mustTake takes a place that the zone gave; it must not be refused.
 func (f *fleet) mustTake(r placement.Request, a cell.Assignment) {
+	if err := f.tryTake(r, a); err != nil {
+		panic(fmt.Sprintf("place %v for %+v given and refused: %v", a, r, err))
+	}
+}
+
+// tryTake takes a place; if it is not refused, no guarantee may be put at risk.
+func (f *fleet) tryTake(r placement.Request, a cell.Assignment) error {
 	before := f.risks()
 	if err := f.zone.Take(r, a, f.now); err != nil {
-		panic(fmt.Sprintf("place %v for %+v given and refused: %v", a, r, err))
+		return err
 	}
 	if f.planned && f.risks() > before {
 		panic(fmt.Sprintf("place %v for %+v puts guarantees at risk: %v", a, r, f.zone.AtRisk()))
 	}
 	f.owners = append(f.owners, r.Owner)
+	return nil
 }
 
 func (f *fleet) risks() int {
@@ -150,6 +159,16 @@
 	return fmt.Sprintf("adopt %+v at %v", r, a)
 }
 
+// grab takes any place that nobody holds. The zone may refuse it.
+func (f *fleet) grab() string {
+	r := f.request()
+	a, ok := placement.FirstFit{}.Choose(cell.NewView(f.zone.Inventory()), r)
+	if !ok || f.tryTake(r, a) != nil {
+		return fmt.Sprintf("no grab for %+v at %v", r, a)
+	}
+	return fmt.Sprintf("grab %+v at %v", r, a)
+}
+
 func (f *fleet) free() string {
 	if len(f.owners) == 0 {
 		return "nothing to free"
--- a/internal/fleet/placement/guarantees_test.go
+++ b/internal/fleet/placement/guarantees_test.go
@@ -92,6 +92,15 @@
 	seeded.Check(t, func(t *rapid.T) {
 		f := newFleet(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "pick") })
 		var story []string
+		defer func() {
+			p := recover()
+			if s, ok := p.(string); ok {
+				t.Fatalf("%s, after:\n%s", s, strings.Join(story, "\n"))
+			}
+			if p != nil {
+				panic(p)
+			}
+		}()
 		for range 15 {
 			for range 1 + f.pick(3) {
 				story = append(story, f.step())
@@ -289,3 +298,22 @@
 	z.AddWorker(workers[1])
 	is.Equal(z.AtRisk(), nil)
 }
+
+// An account asks for two small members where its guarantee is one. The slot of
+// the second was counted free although another account's guarantee held it: a
+// place was given and then refused, over and over.
+func TestSmallMembersDoNotTakeOthersSlots(t *testing.T) {
+	is := is.New(t)
+	z := placement.NewZone(nil)
+	for i, accelerators := range []int{1, 0} {
+		w, err := cell.NewWorker(fmt.Sprint("w", i), "z", "r", accelerators, 8, 8, 2-i)
+		is.NoErr(err)
+		z.AddWorker(w)
+	}
+	one, two := mustShape(1, 0, 0, 0, cell.SameWorker), mustShape(2, 0, 0, 0, cell.SameWorker)
+	is.NoErr(z.SetGuarantees([]guarantee.Guarantee{kind("a", mustShape(1, 1, 0, 0, cell.Any)), kind("b", one)}))
+	lent := placement.Request{Owner: "lent", Account: "c", Shape: one, Stoppable: true}
+	is.NoErr(z.Take(lent, cell.Assignment{{Worker: "w1"}}, time.Unix(0, 0)))
+	_, ok := z.Place(placement.Request{Owner: "two", Account: "b", Shape: two, Guaranteed: true})
+	is.True(!ok)
+}
--- a/internal/fleet/placement/place.go
+++ b/internal/fleet/placement/place.go
@@ -57,10 +57,9 @@
 	z.plan.WithoutRoomOf(r.Account, r.Shape, func() {
 		whole := r
 		whole.Shape = unit
-		a, ok = z.choose(z.idle, whole)
+		if a, ok = z.choose(z.idle, whole); ok {
+			a, ok = z.plan.InsideNew(unit, a, r.Shape, z.inventory)
+		}
 	})
-	if !ok {
-		return nil, false
-	}
-	return z.plan.Inside(unit, a, r.Shape, z.inventory)
+	return a, ok
 }
