--- a/internal/fleet/guarantee/bind.go
+++ b/internal/fleet/guarantee/bind.go
@@ -124,13 +124,18 @@
 	if !p.setsAside || len(units) == 0 {
 		return
 	}
-	left := false
 	for _, u := range hardestFirst(units) {
 		if !u.claimed() && u.place == nil && !p.bind(u, cell.Compact) {
-			left = true
+			p.dirty = true
 		}
 	}
-	if left {
+}
+
+// Refresh calls Repair if room has come free or has gone since the last time.
+// Whoever decides by the plan calls it first, so that guarantees at risk get
+// room before anybody else does, and many changes cost one repair.
+func (p *Plan) Refresh() {
+	if p.dirty {
 		p.Repair()
 	}
 }
@@ -139,9 +144,15 @@
 // what is idle, then by packing all of them anew, then by packing each in turn
 // beside those that have room.
 func (p *Plan) Repair() {
-	if !p.setsAside {
-		return
+	if p.setsAside {
+		p.dropParts()
+		p.repair()
+		p.keepParts()
 	}
+	p.dirty = false
+}
+
+func (p *Plan) repair() {
 	var left []*unit
 	for _, u := range hardestFirst(p.without()) {
 		if !p.bind(u, cell.Compact) && p.view.FreeAccelerators() >= u.shape().Total() {
@@ -177,7 +188,7 @@
 // returns them.
 func (p *Plan) unbindOn(worker string) []*unit {
 	var units []*unit
-	for _, key := range slices.Clone(p.firm.Owners(worker)) {
+	for _, key := range slices.Sorted(slices.Values(p.firm.Owners(worker))) {
 		if u, ok := p.byKey[key]; ok && !u.claimed() {
 			p.unbind(u)
 			units = append(units, u)
@@ -210,13 +221,15 @@
 	return ns
 }
 
-// clear lifts the unclaimed units that stand in the way of an assignment.
+// clear lifts the unclaimed units that stand in the way of an assignment, in
+// the order of their keys: a change that was tried and rolled back must come
+// out the same when it is made.
 func (p *Plan) clear(un *undo, s cell.Shape, a cell.Assignment) {
 	for _, n := range needs(a) {
 		if p.fits(n, s) {
 			continue
 		}
-		keys := slices.Clone(p.firm.Owners(n.worker))
+		keys := slices.Sorted(slices.Values(p.firm.Owners(n.worker)))
 		for _, key := range keys {
 			if u, ok := p.byKey[key]; ok && !u.claimed() && u.overlaps(n) {
 				p.lift(un, u)
