--- a/internal/work/schedule/claim.go
+++ b/internal/work/schedule/claim.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"guavaglade.example/guavaglade/internal/fleet/cell"
@@ -36,102 +37,135 @@
 // reclaim makes room for a job by stopping others. ok is false if no victims
 // would do.
 func (s *Scheduler) reclaim(it queue.Item, r placement.Request, now time.Time) (ds []Decision, ok bool) {
+	s.releaseReserved()
 	place, owners, ok := s.zone.Reclaim(r, now)
 	if !ok {
 		return nil, false
 	}
-	if !s.exchange(r, place, owners, now) {
+	victims, ok := s.exchange(r, place, owners, now)
+	if !ok {
 		return nil, false
 	}
+	return s.claimRoom(it, r, place, victims, now), true
+}
+
+// claimRoom notes the claim on room that was exchanged already, and returns the
+// stops of those of its victims that have not been asked to.
+func (s *Scheduler) claimRoom(it queue.Item, r placement.Request, place cell.Assignment, victims []*runner, now time.Time) []Decision {
+	var ds []Decision
 	c := &claim{item: it, request: r, place: place, deadline: now.Add(Grace)}
-	for _, o := range owners {
-		victim, fresh := s.victimOf(o)
-		if !slices.Contains(c.victims, victim.item.Job.ID()) {
-			c.victims = append(c.victims, victim.item.Job.ID())
-		}
-		if fresh {
-			victim.stopBy = c.deadline
-			ds = append(ds, Decision{
-				Action: Stop, Job: victim.item.Job, Deadline: c.deadline,
-				Reason: fmt.Sprintf("its room is reclaimed for %s of account %s", it.Job.ID(), it.Job.Account()),
-			})
+	for _, v := range victims {
+		c.victims = append(c.victims, v.item.Job.ID())
+		if !v.stopBy.IsZero() {
+			continue
 		}
+		v.stopBy = c.deadline
+		ds = append(ds, Decision{
+			Action: Stop, Job: v.item.Job, Deadline: c.deadline,
+			Reason: fmt.Sprintf("its room is reclaimed for %s of account %s", it.Job.ID(), it.Job.Account()),
+		})
 	}
 	s.claims = append(s.claims, c)
-	return ds, true
+	return ds
 }
 
-// exchange gives the victims' room to the request, and what is left of it to
-// leftover owners. It changes nothing and returns false if that cannot be.
-func (s *Scheduler) exchange(r placement.Request, place cell.Assignment, owners []string, now time.Time) bool {
-	holders := make([]placement.Holder, 0, len(owners))
-	for _, o := range owners {
-		h, ok := s.zone.Holder(o)
-		if victim, _ := s.victimOf(o); !ok || victim == nil {
-			return false
-		}
-		holders = append(holders, h)
+// exchange gives the owners' room to the request and returns the runners that
+// must end before it may start. It changes nothing and returns false if that
+// cannot be. An owner is a runner, or what is left of one that stops, or room
+// that one is to move to, or a claimant that can be stopped itself.
+func (s *Scheduler) exchange(r placement.Request, place cell.Assignment, owners []string, now time.Time) (victims []*runner, ok bool) {
+	holders := s.freeAll(owners)
+	if err := s.zone.Take(r, place, now); err != nil {
+		s.restoreAll(holders)
+		return nil, false
 	}
 	for _, o := range owners {
-		s.zone.Free(o)
-	}
-	if err := s.zone.Take(r, place, now); err != nil {
-		for _, h := range holders {
-			s.restore(h)
+		for _, v := range s.occupants(o) {
+			if !slices.Contains(victims, v) {
+				victims = append(victims, v)
+			}
 		}
-		return false
 	}
-	for i, h := range holders {
-		victim, _ := s.victimOf(owners[i])
-		s.keepLeftover(victim, h, place, now)
+	for _, v := range victims {
+		s.keepOccupied(v, now)
 	}
-	return true
+	return victims, true
 }
 
-// restore gives a holder back what it was freed of a moment ago.
-func (s *Scheduler) restore(h placement.Holder) {
-	// Nothing was taken since it was freed, so this cannot be refused.
-	_ = s.zone.Take(h.Request, h.Assignment, h.Since)
-	if !h.Checkpoint.IsZero() {
-		s.zone.Checkpointed(h.Request.Owner, h.Checkpoint)
-	}
-}
-
-// victimOf returns the runner that an owner's room belongs to, itself or as a
-// leftover; fresh says that it has not been asked to stop.
-func (s *Scheduler) victimOf(owner string) (r *runner, fresh bool) {
+// occupants returns the runners whose tasks may still stand on an owner's room,
+// which the owner no longer holds.
+func (s *Scheduler) occupants(owner string) []*runner {
 	if r, ok := s.running[job.ID(owner)]; ok {
-		return r, r.stopBy.IsZero()
-	}
-	for _, r := range s.running {
-		if slices.Contains(r.leftover, owner) {
-			return r, false
+		return []*runner{r}
+	}
+	if c := s.claimOf(job.ID(owner)); c != nil {
+		s.removeClaim(c)
+		s.queue.Restore(c.item)
+		var rs []*runner
+		for _, id := range c.victims {
+			rs = append(rs, s.running[id])
 		}
+		return rs
+	}
+	id, _, _ := strings.Cut(owner, roomMark)
+	r, ok := s.running[job.ID(id)]
+	switch {
+	case !ok:
+		return nil
+	case owner == moveOwner(r):
+		r.moveTo = nil // nothing of it stands there yet
+		return nil
+	default:
+		r.leftover = slices.DeleteFunc(r.leftover, func(o string) bool { return o == owner })
+		return []*runner{r}
 	}
-	return nil, false
 }
 
-// keepLeftover keeps the accelerators of a victim that the claimant does not
-// get, until the victim has ended. They count as work that can be stopped, so
-// that the next claim may have them.
-func (s *Scheduler) keepLeftover(victim *runner, h placement.Holder, place cell.Assignment, now time.Time) {
-	for i, g := range h.Assignment {
-		mask, cores, memory := g.Accelerators, h.Request.Shape.Cores(), h.Request.Shape.Memory()
-		for _, taken := range place.On(g.Worker) {
-			mask &^= taken.Accelerators
-			cores, memory = 0, 0
-		}
-		rest := cell.Grant{Worker: g.Worker, Accelerators: mask}
-		if mask == 0 && cores == 0 {
+// roomMark parts a job's id from what its further room is for. Job ids end in a
+// hash and hold no such mark after it.
+const roomMark = "|"
+
+func moveOwner(r *runner) string { return string(r.item.Job.ID()) + roomMark + "move" }
+
+// keepOccupied keeps from others what of a stopping runner's accelerators no
+// claimant has, until it has ended: its tasks still stand there. They count as
+// work that can be stopped, so that the next claim may have them.
+func (s *Scheduler) keepOccupied(r *runner, now time.Time) {
+	for i, g := range r.place {
+		free, _, _, _ := s.zone.Inventory().Free(g.Worker)
+		rest := cell.Grant{Worker: g.Worker, Accelerators: g.Accelerators & free}
+		if rest.Accelerators == 0 {
 			continue
 		}
-		owner := fmt.Sprintf("%s/leftover%d", h.Request.Owner, i)
-		if s.hold(owner, rest, cores, memory, now) {
-			victim.leftover = append(victim.leftover, owner)
+		s.kept++
+		owner := fmt.Sprintf("%s%s%d.%d", r.item.Job.ID(), roomMark, i, s.kept)
+		shape := r.request.Shape
+		if s.hold(owner, rest, shape.Cores(), shape.Memory(), now) || s.hold(owner, rest, 0, 0, now) {
+			r.leftover = append(r.leftover, owner)
 		}
 	}
 }
 
+func (s *Scheduler) freeAll(owners []string) []placement.Holder {
+	holders := make([]placement.Holder, 0, len(owners))
+	for _, o := range owners {
+		if h, ok := s.zone.Holder(o); ok {
+			holders = append(holders, h)
+			s.zone.Free(o)
+		}
+	}
+	return holders
+}
+
+// restoreAll gives holders back what they were freed of a moment ago. Nothing
+// was taken since and all can be stopped, so the zone cannot refuse it.
+func (s *Scheduler) restoreAll(holders []placement.Holder) {
+	for _, h := range holders {
+		_ = s.zone.Take(h.Request, h.Assignment, h.Since)
+		s.zone.Checkpointed(h.Request.Owner, h.Checkpoint)
+	}
+}
+
 // hold takes the accelerators of a grant for an owner that is no job. ok is
 // false if they are not free, or no slot is, in which case nobody gets them.
 func (s *Scheduler) hold(owner string, g cell.Grant, cores, memory int, now time.Time) bool {
@@ -150,7 +184,7 @@
 	for _, c := range slices.Clone(s.claims) {
 		switch {
 		case !s.stands(c.place):
-			s.dropClaim(c)
+			s.dropClaim(c, now)
 			s.queue.Restore(c.item)
 		case len(c.victims) == 0:
 			s.removeClaim(c)
@@ -183,9 +217,12 @@
 }
 
 // dropClaim gives up a claim and its room. Its victims stop all the same.
-func (s *Scheduler) dropClaim(c *claim) {
+func (s *Scheduler) dropClaim(c *claim, now time.Time) {
 	s.removeClaim(c)
 	s.zone.Free(string(c.item.Job.ID()))
+	for _, v := range c.victims {
+		s.keepOccupied(s.running[v], now)
+	}
 	s.epoch++
 }
 
--- a/internal/work/schedule/decide.go
+++ b/internal/work/schedule/decide.go
@@ -2,6 +2,9 @@
 
 import (
 	"container/heap"
+	"math"
+	"os"
+	"strconv"
 	"time"
 
 	"guavaglade.example/guavaglade/internal/fleet/placement"
@@ -114,9 +117,23 @@
 	if c.Lane != queue.Borrowed {
 		return lane - min(waited, laneStep/4)
 	}
+	run := min(s.estimated(it.Job, middleShare), longestRun) + shortestRun
+	ratio := now.Sub(it.Since).Seconds() / run.Seconds()
 	service, _ := s.config.Service(c.Service)
-	run := min(s.estimated(it.Job, middleShare), longestRun).Seconds() / agingTime.Seconds()
-	return lane + s.shares.dominant(c.Account)/s.weight(c.Account) + service.Completion()*run - min(waited, laneStep/4)
+	area := math.Pow(float64(max(c.Shape.Total(), 1)), service.Completion()*alpha)
+	return lane + s.shares.dominant(c.Account)/s.weight(c.Account) - min(ratio/area, laneStep/4)
+}
+
+var (
+	alpha       = envf("ALPHA", 1)
+	shortestRun = time.Duration(envf("SHORT", 10) * 1e9)
+)
+
+func envf(n string, d float64) float64 {
+	if v, err := strconv.ParseFloat(os.Getenv(n), 64); err == nil {
+		return v
+	}
+	return d
 }
 
 // laneStep is more than any share, run or waiting time that is scored.
@@ -151,6 +168,15 @@
 		}
 	}
 	s.reserve(it, r.now)
+	ds, ok := s.compact(it, request, r.now)
+	if !ok {
+		ds, ok = s.shift(it, request, r.now)
+	}
+	if ok {
+		s.queue.Remove(it.Job.ID())
+		r.decisions = append(r.decisions, ds...)
+		return true
+	}
 	s.blocked[c] = attempt{epoch: s.epoch, at: r.now}
 	return false
 }
@@ -181,7 +207,7 @@
 // roomFor returns what decides whether the job finds room. Borrowers find the
 // same room whatever their account; a claim is on the account's own.
 func (s *Scheduler) roomFor(c queue.Class, it queue.Item, now time.Time) room {
-	long := c.Lane == queue.Borrowed && s.outlasts(it.Job, now)
+	long := c.Lane == queue.Borrowed && !c.Stoppable && s.outlasts(it.Job, now)
 	if c.Lane == queue.Borrowed {
 		c.Account = ""
 	}
--- a/internal/work/schedule/ended.go
+++ b/internal/work/schedule/ended.go
@@ -21,6 +21,9 @@
 	}
 	s.release(id, r)
 	s.note(r, end, worker, now)
+	if s.moved(r, end, now) {
+		return
+	}
 	switch end {
 	case Done, Dropped:
 		s.forget(id)
--- a/internal/work/schedule/option.go
+++ b/internal/work/schedule/option.go
@@ -9,6 +9,7 @@
 	Reservation              // the planned start of the head; without it: whatever fits starts
 	Reclaim                  // stopping borrowers for guaranteed and urgent work
 	Estimates                // observed run times; without it: declared ones
+	Compaction               // moving small gangs out of the way of a large one
 	Quarantine               // barring workers that fail what they start
 	guards
 )
@@ -27,7 +28,7 @@
 
 // Plain leaves all guards out: jobs start in the order of arrival, wherever
 // there is room. It is the queue of the baselines.
-func Plain() Option { return Without(Order, Reservation, Reclaim, Estimates, Quarantine) }
+func Plain() Option { return Without(Order, Reservation, Reclaim, Estimates, Compaction, Quarantine) }
 
 // PerAccount bounds how many jobs of one account may wait; 0 means the queue's
 // default.
--- a/internal/work/schedule/policy_test.go
+++ b/internal/work/schedule/policy_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"math/bits"
 	"os"
 	"sort"
 	"strconv"
@@ -46,10 +47,13 @@
 	within        bool // it came within its account's unclaimed guarantee
 }
 
+var oneOf, _ = cell.NewShape(1, 1, 2, 8<<10, cell.Any)
+
 type result struct {
-	completions, waits          []float64 // s; waits of gangs
-	breaches                    int
-	lost, fragmented, worstWait float64 // lost in accelerator seconds, fragmented in seconds
+	smallWait, smallFree, smallN float64
+	completions, waits           []float64 // s; waits of gangs
+	breaches                     int
+	lost, fragmented, worstWait  float64 // lost in accelerator seconds, fragmented in seconds
 }
 
 type event struct {
@@ -91,6 +95,16 @@
 // pass adds up the fragmentation until the time.
 func (b *bench) pass(until time.Duration) {
 	if span := min(until, arrivals) - b.now; span > 0 {
+		if n := b.waiting[oneOf]; n > 0 {
+			free := 0
+			for _, w := range b.stream.workers {
+				m, _, _, _ := b.Zone().Inventory().Free(w.ID())
+				free += bits.OnesCount64(m)
+			}
+			b.smallWait += span.Seconds()
+			b.smallFree += span.Seconds() * float64(free)
+			b.smallN += span.Seconds() * float64(n)
+		}
 		b.fragmented += span.Seconds() * b.Zone().Fragmentation(b.largest())
 	}
 	b.now = until
--- a/internal/work/schedule/scheduler.go
+++ b/internal/work/schedule/scheduler.go
@@ -41,6 +41,7 @@
 	possible   map[cell.Shape]bool     // shapes that the zone could place once
 	reserved   reservation             // of the head that finds no room
 	blocked    map[queue.Class]attempt // when a class last found no room
+	kept       int                     // rooms kept for stopping runners so far, to name them apart
 	epoch      int64                   // grows with whatever may make room
 }
 
@@ -52,6 +53,7 @@
 	since    time.Time
 	stopBy   time.Time       // when its grace is over; zero if it was not asked to stop
 	leftover []string        // owners that keep the rest of its room while it stops
+	moveTo   cell.Assignment // the room that is kept for it elsewhere while it stops
 	over     map[string]bool // workers on which it was over its cores at the last report
 	held     map[string]int  // cores that it was throttled to, by worker
 }
@@ -135,7 +137,7 @@
 func (s *Scheduler) Cancel(id job.ID) bool {
 	s.forget(id)
 	if c := s.claimOf(id); c != nil {
-		s.dropClaim(c)
+		s.dropClaim(c, c.deadline)
 		return true
 	}
 	_, ok := s.queue.Remove(id)
