--- a/internal/work/schedule/compact.go
+++ b/internal/work/schedule/compact.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -13,11 +14,17 @@
 
 // Costs and gains of a compaction.
 const (
-	moveCost   = 3 * time.Second  // of work that a move costs each accelerator, beside what may be lost
-	lateShare  = 0.2              // share of the work since the newest checkpoint that a move is reckoned to lose
-	gainFactor = 4                // the waiting saved is worth so many times the work it costs
-	leastWait  = 10 * time.Second // a planned start nearer than this is waited for
-	mostMoved  = 32               // gangs that one compaction moves
+	moveCost       = 3 * time.Second        // of work that a move costs each accelerator, beside what may be lost
+	putBackCost    = 60 * time.Second       // of waiting that a move costs a gang without new room
+	lateShare      = 0.2                    // share of the work since the newest checkpoint that a move is reckoned to lose
+	gainFactor     = 4                      // the waiting saved is worth so many times the work it costs
+	leastWait      = 10 * time.Second       // a planned start nearer than this is waited for
+	attemptEvery   = 100 * time.Millisecond // between two attempts of all classes
+	mostClasses    = 4096                   // whose attempts are remembered
+	leastCompacted = 4                      // accelerators of a gang that others are moved for
+	mostShifted    = 8                      // accelerators of a gang that is shifted to lent room
+	shiftTries     = 16                     // gangs that are tried for a shift
+	mostMoved      = 32                     // gangs that one compaction moves
 )
 
 // compact makes room for the head by moving small stoppable gangs to room that
@@ -25,7 +32,7 @@
 // room is taken before it is asked to stop. It is done only where the waiting
 // that it saves is far more than the work that it costs. ok is false if it is not.
 func (s *Scheduler) compact(it queue.Item, r placement.Request, now time.Time) (ds []Decision, ok bool) {
-	if s.without[Compaction] || r.Shape.Total() < 4 {
+	if s.without[Compaction] || r.Shape.Total() < leastCompacted || !s.compactions.due(queue.ClassOf(it.Job), now) {
 		return nil, false
 	}
 	s.releaseReserved()
@@ -46,6 +53,25 @@
 	return nil, false
 }
 
+// attempts bounds how often something costly is tried. The zero attempts has
+// tried nothing.
+type attempts struct {
+	last time.Time
+	of   map[queue.Class]time.Time
+}
+
+// due reports whether a class is due for an attempt, and notes it.
+func (a *attempts) due(c queue.Class, now time.Time) bool {
+	if now.Before(a.last.Add(attemptEvery)) || now.Before(a.of[c].Add(retryIdle)) {
+		return false
+	}
+	if a.of == nil || len(a.of) > mostClasses {
+		a.of = map[queue.Class]time.Time{}
+	}
+	a.last, a.of[c] = now, now
+	return true
+}
+
 // groups returns the workers that a gang of the shape must not leave, by group.
 func (s *Scheduler) groups(shape cell.Shape) [][]string {
 	var groups [][]string
@@ -143,21 +169,22 @@
 // Without it such jobs would wait beside free accelerators that only stoppable
 // work may have, while stoppable work stands where it need not.
 func (s *Scheduler) shift(it queue.Item, r placement.Request, now time.Time) (ds []Decision, ok bool) {
-	if s.without[Compaction] || r.Stoppable || s.zone.Fragmentation(r.Shape) == 1 {
+	if s.without[Compaction] || r.Stoppable || s.zone.Fragmentation(r.Shape) == 1 || !s.shifts.due(queue.ClassOf(it.Job), now) {
 		return nil, false
 	}
 	s.releaseReserved()
 	var candidates []*runner
 	for _, v := range s.running {
-		if v.request.Stoppable && v.stopBy.IsZero() && v.request.Shape.Total() >= r.Shape.Total() && v.request.Shape.Total() <= 8 {
+		total := v.request.Shape.Total()
+		if v.request.Stoppable && v.stopBy.IsZero() && total >= r.Shape.Total() && total <= mostShifted {
 			candidates = append(candidates, v)
 		}
 	}
 	slices.SortFunc(candidates, func(a, b *runner) int {
 		return cmp.Or(b.since.Compare(a.since), cmp.Compare(a.request.Owner, b.request.Owner))
 	})
-	for _, v := range candidates[:min(len(candidates), 16)] {
-		if ds, ok := s.move(it, r, []string{v.request.Owner}, 1e18, now); ok {
+	for _, v := range candidates[:min(len(candidates), shiftTries)] {
+		if ds, ok := s.move(it, r, []string{v.request.Owner}, math.Inf(1), now); ok {
 			return ds, true
 		}
 	}
@@ -170,8 +197,6 @@
 	return r.Weights.Completion + r.Weights.Fragmentation*float64(max(r.Shape.Total(), 1))
 }
 
-var putBackCost = time.Duration(envf("PB", 60) * 1e9)
-
 // move gives the head the owners' room and the owners room elsewhere, all of it
 // or nothing.
 func (s *Scheduler) move(it queue.Item, r placement.Request, owners []string, spare float64, now time.Time) ([]Decision, bool) {
--- a/internal/work/schedule/decide.go
+++ b/internal/work/schedule/decide.go
@@ -3,8 +3,6 @@
 import (
 	"container/heap"
 	"math"
-	"os"
-	"strconv"
 	"time"
 
 	"guavaglade.example/guavaglade/internal/fleet/placement"
@@ -14,7 +12,7 @@
 
 // The order among borrowers.
 const (
-	agingTime   = 10 * time.Minute // of waiting outweighs a share of the whole zone
+	shortestRun = 10 * time.Second // is added to estimates, so that none counts as nothing
 	longestRun  = 30 * time.Minute // estimates count up to this, so that long jobs age too
 	middleShare = 0.5              // quantile of an expected run time
 	safeShare   = 0.9              // quantile of a run time that is to be kept
@@ -89,7 +87,7 @@
 
 func (s *Scheduler) newRound(now time.Time) *round {
 	r := &round{now: now, full: map[room]bool{}}
-	s.shares.measure(s.zone.Inventory())
+	s.shares.measure(s.zone.Inventory(), now)
 	for _, b := range s.queue.Buckets() {
 		if a, ok := s.blocked[b.Class()]; ok && a.epoch == s.epoch && now.Before(a.at.Add(retryIdle)) {
 			continue
@@ -106,10 +104,11 @@
 	}
 }
 
-// score orders the buckets: by lane, and among borrowers by dominant share
-// against weight, short work first, and both outweighed by waiting long enough.
+// score orders the buckets: by lane, and in it by arrival; but among borrowers by
+// dominant share against weight, less the time waited against the work asked
+// for. So small work goes first, and whatever waits overtakes all in the end.
 func (s *Scheduler) score(c queue.Class, it *queue.Item, now time.Time) float64 {
-	waited := now.Sub(it.Since).Seconds() / agingTime.Seconds()
+	waited := now.Sub(it.Since).Seconds()
 	if s.without[Order] {
 		return -waited
 	}
@@ -117,23 +116,10 @@
 	if c.Lane != queue.Borrowed {
 		return lane - min(waited, laneStep/4)
 	}
-	run := min(s.estimated(it.Job, middleShare), longestRun) + shortestRun
-	ratio := now.Sub(it.Since).Seconds() / run.Seconds()
 	service, _ := s.config.Service(c.Service)
-	area := math.Pow(float64(max(c.Shape.Total(), 1)), service.Completion()*alpha)
-	return lane + s.shares.dominant(c.Account)/s.weight(c.Account) - min(ratio/area, laneStep/4)
-}
-
-var (
-	alpha       = envf("ALPHA", 1)
-	shortestRun = time.Duration(envf("SHORT", 10) * 1e9)
-)
-
-func envf(n string, d float64) float64 {
-	if v, err := strconv.ParseFloat(os.Getenv(n), 64); err == nil {
-		return v
-	}
-	return d
+	run := min(s.estimated(it.Job, middleShare), longestRun) + shortestRun
+	work := run.Seconds() * math.Pow(float64(max(c.Shape.Total(), 1)), service.Completion())
+	return lane + s.shares.dominant(c.Account)/s.weight(c.Account) - min(waited/work, laneStep/4)
 }
 
 // laneStep is more than any share, run or waiting time that is scored.
--- a/internal/work/schedule/scheduler.go
+++ b/internal/work/schedule/scheduler.go
@@ -24,25 +24,27 @@
 
 // Scheduler holds the queue and the room of one zone.
 type Scheduler struct {
-	zone       *placement.Zone
-	config     *text.Config
-	without    [guards]bool
-	perAccount int
-	queue      *queue.Queue
-	running    map[job.ID]*runner
-	claims     []*claim   // in the order in which they were made
-	answers    []Decision // refusals, throttles and stops that the next Decide gives
-	shares     shares
-	histories  estimate.Histories
-	watch      *quarantine.Watch
-	ill        map[string]bool         // workers that the watch barred in the zone
-	leaving    map[string]bool         // workers that Bar barred
-	refused    map[job.ID]int          // refused starts in a row
-	possible   map[cell.Shape]bool     // shapes that the zone could place once
-	reserved   reservation             // of the head that finds no room
-	blocked    map[queue.Class]attempt // when a class last found no room
-	kept       int                     // rooms kept for stopping runners so far, to name them apart
-	epoch      int64                   // grows with whatever may make room
+	zone        *placement.Zone
+	config      *text.Config
+	without     [guards]bool
+	perAccount  int
+	queue       *queue.Queue
+	running     map[job.ID]*runner
+	claims      []*claim   // in the order in which they were made
+	answers     []Decision // refusals, throttles and stops that the next Decide gives
+	shares      shares
+	histories   estimate.Histories
+	watch       *quarantine.Watch
+	ill         map[string]bool     // workers that the watch barred in the zone
+	leaving     map[string]bool     // workers that Bar barred
+	refused     map[job.ID]int      // refused starts in a row
+	possible    map[cell.Shape]bool // shapes that the zone could place once
+	reserved    reservation         // of the head that finds no room
+	compactions attempts
+	shifts      attempts
+	blocked     map[queue.Class]attempt // when a class last found no room
+	kept        int                     // rooms kept for stopping runners so far, to name them apart
+	epoch       int64                   // grows with whatever may make room
 }
 
 // runner is a job that was started and has not ended.
@@ -125,7 +127,7 @@
 	}
 	s.Cancel(j.ID())
 	r := s.request(j)
-	if err := s.zone.Take(r, a, since); err != nil {
+	if err := s.zone.Adopt(r, a, since); err != nil {
 		return fmt.Errorf("adopt: %w", err)
 	}
 	s.run(queue.Item{Job: j, Since: since}, r, a, since)
--- a/internal/work/schedule/share.go
+++ b/internal/work/schedule/share.go
@@ -1,6 +1,8 @@
 package schedule
 
 import (
+	"time"
+
 	"guavaglade.example/guavaglade/internal/fleet/cell"
 	"guavaglade.example/guavaglade/internal/work/job"
 )
@@ -14,9 +16,10 @@
 
 // shares knows what each account holds. The zero shares holds nothing.
 type shares struct {
-	held    map[string]amounts
-	whole   amounts // of the zone
-	workers int     // that the whole was measured on
+	held     map[string]amounts
+	whole    amounts // of the zone
+	workers  int     // that the whole was measured on
+	measured time.Time
 }
 
 // add notes what a job holds, or with a sign of -1 no longer holds.
@@ -34,8 +37,15 @@
 	}
 }
 
-// measure sets the whole that shares are of.
-func (s *shares) measure(inv *cell.Inventory) {
+// measureEvery is how old the whole that shares are of may be.
+const measureEvery = time.Second
+
+// measure sets the whole that shares are of, unless that was done a moment ago.
+func (s *shares) measure(inv *cell.Inventory, now time.Time) {
+	if s.workers > 0 && now.Sub(s.measured) < measureEvery {
+		return
+	}
+	s.measured = now
 	workers := inv.Workers()
 	s.whole, s.workers = amounts{}, len(workers)
 	for _, w := range workers {
