--- a/internal/fleet/quarantine/quarantine.go
+++ b/internal/fleet/quarantine/quarantine.go
@@ -78,21 +78,28 @@
 // its rack, itself included. It reports whether the job is now known to be at
 // fault itself.
 func (w *Watch) Failed(worker, job string, rack []string, now time.Time) (jobAtFault bool) {
+	w.of(worker)
+	if w.blame(worker, job) {
+		return true
+	}
+	w.Refused(worker, job, rack, now)
+	return false
+}
+
+// Refused notes that a worker did not start a job that it was given. It counts
+// against the worker as a failure does, and never against the job.
+func (w *Watch) Refused(worker, job string, rack []string, now time.Time) {
 	r := w.of(worker)
 	r.failures[job] = now
 	if r.out {
 		if r.probe == job {
 			r.fail(now)
 		}
-		return w.blame(worker, job)
-	}
-	if w.blame(worker, job) {
-		return true
+		return
 	}
 	if w.suspect(worker, r, now) && w.mayBar(rack) {
 		r.fail(now)
 	}
-	return false
 }
 
 // fail puts the worker out, longer each time.
--- a/internal/work/schedule/decide.go
+++ b/internal/work/schedule/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math"
 	"time"
 
@@ -135,13 +136,13 @@
 // try starts, refuses or reclaims for the head of a bucket. It returns false if
 // the head finds no room, so that the rest of the bucket need not be tried.
 func (s *Scheduler) try(c queue.Class, it queue.Item, r *round) bool {
-	if reason := s.never(it.Job); reason != nil {
+	request := s.request(it.Job)
+	if reason := s.never(c, request); reason != nil {
 		s.queue.Remove(it.Job.ID())
 		s.forget(it.Job.ID())
 		r.decisions = append(r.decisions, Decision{Action: Refuse, Job: it.Job, Reason: reason.Error()})
 		return true
 	}
-	request := s.request(it.Job)
 	if s.start(c, it, request, r) {
 		return true
 	}
@@ -201,26 +202,64 @@
 	return room{class: c, long: long}
 }
 
-// never returns why a job can never run, nil if it may. A shape that fitted
-// once is not refused when workers are lost: they may come back. A zone that
-// knows no workers yet refuses nothing.
-func (s *Scheduler) never(j job.Job) error {
-	if s.possible[j.Shape()] || s.shares.workers == 0 {
+// never returns why a job can never run, nil if it may: it fits nowhere, or only
+// where guarantees in force keep it out even of an idle zone. What could run
+// once under the configuration in force is not refused when workers are lost:
+// they may come back. A zone that knows no workers yet refuses nothing.
+func (s *Scheduler) never(c queue.Class, r placement.Request) error {
+	c.Kind, c.Service = "", ""
+	if s.possible[c] || s.shares.workers == 0 {
 		return nil
 	}
-	if err := s.zone.CanEver(j.Shape()); err != nil {
+	if err := s.zone.CanEver(r.Shape); err != nil {
 		return err
 	}
-	s.possible[j.Shape()] = true
+	if !s.without[Reclaim] && !s.fitsIdle(r) {
+		return fmt.Errorf("shape %s: it fits only where guarantees of others keep out work that cannot be stopped", r.Shape)
+	}
+	s.possible[c] = true
 	return nil
 }
 
-// openProbes lets a small repeatable job onto workers that are out and due for
-// a probe, and shuts them for everything else.
+// fitsIdle reports whether the request finds room in a zone with the same
+// workers and guarantees and nothing running.
+func (s *Scheduler) fitsIdle(r placement.Request) bool {
+	idle := placement.NewZone(placement.Cells{})
+	for _, w := range s.zone.Inventory().Workers() {
+		idle.AddWorker(w)
+	}
+	idle.ImposeGuarantees(s.guarantees)
+	a, ok := idle.Place(r)
+	return ok && idle.Take(r, a, time.Time{}) == nil
+}
+
+// How long a probe stays due before larger jobs are taken for it.
+const (
+	probeLarge  = time.Minute      // repeatable gangs and guaranteed work
+	probeByAny  = 10 * time.Minute // work that may not be repeated
+	probeSingle = 0                // single repeatable tasks
+)
+
+// openProbes lets a job onto the workers that are out and due for a probe, and
+// shuts them again for the next. Small repeatable jobs go first; if none comes,
+// larger ones follow, or a gang that needs the worker would wait for ever.
 func (s *Scheduler) openProbes(j job.Job, now time.Time) {
-	small := j.Repeatable() && !j.Guaranteed() && j.Shape().Members() == 1
+	patience := probeLarge
+	switch {
+	case !j.Repeatable():
+		patience = probeByAny
+	case !j.Guaranteed() && j.Shape().Members() == 1:
+		patience = probeSingle
+	}
 	for w := range s.ill {
-		s.zone.Bar(w, s.leaving[w] || !small || !s.watch.MayProbe(w, now))
+		s.bar(w, s.leaving[w] || !s.watch.MayProbe(w, now.Add(-patience)))
+	}
+}
+
+// bar sets a worker's bar in the zone if it is not so already.
+func (s *Scheduler) bar(worker string, barred bool) {
+	if s.zone.Inventory().Barred(worker) != barred {
+		s.zone.Bar(worker, barred)
 	}
 }
 
--- a/internal/work/schedule/ended.go
+++ b/internal/work/schedule/ended.go
@@ -59,6 +59,8 @@
 		switch {
 		case end == Done:
 			s.watch.Succeeded(w, id)
+		case end == NotStarted && w == worker:
+			s.watch.Refused(w, id, s.rackOf(w), now)
 		case w != worker || end == WorkerGone || end == Reclaimed || end == Dropped:
 			s.watch.Left(w, id)
 		}
@@ -135,13 +137,13 @@
 	for w := range s.ill {
 		if !s.watch.Out(w) {
 			delete(s.ill, w)
-			s.zone.Bar(w, s.leaving[w])
+			s.bar(w, s.leaving[w])
 			s.epoch++
 		}
 	}
 	for _, w := range s.watch.All() {
 		s.ill[w] = true
-		s.zone.Bar(w, true)
+		s.bar(w, true)
 	}
 }
 
--- a/internal/work/schedule/scheduler.go
+++ b/internal/work/schedule/scheduler.go
@@ -6,6 +6,7 @@
 
 	"guavaglade.example/guavaglade/internal/config/text"
 	"guavaglade.example/guavaglade/internal/fleet/cell"
+	"guavaglade.example/guavaglade/internal/fleet/guarantee"
 	"guavaglade.example/guavaglade/internal/fleet/placement"
 	"guavaglade.example/guavaglade/internal/fleet/quarantine"
 	"guavaglade.example/guavaglade/internal/work/estimate"
@@ -26,6 +27,7 @@
 type Scheduler struct {
 	zone        *placement.Zone
 	config      *text.Config
+	guarantees  []guarantee.Guarantee // in force in the zone
 	without     [guards]bool
 	perAccount  int
 	queue       *queue.Queue
@@ -35,11 +37,11 @@
 	shares      shares
 	histories   estimate.Histories
 	watch       *quarantine.Watch
-	ill         map[string]bool     // workers that the watch barred in the zone
-	leaving     map[string]bool     // workers that Bar barred
-	refused     map[job.ID]int      // refused starts in a row
-	possible    map[cell.Shape]bool // shapes that the zone could place once
-	reserved    reservation         // of the head that finds no room
+	ill         map[string]bool      // workers that the watch barred in the zone
+	leaving     map[string]bool      // workers that Bar barred
+	refused     map[job.ID]int       // refused starts in a row
+	possible    map[queue.Class]bool // classes that the zone could place once under the configuration
+	reserved    reservation          // of the head that finds no room
 	compactions attempts
 	shifts      attempts
 	blocked     map[queue.Class]attempt // when a class last found no room
@@ -64,7 +66,7 @@
 func New(z *placement.Zone, opts ...Option) *Scheduler {
 	s := &Scheduler{
 		zone: z, running: map[job.ID]*runner{}, watch: quarantine.New(), ill: map[string]bool{}, leaving: map[string]bool{},
-		refused: map[job.ID]int{}, possible: map[cell.Shape]bool{}, blocked: map[queue.Class]attempt{},
+		refused: map[job.ID]int{}, possible: map[queue.Class]bool{}, blocked: map[queue.Class]attempt{},
 	}
 	for _, o := range opts {
 		o(s)
@@ -79,11 +81,19 @@
 // Queued returns how many jobs wait.
 func (s *Scheduler) Queued() int { return s.queue.Len() + len(s.claims) }
 
-// Configure puts a configuration in force; what runs is not cut by it.
+// Configure puts a configuration in force; what runs is not cut by it. If its
+// guarantees cannot all be packed on the workers that are there now, it is in
+// force all the same, since it was accepted for the whole system, and the error
+// says which guarantee is at risk.
 func (s *Scheduler) Configure(c *text.Config, zone string) error {
-	s.config = c
+	s.config, s.guarantees = c, c.Guarantees(zone)
+	clear(s.possible)
 	s.epoch++
-	return s.zone.SetGuarantees(c.Guarantees(zone))
+	if err := s.zone.SetGuarantees(s.guarantees); err != nil {
+		s.zone.ImposeGuarantees(s.guarantees)
+		return fmt.Errorf("configure zone %s: in force, but at risk: %w", zone, err)
+	}
+	return nil
 }
 
 // Submit queues a job. A job that is known already changes nothing. If its
--- a/internal/work/schedule/stream_test.go
+++ b/internal/work/schedule/stream_test.go
@@ -168,7 +168,7 @@
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
-func shapeOf(tb testing.TB, text string) cell.Shape {
+func shapeOf(tb interface{ Fatal(...any) }, text string) cell.Shape {
 	var members, accelerators int
 	var adjacency string
 	if _, err := fmt.Sscan(text, &members, &accelerators, &adjacency); err != nil {
