--- /dev/null
+++ b/internal/operator/demo/demo.go
@@ -0,0 +1,227 @@
+package demo
+
+import (
+	"context"
+	_ "embed" // the demo's configuration text
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"guavaglade.example/guavaglade/internal/host/api"
+	"guavaglade.example/guavaglade/internal/host/credential"
+	"guavaglade.example/guavaglade/internal/host/server"
+	"guavaglade.example/guavaglade/internal/operator/client"
+	"guavaglade.example/guavaglade/internal/standin/site"
+	"guavaglade.example/guavaglade/internal/work/job"
+)
+
+//go:embed demo.ini
+var configuration string
+
+// Keys of the demo. They open nothing but the demo.
+const (
+	operatorKey = "demo-operator"
+	accountKey  = "demo-norte"
+	otherKey    = "demo-sur"
+)
+
+// What the demo's jobs do, as the stand-in targets read it.
+var (
+	quick = []byte(`{"runMillis": 200}`)
+	slow  = []byte(`{"runMillis": 3000}`)
+)
+
+const (
+	quickRun  = 200 * time.Millisecond
+	pollEvery = 20 * time.Millisecond
+)
+
+// errUnexpected says that a request of the demo came out otherwise than it must.
+var errUnexpected = errors.New("a request came out otherwise than it must")
+
+// row is a request of the demo and what became of it.
+type row struct {
+	part  string
+	view  api.JobView
+	err   error
+	want  job.State
+	taken time.Duration
+}
+
+// Run runs the demo and prints what became of each request.
+func Run(ctx context.Context, out io.Writer, log logr.Logger) error {
+	b, err := site.Start(ctx, site.WithOperatorKey(credential.NewKey(operatorKey).Hash()), site.WithLog(log))
+	if err != nil {
+		return err
+	}
+	rows, err := play(ctx, b, out)
+	if err == nil {
+		err = printRows(out, rows)
+	}
+	if err == nil {
+		err = printBurn(ctx, b, out)
+	}
+	return errors.Join(err, b.Stop())
+}
+
+// printBurn prints the burn report of all hosts.
+func printBurn(ctx context.Context, b *site.Site, out io.Writer) error {
+	r, err := client.New(b.Callers(0), operatorKey, nil).Burn(ctx)
+	if err != nil {
+		return err
+	}
+	return r.WriteText(out)
+}
+
+func play(ctx context.Context, b *site.Site, out io.Writer) ([]row, error) {
+	if err := apply(ctx, b, out); err != nil {
+		return nil, err
+	}
+	var rows []row
+	rows = append(rows, many(ctx, b, 12, "small jobs", accountKey, "refill.label", quick, job.Succeeded)...)
+	rows = append(rows,
+		one(ctx, b, 0, "gang of 16", accountKey, "refill.plan", "gang", quick, job.Succeeded),
+		one(ctx, b, 1, "may run once only", accountKey, "refill.bill", "bill", quick, job.Succeeded),
+		one(ctx, b, 2, "same request again", accountKey, "refill.bill", "bill", quick, job.Succeeded),
+		one(ctx, b, 2, "can never run", accountKey, "refill.huge", "huge", quick, job.NotRun),
+	)
+	rows = append(rows, reclaim(ctx, b)...)
+	return append(rows, plannedStop(ctx, b)...), nil
+}
+
+// reclaim fills a zone with borrowed work that can be stopped and then asks for
+// the room that another account is guaranteed there.
+func reclaim(ctx context.Context, b *site.Site) []row {
+	const borrowers = 4 // each fills one of the zone's four workers
+	lent := make(chan []row)
+	go func() { lent <- sameHost(ctx, b, borrowers, 0, "borrows idle room", "refill.forecast", slow) }()
+	if !running(ctx, b, borrowers) {
+		return append(<-lent, row{part: "reclaim", err: errUnexpected, want: job.Succeeded})
+	}
+	urgent := one(ctx, b, 0, "takes its guarantee back", otherKey, "refill.urgent", "urgent", quick, job.Succeeded)
+	return append(<-lent, urgent)
+}
+
+// running waits until so many jobs of the first host run.
+func running(ctx context.Context, b *site.Site, want int) bool {
+	c := client.New(b.Callers(0), operatorKey, nil)
+	for ctx.Err() == nil {
+		n := 0
+		jobs, _ := c.Jobs(ctx)
+		for _, v := range jobs {
+			if v.State == job.Running {
+				n++
+			}
+		}
+		if n >= want {
+			return true
+		}
+		time.Sleep(pollEvery)
+	}
+	return false
+}
+
+// plannedStop stops the second host while callers wait at it.
+func plannedStop(ctx context.Context, b *site.Site) []row {
+	const callers = 8
+	done := make(chan []row)
+	go func() { done <- sameHost(ctx, b, callers, 1, "waits while its host stops", "refill.label", slow) }()
+	time.Sleep(quickRun)
+	b.Hosts()[1].Stop()
+	return <-done
+}
+
+// apply makes the text current and waits until all hosts have it in force.
+func apply(ctx context.Context, b *site.Site, out io.Writer) error {
+	c := client.New(b.Callers(0), operatorKey, nil)
+	if _, err := c.Apply(ctx, 0, "demo-1", configuration); err != nil {
+		return fmt.Errorf("apply the demo's text: %w", err)
+	}
+	begun := time.Now()
+	for {
+		rows, err := c.InForce(ctx)
+		if err != nil {
+			return err
+		}
+		if len(rows) == len(b.Hosts()) && everywhere(rows, 1) {
+			_, err = fmt.Fprintf(out, "version 1 in force on %d hosts of %d zones after %s\n", len(rows), len(b.Zones()), time.Since(begun).Round(time.Millisecond))
+			return err
+		}
+		select {
+		case <-time.After(20 * time.Millisecond):
+		case <-ctx.Done():
+			return fmt.Errorf("wait for version 1 in force: %w", ctx.Err())
+		}
+	}
+}
+
+func everywhere(rows []server.InForce, version int64) bool {
+	for _, r := range rows {
+		if r.Version != version {
+			return false
+		}
+	}
+	return true
+}
+
+func one(ctx context.Context, b *site.Site, first int, part, key, kind, request string, input []byte, want job.State) row {
+	begun := time.Now()
+	service, name, _ := strings.Cut(kind, ".")
+	r := server.Request{RequestID: request, Service: service, Job: name, Input: input}
+	v, err := client.New(b.Callers(first), key, nil).Submit(ctx, r, 20*time.Second)
+	return row{part: part, view: v, err: err, want: want, taken: time.Since(begun)}
+}
+
+// many submits jobs to all hosts in turn, at once.
+func many(ctx context.Context, b *site.Site, n int, part, key, kind string, input []byte, want job.State) []row {
+	return gather(n, func(i int) row {
+		return one(ctx, b, i, part, key, kind, fmt.Sprintf("%s-%d", kind, i), input, want)
+	})
+}
+
+// sameHost submits jobs to one host, at once.
+func sameHost(ctx context.Context, b *site.Site, n, host int, part, kind string, input []byte) []row {
+	return gather(n, func(i int) row {
+		return one(ctx, b, host, part, accountKey, kind, fmt.Sprintf("%s-at%d-%d", kind, host, i), input, job.Succeeded)
+	})
+}
+
+func gather(n int, f func(i int) row) []row {
+	rows := make([]row, n)
+	var wg sync.WaitGroup
+	for i := range n {
+		wg.Go(func() { rows[i] = f(i) })
+	}
+	wg.Wait()
+	return rows
+}
+
+func printRows(out io.Writer, rows []row) error {
+	w := tabwriter.NewWriter(out, 2, 8, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "PART\tJOB\tSTATE\tATTEMPT\tTIME\tREASON")
+	bad := 0
+	for _, r := range rows {
+		reason := r.view.Reason
+		if r.err != nil {
+			reason = r.err.Error()
+		}
+		if r.err != nil || r.view.State != r.want {
+			bad++
+			reason = fmt.Sprintf("WANT %s: %s", r.want, reason)
+		}
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\n", r.part, r.view.ID, r.view.State, r.view.Attempt, r.taken.Round(time.Millisecond), reason)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	if bad > 0 {
+		return fmt.Errorf("%d of %d: %w", bad, len(rows), errUnexpected)
+	}
+	return nil
+}
--- a/internal/work/schedule/decide.go
+++ b/internal/work/schedule/decide.go
@@ -6,6 +6,7 @@
 	"math"
 	"time"
 
+	"guavaglade.example/guavaglade/internal/fleet/cell"
 	"guavaglade.example/guavaglade/internal/fleet/placement"
 	"guavaglade.example/guavaglade/internal/work/job"
 	"guavaglade.example/guavaglade/internal/work/queue"
@@ -176,9 +177,9 @@
 	}
 	s.holdReserved(key.long, r.now)
 	s.openProbes(it.Job, r.now)
-	a, ok := s.zone.Place(request)
-	if ok {
-		ok = s.zone.Take(request, a, r.now) == nil
+	a, ok := s.takeElsewhere(request, r.now)
+	if !ok {
+		a, ok = s.take(request, r.now)
 	}
 	if !ok {
 		r.full[key] = true
@@ -191,6 +192,31 @@
 	return true
 }
 
+func (s *Scheduler) take(r placement.Request, now time.Time) (cell.Assignment, bool) {
+	a, ok := s.zone.Place(r)
+	return a, ok && s.zone.Take(r, a, now) == nil
+}
+
+// takeElsewhere takes room away from the workers that the job failed on; ok is
+// false if it failed on none, or there is no other room.
+func (s *Scheduler) takeElsewhere(r placement.Request, now time.Time) (a cell.Assignment, ok bool) {
+	var shut []string
+	for _, w := range s.watch.FailedOn(r.Owner) {
+		if !s.zone.Inventory().Barred(w) {
+			shut = append(shut, w)
+			s.bar(w, true)
+		}
+	}
+	if len(shut) == 0 {
+		return nil, false
+	}
+	a, ok = s.take(r, now)
+	for _, w := range shut {
+		s.bar(w, false)
+	}
+	return a, ok
+}
+
 // roomFor returns what decides whether the job finds room. Borrowers find the
 // same room whatever their account; a claim is on the account's own.
 func (s *Scheduler) roomFor(c queue.Class, it queue.Item, now time.Time) room {
@@ -233,26 +259,28 @@
 	return ok && idle.Take(r, a, time.Time{}) == nil
 }
 
-// How long a probe stays due before larger jobs are taken for it.
+// probePatience is how long a job waits for others to probe the workers that it
+// needs. After that it may be the probe itself: without that a gang that needs a
+// worker that is out waits for ever when no small job comes. Work that may not
+// be repeated waits longer, since a failed probe would be its end.
 const (
-	probeLarge  = time.Minute      // repeatable gangs and guaranteed work
-	probeByAny  = 10 * time.Minute // work that may not be repeated
-	probeSingle = 0                // single repeatable tasks
+	probePatience = time.Minute
+	probeOnce     = 10 * time.Minute
 )
 
-// openProbes lets a job onto the workers that are out and due for a probe, and
-// shuts them again for the next. Small repeatable jobs go first; if none comes,
-// larger ones follow, or a gang that needs the worker would wait for ever.
+// openProbes lets a small repeatable job, or one that waited long, onto workers
+// that are out and due for a probe, and shuts them for everything else.
 func (s *Scheduler) openProbes(j job.Job, now time.Time) {
-	patience := probeLarge
+	patience := probePatience
 	switch {
 	case !j.Repeatable():
-		patience = probeByAny
+		patience = probeOnce
 	case !j.Guaranteed() && j.Shape().Members() == 1:
-		patience = probeSingle
+		patience = 0
 	}
+	fit := now.Sub(j.Submitted()) >= patience
 	for w := range s.ill {
-		s.bar(w, s.leaving[w] || !s.watch.MayProbe(w, now.Add(-patience)))
+		s.bar(w, s.leaving[w] || !fit || !s.watch.MayProbe(w, now))
 	}
 }
 
--- a/internal/work/schedule/machine_test.go
+++ b/internal/work/schedule/machine_test.go
@@ -31,7 +31,7 @@
 	configs  []*text.Config
 }
 
-const smallText = "[service s]\ncompletionWeight = 0.5\nfragmentationWeight = 0.5\n[account a]\nkeyHash = %064d\nweight = 1\n[account b]\nkeyHash = %064d\nweight = 2\n"
+const smallText = "[service s]\ncompletionWeight = 0.5\nfragmentationWeight = 0.5\n[account a]\noperator = true\nkeyHash = %064d\nweight = 1\n[account b]\nkeyHash = %064d\nweight = 2\n"
 
 const smallGuarantee = "[guarantee %s]\nmembers = %d\naccelerators = %d\ncores = %d\nmemory = %d\nadjacency = %s\nzones = z\ncount = 1\n"
 
--- a/internal/work/schedule/stream_test.go
+++ b/internal/work/schedule/stream_test.go
@@ -199,7 +199,7 @@
 		var adjacency string
 		fmt.Sscan(m.shape, &members, &accelerators, &adjacency)
 		if !accounts[m.account] {
-			fmt.Fprintf(&b, "[account %s]\nkeyHash = %064d\nweight = 1\n", m.account, len(accounts))
+			fmt.Fprintf(&b, "[account %s]\noperator = true\nkeyHash = %064d\nweight = 1\n", m.account, len(accounts))
 		}
 		accounts[m.account] = true
 		shape := fmt.Sprintf("members = %d\naccelerators = %d\ncores = %d\nmemory = %d\nadjacency = %s\n", members, accelerators, 2*accelerators, 8<<10*accelerators, adjacency)
--- a/internal/work/schedule/urgent_test.go
+++ b/internal/work/schedule/urgent_test.go
@@ -64,8 +64,8 @@
 	urgent := newJob(t, "urgent", "kioscos", "1 8 worker", job.Urgent(true), job.SubmittedAt(arrival, "", "z"))
 	s.Submit(urgent, arrival)
 	stops := s.Decide(arrival)
-	is.Equal(len(stops), 8)                                 // a worker's eight borrowers are warned
-	is.Equal(s.NextWake(arrival), arrival.Add(time.Second)) // looks again at the latest then
+	is.Equal(len(stops), 8)                                    // a worker's eight borrowers are warned
+	is.Equal(s.NextWake(arrival), arrival.Add(schedule.Grace)) // to stop hard whoever is left
 	s.Submit(newJob(t, "thief", "formulas", "1 1 any"), arrival)
 	for i, d := range stops {
 		is.Equal(d.Action, schedule.Stop)
@@ -140,24 +140,39 @@
 	for i := range 12 {
 		s.Submit(newJob(t, fmt.Sprintf("fixed%d", i), "formulas", "1 8 worker", fixed...), epoch)
 	}
-	s.Decide(epoch)
+	for i := range 8 {
+		s.Submit(newJob(t, fmt.Sprintf("lent%d", i), "formulas", "1 8 worker", job.Stoppable(true), job.Declared(time.Hour)), epoch)
+	}
+	is.Equal(len(s.Decide(epoch)), 20)
 	s.Submit(newJob(t, "gang", "entregas", "8 8 rack", job.Stoppable(true)), epoch)
 	s.Decide(epoch)
 	head, planned, ok := s.Planned()
 	is.True(ok)
 	is.Equal(head, job.ID("gang"))
+	ends := map[job.ID]time.Time{}
 	for i := range 200 {
 		now := epoch.Add(time.Duration(i) * 20 * time.Second)
 		run := time.Duration(1+i*37%120) * time.Minute
 		s.Submit(newJob(t, fmt.Sprintf("small%d", i), "kioscos", "1 2 any", job.Declared(run), job.SubmittedAt(now, "", "z")), now)
 		for _, d := range s.Decide(now) {
 			if d.Job.ID() == "gang" {
+				is.True(!now.After(planned.Add(20 * time.Second))) // the step of this test
 				return
 			}
+			ends[d.Job.ID()] = now.Add(d.Job.Declared())
 		}
 		if _, at, ok := s.Planned(); ok && now.Before(planned) {
 			is.Equal(at, planned)
 		}
+		for i := range 12 {
+			ends[job.ID(fmt.Sprintf("fixed%d", i))] = planned
+			ends[job.ID(fmt.Sprintf("lent%d", i))] = planned
+		}
+		for id, at := range ends {
+			if !at.After(now) {
+				s.Ended(id, schedule.Done, "", now)
+			}
+		}
 	}
 	t.Fatal("the gang never started")
 }
@@ -192,12 +207,16 @@
 func TestFastFailingWorkerIsBarred(t *testing.T) {
 	is := is.New(t)
 	s := fleet(t)
-	crashes := 0
+	crashes, ill := 0, ""
 	for i := range 300 {
 		now := epoch.Add(time.Duration(i) * 100 * time.Millisecond)
 		s.Submit(newJob(t, fmt.Sprintf("j%d", i), "formulas", "1 1 any", job.SubmittedAt(now, "", "z")), now)
 		for _, d := range s.Decide(now) {
-			if w := d.Assignment[0].Worker; w == "w00" {
+			w := d.Assignment[0].Worker
+			if ill == "" {
+				ill = w // the one that the policy likes best
+			}
+			if w == ill {
 				s.Ended(d.Job.ID(), schedule.Crashed, w, now)
 				crashes++
 			} else {
@@ -205,7 +224,7 @@
 			}
 		}
 	}
-	is.Equal(s.Quarantined(), []string{"w00"})
+	is.Equal(s.Quarantined(), []string{ill})
 	is.True(crashes <= 4) // three and a probe, of 300
 }
 
@@ -217,6 +236,7 @@
 	s.Submit(newJob(t, "bad", "formulas", "1 8 worker"), epoch)
 	for i := range 100 {
 		now := epoch.Add(time.Duration(i) * time.Second)
+		s.Submit(newJob(t, fmt.Sprintf("good%d", i), "kioscos", "1 8 worker", job.SubmittedAt(now, "", "z")), now)
 		for _, d := range s.Decide(now) {
 			if d.Action == schedule.Fail {
 				is.Equal(len(s.Quarantined()), 0)
@@ -224,8 +244,11 @@
 				return
 			}
 			w := d.Assignment[0].Worker
-			s.Ended("bad", schedule.Crashed, w, now)
-			s.Submit(newJob(t, fmt.Sprintf("good%d", i), "kioscos", "1 8 worker", job.SubmittedAt(now, "", "z")), now)
+			end := schedule.Done
+			if d.Job.ID() == "bad" {
+				end = schedule.Crashed
+			}
+			s.Ended(d.Job.ID(), end, w, now)
 		}
 	}
 	t.Fatal("the job was tried for ever")
