--- a/internal/host/server/node.go
+++ b/internal/host/server/node.go
@@ -20,14 +20,17 @@
 	"guavaglade.example/guavaglade/internal/config/inforce"
 	"guavaglade.example/guavaglade/internal/fleet/remote"
 	"guavaglade.example/guavaglade/internal/fleet/target"
+	"guavaglade.example/guavaglade/internal/host/admission"
 	"guavaglade.example/guavaglade/internal/host/intake"
 	"guavaglade.example/guavaglade/internal/host/member"
 	"guavaglade.example/guavaglade/internal/host/peer"
+	"guavaglade.example/guavaglade/internal/host/retry"
 	"guavaglade.example/guavaglade/internal/host/settings"
 	"guavaglade.example/guavaglade/internal/host/ticket"
 	"guavaglade.example/guavaglade/internal/platform/budget"
 	"guavaglade.example/guavaglade/internal/platform/ledger"
 	"guavaglade.example/guavaglade/internal/platform/table"
+	"guavaglade.example/guavaglade/internal/report/burn"
 	"guavaglade.example/guavaglade/internal/work/job"
 	"guavaglade.example/guavaglade/internal/work/placer"
 )
@@ -59,7 +62,13 @@
 	log      logr.Logger
 	metrics  tally.Scope
 	workerRT http.RoundTripper
-	id       string // peer address with incarnation
+	peerTLS  peer.Client // nil for plain TCP
+	dial     peer.Dial   // nil for the usual one
+	burn     *burn.Recorder
+	gate     admission.Gate
+	retries  *retry.Caller // of calls to the platform that are idempotent
+	services *retry.Caller // circuits of the services, by name
+	id       string        // peer address with incarnation
 
 	work  chan func()
 	ended chan struct{}  // closed when the loop has ended
@@ -81,7 +90,8 @@
 	copies     map[job.ID]job.Job       // jobs that are not durable, kept for another entry
 	tickets    *ticket.Book
 	stopping   bool
-	askAgainAt string // caller address of the host that took over at a planned stop
+	inherited  []burn.Snapshot // of hosts that stopped as planned and handed over
+	askAgainAt string          // caller address of the host that took over at a planned stop
 }
 
 // ErrEnded says that the host has ended.
@@ -97,9 +107,10 @@
 func WithMetrics(s tally.Scope) Option { return func(n *Node) { n.metrics = s } }
 
 // WithPeerTLS sets the TLS of outgoing connections to other hosts.
-func WithPeerTLS(c peer.Client) Option {
-	return func(n *Node) { n.net = peer.New(n.handle, c) }
-}
+func WithPeerTLS(c peer.Client) Option { return func(n *Node) { n.peerTLS = c } }
+
+// WithDial sets how the node reaches peers and workers, by default as usual.
+func WithDial(d peer.Dial) Option { return func(n *Node) { n.dial = d } }
 
 // New returns a node that is not running yet. incarnation must be higher than
 // that of any earlier process at the same peer address. It refuses settings
@@ -107,20 +118,27 @@
 func New(s settings.Settings, p table.Platform, incarnation int64, opts ...Option) (*Node, error) {
 	n := &Node{
 		settings: s, platform: p, log: logr.Discard(), metrics: tally.NoopScope,
-		workerRT: remote.Transport(workerShare),
-		id:       s.PeerAddress() + "#" + strconv.FormatInt(incarnation, 10),
-		work:     make(chan func(), maxLoopBacklog),
-		ended:    make(chan struct{}),
+		id:    s.PeerAddress() + "#" + strconv.FormatInt(incarnation, 10),
+		work:  make(chan func(), maxLoopBacklog),
+		ended: make(chan struct{}),
 		members: member.New(member.Host{
 			Address: s.PeerAddress(), Zone: s.Zone(), Incarnation: incarnation, Protocol: protocol,
 		}, member.WithSeeds(seedsOf(s)...)),
 		entry: intake.New(s.Zone()), waiting: map[job.ID]chan struct{}{},
 		workers: map[string]target.Worker{}, addresses: map[string]string{}, delivering: map[delivery]bool{}, durable: map[job.ID]bool{}, copies: map[job.ID]job.Job{},
 	}
-	n.net = peer.New(n.handle, nil)
 	for _, o := range opts {
 		o(n)
 	}
+	n.net = peer.New(n.handle, n.peerTLS, n.dial)
+	n.workerRT = remote.Transport(workerShare, n.dial)
+	n.burn, n.retries = burn.New(n.id), retry.New()
+	n.services = retry.New(retry.WithTries(1), retry.WithCircuit(serviceFailures, serviceRest))
+	gate, err := admission.New(s.QueueLimit())
+	if err != nil {
+		return nil, fmt.Errorf("host %s: %w", n.id, err)
+	}
+	n.gate = gate
 	if err := n.openLedger(); err != nil {
 		return nil, fmt.Errorf("host %s: %w", n.id, err)
 	}
