peer: ask for the TLS configuration of each connection

Cause: a tls.Config given once holds the authorities of that moment, so a replaced authority would need a restart, and it names no host to verify. Change: New takes a function of the address (credential.Mutual.Client fits). Nil is plain TCP, as before; no caller passed a configuration yet.

--- a/internal/host/peer/net.go
+++ b/internal/host/peer/net.go
@@ -27,10 +27,15 @@
 // JSON. It is called by several goroutines at once.
 type Handler func(ctx context.Context, method string, params json.RawMessage) (any, error)
 
+// ClientTLS gives the TLS configuration of one connection to the peer at
+// IP:port. It is asked for each connection, so that replaced certificates and
+// authorities are used from the next one on.
+type ClientTLS func(address string) (*tls.Config, error)
+
 // Net is one host's connections to its peers, safe for several goroutines.
 type Net struct {
 	handler Handler
-	tls     *tls.Config // of outgoing connections; nil for plain TCP
+	tls     ClientTLS // of outgoing connections; nil for plain TCP
 	mu      sync.Mutex
 	conns   map[string]*jsonrpc2.Conn // by address
 	closed  bool
@@ -39,7 +44,7 @@
 
 // New returns a net whose incoming calls go to h. If client is nil, it dials
 // plain TCP.
-func New(h Handler, client *tls.Config) *Net {
+func New(h Handler, client ClientTLS) *Net {
 	return &Net{handler: h, tls: client, conns: map[string]*jsonrpc2.Conn{}, served: map[*jsonrpc2.Conn]bool{}}
 }
 
@@ -165,7 +170,11 @@
 	if n.tls == nil {
 		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	}
-	return (&tls.Dialer{Config: n.tls}).DialContext(ctx, "tcp", address)
+	config, err := n.tls(address)
+	if err != nil {
+		return nil, err
+	}
+	return (&tls.Dialer{Config: config}).DialContext(ctx, "tcp", address)
 }
 
 func (n *Net) drop(address string, conn *jsonrpc2.Conn) {
--- a/internal/host/server/node.go
+++ b/internal/host/server/node.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	crand "crypto/rand"
-	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -98,7 +97,7 @@
 func WithMetrics(s tally.Scope) Option { return func(n *Node) { n.metrics = s } }
 
 // WithPeerTLS sets the TLS of outgoing connections to other hosts.
-func WithPeerTLS(c *tls.Config) Option {
+func WithPeerTLS(c peer.ClientTLS) Option {
 	return func(n *Node) { n.net = peer.New(n.handle, c) }
 }
 
