--- a/internal/host/peer/net.go
+++ b/internal/host/peer/net.go
@@ -27,15 +27,13 @@
 // JSON. It is called by several goroutines at once.
 type Handler func(ctx context.Context, method string, params json.RawMessage) (any, error)
 
-// ClientTLS gives the TLS configuration of one connection to the peer at
-// IP:port. It is asked for each connection, so that replaced certificates and
-// authorities are used from the next one on.
-type ClientTLS func(address string) (*tls.Config, error)
+// Client returns the TLS configuration for one connection to a peer at IP:port.
+type Client func(address string) (*tls.Config, error)
 
 // Net is one host's connections to its peers, safe for several goroutines.
 type Net struct {
 	handler Handler
-	tls     ClientTLS // of outgoing connections; nil for plain TCP
+	tls     Client // of outgoing connections; nil for plain TCP
 	mu      sync.Mutex
 	conns   map[string]*jsonrpc2.Conn // by address
 	closed  bool
@@ -44,7 +42,7 @@
 
 // New returns a net whose incoming calls go to h. If client is nil, it dials
 // plain TCP.
-func New(h Handler, client ClientTLS) *Net {
+func New(h Handler, client Client) *Net {
 	return &Net{handler: h, tls: client, conns: map[string]*jsonrpc2.Conn{}, served: map[*jsonrpc2.Conn]bool{}}
 }
 
--- a/internal/host/server/node.go
+++ b/internal/host/server/node.go
@@ -97,7 +97,7 @@
 func WithMetrics(s tally.Scope) Option { return func(n *Node) { n.metrics = s } }
 
 // WithPeerTLS sets the TLS of outgoing connections to other hosts.
-func WithPeerTLS(c peer.ClientTLS) Option {
+func WithPeerTLS(c peer.Client) Option {
 	return func(n *Node) { n.net = peer.New(n.handle, c) }
 }
 
