docs: README, design, configuration, operating, assumptions, glossary, OpenAPI

Change: the pages, each with what it says checked against the code of today where that is in; tests hold that each key of settings and text is documented.

--- a/internal/config/text/parse_test.go
+++ b/internal/config/text/parse_test.go
@@ -202,6 +202,24 @@
 	}
 }
 
+// TestEachKeyIsDocumented takes the keys from the faults that name those known.
+func TestEachKeyIsDocumented(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../../docs/CONFIGURATION.md")
+	is.NoErr(err)
+	for _, section := range []string{"zone a", "service a", "job a.b", "account a", "guarantee a.b", "target a"} {
+		faults := text.Check([]byte("[" + section + "]\nnoSuchKey = 1\n")).Error()
+		_, known, ok := strings.Cut(faults, "known here: ")
+		is.True(ok)
+		known, _, _ = strings.Cut(known, "\n")
+		for _, key := range strings.Split(known, ", ") {
+			if !strings.Contains(string(page), "`"+key+"`") {
+				t.Errorf("key %s of [%s] is not documented", key, section)
+			}
+		}
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(sound))
 	f.Add([]byte("\ufeff[zone a]\r\nworkers = 0\r\n[job a.b]\nmembers = -1\n"))
--- a/internal/host/settings/settings_test.go
+++ b/internal/host/settings/settings_test.go
@@ -102,6 +102,20 @@
 	goldie.New(t).Assert(t, "print", bytes.ReplaceAll(first.Bytes(), []byte(file), []byte("host.ini")))
 }
 
+func TestEachKeyIsDocumented(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../../docs/CONFIGURATION.md")
+	is.NoErr(err)
+	var printed bytes.Buffer
+	is.NoErr(settings.Settings{}.Print(&printed))
+	for _, line := range strings.Split(strings.TrimSpace(printed.String()), "\n") {
+		key := strings.Fields(strings.TrimPrefix(line, "; "))[0]
+		if !strings.HasPrefix(key, "[") && !strings.Contains(string(page), "`"+key+"`") {
+			t.Errorf("setting %s is not documented", key)
+		}
+	}
+}
+
 func TestNewRefusesHostNames(t *testing.T) {
 	is := is.New(t)
 	_, err := settings.New("z", "127.0.0.1:0", "127.0.0.1:0", "localhost:1")
