--- a/internal/report/burn/report.go
+++ b/internal/report/burn/report.go
@@ -85,8 +85,12 @@
 	Lines   []Line    `json:"lines"`             // by service; all accounts first, then each
 }
 
-// Report works out the report at a time.
+// Report works out the report at a time. It refuses a snapshot whose counts or
+// latencies cannot be right.
 func (s Snapshot) Report(now time.Time, objectives Objectives) (Report, error) {
+	if err := s.check(nil); err != nil {
+		return Report{}, fmt.Errorf("burn report: %w", err)
+	}
 	out := Report{At: now.UTC(), Hosts: s.Hosts, Dropped: s.Dropped, Lines: []Line{}}
 	series := slices.Clone(s.Series)
 	for len(series) > 0 {
@@ -95,33 +99,25 @@
 		if end < 0 {
 			end = len(series)
 		}
-		lines, err := linesOf(series[:end], objectives[service], now)
-		if err != nil {
-			return Report{}, fmt.Errorf("burn report: %w", err)
-		}
-		out.Lines = append(out.Lines, lines...)
+		out.Lines = append(out.Lines, linesOf(series[:end], objectives[service], now)...)
 		series = series[end:]
 	}
 	return out, nil
 }
 
 // linesOf returns the lines of one service: all accounts first, then each.
-func linesOf(accounts []Series, o text.Objective, now time.Time) ([]Line, error) {
+func linesOf(accounts []Series, o text.Objective, now time.Time) []Line {
 	total := newSum()
 	lines := make([]Line, 1, len(accounts)+1)
 	for _, one := range accounts {
 		alone := newSum()
-		if err := alone.add(one); err != nil {
-			return nil, err
-		}
-		if err := total.add(one); err != nil {
-			return nil, err
-		}
+		alone.add(one)
+		total.add(one)
 		lines = append(lines, lineOf(seriesName{one.Service, one.Account}, alone, o, now))
 	}
 	lines[0] = lineOf(seriesName{service: accounts[0].Service}, total, o, now)
 	lines[0].History = history(total.sorted(), o.Target, now)
-	return lines, nil
+	return lines
 }
 
 func lineOf(name seriesName, s *sum, o text.Objective, now time.Time) Line {
--- a/internal/report/burn/series.go
+++ b/internal/report/burn/series.go
@@ -62,23 +62,44 @@
 	if minute < 0 {
 		return
 	}
-	slot := &s.ring[minute%ringMinutes]
-	if minute < slot.At {
+	one := Minute{At: minute, Bad: 1}
+	if good {
+		one = Minute{At: minute, Good: 1}
+	}
+	if !s.addMinute(one) {
 		return
 	}
-	if minute > slot.At {
-		*slot = Minute{At: minute}
+	s.recordLatencies(latency.Milliseconds(), 1, at)
+}
+
+// addMinute adds the counts of a minute, unless it is older than the ring.
+func (s *series) addMinute(m Minute) bool {
+	slot := &s.ring[m.At%ringMinutes]
+	if m.At < slot.At {
+		return false
 	}
-	if good {
-		slot.Good++
-	} else {
-		slot.Bad++
+	if m.At > slot.At {
+		*slot = Minute{At: m.At}
+	}
+	slot.Good += m.Good
+	slot.Bad += m.Bad
+	s.newest = max(s.newest, m.At)
+	return true
+}
+
+// absorb adds what another host counted up to now. Its latencies count as of now.
+func (s *series) absorb(one Series, now time.Time) {
+	for _, m := range one.Minutes {
+		if m.At <= minuteOf(now) {
+			s.addMinute(m)
+		}
+	}
+	for _, l := range one.Latency {
+		s.recordLatencies(l.MS, l.Count, now)
 	}
-	s.newest = max(s.newest, minute)
-	s.recordLatency(latency, at)
 }
 
-func (s *series) recordLatency(latency time.Duration, at time.Time) {
+func (s *series) recordLatencies(ms, count int64, at time.Time) {
 	number := spanOf(at)
 	slot := &s.latencies[number%histogramSpans]
 	if number < slot.number {
@@ -87,8 +108,8 @@
 	if number > slot.number || slot.histogram == nil {
 		*slot = span{number, newHistogram()}
 	}
-	ms := min(max(latency.Milliseconds(), leastLatency), mostLatency)
-	_ = slot.histogram.RecordValue(ms) // in range, so never refused
+	ms = min(max(ms, leastLatency), mostLatency)
+	_ = slot.histogram.RecordValues(ms, count) // in range, so never refused
 }
 
 func (s *series) snapshot(name seriesName, now time.Time) Series {
