--- a/internal/report/burn/series.go
+++ b/internal/report/burn/series.go
@@ -87,18 +87,6 @@
 	return true
 }
 
-// absorb adds what another host counted up to now. Its latencies count as of now.
-func (s *series) absorb(one Series, now time.Time) {
-	for _, m := range one.Minutes {
-		if m.At <= minuteOf(now) {
-			s.addMinute(m)
-		}
-	}
-	for _, l := range one.Latency {
-		s.recordLatencies(l.MS, l.Count, now)
-	}
-}
-
 func (s *series) recordLatencies(ms, count int64, at time.Time) {
 	number := spanOf(at)
 	slot := &s.latencies[number%histogramSpans]
--- a/internal/report/burn/snapshot.go
+++ b/internal/report/burn/snapshot.go
@@ -22,33 +22,25 @@
 	At      time.Time `json:"at"`
 	Series  []Series  `json:"series,omitempty"`  // sorted by service and account
 	Dropped int64     `json:"dropped,omitempty"` // requests that were not counted
-	// Absorbed are hosts that have ended and whose counts are in this snapshot.
-	Absorbed []string `json:"absorbed,omitempty"`
 }
 
 func (s *Snapshot) sort() {
 	slices.Sort(s.Hosts)
-	slices.Sort(s.Absorbed)
 	slices.SortFunc(s.Series, func(a, b Series) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Account, b.Account))
 	})
 }
 
 // Merge joins the snapshots of several hosts. One that would mislead is left
-// out, and the error names it and why: of a host that is in another snapshot
-// already, by itself or absorbed, whose requests would count twice; and one with
-// counts or latencies that cannot be right. The snapshot returned is that of the
+// out, and the error names it and why: one of a host that is in an earlier one,
+// whose requests would count twice, and one with counts or latencies that cannot
+// be right. The snapshot returned is that of the
 // others, also if there is an error.
 func Merge(snapshots ...Snapshot) (Snapshot, error) {
 	var out Snapshot
 	var faults []error
 	sums := map[seriesName]*sum{}
 	known := map[string]bool{}
-	for _, s := range snapshots {
-		for _, host := range s.Absorbed {
-			known[host] = true
-		}
-	}
 	for _, s := range snapshots {
 		if err := s.check(known); err != nil {
 			faults = append(faults, fmt.Errorf("merge burn snapshots: hosts %v: %w", s.Hosts, err))
@@ -76,7 +68,6 @@
 		known[host] = true
 	}
 	s.Hosts = append(s.Hosts, other.Hosts...)
-	s.Absorbed = append(s.Absorbed, other.Absorbed...)
 	s.Dropped += other.Dropped
 	if other.At.After(s.At) {
 		s.At = other.At
