--- a/internal/host/listener/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package listener bounds the connections that a host holds open at once.
-package listener
