--- a/internal/host/settings/field.go
+++ b/internal/host/settings/field.go
@@ -46,7 +46,7 @@
 	timeField("requestTimeout", "duration to read a request, and to write an answer", 100*time.Millisecond, time.Hour, func(s *Settings) *time.Duration { return &s.limits.RequestTimeout }),
 	timeField("maxWait", "duration, longest ?wait= of a caller", 0, 24*time.Hour, func(s *Settings) *time.Duration { return &s.limits.MaxWait }),
 	timeField("stopGrace", "duration that a planned stop waits for callers' answers", 0, time.Hour, func(s *Settings) *time.Duration { return &s.limits.StopGrace }),
-	sizeField("queueLimit", "jobs that wait in one zone's queue", 1, 1<<20, func(s *Settings) *int { return &s.limits.QueueLimit }),
+	sizeField("queueLimit", "open jobs that the host holds; ordinary ones are refused from 80 % on, guaranteed ones from 95 %", 1, 1<<20, func(s *Settings) *int { return &s.limits.QueueLimit }),
 }
 
 func textField(section, key, unit string, required bool, check func(string) error, at func(*Settings) *string) field {
--- a/internal/host/settings/settings.go
+++ b/internal/host/settings/settings.go
@@ -52,7 +52,7 @@
 	RequestTimeout time.Duration // to read a request, and to write an answer
 	MaxWait        time.Duration // longest ?wait= of a caller
 	StopGrace      time.Duration // of a planned stop, for callers that wait
-	QueueLimit     int           // jobs that wait in one zone's queue
+	QueueLimit     int           // open jobs that the host holds
 }
 
 // Option sets one property of new settings.
@@ -180,7 +180,7 @@
 // StopGrace returns how long a planned stop waits for callers' answers.
 func (s Settings) StopGrace() time.Duration { return s.limits.StopGrace }
 
-// QueueLimit returns how many jobs may wait in one zone's queue.
+// QueueLimit returns how many open jobs the host holds at most.
 func (s Settings) QueueLimit() int { return s.limits.QueueLimit }
 
 // LogLevel returns the least level that is logged.
