api: end the settings' operator key with the first configuration

Cause: the key of the settings served for ever, so taking an operator out of the configuration text did not keep that one out. Change: it is looked at only while no configuration is in force. Conclusion: the test fails without the condition (0 instead of 401).

--- a/internal/host/api/api.go
+++ b/internal/host/api/api.go
@@ -83,7 +83,9 @@
 	})
 }
 
-// callerOf finds the account whose key the request shows.
+// callerOf finds the account whose key the request shows. The operator's key of
+// the settings lets the first configuration in and ends with that: if it stayed
+// valid, an operator whose account was taken out of the text could still act.
 func (a *API) callerOf(r *http.Request) (caller, bool) {
 	key, ok := credential.Bearer(r.Header.Get("Authorization"))
 	if !ok {
@@ -98,7 +100,7 @@
 	if found {
 		c.account, c.operator = account, account.Operator()
 	}
-	if key.Matches(a.node.Settings().OperatorKeyHash()) {
+	if config == nil && key.Matches(a.node.Settings().OperatorKeyHash()) {
 		c.operator, found = true, true
 	}
 	return c, found
--- /dev/null
+++ b/internal/host/api/operator_test.go
@@ -0,0 +1,51 @@
+package api_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/host/credential"
+	"guavaglade.example/guavaglade/internal/operator/client"
+	"guavaglade.example/guavaglade/internal/standin/site"
+)
+
+// TestSettingsKeyEndsWithTheFirstText tells of an operator who set a system up
+// with the key of its settings and then named the operators in the text. The
+// key of the settings must not serve any more, or taking an operator out of the
+// text would not keep that one out.
+func TestSettingsKeyEndsWithTheFirstText(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	s, err := site.Start(ctx, site.WithHosts(1), site.WithOperatorKey(credential.NewKey("first").Hash()))
+	is.NoErr(err)
+	defer func() { is.NoErr(s.Stop()) }()
+	host := s.Callers(0)[:1]
+	first, named := client.New(host, "first", nil), client.New(host, "named", nil)
+	_, err = named.Configuration(ctx)
+	is.Equal(statusOf(err), http.StatusUnauthorized)
+	_, err = first.Apply(ctx, 0, "change-1", "[account ops]\noperator = true\nkeyHash = "+credential.NewKey("named").Hash()+"\n")
+	is.NoErr(err)
+	for {
+		if v, err := named.Configuration(ctx); err == nil && v.Version == 1 {
+			break
+		}
+		is.NoErr(ctx.Err()) // in force on the host that took it
+		time.Sleep(10 * time.Millisecond)
+	}
+	_, err = first.Configuration(ctx)
+	is.Equal(statusOf(err), http.StatusUnauthorized)
+}
+
+func statusOf(err error) int {
+	var problem *client.Error
+	if errors.As(err, &problem) {
+		return problem.Status
+	}
+	return 0
+}
