text: check the packing of a zone at once

Cause: guarantees were packed one by one to name the first that does not fit, so the time grew with the square of their number; each host checks each version. Change: all at once first; one by one only for a text that is refused. A shape of several jobs is tried once.

--- a/internal/config/text/zone.go
+++ b/internal/config/text/zone.go
@@ -70,45 +70,81 @@
 	if len(rooms) == 0 {
 		return
 	}
+	known := map[cell.Shape]error{}
 	for _, at := range r.jobs {
-		r.jobFits(at, rooms)
+		shape := r.shapeOf(at)
+		err, ok := known[shape]
+		if !ok {
+			err = fitsAny(shape, rooms)
+			known[shape] = err
+		}
+		if err != nil {
+			at.Faultf("", "can run in none of the described zones: %v", err)
+		}
+	}
+	r.packs(rooms)
+}
+
+// shapeOf returns the shape of the job that a section described.
+func (r *reader) shapeOf(at *document.Section) cell.Shape {
+	owner, name, _ := strings.Cut(strings.TrimPrefix(at.Name(), "job "), ".")
+	return r.config.services[owner].kinds[name].shape
+}
+
+// fitsAny returns why a shape fits in none of the zones, nil if it fits in one.
+func fitsAny(s cell.Shape, rooms map[string]*placement.Zone) error {
+	var last error
+	for _, zone := range sortedKeys(rooms) {
+		if last = rooms[zone].CanEver(s); last == nil {
+			return nil
+		}
 	}
-	kept := map[string][]guarantee.Guarantee{}
+	return last
+}
+
+// packs checks the guarantees of each zone.
+func (r *reader) packs(rooms map[string]*placement.Zone) {
+	byZone := map[string][]promise{}
 	for _, p := range r.guarantees {
 		for _, name := range p.zones {
-			room, ok := rooms[name]
-			if !ok {
+			if _, ok := rooms[name]; !ok {
 				p.at.Faultf("zones", "zone %q is not described; add [zone %s]", name, name)
 				continue
 			}
-			kept[name] = pack(p, name, room, kept[name])
+			byZone[name] = append(byZone[name], p)
 		}
 	}
-}
-
-func (r *reader) jobFits(at *document.Section, rooms map[string]*placement.Zone) {
-	owner, name, _ := strings.Cut(strings.TrimPrefix(at.Name(), "job "), ".")
-	shape := r.config.services[owner].kinds[name].shape
-	var last error
-	for _, zone := range sortedKeys(rooms) {
-		if last = rooms[zone].CanEver(shape); last == nil {
-			return
+	for _, name := range sortedKeys(byZone) {
+		// All at once first: a sound text of the size to design for is checked
+		// by each host with each version, and one by one takes seconds.
+		if rooms[name].SetGuarantees(valuesOf(byZone[name])) != nil {
+			packOneByOne(name, rooms[name], byZone[name])
 		}
 	}
-	at.Faultf("", "can run in none of the described zones: %v", last)
 }
 
-// pack adds a guarantee to those of a zone that were packed before it and
-// returns what is packed then.
-func pack(p promise, zone string, room *placement.Zone, before []guarantee.Guarantee) []guarantee.Guarantee {
-	if err := room.CanEver(p.value.Shape()); err != nil {
-		p.at.Faultf("", "zone %s: %v", zone, err)
-		return before
+func valuesOf(ps []promise) []guarantee.Guarantee {
+	gs := make([]guarantee.Guarantee, 0, len(ps))
+	for _, p := range ps {
+		gs = append(gs, p.value)
 	}
-	all := append(before[:len(before):len(before)], p.value)
-	if err := room.SetGuarantees(all); err != nil {
-		p.at.Faultf("", "zone %s: cannot be kept beside the guarantees before it: %v", zone, err)
-		return before
+	return gs
+}
+
+// packOneByOne notes a fault for each guarantee that cannot be kept beside those
+// before it that can.
+func packOneByOne(zone string, room *placement.Zone, ps []promise) {
+	var kept []promise
+	for _, p := range ps {
+		if err := room.CanEver(p.value.Shape()); err != nil {
+			p.at.Faultf("", "zone %s: %v", zone, err)
+			continue
+		}
+		with := append(kept[:len(kept):len(kept)], p)
+		if err := room.SetGuarantees(valuesOf(with)); err != nil {
+			p.at.Faultf("", "zone %s: cannot be kept beside the guarantees before it: %v", zone, err)
+			continue
+		}
+		kept = with
 	}
-	return all
 }
