--- a/internal/fleet/placement/guarantees_test.go
+++ b/internal/fleet/placement/guarantees_test.go
@@ -92,8 +92,19 @@
 	seeded.Check(t, func(t *rapid.T) {
 		f := newFleet(func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "pick") })
 		var story []string
-		for range 30 {
-			story = append(story, f.step())
+		defer func() {
+			p := recover()
+			if s, ok := p.(string); ok {
+				t.Fatalf("%s, after:\n%s", s, strings.Join(story, "\n"))
+			}
+			if p != nil {
+				panic(p)
+			}
+		}()
+		for range 15 {
+			for range 1 + f.pick(3) {
+				story = append(story, f.step())
+			}
 			v, err := f.check()
 			risky += v.risky
 			falsely += v.falselyRisky
@@ -252,3 +263,57 @@
 	z.Free("gang")
 	is.Equal(z.AtRisk(), nil)
 }
+
+// A rack switch goes, and an account's gang of two workers is at risk. The
+// workers come back one after the other. Work that cannot be stopped must not
+// settle on the first one, or the guarantee stays at risk until that ends.
+func TestReturningWorkersRepairGuaranteesFirst(t *testing.T) {
+	is := is.New(t)
+	pair, single := mustShape(2, 4, 1, 1, cell.SameRack), mustShape(1, 4, 1, 1, cell.Any)
+	var workers []cell.Worker
+	for _, id := range []string{"w0", "w1", "other"} {
+		w, err := cell.NewWorker(id, "z", map[string]string{"other": "r1"}[id], 4, 8, 8, 8)
+		is.NoErr(err)
+		workers = append(workers, w)
+	}
+	z := placement.NewZone(nil)
+	for _, w := range workers {
+		z.AddWorker(w)
+	}
+	is.NoErr(z.SetGuarantees([]guarantee.Guarantee{kind("a", pair)}))
+	z.RemoveWorker("w0")
+	z.RemoveWorker("w1")
+	is.Equal(z.AtRisk(), []guarantee.Guarantee{kind("a", pair)})
+
+	z.AddWorker(workers[0])
+	firm := placement.Request{Owner: "firm", Account: "b", Shape: single}
+	a, ok := z.Place(firm)
+	is.True(ok)
+	is.Equal(a[0].Worker, "other")
+	is.NoErr(z.Take(firm, a, time.Unix(0, 0)))
+	_, ok = z.Place(placement.Request{Owner: "next", Account: "b", Shape: single})
+	is.True(!ok) // w0 is the half of the guarantee that is back
+	_, ok = z.Place(placement.Request{Owner: "lent", Account: "b", Shape: single, Stoppable: true})
+	is.True(ok) // and idle, so it is lent
+	z.AddWorker(workers[1])
+	is.Equal(z.AtRisk(), nil)
+}
+
+// An account asks for two small members where its guarantee is one. The slot of
+// the second was counted free although another account's guarantee held it: a
+// place was given and then refused, over and over.
+func TestSmallMembersDoNotTakeOthersSlots(t *testing.T) {
+	is := is.New(t)
+	z := placement.NewZone(nil)
+	for i, accelerators := range []int{1, 0} {
+		w, err := cell.NewWorker(fmt.Sprint("w", i), "z", "r", accelerators, 8, 8, 2-i)
+		is.NoErr(err)
+		z.AddWorker(w)
+	}
+	one, two := mustShape(1, 0, 0, 0, cell.SameWorker), mustShape(2, 0, 0, 0, cell.SameWorker)
+	is.NoErr(z.SetGuarantees([]guarantee.Guarantee{kind("a", mustShape(1, 1, 0, 0, cell.Any)), kind("b", one)}))
+	lent := placement.Request{Owner: "lent", Account: "c", Shape: one, Stoppable: true}
+	is.NoErr(z.Take(lent, cell.Assignment{{Worker: "w1"}}, time.Unix(0, 0)))
+	_, ok := z.Place(placement.Request{Owner: "two", Account: "b", Shape: two, Guaranteed: true})
+	is.True(!ok)
+}
