--- a/internal/platform/ledger/bench_test.go
+++ b/internal/platform/ledger/bench_test.go
@@ -62,3 +62,31 @@
 	}
 	return n
 }
+
+// BenchmarkChange accepts configurations of several lengths. It reports the
+// writes and reads of a change and the bytes of the row that every host polls.
+func BenchmarkChange(b *testing.B) {
+	for _, size := range []int{1000, 10000, 100000} {
+		b.Run(fmt.Sprintf("bytes=%d", size), func(b *testing.B) {
+			f := newFake()
+			reads, n := 0, int64(0)
+			f.before = func(_ context.Context, writes int) {
+				if writes == 0 {
+					reads++
+				}
+			}
+			l := New(f, "10.0.0.1:7000#1764662400000000000")
+			body := bytes.Repeat([]byte("x"), size)
+			for b.Loop() {
+				if _, err := l.Change(b.Context(), n, fmt.Sprintf("%036d", n), body); err != nil {
+					b.Fatal(err)
+				}
+				n++
+				clear(f.history)
+			}
+			b.ReportMetric(float64(f.written)/float64(n), "writes/change")
+			b.ReportMetric(float64(reads)/float64(n), "reads/change")
+			b.ReportMetric(float64(len(f.rows[currentKey].Value)), "B/current")
+		})
+	}
+}
--- a/internal/platform/ledger/config.go
+++ b/internal/platform/ledger/config.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net/url"
 	"slices"
+	"strings"
 
 	"guavaglade.example/guavaglade/internal/platform/table"
 )
@@ -18,8 +19,12 @@
 	bodyPrefix = "config/body/"
 	// KeepBodies is how many versions' texts stay in the table.
 	KeepBodies = 8
-	// KeepChanges is for how many versions a change id is remembered.
-	KeepChanges = 32
+	// KeepChanges is for how many versions before the current one a change id is
+	// remembered. Every host polls the row that holds them.
+	KeepChanges = 12
+	// shortDigest is how many digits are kept of an older text's digest, to tell
+	// whether a change id is used again for another text.
+	shortDigest = 16
 	// baseReads is how often the current version is read again when it is older
 	// than a change's base.
 	baseReads = 3
@@ -39,11 +44,17 @@
 	Digest  string `json:"digest"` // SHA-256 of the text, in hexadecimal
 }
 
+// past is a change that was current before. Its version follows from its place.
+type past struct {
+	Change string `json:"change"`
+	Digest string `json:"digest"` // the first shortDigest digits
+}
+
 // current is the row that says which version is current. The version of the
 // row in the table is that of the configuration.
 type current struct {
 	applied
-	Recent []applied `json:"recent"` // newest first, the current one included
+	Recent []past `json:"recent,omitempty"` // the versions before, newest first
 }
 
 func parseCurrent(row table.Row) (current, error) {
@@ -54,19 +65,35 @@
 	if err := json.Unmarshal(row.Value, &c); err != nil {
 		return current{}, fmt.Errorf("%w: %s: %w", ErrRow, row.Key, err)
 	}
+	if len(c.Digest) < shortDigest {
+		return current{}, fmt.Errorf("%w: %s: digest %q", ErrRow, row.Key, c.Digest)
+	}
 	return c, nil
 }
 
+// find returns a change that became current; an older one has a short digest.
 func (c current) find(change string) (applied, bool) {
-	i := slices.IndexFunc(c.Recent, func(a applied) bool { return a.Change == change })
+	if c.Version > 0 && c.Change == change {
+		return c.applied, true
+	}
+	i := slices.IndexFunc(c.Recent, func(p past) bool { return p.Change == change })
 	if i < 0 {
 		return applied{}, false
 	}
-	return c.Recent[i], true
+	return c.before(i), true
+}
+
+// before returns the change at a place of Recent.
+func (c current) before(i int) applied {
+	p := c.Recent[i]
+	return applied{Version: c.Version - 1 - int64(i), Change: p.Change, Digest: p.Digest}
 }
 
 func (c current) next(a applied) current {
-	recent := append([]applied{a}, c.Recent...)
+	if c.Version == 0 {
+		return current{applied: a}
+	}
+	recent := append([]past{{Change: c.Change, Digest: c.Digest[:shortDigest]}}, c.Recent...)
 	return current{applied: a, Recent: recent[:min(len(recent), KeepChanges)]}
 }
 
@@ -181,7 +208,7 @@
 }
 
 func sameText(done, want applied) error {
-	if done.Digest != want.Digest {
+	if !strings.HasPrefix(want.Digest, done.Digest) {
 		return ErrOtherChange
 	}
 	return nil
@@ -215,10 +242,10 @@
 // dropBody removes the text that is one version too old. What is left over by
 // a failure, or by a change that lost its race, is removed by Sweep.
 func (l *Ledger) dropBody(ctx context.Context, c current) {
-	if len(c.Recent) <= KeepBodies {
+	if len(c.Recent) < KeepBodies {
 		return
 	}
-	w := table.Write{Key: bodyKey(c.Recent[KeepBodies]), Delete: true, Expect: table.AnyVersion}
+	w := table.Write{Key: bodyKey(c.before(KeepBodies - 1)), Delete: true, Expect: table.AnyVersion}
 	_, _ = l.table.Apply(ctx, []table.Write{w})
 }
 
--- a/internal/platform/ledger/ledger_test.go
+++ b/internal/platform/ledger/ledger_test.go
@@ -349,3 +349,28 @@
 		is.Equal(c, Config{Version: 2, Change: "second", Body: []byte("two")})
 	})
 }
+
+// Automation changes the text many times an hour: the newest texts stay, older
+// ones go, and so does the text of a change that lost its race.
+func TestOldTextsGo(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	l := New(f, "host1")
+	is.NoErr(l.writeBody(t.Context(), applied{Version: 1, Change: "lost", Digest: digestOf([]byte("x"))}, []byte("x")))
+	for i := range int64(20) {
+		_, err := l.Change(t.Context(), i, fmt.Sprint("c", i), fmt.Append(nil, "text ", i))
+		is.NoErr(err)
+	}
+	_, err := l.Sweep(t.Context(), 10)
+	is.NoErr(err)
+	texts, err := f.List(t.Context(), bodyPrefix, "", 100)
+	is.NoErr(err)
+	is.Equal(len(texts), KeepBodies)
+	c, err := l.Current(t.Context())
+	is.NoErr(err)
+	is.Equal(string(c.Body), "text 19")
+	v, ok, err := l.Changed(t.Context(), "c10")
+	is.NoErr(err)
+	is.True(ok)
+	is.Equal(v, int64(11))
+}
