server, intake: the last host of a zone goes on placing while it stops; an adopted job is not called not run

Cause: tried by hand with one host to a zone, SIGTERM with callers waiting: the host ceased to place at once, nobody renewed the leases, and its callers waited out the whole grace; a job that ran and was handed to another zone's host was then told notRun by that zone's placer, which never had it. Change: the placer ends only if another host places; a job adopted from another entry may have been given to placers unknown, so a refusal becomes lost; the heir may be in another zone if the own has no other host.

--- a/internal/host/intake/event.go
+++ b/internal/host/intake/event.go
@@ -9,7 +9,12 @@
 
 // Accepted adds a job that the entry answers for. A job that is known changes
 // nothing.
-type Accepted struct{ Job job.Job }
+type Accepted struct {
+	Job job.Job
+	// Adopted says that another entry answered for the job before, whose
+	// placers this one does not know.
+	Adopted bool
+}
 
 // PlacersSeen says who places for each zone now, by zone: the placer's address
 // with its incarnation. A zone without a live host is not in it.
--- a/internal/host/intake/machine.go
+++ b/internal/host/intake/machine.go
@@ -23,6 +23,9 @@
 	MaxLines = 64
 )
 
+// unknownPlacer stands for the placers of the entry before.
+const unknownPlacer = "unknown"
+
 // Line is one line of a job's story.
 type Line struct {
 	At    time.Time `json:"at"`
@@ -124,6 +127,11 @@
 		return nil
 	}
 	r := &Record{job: e.Job, state: job.Queued, zone: m.zone, givenTo: map[string]bool{}}
+	// The entry before may have given the job to a placer that started it. So
+	// no placer's word that it was not run is enough for an adopted job.
+	if e.Adopted {
+		r.givenTo[unknownPlacer] = true
+	}
 	r.add(Line{At: now, State: job.Queued, Step: "admitted", Text: fmt.Sprintf("shape %s of account %s", e.Job.Shape(), e.Job.Account())})
 	m.records[e.Job.ID()] = r
 	return m.give(r, now)
--- /dev/null
+++ b/internal/host/intake/machine_test.go
@@ -0,0 +1,133 @@
+package intake_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/fleet/cell"
+	"guavaglade.example/guavaglade/internal/host/intake"
+	"guavaglade.example/guavaglade/internal/work/job"
+)
+
+var start = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+
+func newJob(t *testing.T) job.Job {
+	t.Helper()
+	s, err := cell.NewShape(1, 1, 1, 1, cell.Any)
+	if err != nil {
+		t.Fatal(err)
+	}
+	j, err := job.New("a-1", "a", "refill", s, job.Repeatable(true))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return j
+}
+
+// given returns a machine that has given the job to placer p1 of its zone.
+func given(t *testing.T, adopted bool) *intake.Machine {
+	t.Helper()
+	m := intake.New("leon")
+	m.Step(intake.PlacersSeen{Placers: map[string]string{"leon": "p1"}}, start)
+	cs := m.Step(intake.Accepted{Job: newJob(t), Adopted: adopted}, start)
+	if len(cs) != 1 {
+		t.Fatalf("accepted: got %v, want one Give", cs)
+	}
+	return m
+}
+
+func outcome(s job.State) job.Outcome { return job.Outcome{Job: "a-1", State: s, At: start} }
+
+func TestNotRunIsTold(t *testing.T) {
+	cases := []struct {
+		name    string
+		adopted bool
+		events  []intake.Event
+		want    job.State
+	}{
+		{"by the only placer that had it", false, nil, job.NotRun},
+		{
+			// The caller's first host hands its jobs over at a planned stop. One
+			// of them runs. The heir's own placer does not know it, finds no room
+			// until the deadline, and says that it was not run.
+			"of an adopted job", true, nil, job.Lost,
+		},
+		{
+			// The placer dies after it was given the job and may have started
+			// it. The next one is given it and refuses.
+			"after another placer had it", false,
+			[]intake.Event{intake.PlacersSeen{Placers: map[string]string{"leon": "p2"}}},
+			job.Lost,
+		},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m := given(t, c.adopted)
+			placer := "p1"
+			for _, e := range c.events {
+				m.Step(e, start)
+				placer = "p2"
+			}
+			cs := m.Step(intake.OutcomeArrived{Placer: placer, Outcome: outcome(job.NotRun)}, start)
+			is.Equal(len(cs), 1)
+			is.Equal(cs[0].(intake.Finish).Outcome.State, c.want) // what the caller is told
+		})
+	}
+}
+
+func TestGivesAgain(t *testing.T) {
+	is := is.New(t)
+	m := given(t, false)
+	is.Equal(len(m.Step(intake.Ticked{}, start.Add(intake.GiveAgainAfter-1))), 0) // not before its time
+	is.Equal(len(m.Step(intake.Ticked{}, start.Add(intake.GiveAgainAfter))), 1)   // the placer was silent
+	m.Step(intake.Taken{Job: "a-1", Placer: "p1"}, start.Add(intake.GiveAgainAfter))
+	is.Equal(len(m.Step(intake.Ticked{}, start.Add(2*intake.GiveAgainAfter))), 0) // the placer has it
+	cs := m.Step(intake.PlacersSeen{Placers: map[string]string{"leon": "p2"}}, start.Add(2*intake.GiveAgainAfter))
+	is.Equal(cs, []intake.Command{intake.Give{Placer: "p2", Job: newJob(t)}})
+}
+
+func TestAnswerThatIsNotWholeIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	m := given(t, false)
+	var cut job.Answer
+	is.NoErr(cut.UnmarshalJSON([]byte(`{"length": 9, "digest": "00", "body": "AAAA"}`)))
+	o := outcome(job.Succeeded)
+	o.Answer = cut
+	is.Equal(len(m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: o}, start)), 0)
+	o.Answer = job.NewAnswer([]byte("whole"))
+	is.Equal(len(m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: o}, start)), 1)
+	is.Equal(len(m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: o}, start)), 0) // doubled
+}
+
+func TestPassedOnOnce(t *testing.T) {
+	is := is.New(t)
+	m := intake.New("leon")
+	m.Step(intake.PlacersSeen{Placers: map[string]string{"leon": "p1", "celaya": "p2"}}, start)
+	m.Step(intake.Accepted{Job: newJob(t)}, start)
+	cs := m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: outcome(job.NotRun)}, start)
+	is.Equal(cs[0].(intake.Give).Placer, "p2") // the home zone can never run it
+	cs = m.Step(intake.OutcomeArrived{Placer: "p2", Outcome: outcome(job.NotRun)}, start)
+	is.Equal(cs[0].(intake.Finish).Outcome.State, job.NotRun) // one hop only
+}
+
+func TestCancelGoesWithEachGiving(t *testing.T) {
+	is := is.New(t)
+	m := given(t, false)
+	is.Equal(m.Step(intake.CancelAsked{Job: "a-1"}, start), []intake.Command{intake.CancelAt{Placer: "p1", Job: "a-1"}})
+	is.Equal(len(m.Step(intake.CancelAsked{Job: "a-1"}, start)), 0) // asked twice
+	cs := m.Step(intake.PlacersSeen{Placers: map[string]string{"leon": "p2"}}, start)
+	is.Equal(len(cs), 2) // the next placer gets the job and its cancellation
+}
+
+func TestOutcomeIsForgotten(t *testing.T) {
+	is := is.New(t)
+	m := given(t, false)
+	m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: outcome(job.Succeeded)}, start)
+	is.Equal(m.Open(), 0)
+	m.Step(intake.Ticked{}, start.Add(intake.KeepFor))
+	_, ok := m.Record("a-1")
+	is.True(!ok)
+}
--- a/internal/host/server/copying.go
+++ b/internal/host/server/copying.go
@@ -63,6 +63,6 @@
 		}
 		delete(n.copies, id)
 		n.log.Info("job", "job", id, "step", "adopt", "peer", j.Entry())
-		n.stepEntry(ctx, intake.Accepted{Job: j.AdoptedBy(n.id)}, now)
+		n.stepEntry(ctx, intake.Accepted{Job: j.AdoptedBy(n.id), Adopted: true}, now)
 	}
 }
--- a/internal/host/server/entering.go
+++ b/internal/host/server/entering.go
@@ -249,5 +249,5 @@
 	}
 	n.log.Info("job", "job", j.ID(), "step", "adopt", "peer", j.Entry())
 	n.durable[j.ID()] = true
-	n.stepEntry(ctx, intake.Accepted{Job: j.AdoptedBy(n.id)}, now)
+	n.stepEntry(ctx, intake.Accepted{Job: j.AdoptedBy(n.id), Adopted: true}, now)
 }
--- a/internal/host/server/membership.go
+++ b/internal/host/server/membership.go
@@ -69,7 +69,11 @@
 	}
 	n.stepEntry(ctx, intake.PlacersSeen{Placers: placers}, now)
 	mine := n.members.Places(now)
+	_, other := placers[n.settings.Zone()]
 	switch {
+	case !mine && n.placer != nil && !other:
+		// The last host of its zone, about to stop: nobody else would renew
+		// the leases that its callers' jobs run under.
 	case mine && n.placer != nil && n.placer.Draining():
 		n.endPlacing()
 	case mine && n.placer == nil:
--- a/internal/host/server/stopping.go
+++ b/internal/host/server/stopping.go
@@ -56,13 +56,14 @@
 // outcomes on their way.
 func (n *Node) unsettled() int { return len(n.waiting) + len(n.delivering) }
 
-// handOver gives the jobs without an outcome to another host of the zone and
-// tells whoever still waits where to ask again.
+// handOver gives the jobs without an outcome to another host and tells whoever still waits where to ask again.
 func (n *Node) handOver(ctx context.Context) error {
 	var open []job.Job
 	var heirs []string
 	if err := n.ask(ctx, func() {
-		heirs = n.peerIDs(n.settings.Zone(), time.Now())
+		// A host of the zone first: it can go on with jobs that run there.
+		now := time.Now()
+		heirs = append(n.peerIDs(n.settings.Zone(), now), n.peerIDs("", now)...)
 		for _, r := range n.entry.Records() {
 			if !r.State().Final() {
 				open = append(open, r.Job())
@@ -76,7 +77,7 @@
 		return err
 	}
 	var to adoptAnswer
-	err = fmt.Errorf("hand over %d jobs: no live host in zone %s", len(open), n.settings.Zone())
+	err = fmt.Errorf("hand over %d jobs: no other host is live", len(open))
 	for _, h := range heirs {
 		if err = n.call(ctx, h, "entry.adopt", adoptBody{Jobs: open, Burn: counted}, &to); err == nil {
 			break
@@ -111,7 +112,7 @@
 		n.inherited = append(n.inherited, b.Burn)
 	}
 	for _, j := range b.Jobs {
-		n.stepEntry(ctx, intake.Accepted{Job: j.AdoptedBy(n.id)}, now)
+		n.stepEntry(ctx, intake.Accepted{Job: j.AdoptedBy(n.id), Adopted: true}, now)
 	}
 }
 
--- a/internal/operator/command/calls.go
+++ b/internal/operator/command/calls.go
@@ -219,6 +219,9 @@
 func (t target) view(s streams, v api.JobView) error {
 	err := t.print(s, v, func(w *tabwriter.Writer) {
 		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\n", v.ID, v.State, v.Reason)
+		if v.AskAgainAt != "" {
+			_, _ = fmt.Fprintf(w, "its host stops; ask again: guavaglade explain --host %s %s\n", v.AskAgainAt, v.ID)
+		}
 		if v.Answer != nil {
 			_, _ = fmt.Fprintf(w, "%s\n", v.Answer.Body())
 		}
