server: give each placing of a host leases of its own

Cause: a host that stops placing and begins again made a new machine with the same identity, so its leases had the names of earlier ones; a ticket's leave given to the first would hold for the second. Change: the term is part of the identity. Conclusion: the state machine runs with identities of this form.

--- a/internal/host/server/membership.go
+++ b/internal/host/server/membership.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"guavaglade.example/guavaglade/internal/host/intake"
@@ -86,7 +87,10 @@
 func (n *Node) beginPlacing(ctx context.Context, now time.Time) {
 	n.term++
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	n.placer = placer.New(n.settings.Zone(), nil, placer.WithIdentity(n.id), placer.WithRand(random))
+	// The term makes the leases of this placing differ from those of an earlier
+	// one in the same process, which is forgotten but may have starts under way.
+	identity := n.id + "/" + strconv.Itoa(n.term)
+	n.placer = placer.New(n.settings.Zone(), nil, placer.WithIdentity(identity), placer.WithRand(random))
 	n.log.Info("placing", "step", "begin", "zone", n.settings.Zone(), "host", n.id)
 	n.metrics.Counter("placer_begun").Inc(1)
 	if c := n.config.Config(); c != nil {
