placer: carry out throttles, failures and hard stops; leave pauses to the scheduler

Cause: the scheduler decides more than the placer carried out, and the placer's own backoff of refused starts dropped what the scheduler knew of the worker. Change: Throttle, Fail and a stop without grace are carried out, usage is passed on, a cancelled job's run time is not learned from. The state machine lost the event on the edge between its two spans, which silenced a host now and then: it is kept.

--- a/internal/work/gang/ending.go
+++ b/internal/work/gang/ending.go
@@ -190,7 +190,9 @@
 }
 
 func (g *Gang) end(c Cause, worker, reason string, grace, now time.Time, soft bool) []Step {
-	if g.phase == Over || g.phase == Ending && !(c == CauseCancel && g.cause != CauseCancel) {
+	cancelled := c == CauseCancel && g.cause != CauseCancel
+	hardened := c == g.cause && g.soft && !soft
+	if g.phase == Over || g.phase == Ending && !cancelled && !hardened {
 		return nil
 	}
 	g.phase, g.cause, g.blame, g.reason = Ending, c, worker, reason
--- a/internal/work/placer/attempt.go
+++ b/internal/work/placer/attempt.go
@@ -116,7 +116,7 @@
 		return m.retryOr(r, schedule.Crashed, res, again && r.crashed(), o, job.Lost, now)
 	case gang.CauseCancel:
 		o.State = job.Cancelled
-		return m.close(r, schedule.Done, "", o, now)
+		return m.close(r, schedule.Dropped, "", o, now)
 	case gang.CauseCrashed:
 		return m.retryOr(r, schedule.Crashed, res, again && r.crashed(), o, job.Failed, now)
 	case gang.CauseLost:
@@ -126,7 +126,7 @@
 	case gang.CauseClaimedElsewhere:
 		return m.claimedElsewhere(r, now)
 	default:
-		return m.notStarted(r, res, again, o, now)
+		return m.retryOr(r, schedule.NotStarted, res, again, o, job.Lost, now)
 	}
 }
 
@@ -148,7 +148,7 @@
 		o.State = s
 		return m.close(r, e, res.Worker, o, now)
 	}
-	r.gang, r.refusals = nil, 0
+	r.gang = nil
 	m.scheduler.Ended(r.job.ID(), e, res.Worker, now)
 	if !m.scheduler.Waiting(r.job.ID()) {
 		m.scheduler.Submit(r.job, now)
@@ -162,22 +162,15 @@
 		return "reclaimed"
 	case schedule.Crashed:
 		return "crashed"
+	case schedule.NotStarted:
+		return "refused"
 	default:
 		return "stopped"
 	}
 }
 
-// notStarted puts the job back after a random pause that doubles, so that two
-// placers that want the same room do not meet again and again.
-func (m *Machine) notStarted(r *record, res gang.Result, again bool, o job.Outcome, now time.Time) []Command {
-	if !again {
-		o.State = job.Lost
-		return m.close(r, schedule.NotStarted, res.Worker, o, now)
-	}
-	m.scheduler.Ended(r.job.ID(), schedule.NotStarted, res.Worker, now)
-	return m.delay(r, "refused", res.Reason, now)
-}
-
+// delay puts the job back after a random pause that doubles, so that two placers
+// that want the same claim do not meet again and again.
 func (m *Machine) delay(r *record, step, reason string, now time.Time) []Command {
 	m.scheduler.Cancel(r.job.ID())
 	pause := min(firstBackoff<<min(r.refusals, 10), lastBackoff)
@@ -201,15 +194,30 @@
 	return []Command{r.tell(job.Starting, "claim", "another placer holds the claim; its gang is looked for")}
 }
 
-// reclaim takes a job's room back, with the grace to write a checkpoint.
+// reclaim takes a job's room back: with the grace to write a checkpoint, or hard
+// if there is none left.
 func (m *Machine) reclaim(r *record, d schedule.Decision, now time.Time) []Command {
 	if r.gang == nil {
 		return nil
 	}
 	cs := []Command{r.tell("", "reclaiming", d.Reason)}
+	if !now.Before(d.Deadline) {
+		return append(cs, m.carry(r, r.gang.End(gang.CauseReclaim, "", d.Reason, now), now)...)
+	}
 	return append(cs, m.carry(r, r.gang.EndSoftly(gang.CauseReclaim, "", d.Reason, d.Deadline, now), now)...)
 }
 
+// throttle caps the cores of a job's members on one worker.
+func (m *Machine) throttle(r *record, d schedule.Decision) []Command {
+	if r.gang == nil {
+		return nil
+	}
+	return []Command{
+		r.tell("", "throttled", d.Reason),
+		ThrottleOn{Worker: d.Worker, Lease: r.gang.Lease(), Cores: float64(d.Cores)},
+	}
+}
+
 // attemptOf returns the record whose attempt under way has the lease.
 func (m *Machine) attemptOf(l target.Lease) (*record, bool) {
 	r, ok := m.records[l.Job]
--- a/internal/work/placer/machine.go
+++ b/internal/work/placer/machine.go
@@ -26,7 +26,7 @@
 	TakenFor     = 30 * time.Second // an outcome is kept for entries that ask late
 	UntakenFor   = 10 * time.Minute // an outcome that no entry takes is forgotten then
 	MaxOutcomes  = 10000            // outcomes kept; the oldest go first
-	MaxCrashes   = 3                // attempts of a repeatable job that may fail
+	MaxCrashes   = 6                // attempts of a repeatable job that may fail, if the scheduler finds no culprit
 	MaxEntries   = 4                // entries that one job is answered to
 	// TakeoverWait is how long a new placer waits for the workers' lists before
 	// it queues what it is given. A job that it does not know may run already.
@@ -180,6 +180,11 @@
 			cs = append(cs, m.refuse(r, d, now)...)
 		case schedule.Stop:
 			cs = append(cs, m.reclaim(r, d, now)...)
+		case schedule.Throttle:
+			cs = append(cs, m.throttle(r, d)...)
+		case schedule.Fail:
+			o := job.Outcome{State: job.Failed, Attempt: r.attempt(), Reason: d.Reason}
+			cs = append(cs, m.settle(r, o, now)...)
 		}
 	}
 	return cs
--- a/internal/work/placer/worker.go
+++ b/internal/work/placer/worker.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -197,6 +198,9 @@
 	if !t.Checkpoint.IsZero() {
 		m.scheduler.Zone().Checkpointed(string(t.Lease.Job), t.Checkpoint)
 	}
+	if r.gang.Phase() == gang.Running && (t.Cores > 0 || t.Memory > 0) {
+		m.scheduler.Used(t.Lease.Job, id, int(math.Ceil(t.Cores)), t.Memory, now)
+	}
 	before := r.gang.Phase()
 	cs := m.carry(r, r.gang.Reported(id, t, now), now)
 	return append(m.startedTell(r, before), cs...)
