--- a/internal/work/placer/worker.go
+++ b/internal/work/placer/worker.go
@@ -1,6 +1,7 @@
 package placer
 
 import (
+	"math"
 	"sort"
 	"time"
 
@@ -33,7 +34,9 @@
 	if len(listed) == 0 {
 		return
 	}
-	m.listed = true
+	if !m.listed {
+		m.listed, m.since = true, now
+	}
 	for id, w := range m.workers {
 		w.listed = listed[id]
 		if !w.listed && len(w.gangs) == 0 && !m.fresh(w, now) {
@@ -195,6 +198,9 @@
 	if !t.Checkpoint.IsZero() {
 		m.scheduler.Zone().Checkpointed(string(t.Lease.Job), t.Checkpoint)
 	}
+	if r.gang.Phase() == gang.Running && (t.Cores > 0 || t.Memory > 0) {
+		m.scheduler.Used(t.Lease.Job, id, int(math.Ceil(t.Cores)), t.Memory, now)
+	}
 	before := r.gang.Phase()
 	cs := m.carry(r, r.gang.Reported(id, t, now), now)
 	return append(m.startedTell(r, before), cs...)
