server, intake: pass a job on only to a zone that could run it

Cause: a job that the home zone can never run went to the first other zone by name, which may be unable too, and that was its only hop. Change: the shell names the zones whose listed workers could hold the shape, most free first; placers announce their free accelerators and queue. Before: the job of 64 x 8 made a hop for nothing. After: it is refused at once in its own zone; the machine's tests pass unchanged.

--- a/internal/host/intake/event.go
+++ b/internal/host/intake/event.go
@@ -30,6 +30,9 @@
 type OutcomeArrived struct {
 	Placer  string
 	Outcome job.Outcome
+	// Zones are the zones that could run a job which its own cannot, the best
+	// one first. If it is nil, any zone with a placer may be able to.
+	Zones []string
 }
 
 // Told is a line of a job's story from its placer.
--- a/internal/host/intake/machine.go
+++ b/internal/host/intake/machine.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -198,7 +200,7 @@
 	if e.Placer != r.placer {
 		return nil
 	}
-	if next, ok := m.elsewhere(r, e.Outcome); ok {
+	if next, ok := m.elsewhere(r, e); ok {
 		r.zone, r.job = next, r.job.PassedOn()
 		r.add(Line{At: now, Step: "passedOn", Text: "to zone " + next + ": " + e.Outcome.Reason})
 		return m.give(r, now)
@@ -212,22 +214,23 @@
 
 // elsewhere returns the zone that a job goes to which the home zone can never
 // run: one hop, and only if nothing was started.
-func (m *Machine) elsewhere(r *Record, o job.Outcome) (zone string, ok bool) {
+func (m *Machine) elsewhere(r *Record, e OutcomeArrived) (zone string, ok bool) {
+	o := e.Outcome
 	never := o.State == job.NotRun && o.Attempt == 0 && o.RetryAfter.IsZero()
-	if !never || r.cancelled || r.job.Hops() > 0 || !r.job.Deadline().IsZero() && !o.At.Before(r.job.Deadline()) {
+	late := !r.job.Deadline().IsZero() && !o.At.Before(r.job.Deadline())
+	if !never || late || r.cancelled || r.job.Hops() > 0 {
 		return "", false
 	}
-	var zones []string
-	for z := range m.placers {
-		if z != m.zone {
-			zones = append(zones, z)
-		}
+	zones := e.Zones
+	if zones == nil {
+		zones = slices.Sorted(maps.Keys(m.placers))
 	}
-	if len(zones) == 0 {
-		return "", false
+	for _, z := range zones {
+		if _, placed := m.placers[z]; placed && z != m.zone {
+			return z, true
+		}
 	}
-	sort.Strings(zones)
-	return zones[0], true
+	return "", false
 }
 
 func (m *Machine) finish(r *Record, o job.Outcome, now time.Time) []Command {
--- a/internal/host/server/entering.go
+++ b/internal/host/server/entering.go
@@ -1,10 +1,13 @@
 package server
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
 
+	"guavaglade.example/guavaglade/internal/fleet/cell"
+	"guavaglade.example/guavaglade/internal/fleet/placement"
 	"guavaglade.example/guavaglade/internal/host/intake"
 	"guavaglade.example/guavaglade/internal/work/gang"
 	"guavaglade.example/guavaglade/internal/work/job"
@@ -41,6 +44,44 @@
 	}
 }
 
+// outcomeArrived gives the entry a placer's word, from the loop. For a job that
+// its zone refused it names the zones which could run it.
+func (n *Node) outcomeArrived(ctx context.Context, b outcomeBody, now time.Time) {
+	ev := intake.OutcomeArrived{Placer: b.Placer, Outcome: b.Outcome}
+	if r, ok := n.entry.Record(b.Outcome.Job); ok && b.Outcome.State == job.NotRun {
+		ev.Zones = n.zonesFor(r.Job().Shape(), now)
+	}
+	n.stepEntry(ctx, ev, now)
+}
+
+// zonesFor returns the zones whose listed workers could hold the shape if all
+// were free, the one with the most free accelerators first. It is never nil.
+func (n *Node) zonesFor(s cell.Shape, now time.Time) []string {
+	byZone := map[string]*placement.Zone{}
+	for _, t := range n.targets {
+		w, err := cell.NewWorker(t.ID, t.Zone, t.Rack, t.Accelerators, t.Cores, t.Memory, t.Slots)
+		if err != nil || t.Leaving {
+			continue
+		}
+		if byZone[t.Zone] == nil {
+			byZone[t.Zone] = placement.NewZone(nil)
+		}
+		byZone[t.Zone].AddWorker(w)
+	}
+	zones := []string{}
+	for z, fleet := range byZone {
+		if fleet.CanEver(s) == nil {
+			zones = append(zones, z)
+		}
+	}
+	free := func(z string) int {
+		load, _ := n.members.LoadOf(z, now)
+		return load.Free
+	}
+	slices.SortFunc(zones, func(a, b string) int { return cmp.Or(cmp.Compare(free(b), free(a)), cmp.Compare(a, b)) })
+	return zones
+}
+
 func (n *Node) finished(ctx context.Context, c intake.Finish) {
 	id := c.Job.ID()
 	if done, ok := n.waiting[id]; ok {
--- a/internal/host/server/membership.go
+++ b/internal/host/server/membership.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/bits"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -27,7 +28,23 @@
 // announce sets what the heartbeats say of this host.
 func (n *Node) announce() {
 	version := member.Version{Number: n.config.Version(), Since: n.config.Since()}
-	n.members.Announce(version, member.Load{})
+	n.members.Announce(version, n.load())
+}
+
+// load is what the placer says of the zone's room; zero if this host does not
+// place.
+func (n *Node) load() member.Load {
+	if n.placer == nil {
+		return member.Load{}
+	}
+	s := n.placer.Scheduler()
+	l := member.Load{Waiting: s.Queued()}
+	inv := s.Zone().Inventory()
+	for _, w := range inv.Workers() {
+		free, _, _, _ := inv.Free(w.ID())
+		l.Free += bits.OnesCount64(free)
+	}
+	return l
 }
 
 func (n *Node) beatTo(ctx context.Context, address string, body member.Beat) {
--- a/internal/host/server/peers.go
+++ b/internal/host/server/peers.go
@@ -41,7 +41,7 @@
 		return v, err
 	case "entry.outcome":
 		var b outcomeBody
-		return n.toEntry(ctx, params, &b, func(now time.Time) { n.stepEntry(keep, intake.OutcomeArrived(b), now) })
+		return n.toEntry(ctx, params, &b, func(now time.Time) { n.outcomeArrived(keep, b, now) })
 	case "entry.told":
 		var lines []toldBody
 		return n.toEntry(ctx, params, &lines, func(now time.Time) {
