server, peer, standin: most heartbeats want no answer; one reader of stand-ins' bodies

Change: three of four heartbeats are notifications, the fourth still finds a connection that a cut broke silently; internal/standin/body; a map by worker.

--- a/internal/host/peer/net.go
+++ b/internal/host/peer/net.go
@@ -160,6 +160,20 @@
 	return fmt.Errorf("%s: peer %s: %w", method, address, err)
 }
 
+// Notify tells a peer at IP:port something and waits for no answer: for what is
+// said again soon anyway. The error is nil if it was sent.
+func (n *Net) Notify(ctx context.Context, address, method string, params any) error {
+	conn, err := n.conn(ctx, address)
+	if err != nil {
+		return fmt.Errorf("%s: peer %s: %w", method, address, err)
+	}
+	if err := conn.Notify(ctx, method, params); err != nil {
+		n.drop(address, conn)
+		return fmt.Errorf("%s: peer %s: %w", method, address, err)
+	}
+	return nil
+}
+
 func (n *Net) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
 	n.mu.Lock()
 	conn, ok := n.conns[address]
--- a/internal/host/server/membership.go
+++ b/internal/host/server/membership.go
@@ -50,7 +50,15 @@
 func (n *Node) beatTo(ctx context.Context, address string, body member.Beat) {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	if err := n.net.Call(ctx, address, "member.beat", body, nil); err != nil {
+	// Most heartbeats want no answer, which would cost as much as they do. But
+	// a connection that a cut has broken silently takes what is written to it
+	// for minutes after the cut has healed; only an answer that does not come
+	// shows it, and then the next call dials again.
+	send := func() error { return n.net.Notify(ctx, address, "member.beat", body) }
+	if body.Seq%answeredBeat == 0 {
+		send = func() error { return n.net.Call(ctx, address, "member.beat", body, nil) }
+	}
+	if err := send(); err != nil {
 		n.metrics.Counter("heartbeats_failed").Inc(1)
 		n.post(ctx, func() { n.members.Unreachable(address) })
 	}
@@ -166,6 +174,10 @@
 
 func (n *Node) listed(ctx context.Context, ts []table.Target, now time.Time) {
 	n.targets = ts
+	n.workerAt = make(map[string]string, len(ts))
+	for _, t := range ts {
+		n.workerAt[t.ID] = t.Address
+	}
 	if n.placer != nil {
 		n.stepPlacer(ctx, placer.TargetsListed{Targets: n.zoneTargets()}, now)
 	}
--- a/internal/host/server/node.go
+++ b/internal/host/server/node.go
@@ -47,6 +47,7 @@
 	adoptEvery       = 5 * time.Second
 	callTime         = 2 * time.Second // bounds a call to a peer or the platform
 	workerShare      = 8               // connections to a worker from one host of up to eight
+	answeredBeat     = 4               // every fourth heartbeat wants an answer
 	protocol         = 1               // newest protocol version between hosts
 	maxLoopBacklog   = 4096
 )
@@ -84,6 +85,7 @@
 	term       int                      // rises each time the placer begins or ends here
 	targets    []table.Target           // the platform's list as last read
 	targetsAt  time.Time                // when it was last asked for
+	workerAt   map[string]string        // the list's addresses, by worker id
 	workers    map[string]target.Worker // by id
 	addresses  map[string]string        // of the workers, by id
 	delivering map[delivery]bool        // outcomes on their way to an entry
--- a/internal/host/server/placing.go
+++ b/internal/host/server/placing.go
@@ -34,22 +34,22 @@
 	term := n.term
 	switch c := c.(type) {
 	case placer.HoldOn:
-		n.atWorker(ctx, c.Worker, func(w target.Worker) {
+		n.atWorker(c.Worker, func(w target.Worker) {
 			n.placerEvent(ctx, term, placer.HoldAnswered{Worker: c.Worker, Lease: c.Hold.Lease, Err: w.Hold(ctx, c.Hold)})
 		})
 	case placer.StartOn:
-		n.atWorker(ctx, c.Worker, func(w target.Worker) {
+		n.atWorker(c.Worker, func(w target.Worker) {
 			n.placerEvent(ctx, term, placer.StartAnswered{Worker: c.Worker, Lease: c.Lease, Err: startBefore(ctx, w, c)})
 		})
 	case placer.RenewOn:
-		n.atWorker(ctx, c.Worker, func(w target.Worker) {
+		n.atWorker(c.Worker, func(w target.Worker) {
 			rep, err := w.Renew(ctx, c.Renewal)
 			n.placerEvent(ctx, term, placer.Reported{
 				Worker: c.Worker, Report: rep, Err: err, Renewed: c.Renewal.Leases, Expires: c.Renewal.Expires,
 			})
 		})
 	case placer.StopOn:
-		n.atWorker(ctx, c.Worker, func(w target.Worker) {
+		n.atWorker(c.Worker, func(w target.Worker) {
 			err := w.Stop(ctx, c.Stop)
 			if err != nil && !errors.Is(err, target.ErrLapsed) {
 				n.log.Info("worker", "step", "stop", "peer", c.Worker, "job", c.Stop.Lease.Job, "error", err.Error())
@@ -57,7 +57,7 @@
 			n.placerEvent(ctx, term, placer.StopAnswered{Worker: c.Worker, Lease: c.Stop.Lease, Err: err})
 		})
 	case placer.ThrottleOn:
-		n.atWorker(ctx, c.Worker, func(w target.Worker) {
+		n.atWorker(c.Worker, func(w target.Worker) {
 			if err := w.Throttle(ctx, c.Lease, c.Cores); err != nil {
 				n.log.Info("worker", "step", "throttle", "peer", c.Worker, "job", c.Lease.Job, "error", err.Error())
 			}
@@ -84,20 +84,17 @@
 
 // atWorker runs f with the worker's client outside of the loop. A worker that
 // is not on the list has no address and f is not called; the lease lapses.
-func (n *Node) atWorker(ctx context.Context, id string, f func(target.Worker)) {
-	for _, t := range n.targets {
-		if t.ID != id {
-			continue
-		}
-		if n.addresses[id] != t.Address {
-			n.addresses[id], n.workers[id] = t.Address, remote.New(t.Address, n.workerRT)
-		}
-		w := n.workers[id]
-		n.spawn(func() { f(w) })
+func (n *Node) atWorker(id string, f func(target.Worker)) {
+	address, ok := n.workerAt[id]
+	if !ok {
+		n.log.Info("worker", "step", "find", "peer", id, "error", "not on the platform's list")
 		return
 	}
-	n.log.Info("worker", "step", "find", "peer", id, "error", "not on the platform's list")
-	_ = ctx
+	if n.addresses[id] != address {
+		n.addresses[id], n.workers[id] = address, remote.New(address, n.workerRT)
+	}
+	w := n.workers[id]
+	n.spawn(func() { f(w) })
 }
 
 // deliver records the outcome if it must outlive its hosts and gives it to an
--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"encoding/json"
 	"errors"
 	"net/http"
 	"sync"
@@ -10,6 +9,7 @@
 	"github.com/gorilla/mux"
 
 	"guavaglade.example/guavaglade/internal/fleet/target"
+	"guavaglade.example/guavaglade/internal/standin/body"
 	"guavaglade.example/guavaglade/internal/work/job"
 )
 
@@ -61,78 +61,78 @@
 }
 
 func (s *Server) hold(w http.ResponseWriter, r *http.Request) {
-	var body struct {
+	var in struct {
 		target.Hold
 		TTLMillis int64 `json:"ttlMillis"`
 	}
-	if !read(w, r, &body) {
+	if !body.Read(w, r, &in) {
 		return
 	}
-	s.answer(w, func(k *Worker, now time.Time) error { return k.Hold(body.Hold, millis(body.TTLMillis), now) })
+	s.answer(w, func(k *Worker, now time.Time) error { return k.Hold(in.Hold, millis(in.TTLMillis), now) })
 }
 
 func (s *Server) start(w http.ResponseWriter, r *http.Request) {
 	var l target.Lease
-	if !read(w, r, &l) {
+	if !body.Read(w, r, &l) {
 		return
 	}
 	s.answer(w, func(k *Worker, now time.Time) error { return k.Start(l, now) })
 }
 
 func (s *Server) stop(w http.ResponseWriter, r *http.Request) {
-	var body struct {
+	var in struct {
 		Lease       target.Lease `json:"lease"`
 		Checkpoint  bool         `json:"checkpoint"`
 		GraceMillis int64        `json:"graceMillis"`
 	}
-	if !read(w, r, &body) {
+	if !body.Read(w, r, &in) {
 		return
 	}
 	s.answer(w, func(k *Worker, now time.Time) error {
-		return k.Stop(body.Lease, body.Checkpoint, millis(body.GraceMillis), now)
+		return k.Stop(in.Lease, in.Checkpoint, millis(in.GraceMillis), now)
 	})
 }
 
 func (s *Server) throttle(w http.ResponseWriter, r *http.Request) {
-	var body struct {
+	var in struct {
 		Lease target.Lease `json:"lease"`
 	}
-	if !read(w, r, &body) {
+	if !body.Read(w, r, &in) {
 		return
 	}
 	s.answer(w, func(*Worker, time.Time) error { return nil })
 }
 
 func (s *Server) renew(w http.ResponseWriter, r *http.Request) {
-	var body struct {
+	var in struct {
 		Leases     []target.Lease `json:"leases"`
 		TTLMillis  int64          `json:"ttlMillis"`
 		Since      int64          `json:"since"`
 		WaitMillis int64          `json:"waitMillis"`
 	}
-	if !read(w, r, &body) {
+	if !body.Read(w, r, &in) {
 		return
 	}
-	until := time.After(millis(body.WaitMillis))
+	until := time.After(millis(in.WaitMillis))
 	for {
 		var rep target.Report
 		var changed chan struct{}
 		s.with(func(k *Worker, now time.Time) {
-			rep = k.Renew(body.Leases, millis(body.TTLMillis), body.Since, now)
+			rep = k.Renew(in.Leases, millis(in.TTLMillis), in.Since, now)
 		})
 		s.mu.Lock()
 		changed = s.changed
 		s.mu.Unlock()
-		if len(rep.Tasks) > 0 || len(rep.Lapsed) > 0 || body.WaitMillis == 0 {
-			reply(w, rep)
+		if len(rep.Tasks) > 0 || len(rep.Lapsed) > 0 || in.WaitMillis == 0 {
+			body.Reply(w, rep)
 			return
 		}
 		// The leases were renewed above; while waiting only changes count.
-		body.Leases = nil
+		in.Leases = nil
 		select {
 		case <-changed:
 		case <-until:
-			body.WaitMillis = 0
+			in.WaitMillis = 0
 		case <-r.Context().Done():
 			return
 		}
@@ -140,18 +140,18 @@
 }
 
 func (s *Server) faults(w http.ResponseWriter, r *http.Request) {
-	var body struct {
+	var in struct {
 		Leaving bool `json:"leaving"`
 		Failing bool `json:"failing"`
 	}
-	if !read(w, r, &body) {
+	if !body.Read(w, r, &in) {
 		return
 	}
 	s.With(func(k *Worker) {
-		k.SetLeaving(body.Leaving)
-		k.SetFailing(body.Failing)
+		k.SetLeaving(in.Leaving)
+		k.SetFailing(in.Failing)
 	})
-	reply(w, body)
+	body.Reply(w, in)
 }
 
 func (s *Server) answer(w http.ResponseWriter, f func(k *Worker, now time.Time) error) {
@@ -159,7 +159,7 @@
 	s.with(func(k *Worker, now time.Time) { err = f(k, now) })
 	switch {
 	case err == nil:
-		reply(w, struct{}{})
+		body.Reply(w, struct{}{})
 	case errors.Is(err, target.ErrLapsed):
 		http.Error(w, err.Error(), http.StatusGone)
 	default:
@@ -175,16 +175,3 @@
 }
 
 func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
-
-func read(w http.ResponseWriter, r *http.Request, into any) bool {
-	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
-func reply(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -1,7 +1,6 @@
 package platform
 
 import (
-	"encoding/json"
 	"errors"
 	"net/http"
 	"strconv"
@@ -11,6 +10,7 @@
 	"github.com/gorilla/mux"
 
 	"guavaglade.example/guavaglade/internal/platform/table"
+	"guavaglade.example/guavaglade/internal/standin/body"
 )
 
 // Faults is what the stand-in does wrong.
@@ -82,16 +82,16 @@
 
 func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
 	var f Faults
-	if !read(w, r, &f) {
+	if !body.Read(w, r, &f) {
 		return
 	}
 	s.SetFaults(f)
-	reply(w, f)
+	body.Reply(w, f)
 }
 
 func (s *Server) getRow(w http.ResponseWriter, r *http.Request) {
 	row, _ := s.store.Get(r.Context(), r.URL.Query().Get("key"))
-	reply(w, row)
+	body.Reply(w, row)
 }
 
 func (s *Server) listRows(w http.ResponseWriter, r *http.Request) {
@@ -102,12 +102,12 @@
 		return
 	}
 	rows, _ := s.store.List(r.Context(), q.Get("prefix"), q.Get("after"), limit)
-	reply(w, rows)
+	body.Reply(w, rows)
 }
 
 func (s *Server) apply(w http.ResponseWriter, r *http.Request) {
 	var writes []table.Write
-	if !read(w, r, &writes) {
+	if !body.Read(w, r, &writes) {
 		return
 	}
 	results, _ := s.store.Apply(r.Context(), writes)
@@ -119,50 +119,37 @@
 		answers[i].Row = res.Row
 		answers[i].Conflict = errors.Is(res.Err, table.ErrConflict)
 	}
-	reply(w, answers)
+	body.Reply(w, answers)
 }
 
 func (s *Server) putObject(w http.ResponseWriter, r *http.Request) {
-	var body []byte
-	if !read(w, r, &body) {
+	var in []byte
+	if !body.Read(w, r, &in) {
 		return
 	}
-	_ = s.store.PutObject(r.Context(), r.URL.Query().Get("key"), body)
-	reply(w, struct{}{})
+	_ = s.store.PutObject(r.Context(), r.URL.Query().Get("key"), in)
+	body.Reply(w, struct{}{})
 }
 
 func (s *Server) getObject(w http.ResponseWriter, r *http.Request) {
-	body, err := s.store.GetObject(r.Context(), r.URL.Query().Get("key"))
+	object, err := s.store.GetObject(r.Context(), r.URL.Query().Get("key"))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusNotFound)
 		return
 	}
-	reply(w, body)
+	body.Reply(w, object)
 }
 
 func (s *Server) targets(w http.ResponseWriter, r *http.Request) {
 	ts, _ := s.store.Targets(r.Context())
-	reply(w, ts)
+	body.Reply(w, ts)
 }
 
 func (s *Server) register(w http.ResponseWriter, r *http.Request) {
 	var ts []table.Target
-	if !read(w, r, &ts) {
+	if !body.Read(w, r, &ts) {
 		return
 	}
 	s.store.Register(ts...)
-	reply(w, struct{}{})
-}
-
-func read(w http.ResponseWriter, r *http.Request, into any) bool {
-	if err := json.NewDecoder(r.Body).Decode(into); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return false
-	}
-	return true
-}
-
-func reply(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
+	body.Reply(w, struct{}{})
 }
