--- a/internal/fleet/guarantee/bind.go
+++ b/internal/fleet/guarantee/bind.go
@@ -88,35 +88,41 @@
 // repack lifts all unclaimed units and binds them and the extra ones from the
 // start. A unit that finds no room goes to the front in the next round.
 func (p *Plan) repack(un *undo, extra []*unit, rounds int) bool {
+	p.liftAll(un)
+	return p.pack(append(slices.Clone(un.units), extra...), rounds)
+}
+
+// liftAll takes the room of all unclaimed units away, also what was found for
+// those that were lifted before.
+func (p *Plan) liftAll(un *undo) {
+	for _, u := range un.units {
+		if !u.claimed() {
+			p.unbind(u)
+		}
+	}
 	for _, u := range p.units {
 		if !u.claimed() {
 			p.lift(un, u)
 		}
 	}
-	return p.pack(append(slices.Clone(un.units), extra...), rounds) == nil
 }
 
 // pack binds the units, which have no place yet, in up to the given number of
-// rounds. It returns the unit that failed in the last one, nil if all are
-// bound; after a failure none is.
-func (p *Plan) pack(units []*unit, rounds int) *unit {
+// rounds. It reports whether all are bound; if not, none is.
+func (p *Plan) pack(units []*unit, rounds int) bool {
 	order := hardestFirst(units)
-	var failed *unit
 	for round := range rounds {
+		failed := p.bindAll(order, cell.Style(round%2))
+		if failed == nil {
+			return true
+		}
 		for _, u := range order {
 			p.unbind(u)
 		}
-		failed = p.bindAll(order, cell.Style(round%2))
-		if failed == nil {
-			return nil
-		}
 		i := slices.Index(order, failed)
 		order = slices.Insert(slices.Delete(order, i, i+1), 0, failed)
 	}
-	for _, u := range order {
-		p.unbind(u)
-	}
-	return failed
+	return false
 }
 
 // rebind gives units that lost their room other room, as many as it can.
--- a/internal/fleet/guarantee/claim.go
+++ b/internal/fleet/guarantee/claim.go
@@ -148,12 +148,8 @@
 
 // settleAll packs all unclaimed units anew; un remembers where they were.
 func (p *Plan) settleAll(un *undo, claimed *unit) bool {
-	for _, u := range p.units {
-		if !u.claimed() {
-			p.lift(un, u)
-		}
-	}
-	return p.pack(without(un.units, claimed), settleRounds) == nil
+	p.liftAll(un)
+	return p.pack(without(un.units, claimed), settleRounds)
 }
 
 // rollbackWith rolls back, also if the unit had no place before.
--- a/internal/fleet/guarantee/replace.go
+++ b/internal/fleet/guarantee/replace.go
@@ -17,23 +17,30 @@
 		p.firm.Add(w)
 	}
 	p.Replace(gs)
-	failed := p.pack(p.units, repackRounds)
-	if failed == nil {
+	if p.pack(p.units, repackRounds) {
 		return nil
 	}
-	return fmt.Errorf("pack guarantees: %w", p.unpackable(failed))
+	return fmt.Errorf("pack guarantees: %w", p.unpackable())
 }
 
-// unpackable counts how many gangs of the failed unit's guarantee fit.
-func (p *Plan) unpackable(failed *unit) *Unpackable {
-	e := &Unpackable{Guarantee: failed.guarantee}
-	for _, u := range hardestFirst(p.units) {
-		bound := p.bind(u, cell.Compact)
-		if u.guarantee != failed.guarantee {
+// unpackable names the first guarantee that finds no room when the hardest are
+// packed first, and counts how many of its gangs do.
+func (p *Plan) unpackable() *Unpackable {
+	order := hardestFirst(p.units)
+	e := &Unpackable{}
+	for _, u := range order {
+		if !p.bind(u, cell.Compact) && e.Guarantee.count == 0 {
+			e.Guarantee = u.guarantee
+			e.Guarantee.count = 1
+		}
+	}
+	e.Guarantee.count = 0
+	for _, u := range order {
+		if u.guarantee != (Guarantee{account: e.Guarantee.account, shape: e.Guarantee.shape}) {
 			continue
 		}
 		e.Guarantee.count++
-		if bound {
+		if u.place != nil {
 			e.Fitted++
 		}
 	}
@@ -104,7 +111,7 @@
 // tryAll returns the unclaimed guarantees that find no room now, and changes nothing.
 func (p *Plan) tryAll() []Guarantee {
 	units := p.without()
-	if p.pack(units, repackRounds) == nil {
+	if p.pack(units, repackRounds) {
 		for _, u := range units {
 			p.unbind(u)
 		}
