--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -57,6 +58,7 @@
 	r.HandleFunc("/v1/stop", s.stop).Methods(http.MethodPost)
 	r.HandleFunc("/v1/throttle", s.throttle).Methods(http.MethodPost)
 	r.HandleFunc("/v1/faults", s.faults).Methods(http.MethodPut)
+	r.HandleFunc("/v1/starts", s.starts).Methods(http.MethodGet)
 	return r
 }
 
@@ -154,6 +156,12 @@
 	reply(w, body)
 }
 
+func (s *Server) starts(w http.ResponseWriter, _ *http.Request) {
+	var starts map[job.ID]int
+	s.With(func(k *Worker) { starts = maps.Clone(k.starts) })
+	reply(w, starts)
+}
+
 func (s *Server) answer(w http.ResponseWriter, f func(k *Worker, now time.Time) error) {
 	var err error
 	s.with(func(k *Worker, now time.Time) { err = f(k, now) })
