--- a/internal/proof/process/hosts_test.go
+++ b/internal/proof/process/hosts_test.go
@@ -65,6 +65,9 @@
 		// What was under way for a request that may run once only when its
 		// placer died can be lost, but is then said to be.
 		lost := res.kind == "bill" && res.view.State == job.Lost
+		if res.view.State != job.Succeeded {
+			r.story(res.id)
+		}
 		if res.view.State != job.Succeeded && !lost {
 			t.Errorf("%s: %s after %d repetitions: %+v %v", res.id, res.told(), res.repeated, res.view, res.problem)
 		}
--- a/internal/proof/process/load_test.go
+++ b/internal/proof/process/load_test.go
@@ -200,6 +200,15 @@
 	return told
 }
 
+// story logs all that is known of a job.
+func (r *rig) story(id job.ID) {
+	s, err := r.operator().Explain(r.ctx, string(id))
+	r.t.Logf("%s: %s %s %v", id, s.State, s.Reason, err)
+	for _, l := range s.Lines {
+		r.t.Logf("  %s %s %s %s %s", l.At.Format("15:04:05.000"), l.State, l.Step, l.Peer, l.Text)
+	}
+}
+
 func (res result) told() string {
 	switch {
 	case res.problem != nil && res.problem.State != "":
--- a/internal/proof/process/rig_test.go
+++ b/internal/proof/process/rig_test.go
@@ -272,14 +272,20 @@
 	return res.StatusCode == http.StatusOK
 }
 
-// placer returns the host that places for a zone.
+// placer returns the host that places for a zone, once all hosts say the same.
 func (r *rig) placer(zone string) *host {
 	r.t.Helper()
 	var found *host
 	r.until("a placer of "+zone, func() bool {
-		rows, err := r.operator().InForce(r.ctx)
-		found = r.placerIn(rows, zone)
-		return err == nil && found != nil
+		for i, h := range r.hosts {
+			rows, err := client.New([]string{h.callers}, operatorKey, nil).InForce(r.ctx)
+			p := r.placerIn(rows, zone)
+			if err != nil || p == nil || i > 0 && p != found {
+				return false
+			}
+			found = p
+		}
+		return true
 	})
 	return found
 }
