--- a/internal/host/member/bench_test.go
+++ b/internal/host/member/bench_test.go
@@ -7,15 +7,13 @@
 	"time"
 )
 
-// sizes are hosts, in zones of at most 8: one zone, one zone, 3 zones, 7 zones.
-var sizes = []int{3, 8, 24, 56}
-
-const perZone = 8
+// sizes are hosts and hosts of a zone: one zone that grows, then more zones.
+var sizes = [][2]int{{3, 3}, {8, 8}, {16, 16}, {24, 8}, {56, 8}}
 
 func forSizes(b *testing.B, run func(b *testing.B, z *zones)) {
 	for _, n := range sizes {
-		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
-			z := newZones(b, n, perZone)
+		b.Run(fmt.Sprintf("hosts=%d/perZone=%d", n[0], n[1]), func(b *testing.B) {
+			z := newZones(b, n[0], n[1])
 			z.run(30 * time.Second)
 			run(b, z)
 		})
@@ -119,3 +117,43 @@
 		})
 	})
 }
+
+// BenchmarkSpread reports the time from one host's putting a version in force
+// to the last host's, by heartbeats alone, as in zones cut off from the
+// platform. A host fetches a version in the interval in which it hears of it.
+func BenchmarkSpread(b *testing.B) {
+	forSizes(b, func(b *testing.B, z *zones) {
+		worst := time.Duration(0)
+		version := int64(3000)
+		for b.Loop() {
+			version++
+			start := z.now
+			z.tables[int(version)%len(z.tables)].Announce(Version{Number: version, Since: z.now}, Load{})
+			for done := false; !done; {
+				z.run(BeatEvery)
+				done = true
+				for _, t := range z.tables {
+					if v, _, ok := t.NewestConfig(z.now); ok {
+						t.Announce(Version{Number: v.Number, Since: z.now}, Load{})
+					}
+					done = done && t.config.Number == version
+				}
+			}
+			worst = max(worst, z.now.Sub(start))
+		}
+		b.ReportMetric(worst.Seconds(), "s-worst")
+	})
+}
+
+// BenchmarkView reports the memory of a view of so many hosts.
+func BenchmarkView(b *testing.B) {
+	forSizes(b, func(b *testing.B, z *zones) {
+		b.ReportAllocs()
+		for b.Loop() {
+			t := New(z.tables[0].self)
+			for i := range len(z.tables) {
+				t.Heard(Host{Address: address(i), Zone: "zone1", Incarnation: 1}, z.now)
+			}
+		}
+	})
+}
--- a/internal/host/server/membership.go
+++ b/internal/host/server/membership.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"math/bits"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"guavaglade.example/guavaglade/internal/host/intake"
@@ -26,7 +28,23 @@
 // announce sets what the heartbeats say of this host.
 func (n *Node) announce() {
 	version := member.Version{Number: n.config.Version(), Since: n.config.Since()}
-	n.members.Announce(version, member.Load{})
+	n.members.Announce(version, n.load())
+}
+
+// load is what the placer says of the zone's room; zero if this host does not
+// place.
+func (n *Node) load() member.Load {
+	if n.placer == nil {
+		return member.Load{}
+	}
+	s := n.placer.Scheduler()
+	l := member.Load{Waiting: s.Queued()}
+	inv := s.Zone().Inventory()
+	for _, w := range inv.Workers() {
+		free, _, _, _ := inv.Free(w.ID())
+		l.Free += bits.OnesCount64(free)
+	}
+	return l
 }
 
 func (n *Node) beatTo(ctx context.Context, address string, body member.Beat) {
@@ -69,7 +87,11 @@
 	}
 	n.stepEntry(ctx, intake.PlacersSeen{Placers: placers}, now)
 	mine := n.members.Places(now)
+	_, other := placers[n.settings.Zone()]
 	switch {
+	case !mine && n.placer != nil && !other:
+		// The last host of its zone, about to stop: nobody else would renew
+		// the leases that its callers' jobs run under.
 	case mine && n.placer != nil && n.placer.Draining():
 		n.endPlacing()
 	case mine && n.placer == nil:
@@ -86,7 +108,10 @@
 func (n *Node) beginPlacing(ctx context.Context, now time.Time) {
 	n.term++
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	n.placer = placer.New(n.settings.Zone(), nil, placer.WithIdentity(n.id), placer.WithRand(random))
+	// The term makes the leases of this placing differ from those of an earlier
+	// one in the same process, which is forgotten but may have starts under way.
+	identity := n.id + "/" + strconv.Itoa(n.term)
+	n.placer = placer.New(n.settings.Zone(), nil, placer.WithIdentity(identity), placer.WithRand(random))
 	n.log.Info("placing", "step", "begin", "zone", n.settings.Zone(), "host", n.id)
 	n.metrics.Counter("placer_begun").Inc(1)
 	if c := n.config.Config(); c != nil {
