--- a/internal/work/estimate/estimate.go
+++ b/internal/work/estimate/estimate.go
@@ -29,6 +29,7 @@
 }
 
 type history struct {
+	fit    fit
 	runs   *hdrhistogram.Histogram // ms
 	cores  *hdrhistogram.Histogram
 	memory *hdrhistogram.Histogram // MB
@@ -50,10 +51,13 @@
 	return seen
 }
 
-// Ended notes how long a job of the kind ran from its start to its success. A
-// run that was stopped or failed says nothing and is not to be noted.
-func (h *Histories) Ended(k Kind, ran time.Duration) {
-	record(h.of(k).runs, ran.Milliseconds())
+// Ended notes how long a job of the kind ran from its start to its success, and
+// what was declared, 0 for nothing. A run that was stopped or failed says
+// nothing and is not to be noted.
+func (h *Histories) Ended(k Kind, ran, declared time.Duration) {
+	seen := h.of(k)
+	record(seen.runs, ran.Milliseconds())
+	seen.fit.add(declared, ran)
 }
 
 // Used notes what a member of the kind was reported to use, in cores and MB.
@@ -76,6 +80,17 @@
 	return declared
 }
 
+// RunDeclared returns the run time that a share q, 0 to 1, of the kind's jobs
+// with the same declared one stay within. Declared figures are far off but not
+// without worth: how much they say of a kind's runs is learnt from its ends.
+func (h *Histories) RunDeclared(k Kind, q float64, declared time.Duration) time.Duration {
+	seen, ok := h.kinds[k]
+	if !ok || seen.fit.n < MinEnds || declared <= 0 {
+		return h.Run(k, q, declared)
+	}
+	return min(seen.fit.run(q, declared), Longest)
+}
+
 // Use returns the cores and MB that a share q, 0 to 1, of the kind's members
 // stay within; ok is false without enough reports.
 func (h *Histories) Use(k Kind, q float64) (cores, memory int, ok bool) {
--- a/internal/work/queue/queue.go
+++ b/internal/work/queue/queue.go
@@ -94,9 +94,26 @@
 		delete(q.waiting, p.Job.Account())
 	}
 	p.bucket.remove(p)
+	q.sweepDeadlines()
 	return *p, true
 }
 
+// sweepDeadlines forgets the deadlines of jobs that are gone once they are more
+// than those that wait, so that cancelled jobs are not kept in memory.
+func (q *Queue) sweepDeadlines() {
+	if len(q.deadlines) <= 2*len(q.items)+sweepAt {
+		return
+	}
+	kept := make(deadlines, 0, len(q.items))
+	for _, p := range q.deadlines {
+		if !p.gone {
+			kept = append(kept, p)
+		}
+	}
+	heap.Init(&kept)
+	q.deadlines = kept
+}
+
 // Expired takes out and returns the jobs whose deadline has come.
 func (q *Queue) Expired(now time.Time) []Item {
 	var expired []Item
--- a/internal/work/schedule/decide.go
+++ b/internal/work/schedule/decide.go
@@ -34,6 +34,7 @@
 	s.answers = nil
 	ds = append(ds, s.ripen(now)...)
 	ds = append(ds, s.round(now)...)
+	ds = append(ds, s.tidy(now)...)
 	s.releaseReserved()
 	return ds
 }
--- a/internal/work/schedule/ended.go
+++ b/internal/work/schedule/ended.go
@@ -53,7 +53,7 @@
 func (s *Scheduler) note(r *runner, end End, worker string, now time.Time) {
 	id := string(r.item.Job.ID())
 	if end == Done {
-		s.histories.Ended(s.kind(r.item.Job), now.Sub(r.since))
+		s.histories.Ended(s.kind(r.item.Job), now.Sub(r.since), r.item.Job.Declared())
 	}
 	for _, w := range r.place.Workers() {
 		switch {
--- a/internal/work/schedule/scheduler.go
+++ b/internal/work/schedule/scheduler.go
@@ -45,6 +45,7 @@
 	compactions attempts
 	shifts      attempts
 	blocked     map[queue.Class]attempt // when a class last found no room
+	tidied      time.Time               // when tidying up was last tried
 	kept        int                     // rooms kept for stopping runners so far, to name them apart
 	epoch       int64                   // grows with whatever may make room
 }
@@ -214,5 +215,5 @@
 		}
 		return estimate.Unknown
 	}
-	return s.histories.Run(s.kind(j), q, j.Declared())
+	return s.histories.RunDeclared(s.kind(j), q, j.Declared())
 }
