--- a/internal/host/server/node.go
+++ b/internal/host/server/node.go
@@ -43,6 +43,7 @@
 	idleTargets      = 10 * time.Second // between two readings on a host that does not place
 	catchUpEvery     = time.Second
 	sweepEvery       = 30 * time.Second
+	watchEvery       = 5 * time.Second
 	adoptEvery       = 5 * time.Second
 	callTime         = 2 * time.Second // bounds a call to a peer or the platform
 	workerShare      = 8               // connections to a worker from one host of up to eight
@@ -86,10 +87,12 @@
 	workers    map[string]target.Worker // by id
 	addresses  map[string]string        // of the workers, by id
 	delivering map[delivery]bool        // outcomes on their way to an entry
+	stories    map[string][]toldBody    // lines for each entry; no key: nobody sends them
 	durable    map[job.ID]bool          // jobs of this entry whose row is written
 	copies     map[job.ID]job.Job       // jobs that are not durable, kept for another entry
 	tickets    *ticket.Book
 	stopping   bool
+	told       map[string]bool // what the last look at the zone found amiss
 	inherited  []burn.Snapshot // of hosts that stopped as planned and handed over
 	askAgainAt string          // caller address of the host that took over at a planned stop
 }
@@ -125,12 +128,12 @@
 			Address: s.PeerAddress(), Zone: s.Zone(), Incarnation: incarnation, Protocol: protocol,
 		}, member.WithSeeds(seedsOf(s)...)),
 		entry: intake.New(s.Zone()), waiting: map[job.ID]chan struct{}{},
-		workers: map[string]target.Worker{}, addresses: map[string]string{}, delivering: map[delivery]bool{}, durable: map[job.ID]bool{}, copies: map[job.ID]job.Job{},
+		workers: map[string]target.Worker{}, addresses: map[string]string{}, delivering: map[delivery]bool{}, durable: map[job.ID]bool{}, stories: map[string][]toldBody{}, copies: map[job.ID]job.Job{},
 	}
 	for _, o := range opts {
 		o(n)
 	}
-	n.net = peer.New(n.handle, n.peerTLS, n.dial)
+	n.net = peer.New(n.handle, n.peerTLS, n.dial, n.log)
 	n.workerRT = remote.Transport(workerShare, n.dial)
 	n.burn, n.retries = burn.New(n.id), retry.New()
 	n.services = retry.New(retry.WithTries(1), retry.WithCircuit(serviceFailures, serviceRest))
@@ -186,6 +189,7 @@
 	n.every(ctx, adoptEvery, n.adoptOrphans)
 	n.every(ctx, catchUpEvery, n.catchUp)
 	n.every(ctx, sweepEvery, n.sweep)
+	n.every(ctx, watchEvery, n.watchZone)
 	n.log.Info("running", "host", n.id, "zone", n.settings.Zone())
 	for {
 		select {
