--- a/internal/host/intake/machine_test.go
+++ b/internal/host/intake/machine_test.go
@@ -11,7 +11,7 @@
 	"guavaglade.example/guavaglade/internal/work/job"
 )
 
-var start = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+var opened = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
 
 func newJob(t *testing.T) job.Job {
 	t.Helper()
@@ -30,15 +30,15 @@
 func given(t *testing.T, adopted bool) *intake.Machine {
 	t.Helper()
 	m := intake.New("leon")
-	m.Step(intake.PlacersSeen{Placers: map[string]string{"leon": "p1"}}, start)
-	cs := m.Step(intake.Accepted{Job: newJob(t), Adopted: adopted}, start)
+	m.Step(intake.PlacersSeen{Placers: map[string]string{"leon": "p1"}}, opened)
+	cs := m.Step(intake.Accepted{Job: newJob(t), Adopted: adopted}, opened)
 	if len(cs) != 1 {
 		t.Fatalf("accepted: got %v, want one Give", cs)
 	}
 	return m
 }
 
-func outcome(s job.State) job.Outcome { return job.Outcome{Job: "a-1", State: s, At: start} }
+func outcome(s job.State) job.Outcome { return job.Outcome{Job: "a-1", State: s, At: opened} }
 
 func TestNotRunIsTold(t *testing.T) {
 	cases := []struct {
@@ -68,10 +68,10 @@
 			m := given(t, c.adopted)
 			placer := "p1"
 			for _, e := range c.events {
-				m.Step(e, start)
+				m.Step(e, opened)
 				placer = "p2"
 			}
-			cs := m.Step(intake.OutcomeArrived{Placer: placer, Outcome: outcome(job.NotRun)}, start)
+			cs := m.Step(intake.OutcomeArrived{Placer: placer, Outcome: outcome(job.NotRun)}, opened)
 			is.Equal(len(cs), 1)
 			is.Equal(cs[0].(intake.Finish).Outcome.State, c.want) // what the caller is told
 		})
@@ -81,11 +81,11 @@
 func TestGivesAgain(t *testing.T) {
 	is := is.New(t)
 	m := given(t, false)
-	is.Equal(len(m.Step(intake.Ticked{}, start.Add(intake.GiveAgainAfter-1))), 0) // not before its time
-	is.Equal(len(m.Step(intake.Ticked{}, start.Add(intake.GiveAgainAfter))), 1)   // the placer was silent
-	m.Step(intake.Taken{Job: "a-1", Placer: "p1"}, start.Add(intake.GiveAgainAfter))
-	is.Equal(len(m.Step(intake.Ticked{}, start.Add(2*intake.GiveAgainAfter))), 0) // the placer has it
-	cs := m.Step(intake.PlacersSeen{Placers: map[string]string{"leon": "p2"}}, start.Add(2*intake.GiveAgainAfter))
+	is.Equal(len(m.Step(intake.Ticked{}, opened.Add(intake.GiveAgainAfter-1))), 0) // not before its time
+	is.Equal(len(m.Step(intake.Ticked{}, opened.Add(intake.GiveAgainAfter))), 1)   // the placer was silent
+	m.Step(intake.Taken{Job: "a-1", Placer: "p1"}, opened.Add(intake.GiveAgainAfter))
+	is.Equal(len(m.Step(intake.Ticked{}, opened.Add(2*intake.GiveAgainAfter))), 0) // the placer has it
+	cs := m.Step(intake.PlacersSeen{Placers: map[string]string{"leon": "p2"}}, opened.Add(2*intake.GiveAgainAfter))
 	is.Equal(cs, []intake.Command{intake.Give{Placer: "p2", Job: newJob(t)}})
 }
 
@@ -96,38 +96,38 @@
 	is.NoErr(cut.UnmarshalJSON([]byte(`{"length": 9, "digest": "00", "body": "AAAA"}`)))
 	o := outcome(job.Succeeded)
 	o.Answer = cut
-	is.Equal(len(m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: o}, start)), 0)
+	is.Equal(len(m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: o}, opened)), 0)
 	o.Answer = job.NewAnswer([]byte("whole"))
-	is.Equal(len(m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: o}, start)), 1)
-	is.Equal(len(m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: o}, start)), 0) // doubled
+	is.Equal(len(m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: o}, opened)), 1)
+	is.Equal(len(m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: o}, opened)), 0) // doubled
 }
 
 func TestPassedOnOnce(t *testing.T) {
 	is := is.New(t)
 	m := intake.New("leon")
-	m.Step(intake.PlacersSeen{Placers: map[string]string{"leon": "p1", "celaya": "p2"}}, start)
-	m.Step(intake.Accepted{Job: newJob(t)}, start)
-	cs := m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: outcome(job.NotRun)}, start)
+	m.Step(intake.PlacersSeen{Placers: map[string]string{"leon": "p1", "celaya": "p2"}}, opened)
+	m.Step(intake.Accepted{Job: newJob(t)}, opened)
+	cs := m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: outcome(job.NotRun)}, opened)
 	is.Equal(cs[0].(intake.Give).Placer, "p2") // the home zone can never run it
-	cs = m.Step(intake.OutcomeArrived{Placer: "p2", Outcome: outcome(job.NotRun)}, start)
+	cs = m.Step(intake.OutcomeArrived{Placer: "p2", Outcome: outcome(job.NotRun)}, opened)
 	is.Equal(cs[0].(intake.Finish).Outcome.State, job.NotRun) // one hop only
 }
 
 func TestCancelGoesWithEachGiving(t *testing.T) {
 	is := is.New(t)
 	m := given(t, false)
-	is.Equal(m.Step(intake.CancelAsked{Job: "a-1"}, start), []intake.Command{intake.CancelAt{Placer: "p1", Job: "a-1"}})
-	is.Equal(len(m.Step(intake.CancelAsked{Job: "a-1"}, start)), 0) // asked twice
-	cs := m.Step(intake.PlacersSeen{Placers: map[string]string{"leon": "p2"}}, start)
+	is.Equal(m.Step(intake.CancelAsked{Job: "a-1"}, opened), []intake.Command{intake.CancelAt{Placer: "p1", Job: "a-1"}})
+	is.Equal(len(m.Step(intake.CancelAsked{Job: "a-1"}, opened)), 0) // asked twice
+	cs := m.Step(intake.PlacersSeen{Placers: map[string]string{"leon": "p2"}}, opened)
 	is.Equal(len(cs), 2) // the next placer gets the job and its cancellation
 }
 
 func TestOutcomeIsForgotten(t *testing.T) {
 	is := is.New(t)
 	m := given(t, false)
-	m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: outcome(job.Succeeded)}, start)
+	m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: outcome(job.Succeeded)}, opened)
 	is.Equal(m.Open(), 0)
-	m.Step(intake.Ticked{}, start.Add(intake.KeepFor))
+	m.Step(intake.Ticked{}, opened.Add(intake.KeepFor))
 	_, ok := m.Record("a-1")
 	is.True(!ok)
 }
--- a/internal/standin/fleet/server.go
+++ b/internal/standin/fleet/server.go
@@ -159,7 +159,7 @@
 func (s *Server) starts(w http.ResponseWriter, _ *http.Request) {
 	var starts map[job.ID]int
 	s.With(func(k *Worker) { starts = maps.Clone(k.starts) })
-	reply(w, starts)
+	body.Reply(w, starts)
 }
 
 func (s *Server) answer(w http.ResponseWriter, f func(k *Worker, now time.Time) error) {
