ledger: one claim of a round, however placers number their attempts

Cause: placers salt their attempt numbers, so two that try the same round hold different numbers, and the higher one was claimed over the lower as if it were the next attempt: both started. Change: WithRounds says which attempts are the same; by default each is its own. TestOneClaimOfARound fails with the numbers compared instead. Conclusion: the server has to give the ledger the rounds of its attempts.

--- a/internal/platform/ledger/claim.go
+++ b/internal/platform/ledger/claim.go
@@ -52,7 +52,7 @@
 	won := false
 	stands, _, err := l.update(ctx, lease.Job, nonce, func(found record) (*record, error) {
 		won = found.Nonce == nonce && found.Attempt == lease.Attempt
-		if won || !claimable(found, lease.Attempt, repeatable) {
+		if won || !l.claimable(found, lease.Attempt, repeatable) {
 			return nil, nil
 		}
 		if content != "" && found.Content != "" && found.Content != content {
@@ -81,11 +81,11 @@
 // claimable reports whether an attempt may be claimed over a record. It is the
 // guard against a second run: without it a placer that was paused, or one that
 // sees other live hosts, starts a job that another one has started.
-func claimable(found record, attempt int, repeatable bool) bool {
+func (l *Ledger) claimable(found record, attempt int, repeatable bool) bool {
 	if found.Refused || found.Outcome != nil || !found.Swept.IsZero() {
 		return false
 	}
-	return found.Attempt == 0 || repeatable && found.Attempt < attempt
+	return found.Attempt == 0 || repeatable && l.round(found.Attempt) < l.round(attempt)
 }
 
 // pendingClaim is a claim of this host that is being made or is not known.
--- a/internal/platform/ledger/doc.go
+++ b/internal/platform/ledger/doc.go
@@ -14,8 +14,8 @@
 //   - A job that is not repeatable has at most one winning attempt ever: its
 //     claim is written only if the record shows no attempt.
 //   - A repeatable job's attempt is claimed only by replacing the record that
-//     was read, and only if that shows an older attempt. So of two placers that
-//     both want the next attempt one wins, and attempts only rise.
+//     was read, and only if that shows an attempt of an older round. So of two
+//     placers that both want the next round one wins, and attempts only rise.
 //   - A refusal is written only if the record shows no attempt, and a claim only
 //     if it shows no refusal: a job that was refused never starts, one that may
 //     have started is never refused.
--- a/internal/platform/ledger/ledger.go
+++ b/internal/platform/ledger/ledger.go
@@ -62,7 +62,8 @@
 	objects table.Objects // nil: large answers stay in their row
 	self    string        // address and incarnation of this host; unique in time
 	now     func() time.Time
-	nonce   func() string // unique for ever
+	nonce   func() string         // unique for ever
+	round   func(attempt int) int // never falls from an attempt to a later one
 	keep    time.Duration
 	large   int
 	report  func(key string, err error)
@@ -90,6 +91,12 @@
 // WithNonces sets the source of nonces, by default random UUIDs.
 func WithNonces(next func() string) Option { return func(l *Ledger) { l.nonce = next } }
 
+// WithRounds says which attempts exclude each other. Placers that do not know of
+// each other number their attempts so that no two are alike; those of the same
+// round are then the same attempt, of which only one may be claimed. By default
+// each attempt is a round.
+func WithRounds(of func(attempt int) int) Option { return func(l *Ledger) { l.round = of } }
+
 // WithKeep sets how long records of ended jobs stay, by default Keep.
 func WithKeep(d time.Duration) Option { return func(l *Ledger) { l.keep = d } }
 
@@ -102,6 +109,7 @@
 func New(t table.Table, self string, opts ...Option) *Ledger {
 	l := &Ledger{
 		table: t, self: self, now: time.Now, nonce: uuid.NewString, keep: Keep, large: LargeAnswer,
+		round:  func(attempt int) int { return attempt },
 		report: func(string, error) {}, sleep: sleep, claims: map[target.Lease]*pendingClaim{},
 		givingUp: map[job.ID]int{},
 	}
--- a/internal/platform/ledger/ledger_test.go
+++ b/internal/platform/ledger/ledger_test.go
@@ -125,6 +125,21 @@
 	is.Equal(len(left), 0)
 }
 
+// Two placers that do not know of each other try the same round, with numbers
+// that differ. Only one of them may start it.
+//
+// Seen failing with the attempts compared instead of their rounds.
+func TestOneClaimOfARound(t *testing.T) {
+	is := is.New(t)
+	f, j := newFake(), testJob("r", job.Repeatable(true), job.Long(true))
+	rounds := WithRounds(func(attempt int) int { return attempt / 100 })
+	for _, attempt := range []int{101, 102, 201, 103} {
+		c, err := New(f, fmt.Sprint("host", attempt), rounds).ClaimJob(t.Context(), j, attempt)
+		is.NoErr(err)
+		is.Equal(c.Won, attempt%100 == 1) // the first of each round
+	}
+}
+
 // A caller sends its request again, through another host and zone, and another
 // caller's request by mistake under the same id.
 func TestAdmitIsIdempotent(t *testing.T) {
