server, intake: give jobs again at once to a placer that begins anew or was not ready

Seen with kill -9 of a placer, ten times, 8 hosts: a job waited 11.1 s for its next placement, since the placer that had taken it ended and began again on the same host, keeps its identity, and was given the job again only by the 10 s confirmation; and a placer that an entry saw a little before itself refused and was asked again only after 1 s. A placer that begins now tells all entries, and one that refuses is asked again after 200 ms. TestGivenAgain holds both.

--- a/internal/host/intake/event.go
+++ b/internal/host/intake/event.go
@@ -26,6 +26,17 @@
 	Placer string
 }
 
+// NotTaken says that the placer refused the job, since it does not place yet or
+// does not any more.
+type NotTaken struct {
+	Job    job.ID
+	Placer string
+}
+
+// PlacerBegun says that a placer begins with nothing in its memory. It may have
+// had the same identity before.
+type PlacerBegun struct{ Placer string }
+
 // OutcomeArrived is a placer's word on what became of a job.
 type OutcomeArrived struct {
 	Placer  string
@@ -50,6 +61,8 @@
 func (Accepted) event()       {}
 func (PlacersSeen) event()    {}
 func (Taken) event()          {}
+func (NotTaken) event()       {}
+func (PlacerBegun) event()    {}
 func (OutcomeArrived) event() {}
 func (Told) event()           {}
 func (CancelAsked) event()    {}
--- a/internal/host/intake/machine.go
+++ b/internal/host/intake/machine.go
@@ -15,6 +15,9 @@
 	// GiveAgainAfter is how long a placer may be silent before it is given the
 	// job again. The placer, or its incarnation, may have changed unseen.
 	GiveAgainAfter = time.Second
+	// RefusedAgainAfter is how long after a refusal a placer is given the job
+	// again. The entry may have seen before the placer itself that it places.
+	RefusedAgainAfter = 200 * time.Millisecond
 	// ConfirmEvery is how often a job that was taken is given again, so that a
 	// placer that lost its memory without a change of address gets it back.
 	ConfirmEvery = 10 * time.Second
@@ -112,6 +115,10 @@
 		return m.placersSeen(e, now)
 	case Taken:
 		m.tookIt(e, now)
+	case NotTaken:
+		m.notTaken(e, now)
+	case PlacerBegun:
+		return m.placerBegun(e, now)
 	case OutcomeArrived:
 		return m.outcomeArrived(e, now)
 	case Told:
@@ -173,6 +180,27 @@
 	r.giveAt = now.Add(ConfirmEvery)
 }
 
+func (m *Machine) notTaken(e NotTaken, now time.Time) {
+	r, ok := m.records[e.Job]
+	if !ok || r.placer != e.Placer || r.taken {
+		return
+	}
+	r.giveAt = now.Add(RefusedAgainAfter)
+}
+
+// placerBegun gives the jobs again to a placer that took them before and has
+// forgotten them. A placer that ends and begins on the same host keeps its
+// identity; without this a job that it had taken waits until ConfirmEvery.
+func (m *Machine) placerBegun(e PlacerBegun, now time.Time) []Command {
+	var cs []Command
+	for _, r := range m.Records() {
+		if !r.state.Final() && r.placer == e.Placer {
+			cs = append(cs, m.give(r, now)...)
+		}
+	}
+	return cs
+}
+
 func (m *Machine) outcomeArrived(e OutcomeArrived, now time.Time) []Command {
 	r, ok := m.records[e.Outcome.Job]
 	if !ok || r.state.Final() || !e.Outcome.State.Final() {
--- a/internal/host/intake/machine_test.go
+++ b/internal/host/intake/machine_test.go
@@ -131,3 +131,23 @@
 	_, ok := m.Record("a-1")
 	is.True(!ok)
 }
+
+// TestGivenAgain tells of a host that ceases to place and begins again, or is
+// named by an entry before it knows that itself. Its memory is gone or it
+// refuses: the job must be given again soon, not after the long confirmation.
+func TestGivenAgain(t *testing.T) {
+	t.Run("to a placer that begins anew", func(t *testing.T) {
+		is := is.New(t)
+		m := given(t, false)
+		m.Step(intake.Taken{Job: "a-1", Placer: "p1"}, start)
+		is.Equal(len(m.Step(intake.PlacerBegun{Placer: "p2"}, start)), 0) // another's memory
+		is.Equal(len(m.Step(intake.PlacerBegun{Placer: "p1"}, start)), 1)
+	})
+	t.Run("to one that refused", func(t *testing.T) {
+		is := is.New(t)
+		m := given(t, false)
+		m.Step(intake.NotTaken{Job: "a-1", Placer: "p1"}, start)
+		is.Equal(len(m.Step(intake.Ticked{}, start.Add(intake.RefusedAgainAfter-1))), 0)
+		is.Equal(len(m.Step(intake.Ticked{}, start.Add(intake.RefusedAgainAfter))), 1)
+	})
+}
--- a/internal/host/peer/net.go
+++ b/internal/host/peer/net.go
@@ -160,6 +160,13 @@
 	return fmt.Errorf("%s: peer %s: %w", method, address, err)
 }
 
+// Answered reports whether an error of Call is the peer's own answer, and not
+// that of a connection.
+func Answered(err error) bool {
+	var answered *jsonrpc2.Error
+	return errors.As(err, &answered)
+}
+
 func (n *Net) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
 	n.mu.Lock()
 	conn, ok := n.conns[address]
--- a/internal/host/server/membership.go
+++ b/internal/host/server/membership.go
@@ -118,6 +118,25 @@
 		n.stepPlacer(ctx, placer.Configured{Config: c, Version: n.config.Version()}, now)
 	}
 	n.stepPlacer(ctx, placer.TargetsListed{Targets: n.zoneTargets()}, now)
+	n.tellBegun(ctx, now)
+}
+
+// placerBegunBody tells an entry that the sender begins to place.
+type placerBegunBody struct {
+	Placer string `json:"placer"`
+}
+
+// tellBegun tells the entries that this host's placer has nothing in its memory.
+func (n *Node) tellBegun(ctx context.Context, now time.Time) {
+	body := placerBegunBody{Placer: n.id}
+	for _, id := range n.peerIDs("", now) {
+		n.spawn(func() {
+			if err := n.call(ctx, id, "entry.placerBegun", body, nil); err != nil {
+				n.log.V(1).Info("placing", "step", "tell", "peer", id, "error", err.Error())
+			}
+		})
+	}
+	n.stepEntry(ctx, intake.PlacerBegun(body), now)
 }
 
 func (n *Node) endPlacing() {
--- a/internal/host/server/peers.go
+++ b/internal/host/server/peers.go
@@ -54,6 +54,9 @@
 			Job job.ID `json:"job"`
 		}
 		return n.toEntry(ctx, params, &b, func(now time.Time) { n.stepEntry(keep, intake.CancelAsked{Job: b.Job}, now) })
+	case "entry.placerBegun":
+		var b placerBegunBody
+		return n.toEntry(ctx, params, &b, func(now time.Time) { n.stepEntry(keep, intake.PlacerBegun(b), now) })
 	case "entry.adopt":
 		var b adoptBody
 		_, err := n.toEntry(ctx, params, &b, func(now time.Time) { n.adopt(keep, b, now) })
--- a/internal/proof/process/hosts_test.go
+++ b/internal/proof/process/hosts_test.go
@@ -37,6 +37,9 @@
 	}
 }
 
+// settled is how long the hosts are left alone before the next kill.
+const settled = 4 * time.Second
+
 // TestKilledPlacer tells of a host that dies at once, with everything in its
 // memory, while it places for its zone and callers ask. Its peers see it gone,
 // another one places from what the workers say, and the work goes on: callers
@@ -52,6 +55,7 @@
 	l := begin(r, callers)
 	for i := range kills {
 		r.until("some answers", func() bool { return l.count() > 50*(i+1) })
+		time.Sleep(settled) // a host that is back takes its duty back after a while
 		dead := r.placer("leon")
 		r.kill(dead)
 		t.Logf("time to the next placement: %s", r.nextPlacement(dead, i).Round(time.Millisecond))
