server, intake: find, list and wait over all hosts; answer for a job of another zone

Cause: a caller behind a balancer listed only the jobs of the host it reached, and could not wait at another; a durable job admitted in a zone whose host died was refused elsewhere with 503, seen in TestKilledPlacer; a balancer was given 300 ms to see that a host stops. Change: listing and waiting go to all hosts; a host answers for a job of another zone by asking that zone's placer; unreadyTime is a setting, 2 s by default; requests are counted by route and status.

--- a/internal/host/api/api.go
+++ b/internal/host/api/api.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -47,9 +48,35 @@
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		Problem{Status: http.StatusNotFound, Detail: "no such path: " + r.URL.Path}.write(w, time.Now())
 	})
+	r.Use(a.counted)
 	return http.MaxBytesHandler(r, int64(a.node.Settings().MaxBody()))
 }
 
+// counted counts and times the requests of each route by status.
+func (a *API) counted(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		begun := time.Now()
+		seen := &statusWriter{ResponseWriter: w, status: http.StatusOK}
+		next.ServeHTTP(seen, r)
+		route, _ := mux.CurrentRoute(r).GetPathTemplate()
+		scope := a.node.Metrics().Tagged(map[string]string{"route": route, "status": strconv.Itoa(seen.status), "method": r.Method})
+		scope.Counter("requests").Inc(1)
+		scope.Timer("request_seconds").Record(time.Since(begun))
+	})
+}
+
+// statusWriter notes the status that was written.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader notes and writes the status.
+func (w *statusWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
 // caller is who makes a request.
 type caller struct {
 	account  text.Account
--- a/internal/host/intake/event.go
+++ b/internal/host/intake/event.go
@@ -14,6 +14,8 @@
 	// Adopted says that another entry answered for the job before, whose
 	// placers this one does not know.
 	Adopted bool
+	// Zone is the zone whose placer has the job; empty for the entry's own.
+	Zone string
 }
 
 // PlacersSeen says who places for each zone now, by zone: the placer's address
--- a/internal/host/intake/machine.go
+++ b/internal/host/intake/machine.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -135,7 +136,7 @@
 	if _, ok := m.records[e.Job.ID()]; ok {
 		return nil
 	}
-	r := &Record{job: e.Job, state: job.Queued, zone: m.zone, givenTo: map[string]bool{}}
+	r := &Record{job: e.Job, state: job.Queued, zone: cmp.Or(e.Zone, m.zone), givenTo: map[string]bool{}}
 	// The entry before may have given the job to a placer that started it. So
 	// no placer's word that it was not run is enough for an adopted job.
 	if e.Adopted {
--- a/internal/host/server/burning.go
+++ b/internal/host/server/burning.go
@@ -26,22 +26,7 @@
 	if err != nil {
 		return burn.Report{}, err
 	}
-	found := make(chan burn.Snapshot, len(peers))
-	for _, id := range peers {
-		n.spawn(func() {
-			var s burn.Snapshot
-			if err := n.call(ctx, id, "burn.snapshot", struct{}{}, &s); err != nil {
-				n.log.Info("burn", "step", "gather", "peer", id, "error", err.Error())
-			}
-			found <- s
-		})
-	}
-	all := []burn.Snapshot{own}
-	for range peers {
-		if s := <-found; len(s.Hosts) > 0 {
-			all = append(all, s)
-		}
-	}
+	all := append([]burn.Snapshot{own}, gather[burn.Snapshot](ctx, n, peers, "burn.snapshot", struct{}{})...)
 	merged, err := burn.Merge(all...)
 	if err != nil {
 		// What would mislead is left out; the report of the others is given.
--- a/internal/host/server/peers.go
+++ b/internal/host/server/peers.go
@@ -78,6 +78,8 @@
 		return n.handleTicketClaim(ctx, b)
 	case "entry.find":
 		return n.handleFind(ctx, params)
+	case "entry.list":
+		return n.handleList(ctx, params)
 	case "config.get":
 		c, _, err := n.InForceText(ctx)
 		return c, err
@@ -91,19 +93,25 @@
 }
 
 func (n *Node) handleFind(ctx context.Context, params json.RawMessage) (any, error) {
-	var b struct {
-		Job job.ID `json:"job"`
-	}
+	var b findBody
 	if err := n.read("entry.find", params, &b); err != nil {
 		return nil, err
 	}
-	v, ok, err := n.local(ctx, b.Job)
+	v, ok, err := n.Wait(ctx, b.Job, b.Until)
 	if err != nil || !ok {
 		return nil, err
 	}
 	return v, nil
 }
 
+func (n *Node) handleList(ctx context.Context, params json.RawMessage) (any, error) {
+	var b listBody
+	if err := n.read("entry.list", params, &b); err != nil {
+		return nil, err
+	}
+	return n.ownJobs(ctx, b.Account)
+}
+
 func (n *Node) toPlacer(ctx context.Context, params json.RawMessage, into any, f func(now time.Time)) (any, error) {
 	if err := n.read("placer", params, into); err != nil {
 		return nil, err
--- a/internal/host/server/stopping.go
+++ b/internal/host/server/stopping.go
@@ -10,11 +10,8 @@
 	"guavaglade.example/guavaglade/internal/work/job"
 )
 
-// Times of a planned stop.
-const (
-	balancerLag = 300 * time.Millisecond // until the balancer has seen that the host is not ready
-	stopPoll    = 50 * time.Millisecond
-)
+// stopPoll is how often a planned stop looks whether all is settled.
+const stopPoll = 50 * time.Millisecond
 
 // Stop ends the host's part as planned. The balancer is told first and new
 // requests are still taken while it lags; peers are told, so another host
@@ -26,7 +23,7 @@
 	if err := n.ask(ctx, func() { n.stopping = true }); err != nil {
 		return err
 	}
-	if err := sleep(ctx, balancerLag); err != nil {
+	if err := sleep(ctx, n.settings.UnreadyTime()); err != nil {
 		return err
 	}
 	if err := n.ask(ctx, func() {
--- a/internal/host/server/submitting.go
+++ b/internal/host/server/submitting.go
@@ -10,6 +10,7 @@
 
 	"guavaglade.example/guavaglade/internal/config/text"
 	"guavaglade.example/guavaglade/internal/host/admission"
+	"guavaglade.example/guavaglade/internal/host/intake"
 	"guavaglade.example/guavaglade/internal/host/retry"
 	"guavaglade.example/guavaglade/internal/platform/ledger"
 	"guavaglade.example/guavaglade/internal/work/job"
@@ -77,7 +78,11 @@
 	if err := n.takes(ctx, j); err != nil {
 		return View{}, err
 	}
-	if err := n.secure(ctx, j); err != nil {
+	err = n.secure(ctx, j)
+	if other := (*ledger.OtherZoneError)(nil); errors.As(err, &other) {
+		return n.elsewhere(ctx, j, other.Zone, until)
+	}
+	if err != nil {
 		return View{}, err
 	}
 	if err := n.Accept(ctx, j); err != nil {
@@ -90,6 +95,21 @@
 	return v, err
 }
 
+// elsewhere answers a request that was submitted in another zone before. If no
+// host there answers for it any more, this one does: it asks that zone's placer.
+func (n *Node) elsewhere(ctx context.Context, j job.Job, zone string, until time.Time) (View, error) {
+	v, ok, err := n.Find(ctx, j.ID(), until)
+	if err != nil || ok {
+		return v, err
+	}
+	ev := intake.Accepted{Job: j, Adopted: true, Zone: zone}
+	if err := n.ask(ctx, func() { n.stepEntry(context.WithoutCancel(ctx), ev, time.Now()) }); err != nil {
+		return View{}, err
+	}
+	v, _, err = n.Wait(ctx, j.ID(), until)
+	return v, err
+}
+
 // jobOf makes the job that a request asks for.
 func (n *Node) jobOf(ctx context.Context, r Request, now time.Time) (job.Job, error) {
 	if !requestID.MatchString(r.RequestID) {
@@ -198,7 +218,8 @@
 	defer cancel()
 	err := n.retries.Do(bounded, platformPeer, func(ctx context.Context) error {
 		err := n.ledger.Admit(ctx, j)
-		if errors.Is(err, ledger.ErrOtherRequest) || errors.Is(err, ledger.ErrEnded) {
+		var other *ledger.OtherZoneError
+		if errors.Is(err, ledger.ErrOtherRequest) || errors.Is(err, ledger.ErrEnded) || errors.As(err, &other) {
 			return retry.Permanent(err)
 		}
 		return err
@@ -214,7 +235,10 @@
 // repeatable one is held by one more host until the platform is back.
 func (n *Node) withoutRow(ctx context.Context, j job.Job, err error) error {
 	now := time.Now()
+	var other *ledger.OtherZoneError
 	switch {
+	case errors.As(err, &other):
+		return other
 	case errors.Is(err, ledger.ErrOtherRequest):
 		return refuse(http.StatusConflict, "request id %s: %v", j.Request(), err)
 	case errors.Is(err, ledger.ErrEnded):
--- a/internal/host/settings/field.go
+++ b/internal/host/settings/field.go
@@ -45,6 +45,7 @@
 	sizeField("maxConnections", "callers' connections at once", 1, 1<<20, func(s *Settings) *int { return &s.limits.MaxConnections }),
 	timeField("requestTimeout", "duration to read a request, and to write an answer", 100*time.Millisecond, time.Hour, func(s *Settings) *time.Duration { return &s.limits.RequestTimeout }),
 	timeField("maxWait", "duration, longest ?wait= of a caller", 0, 24*time.Hour, func(s *Settings) *time.Duration { return &s.limits.MaxWait }),
+	timeField("unreadyTime", "duration that a planned stop goes on taking requests while the balancer sees that the host is not ready", 0, time.Hour, func(s *Settings) *time.Duration { return &s.limits.UnreadyTime }),
 	timeField("stopGrace", "duration that a planned stop waits for callers' answers", 0, time.Hour, func(s *Settings) *time.Duration { return &s.limits.StopGrace }),
 	sizeField("queueLimit", "open jobs that the host holds; ordinary ones are refused from 80 % on, guaranteed ones from 95 %", 1, 1<<20, func(s *Settings) *int { return &s.limits.QueueLimit }),
 }
--- a/internal/host/settings/settings.go
+++ b/internal/host/settings/settings.go
@@ -52,6 +52,7 @@
 	RequestTimeout time.Duration // to read a request, and to write an answer
 	MaxWait        time.Duration // longest ?wait= of a caller
 	StopGrace      time.Duration // of a planned stop, for callers that wait
+	UnreadyTime    time.Duration // of a planned stop, until the balancer sends nobody here
 	QueueLimit     int           // open jobs that the host holds
 }
 
@@ -93,6 +94,11 @@
 // WithLimits replaces the limits.
 func WithLimits(l Limits) Option { return func(s *Settings) { s.limits = l } }
 
+// WithUnreadyTime sets how long a planned stop goes on taking requests.
+func WithUnreadyTime(d time.Duration) Option {
+	return func(s *Settings) { s.limits.UnreadyTime = d }
+}
+
 // WithPlatformRates sets the share of the platform that all hosts may use.
 func WithPlatformRates(writes, reads float64) Option {
 	return func(s *Settings) { s.platform.WritesPerSecond, s.platform.ReadsPerSecond = writes, reads }
@@ -116,6 +122,7 @@
 			RequestTimeout: 10 * time.Second,
 			MaxWait:        60 * time.Second,
 			StopGrace:      20 * time.Second,
+			UnreadyTime:    2 * time.Second,
 			QueueLimit:     20000,
 		},
 		origins: map[string]string{},
@@ -177,6 +184,10 @@
 // MaxWait returns the longest wait that a caller is given.
 func (s Settings) MaxWait() time.Duration { return s.limits.MaxWait }
 
+// UnreadyTime returns how long a planned stop goes on taking requests after the
+// host has said that it is not ready, so that the balancer has time to see it.
+func (s Settings) UnreadyTime() time.Duration { return s.limits.UnreadyTime }
+
 // StopGrace returns how long a planned stop waits for callers' answers.
 func (s Settings) StopGrace() time.Duration { return s.limits.StopGrace }
 
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -17,6 +17,9 @@
 	"guavaglade.example/guavaglade/internal/standin/platform"
 )
 
+// unreadyTime is short, since no balancer stands before a site.
+const unreadyTime = 300 * time.Millisecond
+
 // loopback takes any free port of this machine.
 const loopback = "127.0.0.1:0"
 
@@ -150,7 +153,7 @@
 	}
 	for _, p := range pairs {
 		to, err := settings.New(p.zone, p.callers.Addr().String(), p.peers.Addr().String(), s.address,
-			settings.WithPeers(peers...), settings.WithOperatorKey(s.keyHash))
+			settings.WithPeers(peers...), settings.WithOperatorKey(s.keyHash), settings.WithUnreadyTime(unreadyTime))
 		if err != nil {
 			return err
 		}
--- a/internal/work/job/job.go
+++ b/internal/work/job/job.go
@@ -182,6 +182,12 @@
 	return j
 }
 
+// WithoutInput returns the job without what its tasks are given, for listings.
+func (j Job) WithoutInput() Job {
+	j.input = nil
+	return j
+}
+
 // NeedsClaim reports whether a start of the job must first win a conditional
 // write in the platform. A ticket takes the claim's place.
 func (j Job) NeedsClaim() bool { return j.ticket == "" && (!j.repeatable || j.long) }
