--- a/internal/platform/ledger/property_test.go
+++ b/internal/platform/ledger/property_test.go
@@ -166,10 +166,10 @@
 // shows old rows. A user would see a billed order run twice, be told "not run"
 // of one that ran, or see an answer replaced by an older one.
 //
-// Seen failing, each guard alone removed: the test of Refused and that of
-// Outcome in claimable; "found.Attempt > 0" in Refuse; the comparison of
-// attempts, and the rule of notRun, in outcomeFits; "unknown" in Ledger.write
-// taken as refused; mine in Ledger.write comparing the host instead of the nonce.
+// Seen failing, each guard alone removed: the tests of Refused, of Outcome and of
+// rounds in claimable; "found.Attempt > 0" in Refuse; the comparison of attempts
+// and the rule of notRun in outcomeFits; the condition of the write in update;
+// mine in Ledger.write always true; the host's name in place of the nonce.
 func TestAtMostOnce(t *testing.T) {
 	seeded.Check(t, func(t *rapid.T) {
 		r := newRace(t)
@@ -189,8 +189,8 @@
 // reads are old. A user would see a change that was accepted disappear, one that
 // was refused come into force, or two texts under one number.
 //
-// Seen failing without Expect in the write of the current row, and with
-// a conflict counted as ErrBase before the change id is looked for.
+// Seen failing without Expect in the write of the current row, and with the base
+// compared before the change id is looked for.
 func TestChangesRace(t *testing.T) {
 	seeded.Check(t, func(t *rapid.T) {
 		r := newRace(t)
