--- a/internal/host/server/configuration.go
+++ b/internal/host/server/configuration.go
@@ -39,11 +39,13 @@
 // so that a zone cut off from the platform but not from its peers gets it too.
 func (n *Node) followConfiguration(ctx context.Context, now time.Time) {
 	v, from, ok := n.members.NewestConfig(now)
-	if !ok || !n.config.Wants(v.Number, now) {
+	if !ok || v.Number <= n.fetching || !n.config.Wants(v.Number, now) {
 		return
 	}
+	n.fetching = v.Number
 	id := idOf(from)
 	n.spawn(func() {
+		defer n.post(ctx, func() { n.fetching = 0 })
 		var c ledger.Config
 		if err := n.call(ctx, id, "config.get", struct{}{}, &c); err != nil {
 			n.log.Info("configuration", "step", "fetch", "peer", id, "error", err.Error())
--- a/internal/host/server/entering.go
+++ b/internal/host/server/entering.go
@@ -32,6 +32,9 @@
 func (n *Node) give(ctx context.Context, c intake.Give) {
 	if err := n.call(ctx, c.Placer, "placer.submit", c.Job, nil); err != nil {
 		n.log.Info("job", "job", c.Job.ID(), "step", "give", "peer", c.Placer, "error", err.Error())
+		if !peer.Answered(err) {
+			n.post(ctx, func() { n.members.Unreachable(addressOf(c.Placer)) })
+		}
 		if peer.Answered(err) || errors.Is(err, errNotPlacer) {
 			n.post(ctx, func() { n.stepEntry(ctx, intake.NotTaken{Job: c.Job.ID(), Placer: c.Placer}, time.Now()) })
 		}
--- a/internal/host/server/node.go
+++ b/internal/host/server/node.go
@@ -79,6 +79,7 @@
 	// The loop owns all of the following.
 	members    *member.Table
 	config     inforce.Keeper
+	fetching   int64 // version that is being fetched from a peer; 0 for none
 	entry      *intake.Machine
 	waiting    map[job.ID]chan struct{} // closed when the job is final
 	placer     *placer.Machine          // nil while another host places
--- a/internal/host/server/recording.go
+++ b/internal/host/server/recording.go
@@ -17,7 +17,7 @@
 const budgetBurst = 1.0
 
 // sweepLimit bounds the ended rows that one sweep looks at.
-const sweepLimit = 200
+const sweepLimit = 20
 
 // openLedger makes the ledger with this host's share of the platform's budget.
 func (n *Node) openLedger() error {
@@ -29,7 +29,7 @@
 		return err
 	}
 	group := ledger.NewGroup(n.platform, ledger.WithBudgets(n.writes, n.reads))
-	n.ledger = ledger.New(group, n.id, ledger.WithObjects(n.platform), ledger.WithReport(func(key string, err error) {
+	n.ledger = ledger.New(group, n.id, ledger.WithObjects(n.platform), ledger.WithRounds(gang.Round), ledger.WithReport(func(key string, err error) {
 		n.metrics.Counter("rows_unreadable").Inc(1)
 		n.log.Info("ledger", "step", "read", "row", key, "error", err.Error())
 	}))
@@ -119,11 +119,7 @@
 	case err == nil:
 		return c.Outcome, nil
 	case errors.Is(err, ledger.ErrFenced):
-		o, ok, err := n.ledger.Outcome(bounded, c.Job.ID())
-		if err != nil || !ok {
-			return c.Outcome, errors.Join(errNotSettled, err)
-		}
-		return o, nil
+		return n.fencedOutcome(bounded, c.Outcome)
 	case errors.Is(err, table.ErrUnavailable), errors.Is(err, table.ErrUnknown):
 		return c.Outcome, n.pending.Record(c.Job, c.Outcome)
 	default:
@@ -131,6 +127,22 @@
 	}
 }
 
+// fencedOutcome returns what holds instead of an outcome that the ledger did not
+// take. A placer that has not run the job cannot say so if another attempt was
+// claimed: that one may have run, and has left no outcome.
+func (n *Node) fencedOutcome(ctx context.Context, own job.Outcome) (job.Outcome, error) {
+	o, ok, err := n.ledger.Outcome(ctx, own.Job)
+	switch {
+	case err == nil && ok:
+		return o, nil
+	case err == nil && own.State == job.NotRun:
+		own.State, own.Reason = job.Lost, "another attempt was claimed and may have run: "+own.Reason
+		return own, nil
+	default:
+		return own, errors.Join(errNotSettled, err)
+	}
+}
+
 // errNotSettled says that an outcome was fenced by a newer attempt that has
 // none yet.
 var errNotSettled = errors.New("a newer attempt is under way")
--- a/internal/platform/remote/client.go
+++ b/internal/platform/remote/client.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"guavaglade.example/guavaglade/internal/platform/table"
@@ -23,6 +24,10 @@
 type Client struct {
 	address string // IP:port
 	http    *http.Client
+
+	mu      sync.Mutex
+	tag     string         // entity tag of the newest list of targets; empty for none
+	targets []table.Target // the list with that tag
 }
 
 var _ table.Platform = (*Client)(nil)
@@ -89,11 +94,29 @@
 	return body, err
 }
 
-// Targets returns the lagging list of workers.
+// Targets returns the lagging list of workers. The list is long and seldom
+// changes, so it is asked for by its entity tag and read only when that is
+// another. The caller must not change the list.
 func (c *Client) Targets(ctx context.Context) ([]table.Target, error) {
+	c.mu.Lock()
+	tag, kept := c.tag, c.targets
+	c.mu.Unlock()
+	res, err := c.send(ctx, http.MethodGet, "/v1/targets", nil, tag)
+	if err != nil {
+		return nil, fmt.Errorf("list targets: platform %s: %w: %w", c.address, table.ErrUnavailable, err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	if tag != "" && res.StatusCode == http.StatusNotModified {
+		return kept, nil
+	}
 	var ts []table.Target
-	err := c.read(ctx, "list targets", "/v1/targets", &ts)
-	return ts, err
+	if err := readAnswer(res, &ts); err != nil {
+		return nil, fmt.Errorf("list targets: platform %s: %w: %w", c.address, table.ErrUnavailable, err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tag, c.targets = res.Header.Get("ETag"), ts
+	return ts, nil
 }
 
 // Register puts workers on the platform's list. Only the stand-in fleet does.
@@ -137,21 +160,33 @@
 func (e statusError) Error() string { return "status " + strconv.Itoa(int(e)) }
 
 func (c *Client) do(ctx context.Context, method, path string, body []byte, into any) error {
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, bytes.NewReader(body))
+	res, err := c.send(ctx, method, path, body, "")
 	if err != nil {
 		return err
 	}
-	res, err := c.http.Do(req)
+	defer func() { _ = res.Body.Close() }()
+	return readAnswer(res, into)
+}
+
+// send makes a request; a tag that is not empty asks for what has another one.
+func (c *Client) send(ctx context.Context, method, path string, body []byte, tag string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, bytes.NewReader(body))
 	if err != nil {
-		return err
+		return nil, err
 	}
-	defer func() { _ = res.Body.Close() }()
+	if tag != "" {
+		req.Header.Set("If-None-Match", tag)
+	}
+	return c.http.Do(req)
+}
+
+func readAnswer(res *http.Response, into any) error {
 	if res.StatusCode != http.StatusOK {
 		_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, MaxBody))
 		return statusError(res.StatusCode)
 	}
 	if into == nil {
-		_, err = io.Copy(io.Discard, res.Body)
+		_, err := io.Copy(io.Discard, res.Body)
 		return err
 	}
 	return json.NewDecoder(io.LimitReader(res.Body, MaxBody)).Decode(into)
--- a/internal/standin/platform/handler.go
+++ b/internal/standin/platform/handler.go
@@ -1,12 +1,14 @@
 package platform
 
 import (
+	"encoding/json"
 	"errors"
 	"net/http"
 	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/gorilla/mux"
 
 	"guavaglade.example/guavaglade/internal/platform/table"
@@ -142,7 +144,19 @@
 
 func (s *Server) targets(w http.ResponseWriter, r *http.Request) {
 	ts, _ := s.store.Targets(r.Context())
-	body.Reply(w, ts)
+	list, err := json.Marshal(ts)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	tag := strconv.Quote(strconv.FormatUint(xxhash.Sum64(list), 16))
+	w.Header().Set("ETag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(list)
 }
 
 func (s *Server) register(w http.ResponseWriter, r *http.Request) {
