placer: follow a claim that another zone's placer holds

Cause: a caller whose host was killed asked again in another zone. That zone's placer lost the claim, gave the job up as lost after 14 s, and the platform's record refused that outcome as older than the claim: the caller never heard anything, and the zone where the job had ended settled it for nobody. Found by the process test of a killed placer. Change: a claim that another holds is asked again until the record tells the outcome (30 s, a long job 10 min); an outcome carries at least the claim's attempt; one that is not taken is checked against the claim; a new placer settles what it finds ended although no entry asks.

--- a/internal/host/server/recording.go
+++ b/internal/host/server/recording.go
@@ -88,7 +88,7 @@
 		won, err = n.ledger.ClaimJob(ctx, c.Job, c.Lease.Attempt)
 		return err
 	})
-	ev.Won, ev.Err = won.Won, err
+	ev.Won, ev.Attempt, ev.Err = won.Won, won.Attempt, err
 	switch {
 	case err != nil && c.Job.Repeatable():
 		// A zone cut off from the platform goes on serving what may run twice.
--- a/internal/proof/machine/host_test.go
+++ b/internal/proof/machine/host_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -375,28 +376,33 @@
 
 func (h *host) claim(c placer.ClaimRow) {
 	h.w.platform.ask(h, func(err error) func() {
-		won := false
+		ev := placer.ClaimAnswered{Lease: c.Lease, Err: err}
 		if err == nil {
-			won, err = h.claimRow(c)
+			ev = h.claimRow(c)
 		}
-		if h.w.broken.guessClaims && err != nil {
-			won, err = true, nil
+		if h.w.broken.guessClaims && ev.Err != nil || h.w.broken.skipClaims {
+			ev.Won, ev.Err = true, nil
 		}
-		if h.w.broken.skipClaims {
-			won, err = true, nil
-		}
-		return func() { h.step(placer.ClaimAnswered{Lease: c.Lease, Won: won, Err: err}) }
+		return func() { h.step(ev) }
 	})
 }
 
 // claimRow asks the ledger, for which the platform's answers are there or lost at
 // once: it is given no time to ask again.
-func (h *host) claimRow(c placer.ClaimRow) (bool, error) {
+func (h *host) claimRow(c placer.ClaimRow) placer.ClaimAnswered {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Nanosecond)
 	defer cancel()
 	claim, err := h.ledger.ClaimJob(ctx, c.Job, c.Lease.Attempt)
 	h.w.logf("%s claims %s: %+v, %v", h.id(), c.Lease, claim, err)
-	return claim.Won, err
+	ev := placer.ClaimAnswered{Lease: c.Lease, Won: claim.Won, Attempt: claim.Attempt, Err: err}
+	switch {
+	case err != nil:
+	case claim.Ended:
+		ev.Recorded, _, ev.Err = h.ledger.Outcome(ctx, c.Job.ID())
+	case claim.Refused:
+		ev.Recorded = job.Outcome{Job: c.Job.ID(), State: job.NotRun, Reason: "refused before"}
+	}
+	return ev
 }
 
 func (h *host) claimTicket(c placer.ClaimTicket) {
@@ -423,9 +429,34 @@
 	}, fail)
 }
 
-// answer gives an outcome to the entry; one that the entry does not know any
-// more is taken as well.
+// answer records the outcome of a job that needs a claim, as the server does,
+// and gives what is recorded to the entry. While the platform is down it gives
+// the outcome unrecorded.
 func (h *host) answer(c placer.Answer) {
+	if !c.Job.NeedsClaim() {
+		h.deliver(c)
+		return
+	}
+	h.w.platform.ask(h, func(err error) func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Nanosecond)
+		defer cancel()
+		if err == nil {
+			err = h.ledger.Record(ctx, c.Job, c.Outcome)
+		}
+		if errors.Is(err, ledger.ErrFenced) {
+			o, ok, err := h.ledger.Outcome(ctx, c.Job.ID())
+			if err != nil || !ok {
+				return func() {}
+			}
+			c.Outcome = o
+		}
+		return func() { h.deliver(c) }
+	})
+}
+
+// deliver gives an outcome to the entry; one that the entry does not know any
+// more is taken as well.
+func (h *host) deliver(c placer.Answer) {
 	to := h.w.hostOf(c.Job.Entry())
 	if to == nil {
 		return
--- a/internal/proof/machine/machine_test.go
+++ b/internal/proof/machine/machine_test.go
@@ -31,11 +31,29 @@
 // asked is a job that a caller asked for, and what the workers saw of it.
 type asked struct {
 	job      job.Job
-	entry    *host
-	inc      int64 // of the entry that accepted it
+	entries  []*asking
 	attempts map[target.Lease]bool
-	final    bool
-	notRun   bool // the caller was told so
+	notRun   bool // a caller was told so
+}
+
+// asking is one host that accepted the job and owes it an answer.
+type asking struct {
+	entry *host
+	inc   int64 // of the host
+	final bool
+}
+
+// owed reports whether an answer is still to come: the host lives and has not
+// given it.
+func (k *asking) owed() bool { return !k.final && k.entry.alive && k.entry.inc == k.inc }
+
+func (a *asked) by(h *host) *asking {
+	for _, k := range a.entries {
+		if k.entry == h && k.inc == h.inc {
+			return k
+		}
+	}
+	return nil
 }
 
 // request is a job as it is drawn.
@@ -46,6 +64,7 @@
 	repeatable, long     bool
 	ticket, fail, cancel bool
 	cancelAt             int // ms after at
+	again                int // ms after at: asked for again at a host of the other zone; 0: not
 }
 
 // fault is one trouble as it is drawn.
@@ -110,6 +129,7 @@
 		host: r.IntN(4), members: 1 + r.IntN(4), accel: 1 + r.IntN(3),
 		repeatable: r.IntN(5) < 2, long: r.IntN(4) == 0, ticket: r.IntN(3) == 0, fail: r.IntN(10) == 0,
 		cancel: r.IntN(8) == 0, cancelAt: r.IntN(9000),
+		again: max(0, r.IntN(12000)-6000),
 	}
 }
 
@@ -122,7 +142,10 @@
 // play runs a case and returns the broken invariants, nil for none.
 func play(s script, m mutation, trace func(string, ...any)) []string {
 	w := newWorld(s.seed, m)
-	w.trace, w.drop = trace, s.drop
+	w.trace, w.drop, w.provable = trace, s.drop, true
+	for _, f := range s.faults {
+		w.provable = w.provable && f.kind != cutPlatform && f.kind != platformDown && f.kind != isolateHost
+	}
 	for i, r := range s.jobs {
 		w.at(epoch.Add(millis(r.at)), func() { w.submit(i, r) })
 	}
@@ -172,22 +195,37 @@
 	if err != nil {
 		panic(err)
 	}
-	w.jobs[id] = &asked{job: j, entry: h, inc: h.inc, attempts: map[target.Lease]bool{}}
+	w.jobs[id] = &asked{job: j, attempts: map[target.Lease]bool{}}
 	w.logf("%s accepts %s: %+v", h.id(), id, r)
-	h.enter(intake.Accepted{Job: j})
+	w.accept(h, j)
+	if other := w.hosts[(r.host+2)%len(w.hosts)]; r.again > 0 && w.provable && j.NeedsClaim() && !j.Repeatable() {
+		w.after(millis(r.again), func() {
+			if other.alive && !w.now.Before(other.pausedUntil) {
+				w.accept(other, j.AdoptedBy(other.id()))
+			}
+		})
+	}
 	if r.cancel {
 		w.after(millis(r.cancelAt), h.guard(func() { h.enter(intake.CancelAsked{Job: id}) }))
 	}
 }
 
+func (w *world) accept(h *host, j job.Job) {
+	a := w.jobs[j.ID()]
+	a.entries = append(a.entries, &asking{entry: h, inc: h.inc})
+	h.enter(intake.Accepted{Job: j})
+}
+
 // finished checks what a caller is told.
 func (w *world) finished(h *host, c intake.Finish) {
 	a, o := w.jobs[c.Job.ID()], c.Outcome
 	w.logf("%s finishes %s: %s (%s)", h.id(), c.Job.ID(), o.State, o.Reason)
-	if a.final || a.entry != h || a.inc != h.inc || o.Job != c.Job.ID() {
+	k := a.by(h)
+	if k == nil || k.final || o.Job != c.Job.ID() {
 		w.violate("ownAnswer", "%s finished %s with the outcome of %s a second time or at another host", h.id(), c.Job.ID(), o.Job)
 	}
-	a.final, a.notRun = true, o.State == job.NotRun
+	k.final = true
+	a.notRun = a.notRun || o.State == job.NotRun
 	if o.State == job.Succeeded && string(o.Answer.Body()) != "done "+string(c.Job.ID()) {
 		w.violate("wholeAnswer", "%s was answered %q", c.Job.ID(), o.Answer.Body())
 	}
@@ -199,8 +237,10 @@
 // settled reports whether every job whose entry lives is final.
 func (w *world) settled() bool {
 	for _, a := range w.jobs {
-		if !a.final && a.entry.alive && a.entry.inc == a.inc {
-			return false
+		for _, k := range a.entries {
+			if k.owed() {
+				return false
+			}
 		}
 	}
 	return true
@@ -208,9 +248,11 @@
 
 func (w *world) checkEnd() {
 	for id, a := range w.jobs {
-		if !a.final && a.entry.alive && a.entry.inc == a.inc {
-			r, _ := a.entry.entry.Record(id)
-			w.violate("liveness", "%s has no final answer: %s", id, r.State())
+		for _, k := range a.entries {
+			if k.owed() {
+				r, _ := k.entry.entry.Record(id)
+				w.violate("liveness", "%s has no final answer at %s: %s", id, k.entry.id(), r.State())
+			}
 		}
 	}
 }
--- a/internal/proof/machine/mutation_test.go
+++ b/internal/proof/machine/mutation_test.go
@@ -39,15 +39,15 @@
 	seed      int
 	with      []fault
 }{
-	{"skipClaims", mutation{skipClaims: true}, "atMostOnce", 30, nil},
-	{"guessClaims", mutation{guessClaims: true}, "atMostOnce", 1479, []fault{loses}},
-	{"skipTickets", mutation{skipTickets: true}, "atMostOnce", 791, nil},
-	{"ignoreRefusals", mutation{ignoreRefusals: true}, "partlyHeld", 13, nil},
+	{"skipClaims", mutation{skipClaims: true}, "atMostOnce", 27, nil},
+	{"guessClaims", mutation{guessClaims: true}, "atMostOnce", 665, []fault{loses}},
+	{"skipTickets", mutation{skipTickets: true}, "atMostOnce", 274, nil},
+	{"ignoreRefusals", mutation{ignoreRefusals: true}, "partlyHeld", 35, nil},
 	{"ignoreStartErrors", mutation{ignoreStartErrors: true}, "partlyStarted", 6, []fault{noisy}},
-	{"ignoreDeadline", mutation{ignoreDeadline: true}, "lateStart", 92, []fault{noisy, noisy, noisy}},
-	{"ignoreDigest", mutation{ignoreDigest: true}, "wholeAnswer", 2, nil},
-	{"ignoreSender", mutation{ignoreSender: true}, "wholeAnswer", 155, []fault{noisy, noisy}},
-	{"ignoreLeaving", mutation{ignoreLeaving: true}, "leaving", 8, nil},
+	{"ignoreDeadline", mutation{ignoreDeadline: true}, "lateStart", 84, []fault{noisy, noisy, noisy}},
+	{"ignoreDigest", mutation{ignoreDigest: true}, "wholeAnswer", 0, nil},
+	{"ignoreSender", mutation{ignoreSender: true}, "wholeAnswer", 49, []fault{noisy, noisy}},
+	{"ignoreLeaving", mutation{ignoreLeaving: true}, "leaving", 2, nil},
 	{"trustAnyRefusal", mutation{trustAnyRefusal: true}, "notRun", 6, nil},
 	{"forgetVersion", mutation{forgetVersion: true}, "versionFalls", 14, nil},
 	{"ignoreBase", mutation{ignoreBase: true}, "changeBase", 5, nil},
--- a/internal/proof/machine/world_test.go
+++ b/internal/proof/machine/world_test.go
@@ -60,6 +60,7 @@
 	platform *platform
 	broken   mutation
 	drop     bool
+	provable bool // the platform is always reached: "not run" of a job asked for twice can be proven
 	gangs    gangBook
 	jobs     map[job.ID]*asked
 	faults   []string // broken invariants, the first one first
--- a/internal/work/placer/attempt.go
+++ b/internal/work/placer/attempt.go
@@ -190,7 +190,10 @@
 		return m.delay(r, "claim", "another placer's claim came first", now)
 	}
 	m.scheduler.Cancel(r.job.ID())
-	r.gang, r.elsewhere, r.ran = nil, now.Add(ElsewhereFor), true
+	r.gang, r.elsewhere, r.askAt = nil, now.Add(ElsewhereFor), now
+	if r.job.Long() {
+		r.elsewhere = now.Add(ElsewhereLong)
+	}
 	return []Command{r.tell(job.Starting, "claim", "another placer holds the claim; its gang is looked for")}
 }
 
@@ -263,10 +266,15 @@
 		return nil
 	}
 	r.claiming, r.claimed = false, e.Err == nil && e.Won
+	if r.outcome != nil {
+		return m.outcomeStands(r, e, now)
+	}
 	if e.Recorded.State.Final() {
 		return m.recorded(r, e.Recorded, now)
 	}
+	r.winner = max(r.winner, e.Attempt)
 	if r.gang == nil {
+		m.claimedLate(r, now)
 		return nil
 	}
 	if cs, left := m.leftBehind(r, now); left {
@@ -280,6 +288,14 @@
 	return append(cs, m.carry(r, steps, now)...)
 }
 
+// claimedLate queues a job again whose claim was won after all: whoever held it
+// gave it up before a start.
+func (m *Machine) claimedLate(r *record, now time.Time) {
+	if r.claimed && !r.elsewhere.IsZero() {
+		r.elsewhere, r.retryAt = time.Time{}, now
+	}
+}
+
 // recorded gives up an attempt at a job whose outcome the platform holds, and
 // answers with that outcome: an entry that asked twice, or a host that replaced
 // the one that knew, must not hear another.
@@ -291,7 +307,7 @@
 	if r.outcome != nil {
 		return cs
 	}
-	return append(cs, m.settle(r, o, now)...)
+	return append(cs, m.conclude(r, o, now)...)
 }
 
 func (m *Machine) startAnswered(e StartAnswered, now time.Time) []Command {
--- a/internal/work/placer/event.go
+++ b/internal/work/placer/event.go
@@ -34,6 +34,9 @@
 	Lease target.Lease
 	Won   bool
 	Err   error
+	// Attempt is the newest attempt that was claimed, by whomever; 0 if that is
+	// not known. A job that is given up as lost ends with it.
+	Attempt int
 	// Recorded is the outcome that the platform holds of a job that has ended
 	// or was refused for good; its State is empty if there is none.
 	Recorded job.Outcome
--- a/internal/work/placer/machine.go
+++ b/internal/work/placer/machine.go
@@ -20,14 +20,22 @@
 	// no entry has asked for it.
 	OrphanAfter = 60 * time.Second
 	// ElsewhereFor is how long a job whose claim another placer won is looked
-	// for on the workers before it is given up as lost.
-	ElsewhereFor = LeaseTime + gang.CheckFor
-	SilentAfter  = 8 * time.Second  // a worker that was not heard for so long gets no new work
-	TakenFor     = 30 * time.Second // an outcome is kept for entries that ask late
-	UntakenFor   = 10 * time.Minute // an outcome that no entry takes is forgotten then
-	MaxOutcomes  = 10000            // outcomes kept; the oldest go first
-	MaxCrashes   = 6                // attempts of a repeatable job that may fail, if the scheduler finds no culprit
-	MaxEntries   = 4                // entries that one job is answered to
+	// for, on the workers and in the platform's record, before it is given up as
+	// lost; a long one for ElsewhereLong. The winner may be of another zone,
+	// where an entry was asked for the same request.
+	ElsewhereFor   = 30 * time.Second
+	ElsewhereLong  = 10 * time.Minute
+	elsewhereEvery = 2 * time.Second  // between two askings
+	settledEvery   = 10 * time.Second // the same for a job with an outcome
+	// UnlistedFor is how long a new placer waits for the platform's list before
+	// it refuses a job whose deadline has passed.
+	UnlistedFor = 5 * time.Second
+	SilentAfter = 8 * time.Second  // a worker that was not heard for so long gets no new work
+	TakenFor    = 30 * time.Second // an outcome is kept for entries that ask late
+	UntakenFor  = 10 * time.Minute // an outcome that no entry takes is forgotten then
+	MaxOutcomes = 10000            // outcomes kept; the oldest go first
+	MaxCrashes  = 6                // attempts of a repeatable job that may fail, if the scheduler finds no culprit
+	MaxEntries  = 4                // entries that one job is answered to
 	// TakeoverWait is how long a new placer waits for the workers' lists before
 	// it queues what it is given. A job that it does not know may run already.
 	TakeoverWait = 1500 * time.Millisecond
--- a/internal/work/placer/machine_test.go
+++ b/internal/work/placer/machine_test.go
@@ -175,3 +175,41 @@
 		}
 	}
 }
+
+// A billed order's claim was won by a placer that died, of another zone, and the
+// salon asks again here. The claim is asked again and again until the platform
+// tells what became of the order; the salon hears that.
+func TestClaimHeldElsewhereIsFollowed(t *testing.T) {
+	is := is.New(t)
+	m := placing(t)
+	j := newJob(t, "salon-1", job.Repeatable(false))
+	l := find[placer.HoldOn](m.Step(placer.Submitted{Job: j}, at(0.1)))[0].Hold.Lease
+	claims := find[placer.ClaimRow](m.Step(placer.HoldAnswered{Worker: "w1", Lease: l}, at(0.2)))
+	is.Equal(len(claims), 1)
+	m.Step(placer.ClaimAnswered{Lease: claims[0].Lease, Attempt: 7000001}, at(0.3))
+	m.Step(placer.StopAnswered{Worker: "w1", Lease: l}, at(0.4))
+	again := find[placer.ClaimRow](m.Step(placer.Ticked{}, at(3)))
+	is.Equal(len(again), 1)
+	recorded := job.Outcome{Job: j.ID(), Attempt: 7000001, State: job.Succeeded, Answer: job.NewAnswer([]byte("billed"))}
+	cs := m.Step(placer.ClaimAnswered{Lease: again[0].Lease, Attempt: 7000001, Recorded: recorded}, at(3.1))
+	answers := find[placer.Answer](cs)
+	is.Equal(len(answers), 1)
+	is.Equal(answers[0].Outcome, recorded)
+}
+
+// The same, and the platform never tells: the order is lost, with the winner's
+// attempt, since the platform's record takes no older one.
+func TestClaimHeldElsewhereEndsAsLost(t *testing.T) {
+	is := is.New(t)
+	m := placing(t)
+	j := newJob(t, "salon-1", job.Repeatable(false))
+	l := find[placer.HoldOn](m.Step(placer.Submitted{Job: j}, at(0.1)))[0].Hold.Lease
+	c := find[placer.ClaimRow](m.Step(placer.HoldAnswered{Worker: "w1", Lease: l}, at(0.2)))[0]
+	m.Step(placer.ClaimAnswered{Lease: c.Lease, Attempt: 7000001}, at(0.3))
+	m.Step(placer.StopAnswered{Worker: "w1", Lease: l}, at(0.4))
+	m.Step(placer.Submitted{Job: j}, at(20)) // the entry confirms it
+	answers := find[placer.Answer](m.Step(placer.Ticked{}, at(31)))
+	is.Equal(len(answers), 1)
+	is.Equal(answers[0].Outcome.State, job.Lost)
+	is.Equal(answers[0].Outcome.Attempt, 7000001)
+}
--- a/internal/work/placer/record.go
+++ b/internal/work/placer/record.go
@@ -15,6 +15,7 @@
 type record struct {
 	job       job.Job
 	entries   []string     // that the outcome goes to; at most MaxEntries
+	since     time.Time    // when an entry gave it first
 	given     time.Time    // when an entry gave it last
 	gang      *gang.Gang   // the attempt under way; nil for none
 	round     int          // of the newest attempt, its own or heard of
@@ -26,6 +27,8 @@
 	claimed   bool         // the claim is won: only this placer may start the job
 	retryAt   time.Time    // back into the queue then; zero if it is not waiting for that
 	elsewhere time.Time    // another holds the claim: lost then, if not found; zero if not so
+	askAt     time.Time    // when the claim is asked again, to hear what became of it
+	winner    int          // the attempt that holds the claim; 0 if not known
 	outcome   *job.Outcome // nil while there is none
 	settledAt time.Time
 	takenAt   time.Time     // when every entry had the outcome; zero before
@@ -60,7 +63,7 @@
 }
 
 func (m *Machine) add(j job.Job, now time.Time) *record {
-	r := &record{job: j, given: now, entries: []string{j.Entry()}, round: m.heard[j.ID()].round}
+	r := &record{job: j, since: now, given: now, entries: []string{j.Entry()}, round: m.heard[j.ID()].round}
 	m.records[j.ID()] = r
 	m.order = append(m.order, j.ID())
 	m.dirty = true
@@ -120,12 +123,18 @@
 
 // settle makes an outcome final and gives it to the entries.
 func (m *Machine) settle(r *record, o job.Outcome, now time.Time) []Command {
+	// The platform's record takes no outcome that is older than the claim.
+	o.Job, o.At, o.Attempt = r.job.ID(), now, max(o.Attempt, r.claim.Attempt, r.winner)
+	return m.conclude(r, o, now)
+}
+
+// conclude settles a job with an outcome that is given as it is.
+func (m *Machine) conclude(r *record, o job.Outcome, now time.Time) []Command {
 	if r.gang != nil {
 		m.detach(r.gang)
 		m.scheduler.Ended(r.job.ID(), schedule.Dropped, "", now)
 	}
 	m.scheduler.Cancel(r.job.ID())
-	o.Job, o.At = r.job.ID(), now
 	r.outcome, r.settledAt, r.backoff = &o, now, time.Second
 	r.gang, r.retryAt, r.elsewhere = nil, time.Time{}, time.Time{}
 	m.settled++
@@ -158,13 +167,17 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (m *Machine) tickRecord(r *record, now time.Time) []Command {
 	switch {
 	case r.outcome != nil:
-		if r.takenAt.IsZero() && !now.Before(r.answerAt) {
-			return m.giveOutcome(r, now)
-		}
-		return nil
+		return m.tickOutcome(r, now)
 	case r.gang != nil:
 		return m.tickGang(r, now)
 	case !now.Before(r.given.Add(GivenFor)):
@@ -173,13 +186,10 @@
 		m.scheduler.Cancel(r.job.ID())
 		m.drop(r.job.ID())
 		return nil
-	case !m.listed && !r.job.Deadline().IsZero() && !now.Before(r.job.Deadline()):
+	case !m.listed && !r.job.Deadline().IsZero() && !now.Before(later(r.job.Deadline(), r.since.Add(UnlistedFor))):
 		return m.refuse(r, schedule.Decision{Reason: "no worker of the zone was known by its deadline"}, now)
 	case !r.elsewhere.IsZero():
-		if !now.Before(r.elsewhere) {
-			return m.settle(r, job.Outcome{State: job.Lost, Attempt: r.attempt(), Reason: "another placer claimed it and no worker has it"}, now)
-		}
-		return nil
+		return m.tickElsewhere(r, now)
 	case !r.retryAt.IsZero() && !now.Before(r.retryAt) && m.found[r.job.ID()] == nil && !m.takingOver(now):
 		r.retryAt = time.Time{}
 		m.scheduler.Submit(r.job, now)
@@ -188,6 +198,51 @@
 	return nil
 }
 
+// tickOutcome gives an outcome again that was not taken. One that is not taken
+// for long may be kept out of the platform's record by a claim that this placer
+// does not know of, as when the same request was given to another zone's placer
+// that died: the claim is asked for what stands.
+func (m *Machine) tickOutcome(r *record, now time.Time) []Command {
+	if !r.takenAt.IsZero() {
+		return nil
+	}
+	var cs []Command
+	if !now.Before(r.answerAt) {
+		cs = m.giveOutcome(r, now)
+	}
+	unclaimed := r.job.NeedsClaim() && !r.claimed && !r.claiming
+	if unclaimed && !now.Before(r.settledAt.Add(ElsewhereFor)) && !now.Before(r.askAt) {
+		r.askAt = now.Add(settledEvery)
+		cs = append(cs, m.askClaim(r))
+	}
+	return cs
+}
+
+// outcomeStands takes what stands in the platform's record for a job that was
+// settled here. Over another's claim "not run" cannot be said.
+func (m *Machine) outcomeStands(r *record, e ClaimAnswered, now time.Time) []Command {
+	if e.Err != nil || !r.takenAt.IsZero() {
+		return nil
+	}
+	if e.Recorded.State.Final() {
+		r.outcome = &e.Recorded
+		return m.giveOutcome(r, now)
+	}
+	o := *r.outcome
+	o.Attempt = max(o.Attempt, e.Attempt, r.claim.Attempt)
+	if !e.Won && o.State == job.NotRun {
+		o.State, o.Reason = job.Lost, "another placer claimed it and told no outcome: "+o.Reason
+	}
+	r.outcome = &o
+	return m.giveOutcome(r, now)
+}
+
+func (m *Machine) askClaim(r *record) Command {
+	r.claiming = true
+	r.claim = target.Lease{Job: r.job.ID(), Attempt: max(r.claim.Attempt, gang.Attempt(max(r.round, 1), m.salt))}
+	return claimOf(r.job, r.claim)
+}
+
 func (m *Machine) tickGang(r *record, now time.Time) []Command {
 	g := r.gang
 	if !r.job.Long() && g.Phase() == gang.Running && !now.Before(r.given.Add(OrphanAfter)) {
@@ -197,6 +252,21 @@
 	return m.carry(r, g.Ticked(now), now)
 }
 
+// tickElsewhere asks what became of a job that another placer may start, and
+// gives it up as lost in the end. It ends with the winner's attempt, so that the
+// platform's record takes it.
+func (m *Machine) tickElsewhere(r *record, now time.Time) []Command {
+	if !now.Before(r.elsewhere) {
+		o := job.Outcome{State: job.Lost, Attempt: max(r.winner, r.attempt()), Reason: "another placer claimed it and no worker has it"}
+		return m.settle(r, o, now)
+	}
+	if r.claiming || now.Before(r.askAt) {
+		return nil
+	}
+	r.askAt = now.Add(elsewhereEvery)
+	return []Command{m.askClaim(r)}
+}
+
 // drop forgets a record.
 func (m *Machine) drop(id job.ID) {
 	delete(m.records, id)
--- a/internal/work/placer/takeover.go
+++ b/internal/work/placer/takeover.go
@@ -14,6 +14,11 @@
 // asks for its job.
 const foundFor = time.Minute
 
+// unaskedAfter is when a gang that was found ended is settled although no entry
+// asked for its job: its record in the platform must not stay open, since an
+// entry of another zone may wait for it.
+const unaskedAfter = 5 * time.Second
+
 // takingOver reports whether it is too early to queue what is given: until every
 // worker was heard, a job that seems new may run already on one of them, and
 // would be refused for its passed deadline or begun a second time.
@@ -132,6 +137,18 @@
 	return m.close(r, schedule.Done, "", o, now)
 }
 
+// unasked reports whether a found gang ended with an outcome that belongs in the
+// platform's record and that no entry has asked for.
+func (m *Machine) unasked(g *gang.Gang, now time.Time) bool {
+	id := g.Job().ID()
+	if m.found[id] != g || m.records[id] != nil || g.Phase() != gang.Over || now.Before(m.foundAt[id].Add(unaskedAfter)) {
+		return false
+	}
+	res := g.Result()
+	final := res.Cause == gang.CauseDone && !res.Broken || !g.Job().Repeatable() && res.MayHaveRun
+	return final && g.Job().NeedsClaim()
+}
+
 // tickFound lets time pass for the found gangs.
 func (m *Machine) tickFound(now time.Time) []Command {
 	ids := make([]job.ID, 0, len(m.found))
@@ -143,6 +160,10 @@
 	for _, id := range ids {
 		g := m.found[id]
 		cs = append(cs, m.foundStep(g, g.Ticked(now), now)...)
+		if m.unasked(g, now) {
+			m.add(g.Job(), now).retryAt = now
+			cs = append(cs, m.foundOver(g, now)...)
+		}
 		if m.found[id] != nil && g.Phase() == gang.Over && !now.Before(m.foundAt[id].Add(foundFor)) {
 			m.lose(id)
 		}
