--- a/internal/host/peer/net.go
+++ b/internal/host/peer/net.go
@@ -160,6 +160,13 @@
 	return fmt.Errorf("%s: peer %s: %w", method, address, err)
 }
 
+// Answered reports whether an error of Call is the peer's own answer, and not
+// that of a connection.
+func Answered(err error) bool {
+	var answered *jsonrpc2.Error
+	return errors.As(err, &answered)
+}
+
 // Notify tells a peer at IP:port something and waits for no answer: for what is
 // said again soon anyway. The error is nil if it was sent.
 func (n *Net) Notify(ctx context.Context, address, method string, params any) error {
