server: a spent share is no outage; a caller that asks again in another zone is told

Seen with kill -9 of a placer under load. First, a burst spent this host's share of the platform's writes, which counted as a failure of the platform, opened its circuit and had jobs that may run once only refused for 2 s at a time. The overload now says when to come back and leaves the circuit closed. Second, a caller whose host died and who asked again in another zone waited for ever: the claim was held in the first zone, whose placer nobody asked, and the lost outcome was fenced without end. The job is now given to the zone of the claim's holder, and a lost outcome of that zone's placer is recorded over the claim.

go test -run TestKilledPlacer ./internal/proof/process -long, 10 kills, 48 callers in about 60 s.

--- a/internal/host/server/recording.go
+++ b/internal/host/server/recording.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
+	"guavaglade.example/guavaglade/internal/host/retry"
 	"guavaglade.example/guavaglade/internal/platform/budget"
 	"guavaglade.example/guavaglade/internal/platform/ledger"
 	"guavaglade.example/guavaglade/internal/platform/table"
@@ -83,7 +85,7 @@
 	defer cancel()
 	ev := placer.ClaimAnswered{Lease: c.Lease}
 	var won ledger.Claim
-	err := n.retries.Do(bounded, platformPeer, func(ctx context.Context) error {
+	err := n.atPlatform(bounded, func(ctx context.Context) error {
 		var err error
 		won, err = n.ledger.ClaimJob(ctx, c.Job, c.Lease.Attempt)
 		return err
@@ -103,6 +105,76 @@
 		ev.Recorded = job.Outcome{Job: c.Lease.Job, State: job.NotRun, Reason: "refused before by " + won.By}
 	}
 	n.placerEvent(ctx, term, ev)
+	if err == nil && !won.Won && !won.Ended && !won.Refused && !c.Job.Repeatable() {
+		n.askElsewhere(ctx, c.Job, won.By)
+	}
+}
+
+// atPlatform calls the platform, again if that may help. That this host's share
+// is spent says nothing against the platform and must not open its circuit: else
+// a burst has jobs refused, as if the platform were down, that would have passed
+// a moment later.
+func (n *Node) atPlatform(ctx context.Context, op func(ctx context.Context) error) error {
+	return n.retries.Do(ctx, platformPeer, func(ctx context.Context) error {
+		err := op(ctx)
+		var over *ledger.OverloadedError
+		if errors.As(err, &over) {
+			return &retry.LaterError{At: over.RetryAt, Err: err}
+		}
+		return err
+	})
+}
+
+// Asking the zone of a claim's holder: it may be about to choose a new placer.
+const (
+	askElsewhereTimes = 10
+	askElsewhereEvery = 500 * time.Millisecond
+)
+
+// askElsewhere gives a job whose claim is held in another zone to that zone's
+// placer, which knows how it stands: a caller whose host died may ask again in
+// another zone. Without this the outcome is told to nobody who still listens.
+func (n *Node) askElsewhere(ctx context.Context, j job.Job, holder string) {
+	zone, err := n.zoneOf(ctx, holder)
+	if err != nil || zone == "" || zone == n.settings.Zone() {
+		return
+	}
+	for range askElsewhereTimes {
+		if err = n.submitTo(ctx, zone, j); err == nil || sleep(ctx, askElsewhereEvery) != nil {
+			break
+		}
+	}
+	n.log.Info("claim", "step", "askElsewhere", "job", j.ID(), "zone", zone, "error", errorText(err))
+}
+
+func (n *Node) submitTo(ctx context.Context, zone string, j job.Job) error {
+	to := ""
+	if err := n.ask(ctx, func() {
+		if p, ok := n.members.Placer(zone, time.Now()); ok {
+			to = idOf(p)
+		}
+	}); err != nil {
+		return err
+	}
+	if to == "" {
+		return fmt.Errorf("zone %s: %w", zone, errNoPlacer)
+	}
+	return n.call(ctx, to, "placer.submit", j, nil)
+}
+
+// errNoPlacer says that no live host of a zone is known.
+var errNoPlacer = errors.New("no placer is known")
+
+// zoneOf returns the zone of a host, dead ones included; empty if not known.
+func (n *Node) zoneOf(ctx context.Context, id string) (zone string, err error) {
+	err = n.ask(ctx, func() {
+		for _, h := range n.members.Hosts(time.Now()) {
+			if h.Address == addressOf(id) {
+				zone = h.Zone
+			}
+		}
+	})
+	return zone, err
 }
 
 // recordOutcome writes the outcome of a job that must outlive its hosts. While
@@ -119,11 +191,7 @@
 	case err == nil:
 		return c.Outcome, nil
 	case errors.Is(err, ledger.ErrFenced):
-		o, ok, err := n.ledger.Outcome(bounded, c.Job.ID())
-		if err != nil || !ok {
-			return c.Outcome, errors.Join(errNotSettled, err)
-		}
-		return o, nil
+		return n.fenced(bounded, c)
 	case errors.Is(err, table.ErrUnavailable), errors.Is(err, table.ErrUnknown):
 		return c.Outcome, n.pending.Record(c.Job, c.Outcome)
 	default:
@@ -131,6 +199,32 @@
 	}
 }
 
+// fenced returns what holds instead of an outcome that came late. A job that may
+// run once only is lost for good once its zone's placer has looked for its gang
+// in vain: whoever held the claim is in this zone and died with it. Without this
+// its caller is left waiting for an attempt that nobody has under way.
+func (n *Node) fenced(ctx context.Context, c placer.Answer) (job.Outcome, error) {
+	o, ok, err := n.ledger.Outcome(ctx, c.Job.ID())
+	if err == nil && ok {
+		return o, nil
+	}
+	if err != nil || c.Outcome.State != job.Lost || c.Job.Repeatable() {
+		return c.Outcome, errors.Join(errNotSettled, err)
+	}
+	stands, err := n.ledger.ClaimJob(ctx, c.Job, c.Outcome.Attempt)
+	if err != nil || stands.Won || stands.Ended {
+		return c.Outcome, errors.Join(errNotSettled, err)
+	}
+	zone, err := n.zoneOf(ctx, stands.By)
+	if err != nil || zone != n.settings.Zone() {
+		n.askElsewhere(ctx, c.Job, stands.By)
+		return c.Outcome, errors.Join(errNotSettled, err)
+	}
+	o = c.Outcome
+	o.Attempt = stands.Attempt
+	return o, n.ledger.Record(ctx, c.Job, o)
+}
+
 // errNotSettled says that an outcome was fenced by a newer attempt that has
 // none yet.
 var errNotSettled = errors.New("a newer attempt is under way")
--- a/internal/host/server/submitting.go
+++ b/internal/host/server/submitting.go
@@ -138,7 +138,7 @@
 	defer cancel()
 	var o job.Outcome
 	var ok bool
-	err := n.retries.Do(bounded, platformPeer, func(ctx context.Context) error {
+	err := n.atPlatform(bounded, func(ctx context.Context) error {
 		var err error
 		o, ok, err = n.ledger.Outcome(ctx, j.ID())
 		return err
@@ -196,7 +196,7 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	err := n.retries.Do(bounded, platformPeer, func(ctx context.Context) error {
+	err := n.atPlatform(bounded, func(ctx context.Context) error {
 		err := n.ledger.Admit(ctx, j)
 		if errors.Is(err, ledger.ErrOtherRequest) || errors.Is(err, ledger.ErrEnded) {
 			return retry.Permanent(err)
