--- a/internal/proof/process/load_test.go
+++ b/internal/proof/process/load_test.go
@@ -60,9 +60,10 @@
 	view     api.JobView
 	problem  *client.Error // the last refusal, nil if it was taken
 	cut      []string      // connections that broke, and why
-	at       time.Time     // when it ended
-	entry    string        // the host that answered
-	repeated int           // times asked for again
+	begun    time.Time
+	at       time.Time // when it ended
+	entry    string    // the host that answered
+	repeated int       // times asked for again
 }
 
 // load is callers that ask until it is ended. Each asks again after a cut, with
@@ -82,7 +83,7 @@
 	millis int
 }{{"quick", 50}, {"bill", 100}, {"quick", 200}, {"forecast", 300}, {"quick", 50}, {"gang", 150}, {"bill", 50}, {"quick", 20}}
 
-// begin starts callers; every longEvery-th request runs for longMillis, 0 for none.
+// begin starts callers that ask until the load is ended.
 func begin(r *rig, callers int) *load {
 	l := &load{r: r, done: make(chan struct{})}
 	go l.balancer.watch(r, l.done)
@@ -121,7 +122,7 @@
 }
 
 func (l *load) ask(kind, id string, millis int) result {
-	res := result{kind: kind, id: job.NewID("norte", id)}
+	res := result{kind: kind, id: job.NewID("norte", id), begun: time.Now()}
 	request := server.Request{RequestID: id, Service: "refill", Job: kind, Input: fmt.Appendf(nil, `{"runMillis": %d}`, millis)}
 	address := l.balancer.pick()
 	for end := time.Now().Add(patience); time.Now().Before(end); res.repeated++ {
