--- a/internal/fleet/placement/reclaim_test.go
+++ b/internal/fleet/placement/reclaim_test.go
@@ -33,6 +33,9 @@
 			if a, ok := f.zone.Place(r); ok {
 				f.mustTake(r, a)
 			}
+			if f.pick(3) == 0 {
+				f.checkpoint()
+			}
 		}
 		r := placement.Request{Owner: "back", Account: "a", Shape: s, Guaranteed: true}
 		_, victims, ok := f.zone.Reclaim(r, f.now)
@@ -59,7 +62,11 @@
 	sum := 0.0
 	for _, o := range owners {
 		h, _ := f.zone.Holder(o)
-		sum += f.now.Sub(h.Since).Seconds() * float64(max(h.Request.Shape.Total(), 1))
+		lost := f.now.Sub(h.Since)
+		if !h.Checkpoint.IsZero() {
+			lost = f.now.Sub(h.Checkpoint)
+		}
+		sum += lost.Seconds() * float64(max(h.Request.Shape.Total(), 1))
 	}
 	return sum
 }
@@ -107,7 +114,7 @@
 	for _, r := range []placement.Request{
 		{Owner: "claims", Account: "b", Shape: whole, Guaranteed: true, Stoppable: true},
 		{Owner: "firm", Account: "c", Shape: whole},
-		{Owner: "old", Account: "c", Shape: whole, Stoppable: true},
+		{Owner: "elder", Account: "c", Shape: whole, Stoppable: true},
 		{Owner: "fresh", Account: "d", Shape: whole, Stoppable: true},
 	} {
 		a, ok := z.Place(r)
