--- a/internal/host/api/api.go
+++ b/internal/host/api/api.go
@@ -26,6 +26,10 @@
 
 // Handler returns the HTTP surface.
 func (a *API) Handler() http.Handler {
+	return http.MaxBytesHandler(a.router(), int64(a.node.Settings().MaxBody()))
+}
+
+func (a *API) router() *mux.Router {
 	r := mux.NewRouter()
 	r.HandleFunc("/healthz", a.health).Methods(http.MethodGet)
 	r.HandleFunc("/readyz", a.ready).Methods(http.MethodGet)
@@ -49,7 +53,7 @@
 		Problem{Status: http.StatusNotFound, Detail: "no such path: " + r.URL.Path}.write(w, time.Now())
 	})
 	r.Use(a.counted)
-	return http.MaxBytesHandler(r, int64(a.node.Settings().MaxBody()))
+	return r
 }
 
 // counted counts and times the requests of each route by status.
--- a/internal/work/placer/attempt.go
+++ b/internal/work/placer/attempt.go
@@ -109,7 +109,9 @@
 	switch res.Cause {
 	case gang.CauseDone:
 		if !res.Broken {
-			o.State, o.Answer = job.Succeeded, res.Answer
+			// A gang found at a takeover carries a reason for the case that it is
+			// broken off; it was not.
+			o.State, o.Answer, o.Reason = job.Succeeded, res.Answer, ""
 			return m.close(r, schedule.Done, "", o, now)
 		}
 		o.Reason = "its answer could not be had whole"
