traffic: count each host's bytes by whom it talks with

Change: connections to peers, workers, the platform and callers are counted and shown as traffic_bytes on /metrics. Before: no figure.

--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -20,11 +20,14 @@
 	"guavaglade.example/guavaglade/internal/host/peer"
 	"guavaglade.example/guavaglade/internal/host/server"
 	"guavaglade.example/guavaglade/internal/host/settings"
+	"guavaglade.example/guavaglade/internal/host/traffic"
 	"guavaglade.example/guavaglade/internal/platform/remote"
 )
 
-// metricsEvery is how often counts are passed on to /metrics.
-const metricsEvery = time.Second
+const (
+	metricsEvery = time.Second // between two passings of the counts to /metrics
+	platformIdle = 16          // connections to the platform that are kept for the next calls
+)
 
 // Process is one host that serves.
 type Process struct {
@@ -40,12 +43,12 @@
 type Option func(*options)
 
 type options struct {
-	dial peer.Dial // nil: the usual one
+	dial traffic.Dial // nil: the usual one
 }
 
 // WithDial sets how the process reaches peers, workers and the platform. Tests
 // cut the network with it.
-func WithDial(d peer.Dial) Option { return func(o *options) { o.dial = d } }
+func WithDial(d traffic.Dial) Option { return func(o *options) { o.dial = d } }
 
 // Listen takes the addresses that the settings name.
 func Listen(s settings.Settings) (callers, peers net.Listener, err error) {
@@ -74,16 +77,19 @@
 		Prefix: "guavaglade", CachedReporter: reporter, Separator: promreporter.DefaultSeparator,
 		SanitizeOptions: &promreporter.DefaultSanitizerOpts, OmitCardinalityMetrics: true,
 	}, metricsEvery)
-	opts := []server.Option{server.WithLog(log), server.WithMetrics(scope)}
-	callers = netutil.LimitListener(callers, s.MaxConnections())
+	callers = traffic.New(scope, "callers").Listener(netutil.LimitListener(callers, s.MaxConnections()))
+	withPeers := traffic.New(scope, "peers")
+	peers = withPeers.Listener(peers)
+	opts := []server.Option{
+		server.WithLog(log), server.WithMetrics(scope),
+		server.WithDials(peer.Dial(withPeers.Dial(set.dial)), peer.Dial(traffic.New(scope, "workers").Dial(set.dial))),
+	}
 	callers, peers, opts, err := secured(s, callers, peers, opts, log)
 	if err != nil {
 		return nil, err
 	}
-	var toPlatform http.RoundTripper
-	if set.dial != nil {
-		toPlatform = &http.Transport{DialContext: set.dial}
-		opts = append(opts, server.WithDial(set.dial))
+	toPlatform := &http.Transport{
+		DialContext: traffic.New(scope, "platform").Dial(set.dial), MaxIdleConnsPerHost: platformIdle, IdleConnTimeout: time.Minute,
 	}
 	node, err := server.New(s, remote.New(s.Platform(), toPlatform), started.UnixMilli(), opts...)
 	if err != nil {
--- a/internal/host/server/node.go
+++ b/internal/host/server/node.go
@@ -54,23 +54,24 @@
 
 // Node is one running host.
 type Node struct {
-	settings settings.Settings
-	platform table.Platform
-	ledger   *ledger.Ledger
-	pending  *ledger.Pending // what could not be written while the platform was down
-	writes   *budget.Bucket
-	reads    *budget.Bucket
-	net      *peer.Net
-	log      logr.Logger
-	metrics  tally.Scope
-	workerRT http.RoundTripper
-	peerTLS  peer.Client // nil for plain TCP
-	dial     peer.Dial   // nil for the usual one
-	burn     *burn.Recorder
-	gate     admission.Gate
-	retries  *retry.Caller // of calls to the platform that are idempotent
-	services *retry.Caller // circuits of the services, by name
-	id       string        // peer address with incarnation
+	settings   settings.Settings
+	platform   table.Platform
+	ledger     *ledger.Ledger
+	pending    *ledger.Pending // what could not be written while the platform was down
+	writes     *budget.Bucket
+	reads      *budget.Bucket
+	net        *peer.Net
+	log        logr.Logger
+	metrics    tally.Scope
+	workerRT   http.RoundTripper
+	peerTLS    peer.Client // nil for plain TCP
+	peerDial   peer.Dial   // nil for the usual one
+	workerDial peer.Dial   // nil for the usual one
+	burn       *burn.Recorder
+	gate       admission.Gate
+	retries    *retry.Caller // of calls to the platform that are idempotent
+	services   *retry.Caller // circuits of the services, by name
+	id         string        // peer address with incarnation
 
 	work  chan func()
 	ended chan struct{}  // closed when the loop has ended
@@ -115,8 +116,10 @@
 // WithPeerTLS sets the TLS of outgoing connections to other hosts.
 func WithPeerTLS(c peer.Client) Option { return func(n *Node) { n.peerTLS = c } }
 
-// WithDial sets how the node reaches peers and workers, by default as usual.
-func WithDial(d peer.Dial) Option { return func(n *Node) { n.dial = d } }
+// WithDials sets how the node reaches peers and workers, by default as usual.
+func WithDials(peers, workers peer.Dial) Option {
+	return func(n *Node) { n.peerDial, n.workerDial = peers, workers }
+}
 
 // New returns a node that is not running yet. incarnation must be higher than
 // that of any earlier process at the same peer address. It refuses settings
@@ -136,8 +139,8 @@
 	for _, o := range opts {
 		o(n)
 	}
-	n.net = peer.New(n.handle, n.peerTLS, n.dial, n.log)
-	n.workerRT = remote.Transport(workerShare, n.dial)
+	n.net = peer.New(n.handle, n.peerTLS, n.peerDial, n.log)
+	n.workerRT = remote.Transport(workerShare, n.workerDial)
 	n.burn, n.retries = burn.New(n.id), retry.New()
 	n.services = retry.New(retry.WithTries(1), retry.WithCircuit(serviceFailures, serviceRest))
 	gate, err := admission.New(s.QueueLimit())
