guarantee: repack for guarantees at risk only when it may help

Change: what fits by itself is bound at each decision; all are packed anew when workers or guarantees changed, when there is more room to move in than at the last failure, or after 64 ends; others' room is asked for with one repack.

--- a/internal/fleet/cell/inventory.go
+++ b/internal/fleet/cell/inventory.go
@@ -142,6 +142,16 @@
 	return r.freeMask(), r.worker.cores - r.cores, r.worker.memory - r.memory, r.worker.slots - r.slots
 }
 
+// FreeRoom returns the accelerators and slots that are free on all workers that
+// are not barred.
+func (v *Inventory) FreeRoom() (accelerators, slots int) {
+	for _, k := range v.racks {
+		accelerators += k.free
+		slots += k.slots
+	}
+	return accelerators, slots
+}
+
 // Owners returns who holds something on a worker, each once, in the order in
 // which they came. The caller must not change it.
 func (v *Inventory) Owners(id string) []string {
--- a/internal/fleet/guarantee/bind.go
+++ b/internal/fleet/guarantee/bind.go
@@ -9,7 +9,7 @@
 // Bounds on how often a full repack starts over in another order.
 const (
 	repackRounds = 12 // when guarantees change or are at risk
-	settleRounds = 3  // when others' room is asked for, which is often
+	settleRounds = 1  // when others' room is asked for, which is often
 )
 
 // undo remembers the places of units that were moved, so that a change that
@@ -132,49 +132,7 @@
 	}
 	for _, u := range hardestFirst(units) {
 		if !u.claimed() && u.place == nil && !p.bind(u, cell.Compact) {
-			p.dirty = true
-		}
-	}
-}
-
-// Refresh calls Repair if room has come free or has gone since the last time.
-// Whoever decides by the plan calls it first, so that guarantees at risk get
-// room before anybody else does, and many changes cost one repair.
-func (p *Plan) Refresh() {
-	if p.dirty {
-		p.Repair()
-	}
-}
-
-// Repair gives room to guarantees that are at risk, as many as it can: at first
-// what is idle, then by packing all of them anew, then by packing each in turn
-// beside those that have room.
-func (p *Plan) Repair() {
-	if p.setsAside {
-		p.dropParts()
-		p.repair()
-		p.keepParts()
-	}
-	p.dirty = false
-}
-
-func (p *Plan) repair() {
-	var left []*unit
-	for _, u := range hardestFirst(p.without()) {
-		if !p.bind(u, cell.Compact) && p.view.FreeAccelerators() >= u.shape().Total() {
-			left = append(left, u)
-		}
-	}
-	if len(left) == 0 || p.pushIn(left) {
-		return
-	}
-	var stuck *unit
-	for _, u := range left {
-		if stuck != nil && stuck.shape() == u.shape() {
-			continue
-		}
-		if !p.pushIn([]*unit{u}) {
-			stuck = u
+			p.changed = true
 		}
 	}
 }
--- a/internal/fleet/guarantee/part.go
+++ b/internal/fleet/guarantee/part.go
@@ -39,7 +39,7 @@
 // dropParts gives up all parts until the next Repair.
 func (p *Plan) dropParts() {
 	p.liftParts()
-	p.dirty = p.dirty || len(p.parts) > 0
+	p.changed = p.changed || len(p.parts) > 0
 	p.parts = p.parts[:0]
 }
 
@@ -53,6 +53,17 @@
 	return kept
 }
 
+// giveParts gives the parts their room again, if it is still free.
+func (p *Plan) giveParts(kept []cell.Assignment) {
+	var still []*unit
+	for i, u := range p.parts {
+		if u.place == nil && !u.claimed() && p.firm.Take(partKey(u), u.shape().Of(len(kept[i])), kept[i]) == nil {
+			still = append(still, u)
+		}
+	}
+	p.parts = still
+}
+
 // withoutParts calls f while no part is kept. If f reports that it changed the
 // plan, the parts are given up.
 func (p *Plan) withoutParts(f func() (changed bool)) bool {
@@ -61,8 +72,6 @@
 		p.dropParts()
 		return true
 	}
-	for i, u := range p.parts {
-		_ = p.firm.Take(partKey(u), u.shape().Of(len(kept[i])), kept[i]) // free, since nothing changed
-	}
+	p.giveParts(kept)
 	return false
 }
--- a/internal/fleet/guarantee/plan.go
+++ b/internal/fleet/guarantee/plan.go
@@ -28,7 +28,10 @@
 	byAccount map[string][]*unit
 	claims    map[string]*unit // by owner
 	parts     []*unit          // units at risk for which a part is kept
-	dirty     bool             // room has come free or has gone since the last Repair
+	dirty     bool             // firm work has ended since the last Refresh
+	changed   bool             // workers or guarantees have changed since the last Repair
+	tried     int              // movable room when the last Repair left guarantees at risk
+	ends      int              // of firm work since the last Repair
 	serial    int              // of the newest unit
 	setsAside bool             // false: unclaimed units get no place
 }
@@ -56,7 +59,7 @@
 	moved := p.unbindOn(w.ID())
 	p.firm.Add(w)
 	p.rebind(moved)
-	p.dirty = true
+	p.changed = true
 }
 
 // RemoveWorker takes a worker out. Guarantees with room on it get other room or
@@ -78,7 +81,7 @@
 	}
 	p.firm.Bar(id, barred)
 	p.rebind(moved)
-	p.dirty = true
+	p.changed = true
 }
 
 // AtRisk returns the guarantees, each with the number of unclaimed gangs that
@@ -146,12 +149,16 @@
 // Release ends what the owner was booked for. A guarantee that it claimed is
 // unclaimed again, and keeps its room if that is still whole.
 func (p *Plan) Release(owner string) {
+	u, claims := p.claims[owner]
+	if _, _, booked := p.firm.Held(owner); !booked && !claims {
+		return
+	}
 	p.firm.Release(owner)
-	u, ok := p.claims[owner]
-	if ok {
+	if claims {
 		p.unclaim(u)
 	}
 	p.dirty = true
+	p.ends++
 }
 
 func (p *Plan) unclaim(u *unit) {
--- a/internal/fleet/placement/bench_test.go
+++ b/internal/fleet/placement/bench_test.go
@@ -207,3 +207,43 @@
 		b.Fatalf("rebuilt with guarantees at risk: %v", z.AtRisk())
 	}
 }
+
+// BenchmarkPlaceAtRisk measures decisions while a rack is lost in a zone that
+// has promised as much as it can hold.
+func BenchmarkPlaceAtRisk(b *testing.B) {
+	for _, workers := range []int{131, 230, 460} {
+		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) {
+			z, rng, running := designZone(b, workers, 11000*workers/920, placement.Cells{})
+			z.ImposeGuarantees(allThatFits(b, z, workers))
+			for i := range 8 {
+				z.RemoveWorker(fmt.Sprintf("w%04d", i))
+			}
+			if z.AtRisk() == nil {
+				b.Fatal("nothing is at risk")
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				running = decide(b, z, running, designRequest(rng, fmt.Sprintf("bench%d", i)), i)
+				b.StopTimer()
+				running = fill(z, rng, running, i, 10000*workers/920)
+				b.StartTimer()
+			}
+		})
+	}
+}
+
+// allThatFits adds guarantees of the larger shapes until one does not fit.
+func allThatFits(b *testing.B, z *placement.Zone, workers int) []guarantee.Guarantee {
+	gs := designGuarantees(b, workers)
+	for {
+		g, err := guarantee.New(fmt.Sprintf("extra%d", len(gs)), designShapes[6+len(gs)%6], 1)
+		if err != nil {
+			b.Fatal(err)
+		}
+		if guarantee.Check(z.Inventory().Workers(), append(gs, g)) != nil {
+			return gs
+		}
+		gs = append(gs, g)
+	}
+}
