--- a/internal/host/server/entering.go
+++ b/internal/host/server/entering.go
@@ -32,6 +32,9 @@
 func (n *Node) give(ctx context.Context, c intake.Give) {
 	if err := n.call(ctx, c.Placer, "placer.submit", c.Job, nil); err != nil {
 		n.log.Info("job", "job", c.Job.ID(), "step", "give", "peer", c.Placer, "error", err.Error())
+		if !peer.Answered(err) {
+			n.post(ctx, func() { n.members.Unreachable(addressOf(c.Placer)) })
+		}
 		if peer.Answered(err) || errors.Is(err, errNotPlacer) {
 			n.post(ctx, func() { n.stepEntry(ctx, intake.NotTaken{Job: c.Job.ID(), Placer: c.Placer}, time.Now()) })
 		}
@@ -150,20 +153,6 @@
 	return v, ok, err
 }
 
-// Jobs returns the jobs that this host answers for, of one account, or of all
-// if the account is empty.
-func (n *Node) Jobs(ctx context.Context, account string) ([]View, error) {
-	var views []View
-	err := n.ask(ctx, func() {
-		for _, r := range n.entry.Records() {
-			if account == "" || r.Job().Account() == account {
-				views = append(views, n.viewOf(r))
-			}
-		}
-	})
-	return views, err
-}
-
 // Accept takes a job and answers for it from now on. Accepting it again
 // changes nothing.
 func (n *Node) Accept(ctx context.Context, j job.Job) error {
@@ -211,89 +200,3 @@
 	}
 	return n.local(ctx, id)
 }
-
-// Find returns what any host or the platform knows of a job: first this host,
-// then the hosts of its zone, then all others, then the outcomes in the table.
-// If until is not zero, it waits until then for a job of this host to be final.
-func (n *Node) Find(ctx context.Context, id job.ID, until time.Time) (v View, ok bool, err error) {
-	if v, ok, err = n.Wait(ctx, id, until); ok || err != nil {
-		return v, ok, err
-	}
-	var near, far []string
-	if err := n.ask(ctx, func() {
-		now := time.Now()
-		near = n.peerIDs(n.settings.Zone(), now)
-		far = slices.DeleteFunc(n.peerIDs("", now), func(id string) bool { return slices.Contains(near, id) })
-	}); err != nil {
-		return View{}, false, err
-	}
-	for _, ids := range [][]string{near, far} {
-		if v, ok := n.findAt(ctx, ids, id); ok {
-			return v, true, nil
-		}
-	}
-	o, ok, err := n.ledger.Outcome(ctx, id)
-	return View{State: o.State, Outcome: o}, ok, err
-}
-
-func (n *Node) findAt(ctx context.Context, hosts []string, id job.ID) (View, bool) {
-	found := make(chan View, len(hosts))
-	for _, h := range hosts {
-		n.spawn(func() {
-			var v View
-			body := struct {
-				Job job.ID `json:"job"`
-			}{id}
-			if err := n.call(ctx, h, "entry.find", body, &v); err != nil {
-				v = View{}
-			}
-			found <- v
-		})
-	}
-	for range hosts {
-		if v := <-found; v.State != "" {
-			return v, true
-		}
-	}
-	return View{}, false
-}
-
-// adoptOrphans takes over jobs whose entry is gone: those that it keeps a copy
-// of and, if it places, the durable ones of its zone. Two hosts that adopt at
-// once would only both answer.
-func (n *Node) adoptOrphans(ctx context.Context, now time.Time) {
-	if n.stopping || n.members.Stale(now) {
-		return
-	}
-	live := map[string]bool{n.id: true}
-	for _, id := range n.peerIDs("", now) {
-		live[id] = true
-	}
-	n.adoptCopies(ctx, live, now)
-	if n.placer == nil {
-		return
-	}
-	n.spawn(func() {
-		bounded, cancel := context.WithTimeout(ctx, callTime)
-		defer cancel()
-		jobs, err := n.ledger.Unfinished(bounded, n.settings.Zone())
-		if err != nil {
-			n.log.V(1).Info("adopt", "step", "list", "error", err.Error())
-			return
-		}
-		for _, j := range jobs {
-			if !live[j.Entry()] {
-				n.post(ctx, func() { n.adoptDurable(ctx, j, time.Now()) })
-			}
-		}
-	})
-}
-
-func (n *Node) adoptDurable(ctx context.Context, j job.Job, now time.Time) {
-	if _, ok := n.entry.Record(j.ID()); ok {
-		return
-	}
-	n.log.Info("job", "job", j.ID(), "step", "adopt", "peer", j.Entry())
-	n.durable[j.ID()] = true
-	n.stepEntry(ctx, intake.Accepted{Job: j.AdoptedBy(n.id), Adopted: true}, now)
-}
