--- a/internal/work/schedule/policy_test.go
+++ b/internal/work/schedule/policy_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"guavaglade.example/guavaglade/internal/fleet/cell"
 	"guavaglade.example/guavaglade/internal/fleet/placement"
@@ -41,7 +42,7 @@
 					}
 					b.Run(fmt.Sprintf("user=%s/policy=%s/load=%.2f/seed=%d", user, policy, load, n), func(b *testing.B) {
 						for range b.N {
-							r, err := replay(newStream(b, user, load, n), policies[policy]())
+							r, err := replay(newStream(b, user, load, n), policies[policy](), never)
 							if err != nil {
 								b.Fatal(err)
 							}
@@ -76,7 +77,7 @@
 // result is what a replay measured.
 type result struct {
 	completions, waits          []float64 // s; waits of gangs
-	breaches                    int
+	breaches, crashes           int
 	lost, fragmented, worstWait float64 // lost in accelerator seconds, fragmented in seconds
 }
 
@@ -97,3 +98,19 @@
 }
 
 func claimKey(j job.Job) string { return j.Account() + " " + j.Shape().String() }
+
+// never lets no start fail.
+func never(cell.Assignment) string { return "" }
+
+type event struct {
+	at time.Duration
+	do func()
+}
+
+// Times of the bench.
+const (
+	startWithin     = 2100 * time.Millisecond // of a guaranteed request within its account's room
+	longest         = 4 * arrivals            // after which a replay gives up
+	checkpointEvery = time.Minute             // of stoppable work, beside the one at a stop
+	gangOf          = 16                      // accelerators, from which a gang's wait is reported
+)
--- a/internal/work/schedule/replay_test.go
+++ b/internal/work/schedule/replay_test.go
@@ -11,13 +11,6 @@
 	"guavaglade.example/guavaglade/internal/work/schedule"
 )
 
-// Times of the bench.
-const (
-	startWithin     = 2100 * time.Millisecond // of a guaranteed request within its account's room
-	checkpointEvery = time.Minute             // of stoppable work, beside the one at a stop
-	gangOf          = 16                      // accelerators, from which a gang's wait is reported
-)
-
 // bench replays a stream through a scheduler in virtual time.
 type bench struct {
 	*schedule.Scheduler
@@ -29,6 +22,7 @@
 	claimed map[string]int // requests under way, by account and shape
 	wake    time.Duration
 	rng     *rand.Rand
+	crash   func(cell.Assignment) string // the worker on which a start fails, empty for none
 	result
 }
 
@@ -39,12 +33,8 @@
 	left          time.Duration
 	attempt       int
 	place         cell.Assignment
-	within        bool // it came within its account's unclaimed guarantee
-}
-
-type event struct {
-	at time.Duration
-	do func()
+	within        bool          // it came within its account's unclaimed guarantee
+	completed     time.Duration // from its arrival to its end, 0 if it did not complete
 }
 
 func (b *bench) at(t time.Duration, do func()) {
@@ -52,8 +42,8 @@
 	b.events = slices.Insert(b.events, i, event{t, do})
 }
 
-func replay(s *stream, sched *schedule.Scheduler) (*bench, error) {
-	b := &bench{Scheduler: sched, stream: s, lives: map[job.ID]*life{}, waiting: map[cell.Shape]int{}, claimed: map[string]int{}, rng: rand.New(rand.NewPCG(uint64(len(s.requests)), 1))}
+func replay(s *stream, sched *schedule.Scheduler, crash func(cell.Assignment) string) (*bench, error) {
+	b := &bench{Scheduler: sched, stream: s, lives: map[job.ID]*life{}, waiting: map[cell.Shape]int{}, claimed: map[string]int{}, crash: crash, rng: rand.New(rand.NewPCG(uint64(len(s.requests)), 1))}
 	for _, w := range s.workers {
 		b.Zone().AddWorker(w)
 	}
@@ -70,7 +60,7 @@
 		b.at(l.at, func() { b.lose(l.worker.ID()) })
 		b.at(l.back, func() { b.Zone().AddWorker(l.worker) })
 	}
-	for len(b.events) > 0 {
+	for len(b.events) > 0 && b.now < longest {
 		last := len(b.events) - 1
 		e := b.events[last]
 		b.events = b.events[:last]
@@ -122,7 +112,7 @@
 			attempt := l.attempt
 			end := b.now + 200*time.Millisecond + time.Duration(b.rng.Int64N(int64(1600*time.Millisecond)))
 			graceful := !epoch.Add(end).After(d.Deadline)
-			b.at(min(end, d.Deadline.Sub(epoch)), func() { b.stop(l, attempt, graceful, schedule.Reclaimed) })
+			b.at(min(end, d.Deadline.Sub(epoch)), func() { b.stop(l, attempt, graceful, schedule.Reclaimed, "") })
 		case schedule.Refuse, schedule.Fail:
 			l.done = true
 			b.waiting[d.Job.Shape()]--
@@ -143,9 +133,15 @@
 	l.attempt++
 	l.started, l.since, l.place = true, b.now, a
 	attempt := l.attempt
+	if w := b.crash(a); w != "" {
+		b.crashes++
+		b.at(b.now+time.Second, func() { b.stop(l, attempt, false, schedule.Crashed, w) })
+		return
+	}
 	b.at(b.now+l.left, func() {
 		if l.attempt == attempt && l.place != nil {
-			b.completions = append(b.completions, (b.now - l.at).Seconds())
+			l.completed = b.now - l.at
+			b.completions = append(b.completions, l.completed.Seconds())
 			b.finish(l, schedule.Done)
 		}
 	})
@@ -159,7 +155,7 @@
 
 // stop ends a start early; what it did since its newest checkpoint is lost if
 // it is not graceful or cannot checkpoint.
-func (b *bench) stop(l *life, attempt int, graceful bool, end schedule.End) {
+func (b *bench) stop(l *life, attempt int, graceful bool, end schedule.End, worker string) {
 	if l.place == nil || l.attempt != attempt {
 		return
 	}
@@ -175,7 +171,7 @@
 	}
 	l.left, l.place = l.left-ran+lost, nil
 	b.waiting[l.job.Shape()]++
-	b.Ended(l.job.ID(), end, "", epoch.Add(b.now))
+	b.Ended(l.job.ID(), end, worker, epoch.Add(b.now))
 }
 
 func (b *bench) cancel(id job.ID) {
@@ -190,11 +186,12 @@
 	}
 }
 
+// lose ends what stands on a worker that is gone.
 func (b *bench) lose(worker string) {
 	b.Zone().RemoveWorker(worker)
 	for _, r := range b.stream.requests {
 		if l := b.lives[r.job.ID()]; l != nil && len(l.place.On(worker)) > 0 {
-			b.stop(l, l.attempt, false, schedule.WorkerGone)
+			b.stop(l, l.attempt, false, schedule.WorkerGone, worker)
 		}
 	}
 }
