--- a/internal/host/intake/event.go
+++ b/internal/host/intake/event.go
@@ -9,7 +9,14 @@
 
 // Accepted adds a job that the entry answers for. A job that is known changes
 // nothing.
-type Accepted struct{ Job job.Job }
+type Accepted struct {
+	Job job.Job
+	// Adopted says that another entry answered for the job before, whose
+	// placers this one does not know.
+	Adopted bool
+	// Zone is the zone whose placer has the job; empty for the entry's own.
+	Zone string
+}
 
 // PlacersSeen says who places for each zone now, by zone: the placer's address
 // with its incarnation. A zone without a live host is not in it.
@@ -21,10 +28,24 @@
 	Placer string
 }
 
+// NotTaken says that the placer refused the job, since it does not place yet or
+// does not any more.
+type NotTaken struct {
+	Job    job.ID
+	Placer string
+}
+
+// PlacerBegun says that a placer begins with nothing in its memory. It may have
+// had the same identity before.
+type PlacerBegun struct{ Placer string }
+
 // OutcomeArrived is a placer's word on what became of a job.
 type OutcomeArrived struct {
 	Placer  string
 	Outcome job.Outcome
+	// Zones are the zones that could run a job which its own cannot, the best
+	// one first. If it is nil, any zone with a placer may be able to.
+	Zones []string
 }
 
 // Told is a line of a job's story from its placer.
@@ -42,6 +63,8 @@
 func (Accepted) event()       {}
 func (PlacersSeen) event()    {}
 func (Taken) event()          {}
+func (NotTaken) event()       {}
+func (PlacerBegun) event()    {}
 func (OutcomeArrived) event() {}
 func (Told) event()           {}
 func (CancelAsked) event()    {}
--- a/internal/host/intake/machine.go
+++ b/internal/host/intake/machine.go
@@ -1,7 +1,10 @@
 package intake
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -13,6 +16,9 @@
 	// GiveAgainAfter is how long a placer may be silent before it is given the
 	// job again. The placer, or its incarnation, may have changed unseen.
 	GiveAgainAfter = time.Second
+	// RefusedAgainAfter is how long after a refusal a placer is given the job
+	// again. The entry may have seen before the placer itself that it places.
+	RefusedAgainAfter = 200 * time.Millisecond
 	// ConfirmEvery is how often a job that was taken is given again, so that a
 	// placer that lost its memory without a change of address gets it back.
 	ConfirmEvery = 10 * time.Second
@@ -23,6 +29,9 @@
 	MaxLines = 64
 )
 
+// unknownPlacer stands for the placers of the entry before.
+const unknownPlacer = "unknown"
+
 // Line is one line of a job's story.
 type Line struct {
 	At    time.Time `json:"at"`
@@ -107,6 +116,10 @@
 		return m.placersSeen(e, now)
 	case Taken:
 		m.tookIt(e, now)
+	case NotTaken:
+		m.notTaken(e, now)
+	case PlacerBegun:
+		return m.placerBegun(e, now)
 	case OutcomeArrived:
 		return m.outcomeArrived(e, now)
 	case Told:
@@ -123,7 +136,12 @@
 	if _, ok := m.records[e.Job.ID()]; ok {
 		return nil
 	}
-	r := &Record{job: e.Job, state: job.Queued, zone: m.zone, givenTo: map[string]bool{}}
+	r := &Record{job: e.Job, state: job.Queued, zone: cmp.Or(e.Zone, m.zone), givenTo: map[string]bool{}}
+	// The entry before may have given the job to a placer that started it. So
+	// no placer's word that it was not run is enough for an adopted job.
+	if e.Adopted {
+		r.givenTo[unknownPlacer] = true
+	}
 	r.add(Line{At: now, State: job.Queued, Step: "admitted", Text: fmt.Sprintf("shape %s of account %s", e.Job.Shape(), e.Job.Account())})
 	m.records[e.Job.ID()] = r
 	return m.give(r, now)
@@ -163,6 +181,27 @@
 	r.giveAt = now.Add(ConfirmEvery)
 }
 
+func (m *Machine) notTaken(e NotTaken, now time.Time) {
+	r, ok := m.records[e.Job]
+	if !ok || r.placer != e.Placer || r.taken {
+		return
+	}
+	r.giveAt = now.Add(RefusedAgainAfter)
+}
+
+// placerBegun gives the jobs again to a placer that took them before and has
+// forgotten them. A placer that ends and begins on the same host keeps its
+// identity; without this a job that it had taken waits until ConfirmEvery.
+func (m *Machine) placerBegun(e PlacerBegun, now time.Time) []Command {
+	var cs []Command
+	for _, r := range m.Records() {
+		if !r.state.Final() && r.placer == e.Placer {
+			cs = append(cs, m.give(r, now)...)
+		}
+	}
+	return cs
+}
+
 func (m *Machine) outcomeArrived(e OutcomeArrived, now time.Time) []Command {
 	r, ok := m.records[e.Outcome.Job]
 	if !ok || r.state.Final() || !e.Outcome.State.Final() {
@@ -190,7 +229,7 @@
 	if e.Placer != r.placer {
 		return nil
 	}
-	if next, ok := m.elsewhere(r, e.Outcome); ok {
+	if next, ok := m.elsewhere(r, e); ok {
 		r.zone, r.job = next, r.job.PassedOn()
 		r.add(Line{At: now, Step: "passedOn", Text: "to zone " + next + ": " + e.Outcome.Reason})
 		return m.give(r, now)
@@ -204,22 +243,23 @@
 
 // elsewhere returns the zone that a job goes to which the home zone can never
 // run: one hop, and only if nothing was started.
-func (m *Machine) elsewhere(r *Record, o job.Outcome) (zone string, ok bool) {
+func (m *Machine) elsewhere(r *Record, e OutcomeArrived) (zone string, ok bool) {
+	o := e.Outcome
 	never := o.State == job.NotRun && o.Attempt == 0 && o.RetryAfter.IsZero()
-	if !never || r.cancelled || r.job.Hops() > 0 || !r.job.Deadline().IsZero() && !o.At.Before(r.job.Deadline()) {
+	late := !r.job.Deadline().IsZero() && !o.At.Before(r.job.Deadline())
+	if !never || late || r.cancelled || r.job.Hops() > 0 {
 		return "", false
 	}
-	var zones []string
-	for z := range m.placers {
-		if z != m.zone {
-			zones = append(zones, z)
-		}
+	zones := e.Zones
+	if zones == nil {
+		zones = slices.Sorted(maps.Keys(m.placers))
 	}
-	if len(zones) == 0 {
-		return "", false
+	for _, z := range zones {
+		if _, placed := m.placers[z]; placed && z != m.zone {
+			return z, true
+		}
 	}
-	sort.Strings(zones)
-	return zones[0], true
+	return "", false
 }
 
 func (m *Machine) finish(r *Record, o job.Outcome, now time.Time) []Command {
--- a/internal/host/server/membership.go
+++ b/internal/host/server/membership.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"math/bits"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"guavaglade.example/guavaglade/internal/host/intake"
@@ -26,13 +28,37 @@
 // announce sets what the heartbeats say of this host.
 func (n *Node) announce() {
 	version := member.Version{Number: n.config.Version(), Since: n.config.Since()}
-	n.members.Announce(version, member.Load{})
+	n.members.Announce(version, n.load())
+}
+
+// load is what the placer says of the zone's room; zero if this host does not
+// place.
+func (n *Node) load() member.Load {
+	if n.placer == nil {
+		return member.Load{}
+	}
+	s := n.placer.Scheduler()
+	l := member.Load{Waiting: s.Queued()}
+	inv := s.Zone().Inventory()
+	for _, w := range inv.Workers() {
+		free, _, _, _ := inv.Free(w.ID())
+		l.Free += bits.OnesCount64(free)
+	}
+	return l
 }
 
 func (n *Node) beatTo(ctx context.Context, address string, body member.Beat) {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
-	if err := n.net.Call(ctx, address, "member.beat", body, nil); err != nil {
+	// Most heartbeats want no answer, which would cost as much as they do. But
+	// a connection that a cut has broken silently takes what is written to it
+	// for minutes after the cut has healed; only an answer that does not come
+	// shows it, and then the next call dials again.
+	send := func() error { return n.net.Notify(ctx, address, "member.beat", body) }
+	if body.Seq%answeredBeat == 0 {
+		send = func() error { return n.net.Call(ctx, address, "member.beat", body, nil) }
+	}
+	if err := send(); err != nil {
 		n.metrics.Counter("heartbeats_failed").Inc(1)
 		n.post(ctx, func() { n.members.Unreachable(address) })
 	}
@@ -69,7 +95,11 @@
 	}
 	n.stepEntry(ctx, intake.PlacersSeen{Placers: placers}, now)
 	mine := n.members.Places(now)
+	_, other := placers[n.settings.Zone()]
 	switch {
+	case !mine && n.placer != nil && !other:
+		// The last host of its zone, about to stop: nobody else would renew
+		// the leases that its callers' jobs run under.
 	case mine && n.placer != nil && n.placer.Draining():
 		n.endPlacing()
 	case mine && n.placer == nil:
@@ -86,13 +116,35 @@
 func (n *Node) beginPlacing(ctx context.Context, now time.Time) {
 	n.term++
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	n.placer = placer.New(n.settings.Zone(), nil, placer.WithIdentity(n.id), placer.WithRand(random))
+	// The term makes the leases of this placing differ from those of an earlier
+	// one in the same process, which is forgotten but may have starts under way.
+	identity := n.id + "/" + strconv.Itoa(n.term)
+	n.placer = placer.New(n.settings.Zone(), nil, placer.WithIdentity(identity), placer.WithRand(random))
 	n.log.Info("placing", "step", "begin", "zone", n.settings.Zone(), "host", n.id)
 	n.metrics.Counter("placer_begun").Inc(1)
 	if c := n.config.Config(); c != nil {
 		n.stepPlacer(ctx, placer.Configured{Config: c, Version: n.config.Version()}, now)
 	}
 	n.stepPlacer(ctx, placer.TargetsListed{Targets: n.zoneTargets()}, now)
+	n.tellBegun(ctx, now)
+}
+
+// placerBegunBody tells an entry that the sender begins to place.
+type placerBegunBody struct {
+	Placer string `json:"placer"`
+}
+
+// tellBegun tells the entries that this host's placer has nothing in its memory.
+func (n *Node) tellBegun(ctx context.Context, now time.Time) {
+	body := placerBegunBody{Placer: n.id}
+	for _, id := range n.peerIDs("", now) {
+		n.spawn(func() {
+			if err := n.call(ctx, id, "entry.placerBegun", body, nil); err != nil {
+				n.log.V(1).Info("placing", "step", "tell", "peer", id, "error", err.Error())
+			}
+		})
+	}
+	n.stepEntry(ctx, intake.PlacerBegun(body), now)
 }
 
 func (n *Node) endPlacing() {
@@ -141,6 +193,10 @@
 
 func (n *Node) listed(ctx context.Context, ts []table.Target, now time.Time) {
 	n.targets = ts
+	n.workerAt = make(map[string]string, len(ts))
+	for _, t := range ts {
+		n.workerAt[t.ID] = t.Address
+	}
 	if n.placer != nil {
 		n.stepPlacer(ctx, placer.TargetsListed{Targets: n.zoneTargets()}, now)
 	}
--- a/internal/host/server/peers.go
+++ b/internal/host/server/peers.go
@@ -41,7 +41,7 @@
 		return v, err
 	case "entry.outcome":
 		var b outcomeBody
-		return n.toEntry(ctx, params, &b, func(now time.Time) { n.stepEntry(keep, intake.OutcomeArrived(b), now) })
+		return n.toEntry(ctx, params, &b, func(now time.Time) { n.outcomeArrived(keep, b, now) })
 	case "entry.told":
 		var lines []toldBody
 		return n.toEntry(ctx, params, &lines, func(now time.Time) {
@@ -54,6 +54,9 @@
 			Job job.ID `json:"job"`
 		}
 		return n.toEntry(ctx, params, &b, func(now time.Time) { n.stepEntry(keep, intake.CancelAsked{Job: b.Job}, now) })
+	case "entry.placerBegun":
+		var b placerBegunBody
+		return n.toEntry(ctx, params, &b, func(now time.Time) { n.stepEntry(keep, intake.PlacerBegun(b), now) })
 	case "entry.adopt":
 		var b adoptBody
 		_, err := n.toEntry(ctx, params, &b, func(now time.Time) { n.adopt(keep, b, now) })
@@ -75,6 +78,8 @@
 		return n.handleTicketClaim(ctx, b)
 	case "entry.find":
 		return n.handleFind(ctx, params)
+	case "entry.list":
+		return n.handleList(ctx, params)
 	case "config.get":
 		c, _, err := n.InForceText(ctx)
 		return c, err
@@ -88,19 +93,25 @@
 }
 
 func (n *Node) handleFind(ctx context.Context, params json.RawMessage) (any, error) {
-	var b struct {
-		Job job.ID `json:"job"`
-	}
+	var b findBody
 	if err := n.read("entry.find", params, &b); err != nil {
 		return nil, err
 	}
-	v, ok, err := n.local(ctx, b.Job)
+	v, ok, err := n.Wait(ctx, b.Job, b.Until)
 	if err != nil || !ok {
 		return nil, err
 	}
 	return v, nil
 }
 
+func (n *Node) handleList(ctx context.Context, params json.RawMessage) (any, error) {
+	var b listBody
+	if err := n.read("entry.list", params, &b); err != nil {
+		return nil, err
+	}
+	return n.ownJobs(ctx, b.Account)
+}
+
 func (n *Node) toPlacer(ctx context.Context, params json.RawMessage, into any, f func(now time.Time)) (any, error) {
 	if err := n.read("placer", params, into); err != nil {
 		return nil, err
--- a/internal/platform/ledger/ledger_test.go
+++ b/internal/platform/ledger/ledger_test.go
@@ -125,6 +125,21 @@
 	is.Equal(len(left), 0)
 }
 
+// Two placers that do not know of each other try the same round, with numbers
+// that differ. Only one of them may start it.
+//
+// Seen failing with the attempts compared instead of their rounds.
+func TestOneClaimOfARound(t *testing.T) {
+	is := is.New(t)
+	f, j := newFake(), testJob("r", job.Repeatable(true), job.Long(true))
+	rounds := WithRounds(func(attempt int) int { return attempt / 100 })
+	for _, attempt := range []int{101, 102, 201, 103} {
+		c, err := New(f, fmt.Sprint("host", attempt), rounds).ClaimJob(t.Context(), j, attempt)
+		is.NoErr(err)
+		is.Equal(c.Won, attempt%100 == 1) // the first of each round
+	}
+}
+
 // A caller sends its request again, through another host and zone, and another
 // caller's request by mistake under the same id.
 func TestAdmitIsIdempotent(t *testing.T) {
@@ -349,3 +364,28 @@
 		is.Equal(c, Config{Version: 2, Change: "second", Body: []byte("two")})
 	})
 }
+
+// Automation changes the text many times an hour: the newest texts stay, older
+// ones go, and so does the text of a change that lost its race.
+func TestOldTextsGo(t *testing.T) {
+	is := is.New(t)
+	f := newFake()
+	l := New(f, "host1")
+	is.NoErr(l.writeBody(t.Context(), applied{Version: 1, Change: "lost", Digest: digestOf([]byte("x"))}, []byte("x")))
+	for i := range int64(20) {
+		_, err := l.Change(t.Context(), i, fmt.Sprint("c", i), fmt.Append(nil, "text ", i))
+		is.NoErr(err)
+	}
+	_, err := l.Sweep(t.Context(), 10)
+	is.NoErr(err)
+	texts, err := f.List(t.Context(), bodyPrefix, "", 100)
+	is.NoErr(err)
+	is.Equal(len(texts), KeepBodies)
+	c, err := l.Current(t.Context())
+	is.NoErr(err)
+	is.Equal(string(c.Body), "text 19")
+	v, ok, err := l.Changed(t.Context(), "c10")
+	is.NoErr(err)
+	is.True(ok)
+	is.Equal(v, int64(11))
+}
--- a/internal/proof/machine/host_test.go
+++ b/internal/proof/machine/host_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"time"
@@ -13,6 +14,7 @@
 	"guavaglade.example/guavaglade/internal/host/ticket"
 	"guavaglade.example/guavaglade/internal/platform/ledger"
 	"guavaglade.example/guavaglade/internal/platform/table"
+	"guavaglade.example/guavaglade/internal/work/job"
 	"guavaglade.example/guavaglade/internal/work/placer"
 )
 
@@ -258,18 +260,17 @@
 	return nil
 }
 
-// step steps the placer and carries its commands out, now and then with a pause
-// of the process between the decision and the sending.
+// step steps the placer and carries its commands out. Now and then the process
+// is frozen between the decision and the sending.
 func (h *host) step(ev placer.Event) {
 	if h.placer == nil {
 		return
 	}
 	for _, c := range h.placer.Step(ev, h.w.now) {
-		if h.w.chance(h.w.noise.slow / 4) {
-			h.w.after(time.Duration(h.w.rnd.Int64N(int64(12*time.Second))), h.guard(func() { h.carry(c) }))
-			continue
+		if h.w.chance(h.w.noise.slow / 10) {
+			h.pausedUntil = h.w.now.Add(time.Duration(h.w.rnd.Int64N(int64(12 * time.Second))))
 		}
-		h.carry(c)
+		h.guard(func() { h.carry(c) })()
 	}
 }
 
@@ -356,7 +357,7 @@
 				if h.w.broken.ignoreDigest {
 					rep = mend(rep)
 				}
-			case h.w.chance(h.w.noise.double / 4):
+			case h.w.chance(h.w.noise.double / 2):
 				rep = h.w.workers[h.w.rnd.IntN(len(h.w.workers))].Renew(nil, 0, 0, h.w.now) // crossed with another's
 				if h.w.broken.ignoreSender {
 					rep.Worker = c.Worker
@@ -375,28 +376,33 @@
 
 func (h *host) claim(c placer.ClaimRow) {
 	h.w.platform.ask(h, func(err error) func() {
-		won := false
+		ev := placer.ClaimAnswered{Lease: c.Lease, Err: err}
 		if err == nil {
-			won, err = h.claimRow(c)
-		}
-		if h.w.broken.guessClaims && err != nil {
-			won, err = true, nil
+			ev = h.claimRow(c)
 		}
-		if h.w.broken.skipClaims {
-			won, err = true, nil
+		if h.w.broken.guessClaims && ev.Err != nil || h.w.broken.skipClaims {
+			ev.Won, ev.Err = true, nil
 		}
-		return func() { h.step(placer.ClaimAnswered{Lease: c.Lease, Won: won, Err: err}) }
+		return func() { h.step(ev) }
 	})
 }
 
 // claimRow asks the ledger, for which the platform's answers are there or lost at
 // once: it is given no time to ask again.
-func (h *host) claimRow(c placer.ClaimRow) (bool, error) {
+func (h *host) claimRow(c placer.ClaimRow) placer.ClaimAnswered {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Nanosecond)
 	defer cancel()
 	claim, err := h.ledger.ClaimJob(ctx, c.Job, c.Lease.Attempt)
 	h.w.logf("%s claims %s: %+v, %v", h.id(), c.Lease, claim, err)
-	return claim.Won, err
+	ev := placer.ClaimAnswered{Lease: c.Lease, Won: claim.Won, Attempt: claim.Attempt, Err: err}
+	switch {
+	case err != nil:
+	case claim.Ended:
+		ev.Recorded, _, ev.Err = h.ledger.Outcome(ctx, c.Job.ID())
+	case claim.Refused:
+		ev.Recorded = job.Outcome{Job: c.Job.ID(), State: job.NotRun, Reason: "refused before"}
+	}
+	return ev
 }
 
 func (h *host) claimTicket(c placer.ClaimTicket) {
@@ -423,9 +429,34 @@
 	}, fail)
 }
 
-// answer gives an outcome to the entry; one that the entry does not know any
-// more is taken as well.
+// answer records the outcome of a job that needs a claim, as the server does,
+// and gives what is recorded to the entry. While the platform is down it gives
+// the outcome unrecorded.
 func (h *host) answer(c placer.Answer) {
+	if !c.Job.NeedsClaim() {
+		h.deliver(c)
+		return
+	}
+	h.w.platform.ask(h, func(err error) func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Nanosecond)
+		defer cancel()
+		if err == nil {
+			err = h.ledger.Record(ctx, c.Job, c.Outcome)
+		}
+		if errors.Is(err, ledger.ErrFenced) {
+			o, ok, err := h.ledger.Outcome(ctx, c.Job.ID())
+			if err != nil || !ok {
+				return func() {}
+			}
+			c.Outcome = o
+		}
+		return func() { h.deliver(c) }
+	})
+}
+
+// deliver gives an outcome to the entry; one that the entry does not know any
+// more is taken as well.
+func (h *host) deliver(c placer.Answer) {
 	to := h.w.hostOf(c.Job.Entry())
 	if to == nil {
 		return
@@ -433,9 +464,7 @@
 	from := h.id()
 	h.call(to, func() func() {
 		if h.w.broken.trustAnyRefusal {
-			if p, ok := to.table.Placer(to.zone, h.w.now); ok {
-				from = fmt.Sprintf("%s#%d", p.Address, p.Incarnation)
-			}
+			from = to.trustAll(c)
 		}
 		to.enter(intake.OutcomeArrived{Placer: from, Outcome: c.Outcome})
 		if r, ok := to.entry.Record(c.Job.ID()); ok && !r.State().Final() {
@@ -445,6 +474,30 @@
 	}, func() {})
 }
 
+// trustAll takes a refusal as if every other placer had refused as well, and
+// returns the one that the entry asks as the sender.
+func (h *host) trustAll(c placer.Answer) string {
+	current := h.asks(c.Job.ID())
+	for _, o := range h.w.hosts {
+		for inc := range o.inc + 1 {
+			if from := o.idOf(inc); from != current && c.Outcome.State == job.NotRun {
+				h.enter(intake.OutcomeArrived{Placer: from, Outcome: c.Outcome})
+			}
+		}
+	}
+	return current
+}
+
+// asks returns the placer that the entry asks for a job.
+func (h *host) asks(id job.ID) string {
+	zone := h.zone
+	if r, ok := h.entry.Record(id); ok && r.Job().Hops() > 0 {
+		zone = map[string]string{"a": "b", "b": "a"}[h.zone]
+	}
+	p, _ := h.table.Placer(zone, h.w.now)
+	return fmt.Sprintf("%s#%d", p.Address, p.Incarnation)
+}
+
 func (w *world) worker(id string) *worker {
 	for _, k := range w.workers {
 		if k.name == id {
--- a/internal/proof/machine/world_test.go
+++ b/internal/proof/machine/world_test.go
@@ -60,6 +60,7 @@
 	platform *platform
 	broken   mutation
 	drop     bool
+	provable bool // the platform is always reached: "not run" of a job asked for twice can be proven
 	gangs    gangBook
 	jobs     map[job.ID]*asked
 	faults   []string // broken invariants, the first one first
@@ -111,11 +112,8 @@
 
 // run lets time pass until the end, or until done says so.
 func (w *world) run(end time.Time, done func() bool) {
-	for len(w.agenda) > 0 && len(w.faults) == 0 && !done() {
+	for len(w.agenda) > 0 && !w.agenda[0].at.After(end) && len(w.faults) == 0 && !done() {
 		h := heap.Pop(&w.agenda).(happening)
-		if h.at.After(end) {
-			return
-		}
 		w.now = h.at
 		h.do()
 	}
--- a/internal/work/placer/attempt.go
+++ b/internal/work/placer/attempt.go
@@ -109,14 +109,16 @@
 	switch res.Cause {
 	case gang.CauseDone:
 		if !res.Broken {
-			o.State, o.Answer = job.Succeeded, res.Answer
+			// A gang found at a takeover carries a reason for the case that it is
+			// broken off; it was not.
+			o.State, o.Answer, o.Reason = job.Succeeded, res.Answer, ""
 			return m.close(r, schedule.Done, "", o, now)
 		}
 		o.Reason = "its answer could not be had whole"
 		return m.retryOr(r, schedule.Crashed, res, again && r.crashed(), o, job.Lost, now)
 	case gang.CauseCancel:
 		o.State = job.Cancelled
-		return m.close(r, schedule.Done, "", o, now)
+		return m.close(r, schedule.Dropped, "", o, now)
 	case gang.CauseCrashed:
 		return m.retryOr(r, schedule.Crashed, res, again && r.crashed(), o, job.Failed, now)
 	case gang.CauseLost:
@@ -126,7 +128,7 @@
 	case gang.CauseClaimedElsewhere:
 		return m.claimedElsewhere(r, now)
 	default:
-		return m.notStarted(r, res, again, o, now)
+		return m.retryOr(r, schedule.NotStarted, res, again, o, job.Lost, now)
 	}
 }
 
@@ -148,7 +150,7 @@
 		o.State = s
 		return m.close(r, e, res.Worker, o, now)
 	}
-	r.gang, r.refusals = nil, 0
+	r.gang = nil
 	m.scheduler.Ended(r.job.ID(), e, res.Worker, now)
 	if !m.scheduler.Waiting(r.job.ID()) {
 		m.scheduler.Submit(r.job, now)
@@ -162,22 +164,15 @@
 		return "reclaimed"
 	case schedule.Crashed:
 		return "crashed"
+	case schedule.NotStarted:
+		return "refused"
 	default:
 		return "stopped"
 	}
 }
 
-// notStarted puts the job back after a random pause that doubles, so that two
-// placers that want the same room do not meet again and again.
-func (m *Machine) notStarted(r *record, res gang.Result, again bool, o job.Outcome, now time.Time) []Command {
-	if !again {
-		o.State = job.Lost
-		return m.close(r, schedule.NotStarted, res.Worker, o, now)
-	}
-	m.scheduler.Ended(r.job.ID(), schedule.NotStarted, res.Worker, now)
-	return m.delay(r, "refused", res.Reason, now)
-}
-
+// delay puts the job back after a random pause that doubles, so that two placers
+// that want the same claim do not meet again and again.
 func (m *Machine) delay(r *record, step, reason string, now time.Time) []Command {
 	m.scheduler.Cancel(r.job.ID())
 	pause := min(firstBackoff<<min(r.refusals, 10), lastBackoff)
@@ -197,19 +192,37 @@
 		return m.delay(r, "claim", "another placer's claim came first", now)
 	}
 	m.scheduler.Cancel(r.job.ID())
-	r.gang, r.elsewhere, r.ran = nil, now.Add(ElsewhereFor), true
+	r.gang, r.elsewhere, r.askAt = nil, now.Add(ElsewhereFor), now
+	if r.job.Long() {
+		r.elsewhere = now.Add(ElsewhereLong)
+	}
 	return []Command{r.tell(job.Starting, "claim", "another placer holds the claim; its gang is looked for")}
 }
 
-// reclaim takes a job's room back, with the grace to write a checkpoint.
+// reclaim takes a job's room back: with the grace to write a checkpoint, or hard
+// if there is none left.
 func (m *Machine) reclaim(r *record, d schedule.Decision, now time.Time) []Command {
 	if r.gang == nil {
 		return nil
 	}
 	cs := []Command{r.tell("", "reclaiming", d.Reason)}
+	if !now.Before(d.Deadline) {
+		return append(cs, m.carry(r, r.gang.End(gang.CauseReclaim, "", d.Reason, now), now)...)
+	}
 	return append(cs, m.carry(r, r.gang.EndSoftly(gang.CauseReclaim, "", d.Reason, d.Deadline, now), now)...)
 }
 
+// throttle caps the cores of a job's members on one worker.
+func (m *Machine) throttle(r *record, d schedule.Decision) []Command {
+	if r.gang == nil {
+		return nil
+	}
+	return []Command{
+		r.tell("", "throttled", d.Reason),
+		ThrottleOn{Worker: d.Worker, Lease: r.gang.Lease(), Cores: float64(d.Cores)},
+	}
+}
+
 // attemptOf returns the record whose attempt under way has the lease.
 func (m *Machine) attemptOf(l target.Lease) (*record, bool) {
 	r, ok := m.records[l.Job]
@@ -255,10 +268,15 @@
 		return nil
 	}
 	r.claiming, r.claimed = false, e.Err == nil && e.Won
+	if r.outcome != nil {
+		return m.outcomeStands(r, e, now)
+	}
 	if e.Recorded.State.Final() {
 		return m.recorded(r, e.Recorded, now)
 	}
+	r.winner = max(r.winner, e.Attempt)
 	if r.gang == nil {
+		m.claimedLate(r, now)
 		return nil
 	}
 	if cs, left := m.leftBehind(r, now); left {
@@ -272,6 +290,14 @@
 	return append(cs, m.carry(r, steps, now)...)
 }
 
+// claimedLate queues a job again whose claim was won after all: whoever held it
+// gave it up before a start.
+func (m *Machine) claimedLate(r *record, now time.Time) {
+	if r.claimed && !r.elsewhere.IsZero() {
+		r.elsewhere, r.retryAt = time.Time{}, now
+	}
+}
+
 // recorded gives up an attempt at a job whose outcome the platform holds, and
 // answers with that outcome: an entry that asked twice, or a host that replaced
 // the one that knew, must not hear another.
@@ -283,7 +309,7 @@
 	if r.outcome != nil {
 		return cs
 	}
-	return append(cs, m.settle(r, o, now)...)
+	return append(cs, m.conclude(r, o, now)...)
 }
 
 func (m *Machine) startAnswered(e StartAnswered, now time.Time) []Command {
