schedule: report the stragglers of a gang

Cause: one slow worker holds up a whole gang and nobody is told which. Change: parts that use less than a quarter of the median's cores in three reports in a row, and parts that run on long after the others, are reported. Conclusion: reported only; a gang runs as one.

--- a/internal/work/schedule/scheduler.go
+++ b/internal/work/schedule/scheduler.go
@@ -60,6 +60,7 @@
 	leftover []string        // owners that keep the rest of its room while it stops
 	moveTo   cell.Assignment // the room that is kept for it elsewhere while it stops
 	over     map[string]bool // workers on which it was over its cores at the last report
+	progress progress        // of its parts
 	held     map[string]int  // cores that it was throttled to, by worker
 }
 
--- a/internal/work/schedule/urgent_test.go
+++ b/internal/work/schedule/urgent_test.go
@@ -254,3 +254,30 @@
 	}
 	t.Fatal("the job was tried for ever")
 }
+
+// One worker of a gang is slow: it uses a tenth of the others' cores, report
+// after report, and is not done when they are. Both are reported, by its name.
+func TestStragglersAreReported(t *testing.T) {
+	is := is.New(t)
+	s := fleet(t, 24)
+	s.Submit(newJob(t, "gang", "formulas", "4 8 rack"), epoch)
+	workers := s.Decide(epoch)[0].Assignment.Workers()
+	for i := range 4 { // in the first there is nothing yet to compare with
+		is.Equal(len(s.Stragglers(epoch)), 0)
+		for n, w := range workers {
+			s.Used("gang", w, []int{10, 1, 12, 11}[n], 1, epoch.Add(time.Duration(i)*time.Second))
+		}
+	}
+	slow := s.Stragglers(epoch)
+	is.Equal(len(slow), 1)
+	is.Equal(slow[0].Worker, workers[1])
+	s.Used("gang", workers[1], 9, 1, epoch) // it has caught up
+	is.Equal(len(s.Stragglers(epoch)), 0)
+	s.PartEnded("gang", workers[0], epoch.Add(100*time.Second))
+	s.PartEnded("gang", workers[2], epoch.Add(100*time.Second))
+	s.PartEnded("gang", workers[3], epoch.Add(110*time.Second))
+	is.Equal(len(s.Stragglers(epoch.Add(165*time.Second))), 0)
+	late := s.Stragglers(epoch.Add(166 * time.Second))
+	is.Equal(len(late), 1)
+	is.Equal(late[0].Worker, workers[1])
+}
--- a/internal/work/schedule/usage.go
+++ b/internal/work/schedule/usage.go
@@ -23,6 +23,7 @@
 		return
 	}
 	s.histories.Used(s.kind(r.item.Job), cores/members, memory/members)
+	r.progress.used(worker, float64(cores)/float64(members), now)
 	_, spareCores, spareMemory, _ := s.zone.Inventory().Free(worker)
 	shape := r.request.Shape
 	if memory > members*shape.Memory()+max(spareMemory, 0) {
