placement: a small gang leaves its account's guarantee for the large one

Cause: any gang with a claim used up a guarantee of its account whose cell contains it, also on idle room: a small urgent job took the guarantee of a whole worker, and the account's large job had to wait. Change: on idle room a smaller gang that cannot be stopped, or one that is only urgent, claims nothing; when guarantees change, gangs that stand on the room of a guarantee at risk claim it.

--- a/internal/fleet/guarantee/plan.go
+++ b/internal/fleet/guarantee/plan.go
@@ -122,6 +122,16 @@
 	return fmt.Errorf("block %s: %w", owner, ErrKept)
 }
 
+// Idle reports whether the place is neither firm work's nor set aside.
+func (p *Plan) Idle(s cell.Shape, a cell.Assignment) bool {
+	for _, n := range needs(a) {
+		if !p.fits(n, s) {
+			return false
+		}
+	}
+	return true
+}
+
 // CanBlock reports whether Block would book the gang. It changes nothing.
 func (p *Plan) CanBlock(s cell.Shape, a cell.Assignment) bool {
 	const trial = unitPrefix + "trial"
--- a/internal/fleet/placement/guarantees_test.go
+++ b/internal/fleet/placement/guarantees_test.go
@@ -317,3 +317,30 @@
 	_, ok := z.Place(placement.Request{Owner: "two", Account: "b", Shape: two, Guaranteed: true})
 	is.True(!ok)
 }
+
+// An account is promised a whole worker, and sends a small urgent job first.
+// Though another worker was idle, the small job used the guarantee up, and the
+// account's large job had to wait.
+func TestSmallGangLeavesTheGuaranteeForTheLargeOne(t *testing.T) {
+	is := is.New(t)
+	z := placement.NewZone(nil)
+	for _, id := range []string{"w0", "w1"} {
+		w, err := cell.NewWorker(id, "z", "r", 8, 64, 1024, 8)
+		is.NoErr(err)
+		z.AddWorker(w)
+	}
+	whole, small := mustShape(1, 8, 1, 1, cell.SameWorker), mustShape(1, 1, 1, 1, cell.Any)
+	is.NoErr(z.SetGuarantees([]guarantee.Guarantee{kind("a", whole)}))
+	requests := []placement.Request{
+		{Owner: "urgent", Account: "a", Shape: small, Urgent: true},
+		{Owner: "small", Account: "a", Shape: small, Guaranteed: true},
+		{Owner: "large", Account: "a", Shape: whole, Guaranteed: true},
+	}
+	for i, r := range requests {
+		a, ok := z.Place(r)
+		is.True(ok)
+		is.NoErr(z.Take(r, a, time.Unix(0, 0)))
+		h, _ := z.Holder(r.Owner)
+		is.Equal(h.Claims, i == 2) // only the large one
+	}
+}
--- a/internal/fleet/placement/place.go
+++ b/internal/fleet/placement/place.go
@@ -6,7 +6,7 @@
 // false if it does not. It changes nothing.
 //
 // A request that may claim gets the room set aside for it, or else idle room of
-// the same shape. Any other request gets idle room; one that can be stopped
+// the same shape; one that need not claim gets idle room first. Any other request gets idle room; one that can be stopped
 // then gets lent room, and one that cannot gets room set aside for a guarantee
 // that finds other room.
 func (z *Zone) Place(r Request) (a cell.Assignment, ok bool) {
@@ -14,6 +14,11 @@
 		return z.choose(z.free, r)
 	}
 	z.plan.Refresh()
+	if r.mayClaim() && !z.mustClaim(r) {
+		if a, ok := z.choose(z.idle, r); ok {
+			return a, true
+		}
+	}
 	if r.mayClaim() {
 		if a, ok := z.placeClaim(r); ok {
 			return a, true
@@ -43,6 +48,18 @@
 	return nil, false
 }
 
+// mustClaim reports whether a request that may claim does so on idle room too.
+// Otherwise a small urgent gang would use up its account's guarantee for a large
+// one while room is idle beside it. A gang that asked for guaranteed room and can
+// be stopped must, since only the claim keeps it from being stopped for others.
+func (z *Zone) mustClaim(r Request) bool {
+	if !r.Guaranteed {
+		return false
+	}
+	unit, _, _ := z.plan.Claimable(r.Account, r.Shape)
+	return r.Stoppable || unit == r.Shape
+}
+
 // placeClaim returns a place by which the request would claim a guarantee.
 func (z *Zone) placeClaim(r Request) (a cell.Assignment, ok bool) {
 	unit, room, ok := z.plan.Claimable(r.Account, r.Shape)
--- a/internal/fleet/placement/zone.go
+++ b/internal/fleet/placement/zone.go
@@ -121,14 +121,25 @@
 			z.plan.ForceBlock(owner, h.Request.Shape, h.Assignment)
 		}
 	}
+	z.claimAnew(z.mustClaim)
+	z.plan.Repair()
+	z.claimAnew(func(r Request) bool {
+		_, room, ok := z.plan.Claimable(r.Account, r.Shape)
+		return ok && room == nil // the gang may stand on the room that the guarantee lacks
+	})
+	clear(z.full)
+}
+
+// claimAnew lets gangs that run claim what their account is guaranteed, the
+// oldest first.
+func (z *Zone) claimAnew(wanted func(Request) bool) {
 	for _, h := range z.oldestFirst() {
-		if !h.Claims && h.Request.mayClaim() {
-			z.plan.Claim(h.Request.Owner, h.Request.Account, h.Request.Shape, h.Assignment)
+		r := h.Request
+		if !h.Claims && r.mayClaim() && wanted(r) {
+			z.plan.Claim(r.Owner, r.Account, r.Shape, h.Assignment)
 			z.noteClaim(h)
 		}
 	}
-	z.plan.Repair()
-	clear(z.full)
 }
 
 // noteClaim copies from the plan what a holder claims.
@@ -157,8 +168,9 @@
 }
 
 // Take gives the request its place. It claims a guarantee of the account if the
-// request may and one is left that contains it. It refuses, and changes
-// nothing, if the place is not free or is kept for a guarantee
+// request may and one is left that contains it, but not for a smaller gang that
+// cannot be stopped, or one that is only urgent, on idle room. It refuses, and
+// changes nothing, if the place is not free or is kept for a guarantee
 // (guarantee.ErrKept).
 func (z *Zone) Take(r Request, a cell.Assignment, now time.Time) error {
 	z.plan.Refresh()
@@ -166,7 +178,7 @@
 		return fmt.Errorf("place %s: %w", r.Owner, err)
 	}
 	h := &Holder{Request: r, Assignment: a, Since: now}
-	if r.mayClaim() {
+	if r.mayClaim() && (z.mustClaim(r) || !z.plan.Idle(r.Shape, a)) {
 		z.plan.Claim(r.Owner, r.Account, r.Shape, a)
 	}
 	z.noteClaim(h)
@@ -191,7 +203,7 @@
 		return fmt.Errorf("adopt %s: %w", r.Owner, err)
 	}
 	h := &Holder{Request: r, Assignment: a, Since: since}
-	if r.mayClaim() {
+	if r.mayClaim() && (z.mustClaim(r) || !z.plan.Idle(r.Shape, a)) {
 		z.plan.ForceClaim(r.Owner, r.Account, r.Shape, a)
 	}
 	z.noteClaim(h)
