placer: a host that stops gives its unused claims up as not run

Cause: a claim that was won and not used keeps every other placer from the job; a placer that drained was dropped with it, and the job came out as lost. Change: while draining such a job is answered as not run, with when to come back, and the placer is not settled before. The state machine drains placers as the server does.

--- a/internal/proof/machine/host_test.go
+++ b/internal/proof/machine/host_test.go
@@ -121,8 +121,10 @@
 	switch mine := placers[h.zone] == h.id(); {
 	case mine && h.placer == nil:
 		h.place()
-	case !mine && h.w.drop:
+	case mine && h.placer.Draining() || !mine && h.w.drop && h.placer != nil && h.placer.Settled():
 		h.placer = nil
+	case !mine && h.w.drop && h.placer != nil:
+		h.placer.Drain()
 	}
 	h.enter(intake.PlacersSeen{Placers: placers})
 	h.enter(intake.Ticked{})
--- a/internal/work/placer/drain.go
+++ b/internal/work/placer/drain.go
@@ -13,7 +13,7 @@
 // is under way and no outcome waits to be taken.
 func (m *Machine) Settled() bool {
 	for _, r := range m.records {
-		if r.outcome != nil && r.takenAt.IsZero() {
+		if r.outcome != nil && r.takenAt.IsZero() || r.unusedClaim() {
 			return false
 		}
 		if r.gang == nil {
@@ -26,3 +26,10 @@
 	}
 	return true
 }
+
+// unusedClaim reports whether the placer holds a claim, or asks for one, that
+// only it could use and has not used. The claim keeps every other placer from
+// the job, so that a host that stops must first say that it did not run.
+func (r *record) unusedClaim() bool {
+	return r.outcome == nil && r.gang == nil && (r.claimed || r.claiming && r.elsewhere.IsZero()) && !r.ran && !r.job.Repeatable()
+}
--- a/internal/work/placer/machine_test.go
+++ b/internal/work/placer/machine_test.go
@@ -213,3 +213,25 @@
 	is.Equal(answers[0].Outcome.State, job.Lost)
 	is.Equal(answers[0].Outcome.Attempt, 7000001)
 }
+
+// A host stops while it holds the claim of a billed order whose hold was refused.
+// Nobody else could start the order or say that it did not run, so it says so
+// before it goes; else the salon would hear lost.
+func TestDrainingPlacerGivesItsUnusedClaimUp(t *testing.T) {
+	is := is.New(t)
+	m := placing(t)
+	j := newJob(t, "salon-1", job.Repeatable(false))
+	l := find[placer.HoldOn](m.Step(placer.Submitted{Job: j}, at(0.1)))[0].Hold.Lease
+	c := find[placer.ClaimRow](m.Step(placer.HoldAnswered{Worker: "w1", Lease: l}, at(0.2)))[0]
+	m.Step(placer.Ticked{}, at(7)) // too late to start
+	m.Step(placer.StopAnswered{Worker: "w1", Lease: l}, at(7.1))
+	m.Step(placer.ClaimAnswered{Lease: c.Lease, Won: true}, at(7.2))
+	m.Drain()
+	is.True(!m.Settled())
+	answers := find[placer.Answer](m.Step(placer.Ticked{}, at(7.3)))
+	is.Equal(len(answers), 1)
+	is.Equal(answers[0].Outcome.State, job.NotRun)
+	is.Equal(answers[0].Outcome.Attempt, c.Lease.Attempt)
+	m.Step(placer.OutcomeTaken{Job: j.ID()}, at(7.4))
+	is.True(m.Settled())
+}
--- a/internal/work/placer/record.go
+++ b/internal/work/placer/record.go
@@ -180,6 +180,8 @@
 		return m.tickOutcome(r, now)
 	case r.gang != nil:
 		return m.tickGang(r, now)
+	case m.draining && r.claimed && r.unusedClaim():
+		return m.refuse(r, schedule.Decision{Reason: "its host stops before it was started", RetryAfter: now.Add(time.Second)}, now)
 	case !now.Before(r.given.Add(GivenFor)):
 		// A queued job whose entry is gone, or that this host, back from a
 		// pause, only believes to have: another placer has it by now.
