server: what a caller gave up is not done after it, nor written to what it returned

go test -race ./internal/proof/failure under load failed in TestKilledHost: a peer's connection broke while its heartbeat waited for the loop; the handler returned and read what the loop then wrote. An error of ask now means that the function was not run and never will be.

--- a/internal/host/server/node.go
+++ b/internal/host/server/node.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -235,21 +236,31 @@
 	}
 }
 
-// ask has the loop run f and waits until it did.
+// ask has the loop run f and waits until it did. An error means that f was not
+// run and never will be: a caller that gave up may have returned what f writes.
 func (n *Node) ask(ctx context.Context, f func()) error {
+	var taken atomic.Bool // by the loop or by the caller that gives up
 	done := make(chan struct{})
 	n.post(ctx, func() {
-		f()
-		close(done)
+		if taken.CompareAndSwap(false, true) {
+			f()
+			close(done)
+		}
 	})
+	var err error
 	select {
 	case <-done:
 		return nil
 	case <-ctx.Done():
-		return fmt.Errorf("ask host %s: %w", n.id, ctx.Err())
+		err = ctx.Err()
 	case <-n.ended:
-		return fmt.Errorf("ask host %s: %w", n.id, ErrEnded)
+		err = ErrEnded
+	}
+	if !taken.CompareAndSwap(false, true) {
+		<-done
+		return nil
 	}
+	return fmt.Errorf("ask host %s: %w", n.id, err)
 }
 
 // spawn runs f, which may wait, outside of the loop.
