--- a/internal/host/server/node.go
+++ b/internal/host/server/node.go
@@ -54,23 +54,24 @@
 
 // Node is one running host.
 type Node struct {
-	settings settings.Settings
-	platform table.Platform
-	ledger   *ledger.Ledger
-	pending  *ledger.Pending // what could not be written while the platform was down
-	writes   *budget.Bucket
-	reads    *budget.Bucket
-	net      *peer.Net
-	log      logr.Logger
-	metrics  tally.Scope
-	workerRT http.RoundTripper
-	peerTLS  peer.Client // nil for plain TCP
-	dial     peer.Dial   // nil for the usual one
-	burn     *burn.Recorder
-	gate     admission.Gate
-	retries  *retry.Caller // of calls to the platform that are idempotent
-	services *retry.Caller // circuits of the services, by name
-	id       string        // peer address with incarnation
+	settings   settings.Settings
+	platform   table.Platform
+	ledger     *ledger.Ledger
+	pending    *ledger.Pending // what could not be written while the platform was down
+	writes     *budget.Bucket
+	reads      *budget.Bucket
+	net        *peer.Net
+	log        logr.Logger
+	metrics    tally.Scope
+	workerRT   http.RoundTripper
+	peerTLS    peer.Client // nil for plain TCP
+	peerDial   peer.Dial   // nil for the usual one
+	workerDial peer.Dial   // nil for the usual one
+	burn       *burn.Recorder
+	gate       admission.Gate
+	retries    *retry.Caller // of calls to the platform that are idempotent
+	services   *retry.Caller // circuits of the services, by name
+	id         string        // peer address with incarnation
 
 	work  chan func()
 	ended chan struct{}  // closed when the loop has ended
@@ -91,6 +92,7 @@
 	addresses  map[string]string        // of the workers, by id
 	delivering map[delivery]bool        // outcomes on their way to an entry
 	stories    map[string][]toldBody    // lines for each entry; no key: nobody sends them
+	confirming map[string][]intake.Give // due to be confirmed, by placer
 	durable    map[job.ID]bool          // jobs of this entry whose row is written
 	copies     map[job.ID]job.Job       // jobs that are not durable, kept for another entry
 	tickets    *ticket.Book
@@ -115,8 +117,10 @@
 // WithPeerTLS sets the TLS of outgoing connections to other hosts.
 func WithPeerTLS(c peer.Client) Option { return func(n *Node) { n.peerTLS = c } }
 
-// WithDial sets how the node reaches peers and workers, by default as usual.
-func WithDial(d peer.Dial) Option { return func(n *Node) { n.dial = d } }
+// WithDials sets how the node reaches peers and workers, by default as usual.
+func WithDials(peers, workers peer.Dial) Option {
+	return func(n *Node) { n.peerDial, n.workerDial = peers, workers }
+}
 
 // New returns a node that is not running yet. incarnation must be higher than
 // that of any earlier process at the same peer address. It refuses settings
@@ -131,13 +135,13 @@
 			Address: s.PeerAddress(), Zone: s.Zone(), Incarnation: incarnation, Protocol: protocol,
 		}, member.WithSeeds(seedsOf(s)...)),
 		entry: intake.New(s.Zone()), waiting: map[job.ID]chan struct{}{},
-		workers: map[string]target.Worker{}, addresses: map[string]string{}, delivering: map[delivery]bool{}, durable: map[job.ID]bool{}, stories: map[string][]toldBody{}, copies: map[job.ID]job.Job{},
+		workers: map[string]target.Worker{}, addresses: map[string]string{}, delivering: map[delivery]bool{}, durable: map[job.ID]bool{}, stories: map[string][]toldBody{}, confirming: map[string][]intake.Give{}, copies: map[job.ID]job.Job{},
 	}
 	for _, o := range opts {
 		o(n)
 	}
-	n.net = peer.New(n.handle, n.peerTLS, n.dial, n.log)
-	n.workerRT = remote.Transport(workerShare, n.dial)
+	n.net = peer.New(n.handle, n.peerTLS, n.peerDial, n.log)
+	n.workerRT = remote.Transport(workerShare, n.workerDial)
 	n.burn, n.retries = burn.New(n.id), retry.New()
 	n.services = retry.New(retry.WithTries(1), retry.WithCircuit(serviceFailures, serviceRest))
 	gate, err := admission.New(s.QueueLimit())
