--- a/internal/fleet/quarantine/quarantine.go
+++ b/internal/fleet/quarantine/quarantine.go
@@ -17,6 +17,7 @@
 	RackShare    = 0.25 // most of a rack's workers that may be out at once, but always one
 	JobWorkers   = 3    // distinct workers that a job failed on before the job is at fault
 	JobFailures  = 6    // failures of a job, wherever, before the job is at fault
+	leastSweep   = 64   // starts on a worker that are remembered whatever their age
 	maxRemembers = 4096 // jobs with failures that are remembered at once
 )
 
@@ -34,6 +35,7 @@
 	probeAt  time.Time     // when out: when a probe may start
 	probe    string        // job that runs as the probe, empty for none
 	timeOut  time.Duration // of the last time out
+	sweepAt  int           // starts at which old ones are dropped next, so that they do not pile up
 }
 
 // New returns a watch that has seen nothing.
@@ -55,6 +57,10 @@
 func (w *Watch) Started(worker, job string, now time.Time) {
 	r := w.of(worker)
 	r.starts[job] = now
+	if len(r.starts) > r.sweepAt {
+		expire(r.starts, now)
+		r.sweepAt = 2*len(r.starts) + leastSweep
+	}
 	if r.out && r.probe == "" {
 		r.probe = job
 	}
--- a/internal/work/schedule/decide.go
+++ b/internal/work/schedule/decide.go
@@ -166,6 +166,9 @@
 		r.decisions = append(r.decisions, ds...)
 		return true
 	}
+	if len(s.blocked) > mostClasses {
+		clear(s.blocked) // of classes that may be long gone; they are only tried sooner
+	}
 	s.blocked[c] = attempt{epoch: s.epoch, at: r.now}
 	return false
 }
--- a/internal/work/schedule/ended.go
+++ b/internal/work/schedule/ended.go
@@ -34,6 +34,8 @@
 	case WorkerGone:
 		if r.item.Job.Repeatable() {
 			s.again(r, time.Time{})
+		} else {
+			s.forget(id)
 		}
 	case Crashed:
 		s.crashed(r, worker, now)
