--- /dev/null
+++ b/internal/operator/command/command_test.go
@@ -0,0 +1,54 @@
+package command_test
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/operator/command"
+)
+
+func TestExitCodes(t *testing.T) {
+	broken := filepath.Join(t.TempDir(), "broken.ini")
+	if err := os.WriteFile(broken, []byte("[service refill]\ncompletionWeight = much\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		name string
+		args []string
+		code int
+		out  string // part of standard output
+		err  string // part of standard error
+	}{
+		{"help", []string{"--help"}, command.Done, "submit", ""},
+		{"help of a command", []string{"apply", "--help"}, command.Done, "Example: guavaglade apply", ""},
+		{"no command", nil, command.Usage, "", "--help"},
+		{"unknown command", []string{"aply"}, command.Usage, "", "aply"},
+		{"unknown flag", []string{"show", "--hots", "x"}, command.Usage, "", "hots"},
+		{"missing argument", []string{"explain"}, command.Usage, "", "JOB"},
+		{"job without its service", []string{"submit", "labelCheck"}, command.Usage, "", "SERVICE.JOB"},
+		{"sound text", []string{"check", "../../../examples/spf.ini"}, command.Done, "no faults", ""},
+		{"broken text", []string{"check", broken}, command.Failed, "", "line 2"},
+		{"no such file", []string{"check", "nowhere.ini"}, command.Failed, "", "nowhere.ini"},
+		{"no host answers", []string{"show", "--host", "127.0.0.1:1", "--key", "k"}, command.Failed, "", "127.0.0.1:1"},
+		{"no settings", []string{"serve", "--settings", "nowhere.ini"}, command.Failed, "", "nowhere.ini"},
+		{"settings in force", []string{"serve", "--settings", "../../../examples/hosts/leon.ini", "--print-settings"}, command.Done, "stopGrace = 20s", ""},
+		{"no such authority", []string{"show", "--ca", "nowhere.pem"}, command.Failed, "", "nowhere.pem"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var out, errs bytes.Buffer
+			is.Equal(command.Run(c.args, &out, &errs), c.code)
+			is.True(strings.Contains(out.String(), c.out))
+			is.True(strings.Contains(errs.String(), c.err))
+			if c.code != command.Done {
+				is.True(strings.HasPrefix(errs.String(), "guavaglade: ")) // says who speaks
+			}
+		})
+	}
+}
--- a/internal/operator/command/demo.go
+++ b/internal/operator/command/demo.go
@@ -22,3 +22,11 @@
 	defer cancel()
 	return demo.Run(ctx, s.out, log)
 }
+
+type demoCommand struct {
+	streams
+	Verbose bool `long:"verbose" description:"print the logs of all hosts to standard error"`
+}
+
+// Execute runs the demo.
+func (c *demoCommand) Execute([]string) error { return runDemo(c.streams, c.Verbose) }
