server, placer: a start past its deadline was not sent, and says so

Cause: after a pause the holder gave its own refusal to start as a lapsed lease, which does not prove that nothing ran; a job that may run once only would be told lost. Change: it is told as not reached: nothing was sent. Conclusion: mended.

--- a/internal/host/server/placing.go
+++ b/internal/host/server/placing.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"guavaglade.example/guavaglade/internal/fleet/remote"
@@ -77,7 +78,7 @@
 // process that was paused must not act on a lease that it only believes to hold.
 func startBefore(ctx context.Context, w target.Worker, c placer.StartOn) error {
 	if !time.Now().Before(c.Deadline) {
-		return target.ErrLapsed
+		return fmt.Errorf("start %s: the deadline has passed: %w", c.Lease, target.ErrUnreached)
 	}
 	return w.Start(ctx, c.Lease)
 }
--- a/internal/work/placer/machine.go
+++ b/internal/work/placer/machine.go
@@ -71,7 +71,7 @@
 	at    time.Time
 }
 
-// New returns the machine of a zone. If p is nil the first fit is used.
+// New returns the machine of a zone. If p is nil, placement.Cells is used.
 func New(zone string, p placement.Policy, opts ...Option) *Machine {
 	m := &Machine{
 		zone:      zone,
