--- a/internal/proof/machine/mutation_test.go
+++ b/internal/proof/machine/mutation_test.go
@@ -42,7 +42,7 @@
 	{"skipClaims", mutation{skipClaims: true}, "atMostOnce", 27, nil},
 	{"guessClaims", mutation{guessClaims: true}, "atMostOnce", 3338, []fault{loses}},
 	{"skipTickets", mutation{skipTickets: true}, "atMostOnce", 1077, nil},
-	{"ignoreRefusals", mutation{ignoreRefusals: true}, "partlyHeld", 2, nil},
+	{"ignoreRefusals", mutation{ignoreRefusals: true}, "partlyHeld", 23, nil},
 	{"ignoreStartErrors", mutation{ignoreStartErrors: true}, "partlyStarted", 0, []fault{noisy}},
 	{"ignoreDeadline", mutation{ignoreDeadline: true}, "lateStart", 121, []fault{noisy, noisy, noisy}},
 	{"ignoreDigest", mutation{ignoreDigest: true}, "wholeAnswer", 183, nil},
