--- a/internal/host/api/api.go
+++ b/internal/host/api/api.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"time"
@@ -52,6 +53,7 @@
 	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		Problem{Status: http.StatusNotFound, Detail: "no such path: " + r.URL.Path}.write(w, time.Now())
 	})
+	refuseOtherMethods(r)
 	r.Use(a.counted)
 	return r
 }
@@ -174,7 +176,7 @@
 	a.node.Metrics().Counter("callers_bad_input").Inc(1)
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
-		Problem{Status: http.StatusRequestEntityTooLarge, Detail: err.Error()}.write(w, time.Now())
+		Problem{Status: http.StatusRequestEntityTooLarge, Detail: fmt.Sprintf("body: more than %d bytes", large.Limit)}.write(w, time.Now())
 		return false
 	}
 	Problem{Status: http.StatusBadRequest, Detail: "body: " + err.Error()}.write(w, time.Now())
--- a/internal/host/api/jobs.go
+++ b/internal/host/api/jobs.go
@@ -179,7 +179,9 @@
 	}
 	jobs := make([]JobView, 0, len(views))
 	for _, v := range views {
-		jobs = append(jobs, viewOf(v))
+		one := viewOf(v)
+		one.Answer = nil // the list goes without; an empty one would look like the job's
+		jobs = append(jobs, one)
 	}
 	reply(w, http.StatusOK, jobs)
 }
--- /dev/null
+++ b/internal/host/api/method.go
@@ -0,0 +1,32 @@
+package api
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/gorilla/mux"
+)
+
+// refuseOtherMethods answers with 405 and the methods allowed where a path is
+// known and the method is not. The router alone says that there is no such path
+// once a later route of the same subrouter was tried.
+func refuseOtherMethods(r *mux.Router) {
+	allowed := map[string][]string{}
+	_ = r.Walk(func(route *mux.Route, _ *mux.Router, _ []*mux.Route) error {
+		path, err := route.GetPathTemplate()
+		methods, none := route.GetMethods()
+		if err == nil && none == nil {
+			allowed[path] = append(allowed[path], methods...)
+		}
+		return nil
+	})
+	for path, methods := range allowed {
+		r.HandleFunc(path, func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Allow", strings.Join(methods, ", "))
+			detail := fmt.Sprintf("%s takes %s, not %s", path, strings.Join(methods, " and "), r.Method)
+			Problem{Status: http.StatusMethodNotAllowed, Detail: detail}.write(w, time.Now())
+		})
+	}
+}
--- a/internal/host/server/configuration.go
+++ b/internal/host/server/configuration.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"guavaglade.example/guavaglade/internal/config/inforce"
@@ -91,7 +90,7 @@
 	defer cancel()
 	c, err := n.ledger.Change(bounded, base, change, body)
 	if err != nil && !errors.Is(err, ledger.ErrBase) {
-		return c, fmt.Errorf("change %s: %w", change, err)
+		return c, err
 	}
 	if len(c.Body) > 0 {
 		n.post(ctx, func() { n.offer(context.WithoutCancel(ctx), c, "operator", time.Now()) })
--- a/internal/host/server/entering.go
+++ b/internal/host/server/entering.go
@@ -99,7 +99,6 @@
 	if c.Job.Long() && !n.durable[id] {
 		n.spawn(func() { n.dropCopies(ctx, c.Job) })
 	}
-	delete(n.durable, id)
 	n.score(c)
 	n.metrics.Tagged(map[string]string{"state": string(c.Outcome.State)}).Counter("jobs_finished").Inc(1)
 	n.log.Info("job", "job", id, "step", "answered", "state", string(c.Outcome.State), "attempt", gang.Round(c.Outcome.Attempt),
--- a/internal/host/server/finding.go
+++ b/internal/host/server/finding.go
@@ -44,7 +44,7 @@
 		return n.waitAt(ctx, found[i], until), true, nil
 	}
 	o, ok, err := n.ledger.Outcome(ctx, id)
-	return View{State: o.State, Outcome: o}, ok, err
+	return View{State: o.State, Outcome: o, Durable: ok}, ok, err
 }
 
 // others returns the live hosts of this zone and those of all other zones,
--- a/internal/host/server/recording.go
+++ b/internal/host/server/recording.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"time"
 
 	"guavaglade.example/guavaglade/internal/host/retry"
@@ -66,6 +67,11 @@
 
 // sweep removes rows of jobs that ended long ago. One host of each zone does it.
 func (n *Node) sweep(ctx context.Context, _ time.Time) {
+	// What is said of a job that has ended is kept as long as its record.
+	maps.DeleteFunc(n.durable, func(id job.ID, _ bool) bool {
+		_, ok := n.entry.Record(id)
+		return !ok
+	})
 	if n.placer == nil {
 		return
 	}
--- a/internal/host/server/submitting.go
+++ b/internal/host/server/submitting.go
@@ -1,6 +1,7 @@
 package server
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -73,7 +74,7 @@
 		return n.submitTicketed(ctx, r, j, until)
 	}
 	if v, ok, err := n.known(ctx, j, until); ok || err != nil {
-		return v, err
+		return own(v, j, err)
 	}
 	if err := n.takes(ctx, j); err != nil {
 		return View{}, err
@@ -100,7 +101,7 @@
 func (n *Node) elsewhere(ctx context.Context, j job.Job, zone string, until time.Time) (View, error) {
 	v, ok, err := n.Find(ctx, j.ID(), until)
 	if err != nil || ok {
-		return v, err
+		return own(v, j, err)
 	}
 	ev := intake.Accepted{Job: j, Adopted: true, Zone: zone}
 	if err := n.ask(ctx, func() { n.stepEntry(context.WithoutCancel(ctx), ev, time.Now()) }); err != nil {
@@ -110,10 +111,20 @@
 	return v, err
 }
 
+// own returns what is known of a job to whoever asks for the same: another
+// request under the same id must not get the answer of the first.
+func own(v View, j job.Job, err error) (View, error) {
+	other := v.Job.ID() != "" && (v.Job.Service() != j.Service() || v.Job.Kind() != j.Kind() || !bytes.Equal(v.Job.Input(), j.Input()))
+	if err == nil && other {
+		return View{}, refuse(http.StatusConflict, "request id %s stands for another request, for job %s.%s", j.Request(), v.Job.Service(), v.Job.Kind())
+	}
+	return v, err
+}
+
 // jobOf makes the job that a request asks for.
 func (n *Node) jobOf(ctx context.Context, r Request, now time.Time) (job.Job, error) {
 	if !requestID.MatchString(r.RequestID) {
-		return job.Job{}, refuse(http.StatusBadRequest, "requestId %q: want 1 to 100 letters, digits, dots, lines", r.RequestID)
+		return job.Job{}, refuse(http.StatusBadRequest, "requestId %q: want 1 to 100 letters, digits, dots, dashes, underscores", r.RequestID)
 	}
 	config, err := n.Config(ctx)
 	if err != nil {
