--- a/internal/fleet/placement/place.go
+++ b/internal/fleet/placement/place.go
@@ -80,13 +80,3 @@
 	})
 	return a, ok
 }
-
-// Claimable reports whether the request may claim a guarantee of its account of
-// which a part is left. A request beyond what its account was promised borrows.
-func (z *Zone) Claimable(r Request) bool {
-	if !r.mayClaim() {
-		return false
-	}
-	_, _, ok := z.plan.Claimable(r.Account, r.Shape)
-	return ok
-}
--- a/internal/work/schedule/decide.go
+++ b/internal/work/schedule/decide.go
@@ -115,9 +115,8 @@
 	if s.without[Order] {
 		return -waited
 	}
-	rank := s.lane(c, it.Job)
-	lane := float64(rank) * laneStep
-	if rank != queue.Borrowed {
+	lane := float64(c.Lane) * laneStep
+	if c.Lane != queue.Borrowed {
 		return lane - min(waited, laneStep/4)
 	}
 	service, _ := s.config.Service(c.Service)
@@ -126,20 +125,6 @@
 	return lane + s.shares.dominant(c.Account)/s.weight(c.Account) - min(waited/work, laneStep/4)
 }
 
-// lane returns the lane that a job is tried in. A job that asks for guaranteed
-// room beyond what its account was promised borrows, and waits with borrowers:
-// else an account could put any amount of work before all others.
-func (s *Scheduler) lane(c queue.Class, j job.Job) queue.Lane {
-	switch {
-	case c.Lane == queue.Guaranteed && !s.zone.Claimable(s.request(j)):
-		return queue.Borrowed
-	case c.Lane == queue.UrgentGuaranteed && !s.zone.Claimable(s.request(j)):
-		return queue.Urgent
-	default:
-		return c.Lane
-	}
-}
-
 // laneStep is more than any share, run or waiting time that is scored.
 const laneStep = 1e6
 
@@ -239,7 +224,7 @@
 // roomFor returns what decides whether the job finds room. Borrowers find the
 // same room whatever their account; a claim is on the account's own.
 func (s *Scheduler) roomFor(c queue.Class, it queue.Item, now time.Time) room {
-	long := s.lane(c, it.Job) == queue.Borrowed && !c.Stoppable && s.outlasts(it.Job, now)
+	long := c.Lane == queue.Borrowed && !c.Stoppable && s.outlasts(it.Job, now)
 	if c.Lane == queue.Borrowed {
 		c.Account = ""
 	}
