--- a/internal/proof/session/session_test.go
+++ b/internal/proof/session/session_test.go
@@ -112,7 +112,7 @@
 var (
 	when     = regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?(Z|[+-]\d\d:\d\d)`)
 	duration = regexp.MustCompile(`(waiting )(\d+(\.\d+)?(µs|ms|s))+`)
-	worker   = regexp.MustCompile(` on [a-z]+-w\d\d`) // which of several free ones is not the session's matter
+	worker   = regexp.MustCompile(`\bon [a-z]+-w\d\d`) // which of several free ones is not the session's matter
 	digest   = regexp.MustCompile(`\b[0-9a-f]{64}\b`)
 	latency  = regexp.MustCompile(` +(\d+(\.\d+)?(ms|s) +){3}`)
 	number   = regexp.MustCompile(`\b[1-9]\d{12,}\b`) // an incarnation or another number of a run
@@ -131,7 +131,7 @@
 	text = duration.ReplaceAllString(text, "${1}DURATION")
 	text = early.ReplaceAllString(text, "\"state\": \"queued\" or \"starting\",\n<   \"durable\"")
 	text = held.ReplaceAllString(text, "")
-	text = worker.ReplaceAllString(text, " on WORKER")
+	text = worker.ReplaceAllString(text, "on WORKER")
 	text = digest.ReplaceAllString(text, "DIGEST")
 	text = latency.ReplaceAllString(text, "  P50  P90  P99  ")
 	text = attempt.ReplaceAllString(text, "${1}NUMBER")
