command: check prints its faults as JSON, too

Cause: automation reads faults; only text was printed. Before: text only. After: tried by hand on a broken and a sound text, exit codes 1 and 0. Conclusion: kept.

--- a/internal/operator/command/configuration.go
+++ b/internal/operator/command/configuration.go
@@ -1,6 +1,8 @@
 package command
 
 import (
+	"encoding/json"
+	"errors"
 	"fmt"
 	"text/tabwriter"
 	"time"
@@ -12,20 +14,38 @@
 
 type checkCommand struct {
 	streams
+	JSON bool `long:"json" description:"print JSON"`
 	Args struct {
 		File string `positional-arg-name:"FILE" required:"yes"`
 	} `positional-args:"yes"`
 }
 
+// errFaults says that a text has faults.
+var errFaults = errors.New("the text has faults; mend each line")
+
 // Execute checks a text and prints every fault.
 func (c *checkCommand) Execute([]string) error {
 	body, err := readFile(c.Args.File)
 	if err != nil {
 		return err
 	}
+	faults := text.Check(body)
+	if c.JSON {
+		err = json.NewEncoder(c.out).Encode(struct {
+			File   string      `json:"file"`
+			Faults text.Faults `json:"faults"`
+		}{c.Args.File, append(text.Faults{}, faults...)})
+		if err == nil && len(faults) > 0 {
+			err = fmt.Errorf("%s: %w", c.Args.File, errFaults)
+		}
+		return err
+	}
+	if len(faults) > 0 {
+		return fmt.Errorf("%s: %w:\n%w", c.Args.File, errFaults, faults)
+	}
 	config, err := text.Parse(body)
 	if err != nil {
-		return fmt.Errorf("%s has faults; mend each line:\n%w", c.Args.File, err)
+		return err
 	}
 	_, err = fmt.Fprintf(c.out, "%s: no faults, %d services, %d client accounts\n", c.Args.File, len(config.Services()), len(config.Accounts()))
 	return err
