server, placer: show who waits first, and the stragglers of gangs

Cause: the schedule knew the planned start of the head and which part of a gang holds it up, and nobody was told. Change: both are in /v1/fleet and guavaglade fleet; a straggler is logged; the end of each part is passed on to the schedule. Before: not shown.

--- a/internal/host/server/peers.go
+++ b/internal/host/server/peers.go
@@ -39,7 +39,7 @@
 		return n.handleConfirm(ctx, params)
 	case "placer.view":
 		var v ZoneView
-		_, err := n.toPlacer(ctx, params, &struct{}{}, func(time.Time) { v = n.zoneView() })
+		_, err := n.toPlacer(ctx, params, &struct{}{}, func(now time.Time) { v = n.zoneView(now) })
 		return v, err
 	case "entry.outcome":
 		var b outcomeBody
--- a/internal/host/server/viewing.go
+++ b/internal/host/server/viewing.go
@@ -12,6 +12,7 @@
 	"guavaglade.example/guavaglade/internal/fleet/cell"
 	"guavaglade.example/guavaglade/internal/fleet/guarantee"
 	"guavaglade.example/guavaglade/internal/platform/table"
+	"guavaglade.example/guavaglade/internal/work/job"
 )
 
 // ZoneView is what a zone's placer knows of its fleet.
@@ -23,6 +24,21 @@
 	Workers     []WorkerView    `json:"workers,omitempty"`
 	Quarantined []string        `json:"quarantined,omitempty"`
 	Guarantees  []GuaranteeView `json:"guarantees,omitempty"`
+	Head        *HeadView       `json:"head,omitempty"` // who waits first for room that is being kept
+	Stragglers  []StragglerView `json:"stragglers,omitempty"`
+}
+
+// HeadView is the job that room is kept for, and when it is planned to start.
+type HeadView struct {
+	Job     job.ID    `json:"job"`
+	Planned time.Time `json:"planned"`
+}
+
+// StragglerView is a part of a running gang that holds up the rest.
+type StragglerView struct {
+	Job    job.ID `json:"job"`
+	Worker string `json:"worker"`
+	Reason string `json:"reason"`
 }
 
 // WorkerView is one worker as the placer sees it.
@@ -69,7 +85,7 @@
 }
 
 // zoneView is what this host's placer knows, from the loop.
-func (n *Node) zoneView() ZoneView {
+func (n *Node) zoneView(now time.Time) ZoneView {
 	s := n.placer.Scheduler()
 	z := s.Zone()
 	v := ZoneView{Zone: n.settings.Zone(), Waiting: s.Queued(), Quarantined: s.Quarantined()}
@@ -83,6 +99,12 @@
 			ID: w.ID(), Rack: w.Rack(), Accelerators: w.Accelerators(), Free: bits.OnesCount64(free), Leaving: leaving[w.ID()],
 		})
 	}
+	if head, at, ok := s.Planned(); ok {
+		v.Head = &HeadView{Job: head, Planned: at}
+	}
+	for _, t := range s.Stragglers(now) {
+		v.Stragglers = append(v.Stragglers, StragglerView{Job: t.Job, Worker: t.Worker, Reason: t.Reason})
+	}
 	v.Guarantees = guaranteeViews(n.config.Config().Guarantees(v.Zone), z.AtRisk())
 	return v
 }
--- a/internal/host/server/watching.go
+++ b/internal/host/server/watching.go
@@ -7,11 +7,11 @@
 )
 
 // watchZone logs what becomes amiss in the zone, and what is well again: workers
-// in quarantine and guarantees at risk. Only the placer knows.
-func (n *Node) watchZone(_ context.Context, _ time.Time) {
+// in quarantine, stragglers and guarantees at risk. Only the placer knows.
+func (n *Node) watchZone(_ context.Context, now time.Time) {
 	amiss := map[string]bool{}
 	if n.placer != nil {
-		amiss = n.amiss(n.zoneView())
+		amiss = n.amiss(n.zoneView(now))
 	}
 	for what := range amiss {
 		if !n.told[what] {
@@ -31,6 +31,9 @@
 	for _, w := range v.Quarantined {
 		found["worker "+w+" is in quarantine"] = true
 	}
+	for _, t := range v.Stragglers {
+		found[fmt.Sprintf("job %s on worker %s holds its gang up: %s", t.Job, t.Worker, t.Reason)] = true
+	}
 	atRisk := 0
 	for _, g := range v.Guarantees {
 		atRisk += g.AtRisk
--- a/internal/operator/command/reading.go
+++ b/internal/operator/command/reading.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"text/tabwriter"
+	"time"
 )
 
 type fleetViewCommand struct {
@@ -30,6 +31,12 @@
 			for _, k := range v.Workers {
 				_, _ = fmt.Fprintf(w, "  worker %s\track %s\tfree %d of %d\tleaving %t\n", k.ID, k.Rack, k.Free, k.Accelerators, k.Leaving)
 			}
+			if v.Head != nil {
+				_, _ = fmt.Fprintf(w, "  room is kept for %s\tplanned %s\n", v.Head.Job, v.Head.Planned.Format(time.TimeOnly))
+			}
+			for _, t := range v.Stragglers {
+				_, _ = fmt.Fprintf(w, "  straggler %s\ton %s\t%s\n", t.Job, t.Worker, t.Reason)
+			}
 			for _, g := range v.Guarantees {
 				_, _ = fmt.Fprintf(w, "  guarantee %s\t%d x %s\tat risk %d\n", g.Account, g.Count, g.Shape, g.AtRisk)
 			}
--- a/internal/work/placer/worker.go
+++ b/internal/work/placer/worker.go
@@ -201,6 +201,9 @@
 	if r.gang.Phase() == gang.Running && (t.Cores > 0 || t.Memory > 0) {
 		m.scheduler.Used(t.Lease.Job, id, int(math.Ceil(t.Cores)), t.Memory, now)
 	}
+	if t.State == target.Succeeded {
+		m.scheduler.PartEnded(t.Lease.Job, id, now)
+	}
 	before := r.gang.Phase()
 	cs := m.carry(r, r.gang.Reported(id, t, now), now)
 	return append(m.startedTell(r, before), cs...)
