gang: a renewal whose answer was lost counts for the end of its lease

Cause: found by reading while weighing keeper shares: time was taken as proof that nothing of a part runs from the last deadline that was answered; a renewal that reached the worker and whose answer was lost lets it run up to 8 s longer, so a caller could be told cancelled or lost of a gang that still ran. Change: the latest deadline that was sent is kept beside the answered one; the first counts for the end, the second for acting. Before: TestLostAnswerOfARenewalCountsForTheEnd fails (over at 12 s). Conclusion: mended.

--- a/internal/work/gang/ending.go
+++ b/internal/work/gang/ending.go
@@ -241,11 +241,12 @@
 
 // provenOver reports whether time alone proves that nothing of a part runs: the
 // worker counts the lease from the receipt of the last message, which was on
-// its way for MessageMax at the most. A worker that can still be heard is given
+// its way for MessageMax at the most. A renewal whose answer was lost may have
+// reached the worker and counts as well. A worker that can still be heard is given
 // MessageMax to say how the part came out.
 func (g *Gang) provenOver(p *part, now time.Time) bool {
 	by := p.expires.Add(MessageMax)
-	for _, t := range []time.Time{g.grace.Add(MessageMax), g.ending.Add(MessageMax)} {
+	for _, t := range []time.Time{p.longest.Add(MessageMax), g.grace.Add(MessageMax), g.ending.Add(MessageMax)} {
 		if t.After(by) {
 			by = t
 		}
--- a/internal/work/gang/gang.go
+++ b/internal/work/gang/gang.go
@@ -287,6 +287,15 @@
 	return true
 }
 
+// Asked notes that a renewal with the deadline is sent to the worker. Until it is
+// answered the holder must not believe in it, and must not believe that the
+// lease ends before it either.
+func (g *Gang) Asked(worker string, expires time.Time) {
+	if p := g.part(worker); p != nil && expires.After(p.longest) {
+		p.longest = expires
+	}
+}
+
 // Renewed notes the holder's new deadline of the part on the worker.
 func (g *Gang) Renewed(worker string, expires time.Time) {
 	if p := g.part(worker); p != nil && expires.After(p.expires) {
--- a/internal/work/gang/gang_test.go
+++ b/internal/work/gang/gang_test.go
@@ -208,3 +208,21 @@
 	is.Equal(kinds(part.Ticked(at(3))), "")
 	is.Equal(kinds(part.Ticked(at(4.1))), "stop w1;stop w2;")
 }
+
+// A renewal reaches the worker, its answer is lost, and the worker is cut off. The
+// caller takes its job back. By the last deadline that was answered the gang
+// would be over at 12 s, and its caller told cancelled, while the worker goes on
+// until the deadline of the renewal that it has had.
+func TestLostAnswerOfARenewalCountsForTheEnd(t *testing.T) {
+	is := is.New(t)
+	g := running(t)
+	for _, w := range []string{"w1", "w2"} {
+		g.Asked(w, at(9).Add(gang.LeaseTime))
+	}
+	g.End(gang.CauseCancel, "", "cancelled", at(9.5))
+	g.Reported("w2", task(t, "w2", target.Stopped), at(9.6))
+	g.Ticked(at(12.5))
+	is.Equal(g.Phase(), gang.Ending) // w1 may still run
+	g.Ticked(at(9).Add(gang.LeaseTime + gang.MessageMax))
+	is.Equal(g.Phase(), gang.Over)
+}
--- a/internal/work/gang/part.go
+++ b/internal/work/gang/part.go
@@ -20,6 +20,7 @@
 	seen    bool        // the worker spoke of it since the check began
 	task    target.Task // the newest that the worker reported; ended ones stay
 	expires time.Time   // the holder's deadline of the lease
+	longest time.Time   // the latest deadline that was sent, answered or not; zero if only a hold was
 	stopAt  time.Time   // when a stop is sent again
 }
 
