intake: one table of what is told after a refusal

Change: one table with both cases of the first and one more check, that nobody is told before the current placer has spoken; the late copy joins the test of the hop. Conclusion: none.

--- a/internal/host/intake/machine_test.go
+++ b/internal/host/intake/machine_test.go
@@ -68,7 +68,10 @@
 			m := given(t, c.adopted)
 			placer := "p1"
 			for _, e := range c.events {
-				m.Step(e, opened)
+				for _, done := range m.Step(e, opened) {
+					_, told := done.(intake.Finish)
+					is.True(!told) // not before the current placer has spoken
+				}
 				placer = "p2"
 			}
 			cs := m.Step(intake.OutcomeArrived{Placer: placer, Outcome: outcome(job.NotRun)}, opened)
@@ -111,6 +114,8 @@
 	m.Step(intake.Accepted{Job: newJob(t)}, opened)
 	cs := m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: outcome(job.NotRun)}, opened)
 	is.Equal(cs[0].(intake.Give).Placer, "p2") // the home zone can never run it
+	late := intake.OutcomeArrived{Placer: "p1", Outcome: outcome(job.NotRun)}
+	is.Equal(len(m.Step(late, opened)), 0) // a late copy of the first refusal says nothing of p2
 	cs = m.Step(intake.OutcomeArrived{Placer: "p2", Outcome: outcome(job.NotRun)}, opened)
 	is.Equal(cs[0].(intake.Finish).Outcome.State, job.NotRun) // one hop only
 }
@@ -141,15 +146,15 @@
 	t.Run("to a placer that begins anew", func(t *testing.T) {
 		is := is.New(t)
 		m := given(t, false)
-		m.Step(intake.Taken{Job: "a-1", Placer: "p1"}, start)
-		is.Equal(len(m.Step(intake.PlacerBegun{Placer: "p2"}, start)), 0) // another's memory
-		is.Equal(len(m.Step(intake.PlacerBegun{Placer: "p1"}, start)), 1)
+		m.Step(intake.Taken{Job: "a-1", Placer: "p1"}, opened)
+		is.Equal(len(m.Step(intake.PlacerBegun{Placer: "p2"}, opened)), 0) // another's memory
+		is.Equal(len(m.Step(intake.PlacerBegun{Placer: "p1"}, opened)), 1)
 	})
 	t.Run("to one that refused", func(t *testing.T) {
 		is := is.New(t)
 		m := given(t, false)
-		m.Step(intake.NotTaken{Job: "a-1", Placer: "p1"}, start)
-		is.Equal(len(m.Step(intake.Ticked{}, start.Add(intake.RefusedAgainAfter-1))), 0)
-		is.Equal(len(m.Step(intake.Ticked{}, start.Add(intake.RefusedAgainAfter))), 1)
+		m.Step(intake.NotTaken{Job: "a-1", Placer: "p1"}, opened)
+		is.Equal(len(m.Step(intake.Ticked{}, opened.Add(intake.RefusedAgainAfter-1))), 0)
+		is.Equal(len(m.Step(intake.Ticked{}, opened.Add(intake.RefusedAgainAfter))), 1)
 	})
 }
