--- a/internal/proof/failure/platform_test.go
+++ b/internal/proof/failure/platform_test.go
@@ -4,11 +4,14 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"guavaglade.example/guavaglade/internal/host/settings"
 	"guavaglade.example/guavaglade/internal/platform/ledger"
 	"guavaglade.example/guavaglade/internal/standin/platform"
+	"guavaglade.example/guavaglade/internal/standin/site"
 	"guavaglade.example/guavaglade/internal/work/job"
 )
 
@@ -60,6 +63,25 @@
 	is.Equal(s.starts("refused"), 0)
 }
 
+// TestBurstBeyondShare tells of a burst of jobs that may run once only, which
+// takes more writes than a host's share of the platform. The platform works: no
+// caller may be refused as if it did not, and each job runs once, a little later.
+func TestBurstBeyondShare(t *testing.T) {
+	t.Parallel()
+	const writes, reads, bills = 60, 2000, 48 // 10 writes a second for each host
+	s := open(t, site.WithSettings(settings.WithPlatformRates(writes, reads)))
+	at := s.placer() // whose claims take the share
+	each(bills, func(i int) {
+		time.Sleep(time.Duration(i) * 30 * time.Millisecond) // the claims of the first meet the last
+		s.succeeds(at, "bill", fmt.Sprint("bill-", i), 10)
+	})
+	for i := range bills {
+		if n := s.starts(fmt.Sprint("bill-", i)); n != 1 {
+			t.Errorf("bill-%d was started %d times", i, n)
+		}
+	}
+}
+
 // TestAnswersLost tells of a platform that makes each write and loses the
 // answer. Whoever asked cannot know: a job that may run once only must not be
 // started twice when the claim is asked for again, and a change of configuration
--- a/internal/proof/failure/scene_test.go
+++ b/internal/proof/failure/scene_test.go
@@ -53,11 +53,11 @@
 }
 
 // open starts a site of six hosts and twelve workers in three zones.
-func open(t *testing.T) *scene {
+func open(t *testing.T, opts ...site.Option) *scene {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Minute)
 	t.Cleanup(cancel)
-	b, err := site.Start(ctx, site.WithOperatorKey(credential.NewKey(operatorKey).Hash()))
+	b, err := site.Start(ctx, append(opts, site.WithOperatorKey(credential.NewKey(operatorKey).Hash()))...)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/standin/site/site.go
+++ b/internal/standin/site/site.go
@@ -29,6 +29,7 @@
 	sizes    fleet.Sizes
 	perZone  int    // hosts of each zone
 	keyHash  string // of the operator's first key
+	extra    []settings.Option
 	log      logr.Logger
 	store    *platform.Store
 	platform *platform.Server
@@ -91,6 +92,11 @@
 // WithFleet sets the fleet, by default 12 workers in three zones.
 func WithFleet(f fleet.Sizes) Option { return func(s *Site) { s.sizes = f } }
 
+// WithSettings sets what all hosts are told beside their addresses and peers.
+func WithSettings(opts ...settings.Option) Option {
+	return func(s *Site) { s.extra = append(s.extra, opts...) }
+}
+
 // WithLog sets where all hosts log, by default nowhere.
 func WithLog(l logr.Logger) Option { return func(s *Site) { s.log = l } }
 
@@ -169,7 +175,7 @@
 	}
 	for _, p := range pairs {
 		to, err := settings.New(p.zone, p.callers.Addr().String(), p.peers.Addr().String(), s.address,
-			settings.WithPeers(peers...), settings.WithOperatorKey(s.keyHash), settings.WithUnreadyTime(unreadyTime))
+			append([]settings.Option{settings.WithPeers(peers...), settings.WithOperatorKey(s.keyHash), settings.WithUnreadyTime(unreadyTime)}, s.extra...)...)
 		if err != nil {
 			return err
 		}
