--- a/internal/host/intake/machine_test.go
+++ b/internal/host/intake/machine_test.go
@@ -11,7 +11,7 @@
 	"guavaglade.example/guavaglade/internal/work/job"
 )
 
-var opened = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+var noon = time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
 
 func newJob(t *testing.T) job.Job {
 	t.Helper()
@@ -30,15 +30,15 @@
 func given(t *testing.T, adopted bool) *intake.Machine {
 	t.Helper()
 	m := intake.New("leon")
-	m.Step(intake.PlacersSeen{Placers: map[string]string{"leon": "p1"}}, opened)
-	cs := m.Step(intake.Accepted{Job: newJob(t), Adopted: adopted}, opened)
+	m.Step(intake.PlacersSeen{Placers: map[string]string{"leon": "p1"}}, noon)
+	cs := m.Step(intake.Accepted{Job: newJob(t), Adopted: adopted}, noon)
 	if len(cs) != 1 {
 		t.Fatalf("accepted: got %v, want one Give", cs)
 	}
 	return m
 }
 
-func outcome(s job.State) job.Outcome { return job.Outcome{Job: "a-1", State: s, At: opened} }
+func outcome(s job.State) job.Outcome { return job.Outcome{Job: "a-1", State: s, At: noon} }
 
 func TestNotRunIsTold(t *testing.T) {
 	cases := []struct {
@@ -68,13 +68,13 @@
 			m := given(t, c.adopted)
 			placer := "p1"
 			for _, e := range c.events {
-				for _, done := range m.Step(e, opened) {
+				for _, done := range m.Step(e, noon) {
 					_, told := done.(intake.Finish)
 					is.True(!told) // not before the current placer has spoken
 				}
 				placer = "p2"
 			}
-			cs := m.Step(intake.OutcomeArrived{Placer: placer, Outcome: outcome(job.NotRun)}, opened)
+			cs := m.Step(intake.OutcomeArrived{Placer: placer, Outcome: outcome(job.NotRun)}, noon)
 			is.Equal(len(cs), 1)
 			is.Equal(cs[0].(intake.Finish).Outcome.State, c.want) // what the caller is told
 		})
@@ -84,13 +84,13 @@
 func TestGivesAgain(t *testing.T) {
 	is := is.New(t)
 	m := given(t, false)
-	is.Equal(len(m.Step(intake.Ticked{}, opened.Add(intake.GiveAgainAfter-1))), 0) // not before its time
-	is.Equal(len(m.Step(intake.Ticked{}, opened.Add(intake.GiveAgainAfter))), 1)   // the placer was silent
-	m.Step(intake.Taken{Job: "a-1", Placer: "p1"}, opened.Add(intake.GiveAgainAfter))
-	is.Equal(len(m.Step(intake.Ticked{}, opened.Add(2*intake.GiveAgainAfter))), 0) // the placer has it
-	cs := m.Step(intake.Ticked{}, opened.Add(intake.GiveAgainAfter+intake.ConfirmEvery))
+	is.Equal(len(m.Step(intake.Ticked{}, noon.Add(intake.GiveAgainAfter-1))), 0) // not before its time
+	is.Equal(len(m.Step(intake.Ticked{}, noon.Add(intake.GiveAgainAfter))), 1)   // the placer was silent
+	m.Step(intake.Taken{Job: "a-1", Placer: "p1"}, noon.Add(intake.GiveAgainAfter))
+	is.Equal(len(m.Step(intake.Ticked{}, noon.Add(2*intake.GiveAgainAfter))), 0) // the placer has it
+	cs := m.Step(intake.Ticked{}, noon.Add(intake.GiveAgainAfter+intake.ConfirmEvery))
 	is.Equal(cs, []intake.Command{intake.Give{Placer: "p1", Job: newJob(t), Known: true}}) // its id may do
-	cs = m.Step(intake.PlacersSeen{Placers: map[string]string{"leon": "p2"}}, opened.Add(2*intake.GiveAgainAfter))
+	cs = m.Step(intake.PlacersSeen{Placers: map[string]string{"leon": "p2"}}, noon.Add(2*intake.GiveAgainAfter))
 	is.Equal(cs, []intake.Command{intake.Give{Placer: "p2", Job: newJob(t)}})
 }
 
@@ -101,40 +101,40 @@
 	is.NoErr(cut.UnmarshalJSON([]byte(`{"length": 9, "digest": "00", "body": "AAAA"}`)))
 	o := outcome(job.Succeeded)
 	o.Answer = cut
-	is.Equal(len(m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: o}, opened)), 0)
+	is.Equal(len(m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: o}, noon)), 0)
 	o.Answer = job.NewAnswer([]byte("whole"))
-	is.Equal(len(m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: o}, opened)), 1)
-	is.Equal(len(m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: o}, opened)), 0) // doubled
+	is.Equal(len(m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: o}, noon)), 1)
+	is.Equal(len(m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: o}, noon)), 0) // doubled
 }
 
 func TestPassedOnOnce(t *testing.T) {
 	is := is.New(t)
 	m := intake.New("leon")
-	m.Step(intake.PlacersSeen{Placers: map[string]string{"leon": "p1", "celaya": "p2"}}, opened)
-	m.Step(intake.Accepted{Job: newJob(t)}, opened)
-	cs := m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: outcome(job.NotRun)}, opened)
+	m.Step(intake.PlacersSeen{Placers: map[string]string{"leon": "p1", "celaya": "p2"}}, noon)
+	m.Step(intake.Accepted{Job: newJob(t)}, noon)
+	cs := m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: outcome(job.NotRun)}, noon)
 	is.Equal(cs[0].(intake.Give).Placer, "p2") // the home zone can never run it
 	late := intake.OutcomeArrived{Placer: "p1", Outcome: outcome(job.NotRun)}
-	is.Equal(len(m.Step(late, opened)), 0) // a late copy of the first refusal says nothing of p2
-	cs = m.Step(intake.OutcomeArrived{Placer: "p2", Outcome: outcome(job.NotRun)}, opened)
+	is.Equal(len(m.Step(late, noon)), 0) // a late copy of the first refusal says nothing of p2
+	cs = m.Step(intake.OutcomeArrived{Placer: "p2", Outcome: outcome(job.NotRun)}, noon)
 	is.Equal(cs[0].(intake.Finish).Outcome.State, job.NotRun) // one hop only
 }
 
 func TestCancelGoesWithEachGiving(t *testing.T) {
 	is := is.New(t)
 	m := given(t, false)
-	is.Equal(m.Step(intake.CancelAsked{Job: "a-1"}, opened), []intake.Command{intake.CancelAt{Placer: "p1", Job: "a-1"}})
-	is.Equal(len(m.Step(intake.CancelAsked{Job: "a-1"}, opened)), 0) // asked twice
-	cs := m.Step(intake.PlacersSeen{Placers: map[string]string{"leon": "p2"}}, opened)
+	is.Equal(m.Step(intake.CancelAsked{Job: "a-1"}, noon), []intake.Command{intake.CancelAt{Placer: "p1", Job: "a-1"}})
+	is.Equal(len(m.Step(intake.CancelAsked{Job: "a-1"}, noon)), 0) // asked twice
+	cs := m.Step(intake.PlacersSeen{Placers: map[string]string{"leon": "p2"}}, noon)
 	is.Equal(len(cs), 2) // the next placer gets the job and its cancellation
 }
 
 func TestOutcomeIsForgotten(t *testing.T) {
 	is := is.New(t)
 	m := given(t, false)
-	m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: outcome(job.Succeeded)}, opened)
+	m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: outcome(job.Succeeded)}, noon)
 	is.Equal(m.Open(), 0)
-	m.Step(intake.Ticked{}, opened.Add(intake.KeepFor))
+	m.Step(intake.Ticked{}, noon.Add(intake.KeepFor))
 	_, ok := m.Record("a-1")
 	is.True(!ok)
 }
@@ -146,15 +146,15 @@
 	t.Run("to a placer that begins anew", func(t *testing.T) {
 		is := is.New(t)
 		m := given(t, false)
-		m.Step(intake.Taken{Job: "a-1", Placer: "p1"}, opened)
-		is.Equal(len(m.Step(intake.PlacerBegun{Placer: "p2"}, opened)), 0) // another's memory
-		is.Equal(len(m.Step(intake.PlacerBegun{Placer: "p1"}, opened)), 1)
+		m.Step(intake.Taken{Job: "a-1", Placer: "p1"}, noon)
+		is.Equal(len(m.Step(intake.PlacerBegun{Placer: "p2"}, noon)), 0) // another's memory
+		is.Equal(len(m.Step(intake.PlacerBegun{Placer: "p1"}, noon)), 1)
 	})
 	t.Run("to one that refused", func(t *testing.T) {
 		is := is.New(t)
 		m := given(t, false)
-		m.Step(intake.NotTaken{Job: "a-1", Placer: "p1"}, opened)
-		is.Equal(len(m.Step(intake.Ticked{}, opened.Add(intake.RefusedAgainAfter-1))), 0)
-		is.Equal(len(m.Step(intake.Ticked{}, opened.Add(intake.RefusedAgainAfter))), 1)
+		m.Step(intake.NotTaken{Job: "a-1", Placer: "p1"}, noon)
+		is.Equal(len(m.Step(intake.Ticked{}, noon.Add(intake.RefusedAgainAfter-1))), 0)
+		is.Equal(len(m.Step(intake.Ticked{}, noon.Add(intake.RefusedAgainAfter))), 1)
 	})
 }
