intake: bound what is kept of ended jobs

Cause: outcomes are kept 15 min for callers that ask again, in any number and size: 100 small jobs a second are 90,000 records (worked out: 270 MB of the 256). Change: at most 10,000 ended jobs and 64 MB of answers, the oldest forgotten first. Before: unbounded. After: TestEndedJobsAreBounded.

--- a/internal/host/intake/machine.go
+++ b/internal/host/intake/machine.go
@@ -24,6 +24,10 @@
 	ConfirmEvery = 10 * time.Second
 	// KeepFor is how long an outcome is kept for callers that ask again.
 	KeepFor = 15 * time.Minute
+	// MaxEnded and MaxAnswers bound what is kept of ended jobs: their number
+	// and the bytes of their answers. The oldest are forgotten first.
+	MaxEnded   = 10000
+	MaxAnswers = 64 << 20
 	// MaxLines bounds the story of one job; the oldest lines go first, the
 	// first line stays.
 	MaxLines = 64
@@ -46,6 +50,8 @@
 	zone    string
 	placers map[string]string // by zone: address with incarnation
 	records map[job.ID]*Record
+	ended   []job.ID // jobs with an outcome that have a record, oldest first
+	answers int      // bytes of their answers
 }
 
 // Record is what the entry knows of a job.
@@ -266,6 +272,9 @@
 func (m *Machine) finish(r *Record, o job.Outcome, now time.Time) []Command {
 	r.state, r.outcome, r.forgetAt = o.State, o, now.Add(KeepFor)
 	r.add(Line{At: now, State: o.State, Step: "answered", Text: o.Reason})
+	m.ended = append(m.ended, r.job.ID())
+	m.answers += len(o.Answer.Body())
+	m.forget(now)
 	return []Command{Finish{Job: r.job, Outcome: o}}
 }
 
@@ -296,18 +305,30 @@
 func (m *Machine) ticked(now time.Time) []Command {
 	var cs []Command
 	for _, r := range m.Records() {
-		switch {
-		case r.state.Final():
-			if !now.Before(r.forgetAt) {
-				delete(m.records, r.job.ID())
-			}
-		case !now.Before(r.giveAt):
+		if !r.state.Final() && !now.Before(r.giveAt) {
 			cs = append(cs, m.give(r, now)...)
 		}
 	}
+	m.forget(now)
 	return cs
 }
 
+// forget drops ended jobs whose time is over, and the oldest ones beyond the
+// bounds. Without the bounds a burst of small jobs, or a few large answers, would
+// take the host's memory for as long as outcomes are kept.
+func (m *Machine) forget(now time.Time) {
+	for len(m.ended) > 0 {
+		r := m.records[m.ended[0]]
+		over := len(m.ended) > MaxEnded || m.answers > MaxAnswers && len(m.ended) > 1
+		if !over && now.Before(r.forgetAt) {
+			return
+		}
+		m.answers -= len(r.outcome.Answer.Body())
+		delete(m.records, m.ended[0])
+		m.ended = m.ended[1:]
+	}
+}
+
 func (r *Record) add(l Line) {
 	if len(r.lines) == MaxLines {
 		r.lines = append(r.lines[:1], r.lines[2:]...)
--- a/internal/host/intake/machine_test.go
+++ b/internal/host/intake/machine_test.go
@@ -1,6 +1,7 @@
 package intake_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -129,6 +130,26 @@
 	is.Equal(len(cs), 2) // the next placer gets the job and its cancellation
 }
 
+// A burst of large answers comes within the time that outcomes are kept for
+// callers that ask again. The host must not run out of memory; the newest
+// outcome stays, however large.
+func TestEndedJobsAreBounded(t *testing.T) {
+	is := is.New(t)
+	m := intake.New("leon")
+	m.Step(intake.PlacersSeen{Placers: map[string]string{"leon": "p1"}}, noon)
+	body := make([]byte, intake.MaxAnswers/4+1)
+	for i := range 6 {
+		id := job.ID(fmt.Sprint("a-", i))
+		j, err := job.New(id, "a", "refill", newJob(t).Shape())
+		is.NoErr(err)
+		m.Step(intake.Accepted{Job: j}, noon)
+		m.Step(intake.OutcomeArrived{Placer: "p1", Outcome: job.Outcome{Job: id, State: job.Succeeded, Answer: job.NewAnswer(body)}}, noon)
+	}
+	is.Equal(len(m.Records()), 3)
+	_, ok := m.Record("a-5")
+	is.True(ok)
+}
+
 func TestOutcomeIsForgotten(t *testing.T) {
 	is := is.New(t)
 	m := given(t, false)
