--- a/internal/config/text/parse_test.go
+++ b/internal/config/text/parse_test.go
@@ -1,6 +1,7 @@
 package text_test
 
 import (
+	_ "embed"
 	"errors"
 	"os"
 	"strings"
@@ -14,38 +15,10 @@
 	"guavaglade.example/guavaglade/internal/proof/seeded"
 )
 
-// sound is a text without faults. Each broken text below changes one place.
-const sound = `[zone leon]
-workers = 4
-racks = 2
-acceleratorsPerWorker = 8
-cores = 64
-memory = 262144
-[service refill]
-completionWeight = 0.8
-fragmentationWeight = 0.2
-objectiveTarget = 0.99
-objectiveWithin = 10s
-dependsOn = catalogue
-[service catalogue]
-[job refill.order]
-members = 2
-accelerators = 8
-adjacency = rack
-repeatable = false
-declared = 2s
-[account kiosks]
-keyHash = 9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08
-weight = 2
-operator = true
-[guarantee kiosks.orders]
-zones = leon
-members = 2
-accelerators = 8
-adjacency = rack
-[target 127.0.0.1:7101]
-leaving = true
-`
+// sound is a text without faults, which the cases break.
+//
+//go:embed testdata/sound.ini
+var sound string
 
 func TestParse(t *testing.T) {
 	is := is.New(t)
