keeper, server: share a zone's renewals out over its hosts

Cause: the placer's renewals break 7 KB/s from 28 workers a zone on (docs/CAPACITY.md). Ways weighed: keepers that renew by themselves until told otherwise (fewest bytes, but a lease may then outlive what the placer believes); keepers that renew once for each ask (chosen: the placer's reckoning stays as it is, with one more message's time for the end of a lease). Asks and results are gathered, unchanged sets of leases are left out by digest, workers without news come back together. The digest's removal fails TestKeeperNeverRenewsAnotherSet; failure, session and process tests pass three times under -race.

--- a/internal/fleet/remote/client.go
+++ b/internal/fleet/remote/client.go
@@ -65,6 +65,12 @@
 
 // Renew renews leases and returns what changed.
 func (c *Client) Renew(ctx context.Context, r target.Renewal) (target.Report, error) {
+	// A host that was paused between making a renewal and sending it would
+	// renew for no time at all, which ends the leases, or for a time that its
+	// holder has given up already.
+	if len(r.Leases) > 0 && left(r.Expires) == 0 {
+		return target.Report{}, fmt.Errorf("renew: worker %s: the deadline has passed: %w", c.address, target.ErrUnreached)
+	}
 	body := struct {
 		Leases     []target.Lease `json:"leases,omitempty"`
 		TTLMillis  int64          `json:"ttlMillis"`
--- /dev/null
+++ b/internal/host/server/keeping.go
@@ -0,0 +1,228 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"guavaglade.example/guavaglade/internal/fleet/target"
+	"guavaglade.example/guavaglade/internal/host/keeper"
+	"guavaglade.example/guavaglade/internal/work/gang"
+	"guavaglade.example/guavaglade/internal/work/placer"
+)
+
+// Times of keeping.
+const (
+	gatherFor     = 10 * time.Millisecond // asks and results wait so long for others
+	distrustFor   = 10 * time.Second      // a keeper that did not answer is not asked again
+	pausedAfter   = time.Second           // without a tick: this host was paused
+	shortestAlign = 500 * time.Millisecond
+)
+
+// renewing is a renewal that a keeper was asked for.
+type renewing struct {
+	command placer.RenewOn
+	term    int
+	keeper  string
+}
+
+// askBody and resultBody are what placer and keeper send to each other.
+type askBody struct {
+	From string       `json:"from"` // the placer
+	Asks []keeper.Ask `json:"asks"`
+}
+
+type resultBody struct {
+	Results []keeper.Result `json:"results"`
+}
+
+// renew has the worker's leases renewed: by its keeper, or from here if that is
+// this host, or if the keeper did not answer the ask before.
+func (n *Node) renew(ctx context.Context, c placer.RenewOn, now time.Time) {
+	if token, open := n.askedOf[c.Worker]; open {
+		n.distrust(n.asked[token].keeper, now)
+		n.settleAsk(token)
+	}
+	k, ok := n.members.Keeper(n.settings.Zone(), c.Worker, now)
+	if !ok || idOf(k) == n.id || now.Before(n.distrusted[idOf(k)]) || n.workerAt[c.Worker] == "" {
+		n.renewHere(ctx, n.term, c)
+		return
+	}
+	n.token++
+	id := idOf(k)
+	n.asked[n.token] = renewing{command: c, term: n.term, keeper: id}
+	n.askedOf[c.Worker] = n.token
+	a := keeper.Ask{
+		Token: n.token, Worker: c.Worker, At: n.workerAt[c.Worker], Since: c.Renewal.Since, Leases: c.Renewal.Leases,
+	}
+	if !c.Renewal.Wait.IsZero() {
+		a.WaitMS = max(0, c.Renewal.Wait.Sub(now).Milliseconds())
+	}
+	if n.toKeeper[id] == nil {
+		n.toKeeper[id] = &keeper.Sets{}
+	}
+	n.asks[id] = append(n.asks[id], n.toKeeper[id].Pack(a))
+	if len(n.asks[id]) == 1 {
+		n.spawn(func() { n.sendAsks(ctx, id) })
+	}
+}
+
+// renewHere renews from this host.
+func (n *Node) renewHere(ctx context.Context, term int, c placer.RenewOn) {
+	n.atWorker(c.Worker, func(w target.Worker) {
+		rep, err := w.Renew(ctx, c.Renewal)
+		n.placerEvent(ctx, term, reportedOf(c, rep, err))
+	})
+}
+
+func reportedOf(c placer.RenewOn, rep target.Report, err error) placer.Reported {
+	return placer.Reported{Worker: c.Worker, Report: rep, Err: err, Renewed: c.Renewal.Leases, Expires: c.Renewal.Expires}
+}
+
+// sendAsks sends what has gathered for a keeper. One that cannot be asked is
+// done without for a while: the leases must not wait for it.
+func (n *Node) sendAsks(ctx context.Context, to string) {
+	if err := sleep(ctx, gatherFor); err != nil {
+		return
+	}
+	body := askBody{From: n.id}
+	if err := n.ask(ctx, func() {
+		body.Asks = n.asks[to]
+		delete(n.asks, to)
+	}); err != nil {
+		return
+	}
+	if err := n.call(ctx, to, "keeper.ask", body, nil); err != nil {
+		n.log.Info("keeper", "step", "ask", "peer", to, "error", err.Error())
+		n.post(ctx, func() { n.withoutKeeper(ctx, to, body.Asks) })
+	}
+}
+
+func (n *Node) withoutKeeper(ctx context.Context, id string, asks []keeper.Ask) {
+	n.distrust(id, time.Now())
+	for _, a := range asks {
+		if r, ok := n.settleAsk(a.Token); ok && r.term == n.term {
+			n.renewHere(ctx, r.term, r.command)
+		}
+	}
+}
+
+// distrust does without a keeper for a while, and sends it whole asks after.
+func (n *Node) distrust(id string, now time.Time) {
+	n.distrusted[id] = now.Add(distrustFor)
+	delete(n.toKeeper, id)
+}
+
+// settleAsk forgets an ask; ok is false if it was settled before.
+func (n *Node) settleAsk(token int64) (r renewing, ok bool) {
+	r, ok = n.asked[token]
+	if !ok {
+		return renewing{}, false
+	}
+	delete(n.asked, token)
+	if n.askedOf[r.command.Worker] == token {
+		delete(n.askedOf, r.command.Worker)
+	}
+	return r, true
+}
+
+// kept takes a keeper's results, from the loop.
+func (n *Node) kept(ctx context.Context, b resultBody, now time.Time) {
+	for _, res := range b.Results {
+		r, ok := n.settleAsk(res.Token)
+		if !ok || r.term != n.term || n.placer == nil {
+			continue
+		}
+		rep, err := res.Report(r.command.Worker)
+		if errors.Is(err, keeper.ErrMissing) {
+			if sets := n.toKeeper[r.keeper]; sets != nil {
+				sets.Forget(r.command.Worker)
+			}
+			n.renewHere(ctx, r.term, r.command)
+			continue
+		}
+		n.stepPlacer(ctx, reportedOf(r.command, rep, err), now)
+	}
+}
+
+// handleAsk is the keeper's side: it renews once for each ask.
+func (n *Node) handleAsk(ctx context.Context, params json.RawMessage) (any, error) {
+	var b askBody
+	if err := n.read("keeper.ask", params, &b); err != nil {
+		return nil, err
+	}
+	var paused error
+	keep := context.WithoutCancel(ctx)
+	err := n.ask(ctx, func() {
+		now := time.Now()
+		// After a pause the ask may be old, and the placer may have given the
+		// leases up since: renewing them now would keep alive what nobody
+		// answers for. The placer renews by itself instead.
+		if now.Sub(n.ticked) > pausedAfter {
+			paused = fmt.Errorf("keeper %s was paused", n.id)
+			return
+		}
+		n.keep(keep, b, now)
+	})
+	return struct{}{}, errors.Join(err, paused)
+}
+
+func (n *Node) keep(ctx context.Context, b askBody, now time.Time) {
+	if n.fromPlacer[b.From] == nil {
+		n.fromPlacer[b.From] = &keeper.Sets{}
+	}
+	for _, packed := range b.Asks {
+		a, err := n.fromPlacer[b.From].Unpack(packed)
+		if err != nil {
+			n.giveResult(ctx, b.From, keeper.ResultOf(a.Token, target.Report{}, err))
+			continue
+		}
+		w := n.workerOf(a.Worker, a.At)
+		r := target.Renewal{Leases: a.Leases, Since: a.Since, Expires: now.Add(gang.LeaseTime), Wait: aligned(now, a.WaitMS)}
+		n.spawn(func() {
+			rep, err := w.Renew(ctx, r)
+			n.post(ctx, func() { n.giveResult(ctx, b.From, keeper.ResultOf(a.Token, rep, err)) })
+		})
+	}
+}
+
+// aligned returns until when to wait for news. All of a keeper's workers are
+// waited for until the same moment, so that what has nothing to tell comes back
+// together and is one message.
+func aligned(now time.Time, waitMS int64) time.Time {
+	if waitMS == 0 {
+		return time.Time{}
+	}
+	end := now.Truncate(placer.RenewEvery).Add(placer.RenewEvery)
+	if end.Sub(now) < shortestAlign {
+		end = end.Add(placer.RenewEvery)
+	}
+	return end
+}
+
+// giveResult gathers results for a placer, from the loop.
+func (n *Node) giveResult(ctx context.Context, to string, r keeper.Result) {
+	n.results[to] = append(n.results[to], r)
+	if len(n.results[to]) == 1 {
+		n.spawn(func() { n.sendResults(ctx, to) })
+	}
+}
+
+func (n *Node) sendResults(ctx context.Context, to string) {
+	if err := sleep(ctx, gatherFor); err != nil {
+		return
+	}
+	var body resultBody
+	if err := n.ask(ctx, func() {
+		body.Results = n.results[to]
+		delete(n.results, to)
+	}); err != nil {
+		return
+	}
+	if err := n.call(ctx, to, "placer.kept", body, nil); err != nil {
+		n.log.Info("keeper", "step", "result", "peer", to, "error", err.Error())
+		n.post(ctx, func() { delete(n.fromPlacer, to) })
+	}
+}
--- a/internal/host/server/membership.go
+++ b/internal/host/server/membership.go
@@ -120,7 +120,7 @@
 	// The term makes the leases of this placing differ from those of an earlier
 	// one in the same process, which is forgotten but may have starts under way.
 	identity := n.id + "/" + strconv.Itoa(n.term)
-	n.placer = placer.New(n.settings.Zone(), nil, placer.WithIdentity(identity), placer.WithRand(random))
+	n.placer = placer.New(n.settings.Zone(), nil, placer.WithIdentity(identity), placer.WithRand(random), placer.WithKeepers())
 	n.log.Info("placing", "step", "begin", "zone", n.settings.Zone(), "host", n.id)
 	n.metrics.Counter("placer_begun").Inc(1)
 	if c := n.config.Config(); c != nil {
--- a/internal/host/server/peers.go
+++ b/internal/host/server/peers.go
@@ -35,6 +35,11 @@
 		return n.toPlacer(ctx, params, &b, func(now time.Time) { n.stepPlacer(keep, placer.CancelAsked{Job: b.Job}, now) })
 	case "burn.snapshot":
 		return n.ownBurn(ctx, time.Now())
+	case "keeper.ask":
+		return n.handleAsk(ctx, params)
+	case "placer.kept":
+		var b resultBody
+		return n.toEntry(ctx, params, &b, func(now time.Time) { n.kept(keep, b, now) })
 	case "placer.confirm":
 		return n.handleConfirm(ctx, params)
 	case "placer.view":
--- a/internal/host/server/placing.go
+++ b/internal/host/server/placing.go
@@ -43,12 +43,7 @@
 			n.placerEvent(ctx, term, placer.StartAnswered{Worker: c.Worker, Lease: c.Lease, Err: startBefore(ctx, w, c)})
 		})
 	case placer.RenewOn:
-		n.atWorker(c.Worker, func(w target.Worker) {
-			rep, err := w.Renew(ctx, c.Renewal)
-			n.placerEvent(ctx, term, placer.Reported{
-				Worker: c.Worker, Report: rep, Err: err, Renewed: c.Renewal.Leases, Expires: c.Renewal.Expires,
-			})
-		})
+		n.renew(ctx, c, time.Now())
 	case placer.StopOn:
 		n.atWorker(c.Worker, func(w target.Worker) {
 			err := w.Stop(ctx, c.Stop)
@@ -91,11 +86,16 @@
 		n.log.Info("worker", "step", "find", "peer", id, "error", "not on the platform's list")
 		return
 	}
+	w := n.workerOf(id, address)
+	n.spawn(func() { f(w) })
+}
+
+// workerOf returns the client of a worker at an address.
+func (n *Node) workerOf(id, address string) target.Worker {
 	if n.addresses[id] != address {
 		n.addresses[id], n.workers[id] = address, remote.New(address, n.workerRT)
 	}
-	w := n.workers[id]
-	n.spawn(func() { f(w) })
+	return n.workers[id]
 }
 
 // deliver records the outcome if it must outlive its hosts and gives it to an
--- a/internal/work/placer/machine.go
+++ b/internal/work/placer/machine.go
@@ -63,6 +63,7 @@
 	since     time.Time             // when the first list came
 	taken     bool                  // the workers' lists were heard, or waited for long enough
 	draining  bool                  // begins nothing more
+	hop       time.Duration         // by which a renewal may be later at its worker; 0: sent from here
 	dirty     bool                  // something that the scheduler decides about has changed
 }
 
--- a/internal/work/placer/options.go
+++ b/internal/work/placer/options.go
@@ -27,3 +27,7 @@
 func WithShare(mine func(worker string) bool) Option {
 	return func(m *Machine) { m.keeper.share = mine }
 }
+
+// WithKeepers says that renewals may go by way of another host. A renewal then
+// reaches its worker later by the time that one more message takes at the most.
+func WithKeepers() Option { return func(m *Machine) { m.hop = gang.MessageMax } }
--- a/internal/work/placer/worker.go
+++ b/internal/work/placer/worker.go
@@ -113,7 +113,7 @@
 	for _, g := range w.gangs {
 		if g.Renewable(id, now) {
 			r.Leases = append(r.Leases, g.Lease())
-			g.Asked(id, r.Expires)
+			g.Asked(id, r.Expires.Add(m.hop))
 		}
 		if g.AnswerWanted() == id || g.Phase() == gang.Checking {
 			r.Since = 0
