--- a/internal/proof/failure/host_test.go
+++ b/internal/proof/failure/host_test.go
@@ -84,6 +84,29 @@
 	})
 }
 
+// TestKilledKeeper tells of a host that does not place and dies while it renews
+// its share of the workers for the placer. The jobs run for longer than a lease:
+// the placer must renew by itself in time, and none is started twice.
+func TestKilledKeeper(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := open(t)
+	placer := s.placer()
+	const jobs, millis = 8, 14000
+	for i := range jobs {
+		_, err := s.caller(placer).Submit(s.ctx, request("quick", fmt.Sprint("kept-", i), millis), 0)
+		is.NoErr(err)
+	}
+	for i := range jobs {
+		s.state(placer, fmt.Sprint("kept-", i), job.Running)
+	}
+	s.Hosts()[s.other(placer)].Kill()
+	for i := range jobs {
+		s.state(placer, fmt.Sprint("kept-", i), job.Succeeded)
+		is.Equal(s.starts(fmt.Sprint("kept-", i)), 1)
+	}
+}
+
 // TestPlannedStop tells of a host that is stopped as planned while it places for
 // its zone and callers wait for their answers at it and at its neighbour. No
 // request is cut or lost.
