--- a/internal/host/server/keeping.go
+++ b/internal/host/server/keeping.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"time"
 
 	"guavaglade.example/guavaglade/internal/fleet/target"
@@ -115,6 +116,19 @@
 	delete(n.toKeeper, id)
 }
 
+// forgetKeeping drops what is remembered of hosts that are no longer live: each
+// incarnation has a name of its own, and nothing else would ever drop it.
+func (n *Node) forgetKeeping(now time.Time) {
+	live := map[string]bool{n.id: true}
+	for _, id := range n.peerIDs("", now) {
+		live[id] = true
+	}
+	gone := func(id string, _ *keeper.Sets) bool { return !live[id] }
+	maps.DeleteFunc(n.fromPlacer, gone)
+	maps.DeleteFunc(n.toKeeper, gone)
+	maps.DeleteFunc(n.distrusted, func(_ string, until time.Time) bool { return !now.Before(until) })
+}
+
 // settleAsk forgets an ask; ok is false if it was settled before.
 func (n *Node) settleAsk(token int64) (r renewing, ok bool) {
 	r, ok = n.asked[token]
--- a/internal/host/server/watching.go
+++ b/internal/host/server/watching.go
@@ -9,6 +9,7 @@
 // watchZone logs what becomes amiss in the zone, and what is well again: workers
 // in quarantine, stragglers and guarantees at risk. Only the placer knows.
 func (n *Node) watchZone(_ context.Context, now time.Time) {
+	n.forgetKeeping(now)
 	amiss := map[string]bool{}
 	if n.placer != nil {
 		amiss = n.amiss(n.zoneView(now))
