server: what keeping remembers stands together

Change: a struct of its own beside the code that uses it. Before and after: the same behaviour, tests pass. Conclusion: none.

--- a/internal/host/server/keeping.go
+++ b/internal/host/server/keeping.go
@@ -29,6 +29,27 @@
 	keeper  string
 }
 
+// keeping is what a host remembers as a placer that asks and as a keeper that is
+// asked. The loop owns it.
+type keeping struct {
+	token      int64                      // of the newest ask
+	asked      map[int64]renewing         // asks without a result, by token
+	askedOf    map[string]int64           // the open ask of each worker
+	asks       map[string][]keeper.Ask    // that gather for a keeper
+	results    map[string][]keeper.Result // that gather for a placer
+	toKeeper   map[string]*keeper.Sets    // what each keeper was sent
+	fromPlacer map[string]*keeper.Sets    // what each placer has sent
+	distrusted map[string]time.Time       // keepers that are done without until then
+}
+
+func newKeeping() keeping {
+	return keeping{
+		asked: map[int64]renewing{}, askedOf: map[string]int64{}, asks: map[string][]keeper.Ask{},
+		results: map[string][]keeper.Result{}, toKeeper: map[string]*keeper.Sets{},
+		fromPlacer: map[string]*keeper.Sets{}, distrusted: map[string]time.Time{},
+	}
+}
+
 // askBody and resultBody are what placer and keeper send to each other.
 type askBody struct {
 	From string       `json:"from"` // the placer
@@ -42,30 +63,30 @@
 // renew has the worker's leases renewed: by its keeper, or from here if that is
 // this host, or if the keeper did not answer the ask before.
 func (n *Node) renew(ctx context.Context, c placer.RenewOn, now time.Time) {
-	if token, open := n.askedOf[c.Worker]; open {
-		n.distrust(n.asked[token].keeper, now)
+	if token, open := n.keeping.askedOf[c.Worker]; open {
+		n.distrust(n.keeping.asked[token].keeper, now)
 		n.settleAsk(token)
 	}
 	k, ok := n.members.Keeper(n.settings.Zone(), c.Worker, now)
-	if !ok || idOf(k) == n.id || now.Before(n.distrusted[idOf(k)]) || n.workerAt[c.Worker] == "" {
+	if !ok || idOf(k) == n.id || now.Before(n.keeping.distrusted[idOf(k)]) || n.workerAt[c.Worker] == "" {
 		n.renewHere(ctx, n.term, c)
 		return
 	}
-	n.token++
+	n.keeping.token++
 	id := idOf(k)
-	n.asked[n.token] = renewing{command: c, term: n.term, keeper: id}
-	n.askedOf[c.Worker] = n.token
+	n.keeping.asked[n.keeping.token] = renewing{command: c, term: n.term, keeper: id}
+	n.keeping.askedOf[c.Worker] = n.keeping.token
 	a := keeper.Ask{
-		Token: n.token, Worker: c.Worker, At: n.workerAt[c.Worker], Since: c.Renewal.Since, Leases: c.Renewal.Leases,
+		Token: n.keeping.token, Worker: c.Worker, At: n.workerAt[c.Worker], Since: c.Renewal.Since, Leases: c.Renewal.Leases,
 	}
 	if !c.Renewal.Wait.IsZero() {
 		a.WaitMS = max(0, c.Renewal.Wait.Sub(now).Milliseconds())
 	}
-	if n.toKeeper[id] == nil {
-		n.toKeeper[id] = &keeper.Sets{}
+	if n.keeping.toKeeper[id] == nil {
+		n.keeping.toKeeper[id] = &keeper.Sets{}
 	}
-	n.asks[id] = append(n.asks[id], n.toKeeper[id].Pack(a))
-	if len(n.asks[id]) == 1 {
+	n.keeping.asks[id] = append(n.keeping.asks[id], n.keeping.toKeeper[id].Pack(a))
+	if len(n.keeping.asks[id]) == 1 {
 		n.spawn(func() { n.sendAsks(ctx, id) })
 	}
 }
@@ -90,8 +111,8 @@
 	}
 	body := askBody{From: n.id}
 	if err := n.ask(ctx, func() {
-		body.Asks = n.asks[to]
-		delete(n.asks, to)
+		body.Asks = n.keeping.asks[to]
+		delete(n.keeping.asks, to)
 	}); err != nil {
 		return
 	}
@@ -112,8 +133,8 @@
 
 // distrust does without a keeper for a while, and sends it whole asks after.
 func (n *Node) distrust(id string, now time.Time) {
-	n.distrusted[id] = now.Add(distrustFor)
-	delete(n.toKeeper, id)
+	n.keeping.distrusted[id] = now.Add(distrustFor)
+	delete(n.keeping.toKeeper, id)
 }
 
 // forgetKeeping drops what is remembered of hosts that are no longer live: each
@@ -124,20 +145,20 @@
 		live[id] = true
 	}
 	gone := func(id string, _ *keeper.Sets) bool { return !live[id] }
-	maps.DeleteFunc(n.fromPlacer, gone)
-	maps.DeleteFunc(n.toKeeper, gone)
-	maps.DeleteFunc(n.distrusted, func(_ string, until time.Time) bool { return !now.Before(until) })
+	maps.DeleteFunc(n.keeping.fromPlacer, gone)
+	maps.DeleteFunc(n.keeping.toKeeper, gone)
+	maps.DeleteFunc(n.keeping.distrusted, func(_ string, until time.Time) bool { return !now.Before(until) })
 }
 
 // settleAsk forgets an ask; ok is false if it was settled before.
 func (n *Node) settleAsk(token int64) (r renewing, ok bool) {
-	r, ok = n.asked[token]
+	r, ok = n.keeping.asked[token]
 	if !ok {
 		return renewing{}, false
 	}
-	delete(n.asked, token)
-	if n.askedOf[r.command.Worker] == token {
-		delete(n.askedOf, r.command.Worker)
+	delete(n.keeping.asked, token)
+	if n.keeping.askedOf[r.command.Worker] == token {
+		delete(n.keeping.askedOf, r.command.Worker)
 	}
 	return r, true
 }
@@ -151,7 +172,7 @@
 		}
 		rep, err := res.Report(r.command.Worker)
 		if errors.Is(err, keeper.ErrMissing) {
-			if sets := n.toKeeper[r.keeper]; sets != nil {
+			if sets := n.keeping.toKeeper[r.keeper]; sets != nil {
 				sets.Forget(r.command.Worker)
 			}
 			n.renewHere(ctx, r.term, r.command)
@@ -184,11 +205,11 @@
 }
 
 func (n *Node) keep(ctx context.Context, b askBody, now time.Time) {
-	if n.fromPlacer[b.From] == nil {
-		n.fromPlacer[b.From] = &keeper.Sets{}
+	if n.keeping.fromPlacer[b.From] == nil {
+		n.keeping.fromPlacer[b.From] = &keeper.Sets{}
 	}
 	for _, packed := range b.Asks {
-		a, err := n.fromPlacer[b.From].Unpack(packed)
+		a, err := n.keeping.fromPlacer[b.From].Unpack(packed)
 		if err != nil {
 			n.giveResult(ctx, b.From, keeper.ResultOf(a.Token, target.Report{}, err))
 			continue
@@ -218,8 +239,8 @@
 
 // giveResult gathers results for a placer, from the loop.
 func (n *Node) giveResult(ctx context.Context, to string, r keeper.Result) {
-	n.results[to] = append(n.results[to], r)
-	if len(n.results[to]) == 1 {
+	n.keeping.results[to] = append(n.keeping.results[to], r)
+	if len(n.keeping.results[to]) == 1 {
 		n.spawn(func() { n.sendResults(ctx, to) })
 	}
 }
@@ -230,13 +251,13 @@
 	}
 	var body resultBody
 	if err := n.ask(ctx, func() {
-		body.Results = n.results[to]
-		delete(n.results, to)
+		body.Results = n.keeping.results[to]
+		delete(n.keeping.results, to)
 	}); err != nil {
 		return
 	}
 	if err := n.call(ctx, to, "placer.kept", body, nil); err != nil {
 		n.log.Info("keeper", "step", "result", "peer", to, "error", err.Error())
-		n.post(ctx, func() { delete(n.fromPlacer, to) })
+		n.post(ctx, func() { delete(n.keeping.fromPlacer, to) })
 	}
 }
--- a/internal/host/server/node.go
+++ b/internal/host/server/node.go
@@ -23,7 +23,6 @@
 	"guavaglade.example/guavaglade/internal/fleet/target"
 	"guavaglade.example/guavaglade/internal/host/admission"
 	"guavaglade.example/guavaglade/internal/host/intake"
-	"guavaglade.example/guavaglade/internal/host/keeper"
 	"guavaglade.example/guavaglade/internal/host/member"
 	"guavaglade.example/guavaglade/internal/host/peer"
 	"guavaglade.example/guavaglade/internal/host/retry"
@@ -84,28 +83,21 @@
 	config     inforce.Keeper
 	fetching   int64 // version that is being fetched from a peer; 0 for none
 	entry      *intake.Machine
-	waiting    map[job.ID]chan struct{}   // closed when the job is final
-	placer     *placer.Machine            // nil while another host places
-	term       int                        // rises each time the placer begins or ends here
-	targets    []table.Target             // the platform's list as last read
-	targetsAt  time.Time                  // when it was last asked for
-	workerAt   map[string]string          // the list's addresses, by worker id
-	workers    map[string]target.Worker   // by id
-	addresses  map[string]string          // of the workers, by id
-	delivering map[delivery]bool          // outcomes on their way to an entry
-	stories    map[string][]toldBody      // lines for each entry; no key: nobody sends them
-	ticked     time.Time                  // when the loop last ticked
-	token      int64                      // of the newest ask of a keeper
-	asked      map[int64]renewing         // asks without a result, by token
-	askedOf    map[string]int64           // the open ask of each worker
-	asks       map[string][]keeper.Ask    // that gather for a keeper
-	results    map[string][]keeper.Result // that gather for a placer
-	toKeeper   map[string]*keeper.Sets    // what each keeper was sent
-	fromPlacer map[string]*keeper.Sets    // what each placer has sent
-	distrusted map[string]time.Time       // keepers that are done without until then
-	confirming map[string][]intake.Give   // due to be confirmed, by placer
-	durable    map[job.ID]bool            // jobs of this entry whose row is written
-	copies     map[job.ID]job.Job         // jobs that are not durable, kept for another entry
+	waiting    map[job.ID]chan struct{} // closed when the job is final
+	placer     *placer.Machine          // nil while another host places
+	term       int                      // rises each time the placer begins or ends here
+	targets    []table.Target           // the platform's list as last read
+	targetsAt  time.Time                // when it was last asked for
+	workerAt   map[string]string        // the list's addresses, by worker id
+	workers    map[string]target.Worker // by id
+	addresses  map[string]string        // of the workers, by id
+	delivering map[delivery]bool        // outcomes on their way to an entry
+	stories    map[string][]toldBody    // lines for each entry; no key: nobody sends them
+	ticked     time.Time                // when the loop last ticked
+	keeping    keeping
+	confirming map[string][]intake.Give // due to be confirmed, by placer
+	durable    map[job.ID]bool          // jobs of this entry whose row is written
+	copies     map[job.ID]job.Job       // jobs that are not durable, kept for another entry
 	tickets    *ticket.Book
 	stopping   bool
 	told       map[string]bool // what the last look at the zone found amiss
@@ -147,9 +139,7 @@
 		}, member.WithSeeds(seedsOf(s)...)),
 		entry: intake.New(s.Zone()), waiting: map[job.ID]chan struct{}{},
 		workers: map[string]target.Worker{}, addresses: map[string]string{}, delivering: map[delivery]bool{}, durable: map[job.ID]bool{}, stories: map[string][]toldBody{}, confirming: map[string][]intake.Give{},
-		asked: map[int64]renewing{}, askedOf: map[string]int64{}, asks: map[string][]keeper.Ask{},
-		results: map[string][]keeper.Result{}, toKeeper: map[string]*keeper.Sets{}, fromPlacer: map[string]*keeper.Sets{},
-		distrusted: map[string]time.Time{}, copies: map[job.ID]job.Job{},
+		keeping: newKeeping(), copies: map[job.ID]job.Job{},
 	}
 	for _, o := range opts {
 		o(n)
