text, schedule: a job may have weights of its own

Cause: the configuration text was asked to give each job its objective; weights of completion time and fragmentation could be given to a whole service only. Change: completionWeight and fragmentationWeight in [job SERVICE.NAME], both or none; the schedule and the placement use them. Before: the service's for all of its jobs.

--- a/internal/config/text/config.go
+++ b/internal/config/text/config.go
@@ -80,6 +80,16 @@
 // Fragmentation returns the weight of fragmentation, 0 to 1.
 func (s Service) Fragmentation() float64 { return s.fragmentation }
 
+// Weights returns the weights of completion time and fragmentation for a job that
+// the service runs: the job's own where the text gives them, or else the
+// service's. A job that is not described has the service's.
+func (s Service) Weights(kind string) (completion, fragmentation float64) {
+	if k, ok := s.kinds[kind]; ok && k.weighted {
+		return k.completion, k.fragmentation
+	}
+	return s.completion, s.fragmentation
+}
+
 // DependsOn returns the services that this one needs.
 func (s Service) DependsOn() []string { return s.dependsOn }
 
@@ -113,6 +123,10 @@
 	guaranteed bool
 	declared   time.Duration // run time, 0 if unknown
 	startIn    time.Duration // given up as not run if not started within; 0: never
+
+	weighted      bool    // the text gives the job weights of its own
+	completion    float64 // valid if weighted
+	fragmentation float64 // valid if weighted
 }
 
 // Name returns the kind's name.
--- a/internal/config/text/example_test.go
+++ b/internal/config/text/example_test.go
@@ -17,6 +17,6 @@
 	fmt.Println(faults)
 	// Output:
 	// line 2: [service refill] completionWeight: "2" is out of range, want 0 to 1
-	// line 4: [job refill.order] repeatabel: unknown key; known here: repeatable, long, urgent, stoppable, guaranteed, declared, startIn, members, accelerators, cores, memory, adjacency
+	// line 4: [job refill.order] repeatabel: unknown key; known here: repeatable, long, urgent, stoppable, guaranteed, declared, startIn, completionWeight, fragmentationWeight, members, accelerators, cores, memory, adjacency
 	// line 5: [job planning.season] service "planning" is not described; add [service planning]
 }
--- a/internal/config/text/parse_test.go
+++ b/internal/config/text/parse_test.go
@@ -20,6 +20,17 @@
 //go:embed testdata/sound.ini
 var sound string
 
+func TestJobHasItsOwnWeights(t *testing.T) {
+	is := is.New(t)
+	c, err := text.Parse([]byte(strings.Replace(sound, "declared = 2s", "completionWeight = 0.1\nfragmentationWeight = 1", 1)))
+	is.NoErr(err)
+	s, _ := c.Service("refill")
+	completion, fragmentation := s.Weights("order")
+	is.Equal([]float64{completion, fragmentation}, []float64{0.1, 1})
+	completion, fragmentation = s.Weights("another")
+	is.Equal([]float64{completion, fragmentation}, []float64{0.8, 0.2}) // the service's
+}
+
 func TestParse(t *testing.T) {
 	is := is.New(t)
 	c, err := text.Parse([]byte(sound))
@@ -63,6 +74,8 @@
 		{"not a number at all", "completionWeight = 0.8", "completionWeight = NaN", 8, "out of range, want 0 to 1"},
 		{"weight out of range", "completionWeight = 0.8", "completionWeight = 1.5", 8, "out of range, want 0 to 1"},
 		{"both weights 0", "Weight = 0.8\nfragmentationWeight = 0.2", "Weight = 0\nfragmentationWeight = 0", 8, "both weights are 0"},
+		{"half of a job's weights", "declared = 2s", "declared = 2s\ncompletionWeight = 1", 14, "set together"},
+		{"both weights of a job 0", "declared = 2s", "completionWeight = 0\nfragmentationWeight = 0", 19, "both weights are 0"},
 		{"bad duration", "declared = 2s", "declared = 2", 19, `"2" is not a duration`},
 		{"bad boolean", "repeatable = false", "repeatable = never", 18, `"never" is not true or false`},
 		{"objective out of range", "objectiveTarget = 0.99", "objectiveTarget = 99", 10, "out of range"},
--- a/internal/config/text/service.go
+++ b/internal/config/text/service.go
@@ -51,6 +51,15 @@
 		guaranteed: at.Bool("guaranteed", false),
 		declared:   at.Duration("declared", 0, 0, mostRun),
 		startIn:    at.Duration("startIn", 0, 0, mostRun),
+
+		weighted:      at.Has("completionWeight") || at.Has("fragmentationWeight"),
+		completion:    at.Float("completionWeight", 0, 0, 1),
+		fragmentation: at.Float("fragmentationWeight", 0, 0, 1),
+	}
+	if at.Has("completionWeight") != at.Has("fragmentationWeight") {
+		at.Fault("", "completionWeight and fragmentationWeight are set together or not at all")
+	} else if k.weighted && k.completion == 0 && k.fragmentation == 0 {
+		at.Fault("completionWeight", "both weights are 0; one must be above")
 	}
 	// A job that was stopped is started again, which one that may not be
 	// repeated must never be: it would run twice.
--- a/internal/work/schedule/decide.go
+++ b/internal/work/schedule/decide.go
@@ -120,8 +120,9 @@
 		return lane - min(waited, laneStep/4)
 	}
 	service, _ := s.config.Service(c.Service)
+	completion, _ := service.Weights(it.Job.Kind())
 	run := min(s.estimated(it.Job, middleShare), longestRun) + shortestRun
-	work := run.Seconds() * math.Pow(float64(max(c.Shape.Total(), 1)), service.Completion())
+	work := run.Seconds() * math.Pow(float64(max(c.Shape.Total(), 1)), completion)
 	return lane + s.shares.dominant(c.Account)/s.weight(c.Account) - min(waited/work, laneStep/4)
 }
 
--- a/internal/work/schedule/scheduler.go
+++ b/internal/work/schedule/scheduler.go
@@ -197,10 +197,11 @@
 
 func (s *Scheduler) request(j job.Job) placement.Request {
 	service, _ := s.config.Service(j.Service())
+	completion, fragmentation := service.Weights(j.Kind())
 	return placement.Request{
 		Owner: string(j.ID()), Account: j.Account(), Shape: j.Shape(),
 		Guaranteed: j.Guaranteed(), Stoppable: j.Stoppable(), Urgent: j.Urgent(),
-		Weights: placement.Weights{Completion: service.Completion(), Fragmentation: service.Fragmentation()},
+		Weights: placement.Weights{Completion: completion, Fragmentation: fragmentation},
 	}
 }
 
