process: no address is chosen for two processes

The rig lets a port go before it asks for the next, and may be given the same again. Ruled out: the workers, which take their ports before. Change: an address is given once.

--- a/internal/proof/process/rig_test.go
+++ b/internal/proof/process/rig_test.go
@@ -89,7 +89,8 @@
 type rig struct {
 	t        *testing.T
 	ctx      context.Context
-	ip       string // a loopback IP of its own, so that no client's port is in the way
+	ip       string          // a loopback IP of its own, so that no client's port is in the way
+	given    map[string]bool // addresses that free has returned
 	platform string
 	targets  []table.Target
 	hosts    []*host
@@ -106,7 +107,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Minute)
 	t.Cleanup(cancel)
 	pid := os.Getpid()
-	r := &rig{t: t, ctx: ctx, ip: fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&0x7f, pid&0xff, rigs.Add(1))}
+	r := &rig{t: t, ctx: ctx, given: map[string]bool{}, ip: fmt.Sprintf("127.%d.%d.%d", 1+pid>>8&0x7f, pid&0xff, rigs.Add(1))}
 	r.platform = r.free()
 	r.command("standin", "platform", "--listen", r.platform)
 	r.until("the platform", func() bool { _, err := r.list(); return err == nil })
@@ -141,13 +142,22 @@
 	return err == nil && n == len(r.targets)
 }
 
+// free returns an address that nothing listens on, never the same twice: a port
+// that is let go may be the next free one again, and two processes that are told
+// to listen there never both start.
 func (r *rig) free() string {
-	l, err := net.Listen("tcp", r.ip+":0")
-	if err != nil {
-		r.t.Fatal(err)
+	for {
+		l, err := net.Listen("tcp", r.ip+":0")
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		address := l.Addr().String()
+		_ = l.Close()
+		if !r.given[address] {
+			r.given[address] = true
+			return address
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 // settings writes the host's INI file.
