--- a/internal/host/server/keeping.go
+++ b/internal/host/server/keeping.go
@@ -68,7 +68,10 @@
 		n.settleAsk(token)
 	}
 	k, ok := n.members.Keeper(n.settings.Zone(), c.Worker, now)
-	if !ok || idOf(k) == n.id || now.Before(n.keeping.distrusted[idOf(k)]) || n.workerAt[c.Worker] == "" {
+	// A new placer's first question to a worker goes straight there: the keeper
+	// may be the very host whose death made this one the placer.
+	first := c.Renewal.Wait.IsZero()
+	if !ok || first || idOf(k) == n.id || now.Before(n.keeping.distrusted[idOf(k)]) || n.workerAt[c.Worker] == "" {
 		n.renewHere(ctx, n.term, c)
 		return
 	}
@@ -79,9 +82,7 @@
 	a := keeper.Ask{
 		Token: n.keeping.token, Worker: c.Worker, At: n.workerAt[c.Worker], Since: c.Renewal.Since, Leases: c.Renewal.Leases,
 	}
-	if !c.Renewal.Wait.IsZero() {
-		a.WaitMS = max(0, c.Renewal.Wait.Sub(now).Milliseconds())
-	}
+	a.WaitMS = max(0, c.Renewal.Wait.Sub(now).Milliseconds())
 	if n.keeping.toKeeper[id] == nil {
 		n.keeping.toKeeper[id] = &keeper.Sets{}
 	}
