platform, host, work: the whole path on the users' platform, thin

Purpose: guavaglade serves the users' platform from end to end.

What it does: one program on every entry host. An entry stores a job before it accepts it; one host, elected by a conditional write of the leader row, decides and gives orders under its term as fencing token. The decisions are a pure state machine in internal/work/dispatch; platform/ only translates.

No tests of the new packages yet; they follow.

--- /dev/null
+++ b/internal/config/catalog/keeper.go
@@ -0,0 +1,59 @@
+package catalog
+
+import (
+	"fmt"
+	"sync"
+)
+
+// Decode reads the stored form of a configuration.
+type Decode func(stored []byte) (*Catalog, error)
+
+// Keeper holds the configuration in force on a host, safe for several
+// goroutines. Versions only rise.
+type Keeper struct {
+	decode Decode
+	mu     sync.RWMutex
+	now    *Catalog // nil: none yet
+	stored []byte   // as it was decoded, for peers
+}
+
+// NewKeeper returns a keeper without a configuration.
+func NewKeeper(d Decode) *Keeper { return &Keeper{decode: d} }
+
+// Now returns the configuration in force, or nil if there is none yet.
+func (k *Keeper) Now() *Catalog {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return k.now
+}
+
+// Version returns the version in force, 0 for none.
+func (k *Keeper) Version() int64 {
+	if c := k.Now(); c != nil {
+		return c.Version()
+	}
+	return 0
+}
+
+// Stored returns the stored form of the configuration in force, nil for none.
+func (k *Keeper) Stored() []byte {
+	k.mu.RLock()
+	defer k.mu.RUnlock()
+	return k.stored
+}
+
+// Offer takes a stored configuration, and reports whether it came in force: one
+// that is not newer is left, and one that cannot be read is refused.
+func (k *Keeper) Offer(stored []byte) (bool, error) {
+	c, err := k.decode(stored)
+	if err != nil {
+		return false, fmt.Errorf("configuration: %w", err)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.now != nil && k.now.Version() >= c.Version() {
+		return false, nil
+	}
+	k.now, k.stored = c, stored
+	return true, nil
+}
--- /dev/null
+++ b/internal/host/dispatcher/carry.go
@@ -0,0 +1,195 @@
+package dispatcher
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/host/steady"
+	"guavaglade.example/guavaglade/internal/platform/store"
+	"guavaglade.example/guavaglade/internal/work/dispatch"
+	"guavaglade.example/guavaglade/internal/work/graph"
+)
+
+// errTermOver says that an order was not sent because the term may have ended.
+var errTermOver = fmt.Errorf("%w: the leader row was not written for too long", order.ErrUnreached)
+
+// carryOut carries out a command in a goroutine of its own.
+func (o *office) carryOut(c dispatch.Command, _ time.Time) {
+	switch c := c.(type) {
+	case dispatch.Start:
+		o.spawn(func() { o.start(c) })
+	case dispatch.Stop:
+		o.spawn(func() { o.stop(c) })
+	case dispatch.Hold:
+		o.spawn(func() { o.hold(c) })
+	case dispatch.Save:
+		o.spawn(func() { o.save(c) })
+	}
+}
+
+// may reports whether orders may be given at this moment. A process that was
+// frozen may have been succeeded meanwhile: the clock is read just before each
+// order, and counts the time of the freeze.
+func (o *office) may() bool { return o.term.Valid(steady.Now()) }
+
+func (o *office) start(c dispatch.Start) {
+	ctx, cancel := context.WithTimeout(o.ctx, orderTime)
+	defer cancel()
+	clock, err := int64(0), errTermOver
+	if o.may() {
+		clock, err = o.line.Start(ctx, c.Target, c.Order)
+	}
+	o.post(func(now time.Time) { o.machine.StartAnswered(c.Target.ID, c.Order.Run, clock, err, now) })
+}
+
+func (o *office) stop(c dispatch.Stop) {
+	ctx, cancel := context.WithTimeout(o.ctx, orderTime)
+	defer cancel()
+	clock, err := int64(0), errTermOver
+	if o.may() {
+		clock, err = o.line.Stop(ctx, c.Target, c.Run, o.term.Number())
+	}
+	o.post(func(now time.Time) { o.machine.StopAnswered(c.Target.ID, c.Run, clock, err, now) })
+}
+
+func (o *office) hold(c dispatch.Hold) {
+	ctx, cancel := context.WithTimeout(o.ctx, c.Order.Wait+holdExtra)
+	defer cancel()
+	var rep order.Report
+	err := errTermOver
+	if o.may() {
+		rep, err = o.line.Hold(ctx, c.Target, c.Order)
+	}
+	o.post(func(now time.Time) {
+		if err != nil {
+			o.machine.HoldFailed(c.Target.ID, err, now)
+			return
+		}
+		o.machine.Held(c.Target.ID, c, rep, now)
+	})
+}
+
+// save makes a transaction. One whose answer was lost is made again: its
+// conditions keep it from taking effect twice, and the refusal then shows what
+// is there.
+func (o *office) save(c dispatch.Save) {
+	tx := o.transaction(c)
+	for tries := 0; ; tries++ {
+		ctx, cancel := context.WithTimeout(o.ctx, storeTime)
+		res, err := o.store.Commit(ctx, tx)
+		cancel()
+		switch {
+		case err == nil:
+			o.post(func(now time.Time) { o.machine.Saved(c.Part, res.Version, now) })
+			return
+		case errors.Is(err, store.ErrConflict):
+			o.refused(c, tx, res.Rows)
+			return
+		case errors.Is(err, store.ErrUnavailable) && tries == 0:
+			o.log.V(1).Info("progress not saved", "part", c.Part, "rows", len(c.Rows), "error", err.Error())
+			o.post(func(now time.Time) { o.machine.SaveFailed(c.Part, now) })
+			return
+		case o.ctx.Err() != nil:
+			return
+		}
+		o.log.V(1).Info("progress saved or not", "part", c.Part, "rows", len(c.Rows), "error", err.Error())
+		pause(o.ctx, storePause)
+	}
+}
+
+func (o *office) transaction(c dispatch.Save) store.Tx {
+	tx := store.Tx{Expect: []store.Expect{{Key: fenceKey(c.Part), Version: o.fences[c.Part]}}}
+	for _, r := range c.Rows {
+		k := ProgressKey(c.Part, r.Job)
+		tx.Expect = append(tx.Expect, store.Expect{Key: k, Version: r.Version})
+		tx.Put = append(tx.Put, store.Put{Key: k, Value: r.Value})
+		if r.Completes {
+			tx.Expect = append(tx.Expect, store.Expect{Key: CancelKey(c.Part, r.Job)})
+		}
+	}
+	return tx
+}
+
+// refused looks at the rows that made a transaction fail.
+func (o *office) refused(c dispatch.Save, tx store.Tx, rows []store.Row) {
+	there := map[store.Key]store.Row{}
+	for _, r := range rows {
+		there[r.Key] = r
+	}
+	if there[tx.Expect[0].Key].Version != tx.Expect[0].Version {
+		o.log.Info("deposed", "step", "save", "part", c.Part, "term", o.term.Number())
+		o.post(func(time.Time) { o.machine.Depose() })
+		return
+	}
+	found := make([]dispatch.Found, 0, len(c.Rows))
+	same := true
+	for _, r := range c.Rows {
+		row := there[ProgressKey(c.Part, r.Job)]
+		_, cancelled := there[CancelKey(c.Part, r.Job)]
+		same = same && bytes.Equal(row.Value, r.Value) && row.Version > r.Version
+		found = append(found, dispatch.Found{Job: r.Job, Version: row.Version, Cancelled: cancelled && r.Completes})
+	}
+	if same { // an earlier try took effect
+		version := there[ProgressKey(c.Part, c.Rows[0].Job)].Version
+		o.post(func(now time.Time) { o.machine.Saved(c.Part, version, now) })
+		return
+	}
+	o.post(func(now time.Time) { o.machine.SaveRefused(c.Part, found, now) })
+}
+
+// scan looks for jobs and cancellings whose message did not come.
+func (o *office) scan() {
+	ctx, cancel := context.WithTimeout(o.ctx, storeTime)
+	defer cancel()
+	page, err := o.store.Changes(ctx, jobsTable, o.scanned, 0)
+	switch {
+	case errors.Is(err, store.ErrHistory):
+		o.rescan()
+	case err != nil:
+		o.log.V(1).Info("jobs not scanned", "after", o.scanned, "error", err.Error())
+	default:
+		o.takeIn(page.Rows)
+		o.scanned = max(o.scanned, page.Version)
+	}
+}
+
+// rescan reads all rows, after the feed's history was lost.
+func (o *office) rescan() {
+	version := int64(0)
+	for p := range Parts {
+		page, err := store.ReadAll(o.ctx, o.store, store.Range{Table: jobsTable, Part: fmt.Sprint(p)})
+		if err != nil {
+			o.log.V(1).Info("jobs not scanned", "part", p, "error", err.Error())
+			return
+		}
+		o.takeIn(page.Rows)
+		if version == 0 || page.Version < version {
+			version = page.Version
+		}
+	}
+	o.log.Info("history lost, jobs read anew", "version", version)
+	o.scanned = version
+}
+
+func (o *office) takeIn(rows []store.Row) {
+	for _, r := range rows {
+		if r.Removed {
+			continue
+		}
+		if id, ok := strings.CutSuffix(r.Key.Name, cancelSuffix); ok {
+			o.post(func(now time.Time) { o.machine.Cancel(graph.JobID(id), now) })
+			continue
+		}
+		spec, err := DecodeJob(r.Value)
+		if err != nil || string(spec.ID) != r.Key.Name {
+			o.odd(r, err)
+			continue
+		}
+		o.post(func(now time.Time) { o.machine.Accept(spec, now) })
+	}
+}
--- /dev/null
+++ b/internal/host/dispatcher/dispatcher.go
@@ -0,0 +1,320 @@
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/fleet/roster"
+	"guavaglade.example/guavaglade/internal/host/leader"
+	"guavaglade.example/guavaglade/internal/host/steady"
+	"guavaglade.example/guavaglade/internal/platform/store"
+	"guavaglade.example/guavaglade/internal/work/dispatch"
+	"guavaglade.example/guavaglade/internal/work/graph"
+	"guavaglade.example/guavaglade/internal/work/progress"
+)
+
+// Figures of the shell.
+const (
+	tickEvery  = 100 * time.Millisecond // the finest bound that decisions keep is a retry after 200 ms
+	listEvery  = time.Second            // half the time after which a draining target must get no work
+	scanEvery  = time.Second            // for jobs whose message was lost
+	storeTime  = 2 * time.Second        // bounds a call to the store
+	storePause = 150 * time.Millisecond // between two tries
+	orderTime  = 600 * time.Millisecond // bounds a start or stop: well under the time that gangs wait
+	holdExtra  = time.Second            // bounds a report beyond the time that it waits
+	backlog    = 4096                   // events that wait for the loop
+)
+
+// Roster lists the targets that are registered.
+type Roster interface {
+	Targets(ctx context.Context) ([]roster.Target, error)
+}
+
+// ErrNotLeading says that this host does not lead, or has not read all jobs yet.
+var ErrNotLeading = errors.New("not leading")
+
+// Dispatcher leads, whenever its host is told to.
+type Dispatcher struct {
+	store  store.Store
+	line   order.Line
+	roster Roster
+	bounds dispatch.Bounds
+	log    logr.Logger
+	mu     sync.Mutex
+	now    *office // nil while another host leads
+}
+
+// New returns a dispatcher that does not lead yet.
+func New(s store.Store, l order.Line, r Roster, b dispatch.Bounds, log logr.Logger) *Dispatcher {
+	b.Parts = Parts
+	return &Dispatcher{store: s, line: l, roster: r, bounds: b, log: log}
+}
+
+// office is one term while it lasts.
+type office struct {
+	*Dispatcher
+	ctx     context.Context
+	term    *leader.Term
+	machine *dispatch.Machine
+	work    chan func(now time.Time)
+	fences  [Parts]int64
+	scanned int64 // version up to which the jobs table was scanned
+	wg      sync.WaitGroup
+}
+
+// Lead carries out a term until the context ends or a newer term is found.
+func (d *Dispatcher) Lead(ctx context.Context, t *leader.Term, clean bool) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	o := &office{
+		Dispatcher: d, ctx: ctx, term: t, work: make(chan func(time.Time), backlog),
+		machine: dispatch.New(t.Number(), d.bounds, dispatch.WithLog(decisions{d.log})),
+	}
+	began := steady.Now()
+	if err := o.restore(); err != nil {
+		return fmt.Errorf("term %d: %w", t.Number(), err)
+	}
+	heirEnd := began.Add(d.bounds.Lease + d.bounds.Lease/16 + leader.Grace)
+	if clean {
+		heirEnd = heirEnd.Add(-leader.Grace)
+	}
+	d.log.Info("restored", "term", t.Number(), "jobs", o.machine.Counts().Jobs, "tookMS", steady.Now().Sub(began).Milliseconds())
+	err := o.run(heirEnd)
+	cancel()
+	d.set(nil)
+	o.wg.Wait()
+	return err
+}
+
+func (d *Dispatcher) set(o *office) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.now = o
+}
+
+func (d *Dispatcher) office() *office {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.now
+}
+
+// decisions logs what a machine decides.
+type decisions struct{ log logr.Logger }
+
+// Decided implements dispatch.Log.
+func (d decisions) Decided(what string, kv ...any) { d.log.Info(what, kv...) }
+
+// restore fences all parts and reads their rows.
+func (o *office) restore() error {
+	type result struct {
+		part    int
+		jobs    []accepted
+		fence   int64
+		version int64
+		err     error
+	}
+	results := make(chan result, Parts)
+	for p := range Parts {
+		go func() {
+			r := result{part: p}
+			if r.fence, r.err = fence(o.ctx, o.store, p, o.term.Number()); r.err == nil {
+				r.jobs, r.version, r.err = o.readUntil(p)
+			}
+			results <- r
+		}()
+	}
+	now := steady.Now()
+	o.machine.SetWall(steady.WallOffset())
+	for i := range Parts {
+		r := <-results
+		if r.err != nil {
+			return r.err
+		}
+		o.fences[r.part] = r.fence
+		if i == 0 || r.version < o.scanned {
+			o.scanned = r.version
+		}
+		for _, a := range r.jobs {
+			o.machine.Restore(a.spec, a.progress, a.version, a.cancelled, now)
+		}
+	}
+	return nil
+}
+
+// readUntil reads a part, again and again until the store answers.
+func (o *office) readUntil(part int) ([]accepted, int64, error) {
+	for {
+		ctx, cancel := context.WithTimeout(o.ctx, storeTime)
+		jobs, version, err := readPart(ctx, o.store, part, o.odd)
+		cancel()
+		if err == nil {
+			return jobs, version, nil
+		}
+		if o.ctx.Err() != nil {
+			return nil, 0, err
+		}
+		o.log.Info("rows not read", "part", part, "error", err.Error())
+		pause(o.ctx, storePause)
+	}
+}
+
+func (o *office) odd(r store.Row, err error) {
+	o.log.Info("row ignored", "table", r.Key.Table, "part", r.Key.Part, "name", r.Key.Name, "version", r.Version, "error", fmt.Sprint(err))
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// run is the loop that owns the machine.
+func (o *office) run(heirEnd time.Time) error {
+	if err := o.firstList(); err != nil {
+		return err
+	}
+	o.set(o)
+	o.every(listEvery, o.list)
+	o.every(scanEvery, o.scan)
+	o.machine.Begin(heirEnd, steady.Now())
+	tick := time.NewTicker(tickEvery)
+	defer tick.Stop()
+	for {
+		now := steady.Now()
+		for _, c := range o.machine.Decide(now) {
+			o.carryOut(c, now)
+		}
+		if o.machine.Deposed() {
+			return errNewerTerm
+		}
+		select {
+		case <-o.ctx.Done():
+			return o.ctx.Err()
+		case f := <-o.work:
+			f(steady.Now())
+		case <-tick.C:
+			o.machine.SetWall(steady.WallOffset())
+			o.machine.Tick(steady.Now())
+		}
+		o.drain()
+	}
+}
+
+// drain takes in all events that wait, so that one decision covers them.
+func (o *office) drain() {
+	for {
+		select {
+		case f := <-o.work:
+			f(steady.Now())
+		default:
+			return
+		}
+	}
+}
+
+// firstList waits for the list of targets.
+func (o *office) firstList() error {
+	for {
+		list, err := o.targets()
+		if err == nil {
+			o.machine.Listed(list, steady.Now())
+			return nil
+		}
+		if o.ctx.Err() != nil {
+			return err
+		}
+		o.log.Info("targets not listed", "error", err.Error())
+		pause(o.ctx, storePause)
+	}
+}
+
+func (o *office) targets() ([]roster.Target, error) {
+	ctx, cancel := context.WithTimeout(o.ctx, storeTime)
+	defer cancel()
+	return o.roster.Targets(ctx)
+}
+
+func (o *office) every(d time.Duration, f func()) {
+	o.spawn(func() {
+		for o.ctx.Err() == nil {
+			pause(o.ctx, d)
+			f()
+		}
+	})
+}
+
+func (o *office) spawn(f func()) {
+	o.wg.Add(1)
+	go func() {
+		defer o.wg.Done()
+		f()
+	}()
+}
+
+// post gives the loop an event, unless the term ends first.
+func (o *office) post(f func(now time.Time)) {
+	select {
+	case o.work <- f:
+	case <-o.ctx.Done():
+	}
+}
+
+func (o *office) list() {
+	list, err := o.targets()
+	if err != nil {
+		o.log.V(1).Info("targets not listed", "error", err.Error())
+		return
+	}
+	o.post(func(now time.Time) { o.machine.Listed(list, now) })
+}
+
+// Submitted tells the leader of a job that was accepted and stored.
+func (d *Dispatcher) Submitted(ctx context.Context, j *graph.Job) error {
+	return d.ask(ctx, func(m *dispatch.Machine, now time.Time) { m.Accept(j, now) })
+}
+
+// Cancelled tells the leader of a job whose cancelling was stored.
+func (d *Dispatcher) Cancelled(ctx context.Context, id graph.JobID) error {
+	return d.ask(ctx, func(m *dispatch.Machine, now time.Time) { m.Cancel(id, now) })
+}
+
+// State returns what clients may be told of a job, and whether the leader knows
+// it.
+func (d *Dispatcher) State(ctx context.Context, id graph.JobID) (state progress.State, known bool, err error) {
+	err = d.ask(ctx, func(m *dispatch.Machine, _ time.Time) { state, known = m.State(id) })
+	return state, known, err
+}
+
+// Pending returns how many jobs of a queue have not started.
+func (d *Dispatcher) Pending(ctx context.Context, queue string) (n int, err error) {
+	err = d.ask(ctx, func(m *dispatch.Machine, _ time.Time) { n = m.Pending(queue) })
+	return n, err
+}
+
+// ask has the loop run f and waits until it did.
+func (d *Dispatcher) ask(ctx context.Context, f func(m *dispatch.Machine, now time.Time)) error {
+	o := d.office()
+	if o == nil || !o.term.Valid(steady.Now()) {
+		return ErrNotLeading
+	}
+	done := make(chan struct{})
+	o.post(func(now time.Time) {
+		f(o.machine, now)
+		close(done)
+	})
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-o.ctx.Done():
+		return ErrNotLeading
+	}
+}
--- /dev/null
+++ b/internal/operator/command/host.go
@@ -0,0 +1,26 @@
+package command
+
+import (
+	"log/slog"
+
+	"github.com/go-logr/logr"
+
+	"guavaglade.example/guavaglade/internal/report/linelog"
+	"guavaglade.example/guavaglade/platform"
+)
+
+type hostCommand struct {
+	streams
+	LogLevel string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" description:"least level that is logged"`
+}
+
+// Execute runs a host on the users' platform until it is told to stop.
+func (c *hostCommand) Execute([]string) error {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(c.LogLevel)); err != nil {
+		return err
+	}
+	out := linelog.New(c.out)
+	defer out.Close()
+	return platform.Serve(logr.FromSlogHandler(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level})))
+}
--- a/internal/operator/command/root.go
+++ b/internal/operator/command/root.go
@@ -50,6 +50,7 @@
 		options any
 	}{
 		{p.Command, "serve", "run an entry host", "Example: guavaglade serve --settings host1.ini", &serveCommand{streams: s}},
+		{p.Command, "host", "run a host on the users' platform", "Example: GUAVAGLADE_BOOT=/etc/guavaglade/local.toml guavaglade host", &hostCommand{streams: s}},
 		{stand, "platform", "run a stand-in platform", "Example: guavaglade standin platform --listen 127.0.0.1:7000", &platformCommand{streams: s}},
 		{stand, "fleet", "run a stand-in fleet", "Example: guavaglade standin fleet --platform 127.0.0.1:7000 --zones leon,celaya,irapuato --workers 12", &fleetCommand{streams: s}},
 		{p.Command, "demo", "run everything in one process and show it", "Example: guavaglade demo", &demoCommand{streams: s}},
--- /dev/null
+++ b/internal/work/dispatch/arriving.go
@@ -0,0 +1,181 @@
+package dispatch
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/work/graph"
+	"guavaglade.example/guavaglade/internal/work/progress"
+)
+
+// Accept takes in a job that was accepted and stored. A job that is known
+// already is left as it is.
+func (m *Machine) Accept(spec *graph.Job, now time.Time) {
+	if m.jobs[spec.ID] != nil {
+		return
+	}
+	j := newJob(spec, PartOf(spec.ID, m.bounds.Parts), now)
+	m.jobs[spec.ID] = j
+	m.log.Decided("job", "job", spec.ID, "queue", spec.Queue, "account", spec.Account, "priority", spec.Priority, "steps", len(spec.Steps), "accepted", spec.AcceptedAt)
+	m.openJob(j, now)
+	m.changed = true
+}
+
+// Restore takes in a job that was accepted before this term, with its progress
+// as saved (nil for none) and the version of that row.
+func (m *Machine) Restore(spec *graph.Job, p *progress.Job, version int64, cancelled bool, now time.Time) {
+	if m.jobs[spec.ID] != nil {
+		return
+	}
+	j := newJob(spec, PartOf(spec.ID, m.bounds.Parts), now)
+	j.restored, j.version, j.cancelled = true, version, cancelled
+	m.jobs[spec.ID] = j
+	if p != nil {
+		j.state, j.shown, j.started, j.endedAt = p.State, p.State, p.Started, p.Ended
+	}
+	if j.cancelled && !j.state.Final() {
+		j.state, j.shown, j.endedAt = progress.Cancelled, progress.Cancelled, m.wallMS(now)
+	}
+	if j.state.Final() {
+		j.openAll()
+		return
+	}
+	m.openJob(j, now)
+	if p != nil {
+		m.resume(j, p, now)
+	}
+}
+
+// openAll opens every occurrence without making its steps ready, so that runs
+// of them which are found can be named.
+func (j *job) openAll() {
+	for j.opened < j.spec.Occurrences() {
+		j.open()
+	}
+}
+
+// resume applies saved progress. Steps of occurrences that are not due yet are
+// opened, since something of them has ended.
+func (m *Machine) resume(j *job, p *progress.Job, now time.Time) {
+	keys := make([]string, 0, len(p.Steps))
+	for k := range p.Steps {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	for _, k := range keys {
+		occurrence, index, ok := parseStepKey(k)
+		if !ok || index >= len(j.spec.Steps) || occurrence >= j.spec.Occurrences() {
+			m.log.Decided("saved step ignored", "job", j.spec.ID, "step", k)
+			continue
+		}
+		for j.opened <= occurrence {
+			m.openNext(j, now)
+		}
+		m.resumeStep(j.steps[occurrence*len(j.spec.Steps)+index], p.Steps[k], now)
+	}
+}
+
+func parseStepKey(k string) (occurrence, step int, ok bool) {
+	a, b, found := strings.Cut(k, ".")
+	occurrence, err1 := strconv.Atoi(a)
+	step, err2 := strconv.Atoi(b)
+	return occurrence, step, found && err1 == nil && err2 == nil && occurrence >= 0 && step >= 0
+}
+
+func (m *Machine) resumeStep(s *step, k *progress.Step, now time.Time) {
+	if s.spec.Gang {
+		s.failures, s.saved = k.Failures[0], k.Saved[0]
+	}
+	for _, x := range s.tasks {
+		if !s.spec.Gang {
+			x.failures, x.saved = k.Failures[x.index], k.Saved[x.index]
+		}
+		if k.Done != nil && k.Done.Bit(x.index) == 1 {
+			m.done(x, now)
+		}
+	}
+}
+
+// openJob opens the occurrences that are due.
+func (m *Machine) openJob(j *job, now time.Time) {
+	if j.spec.Repeat > 0 && j.opened == 0 && !slices.Contains(m.recurring, j) {
+		m.recurring = append(m.recurring, j)
+	}
+	for j.opened < j.spec.Occurrences() && j.spec.Due(j.opened) <= m.wallMS(now) {
+		m.openNext(j, now)
+	}
+}
+
+func (m *Machine) openNext(j *job, now time.Time) {
+	for _, s := range j.open() {
+		if s.blocked == 0 {
+			m.ready(s, now)
+		}
+	}
+}
+
+// openDue opens occurrences whose time has come.
+func (m *Machine) openDue(now time.Time) {
+	m.recurring = slices.DeleteFunc(m.recurring, (*job).over)
+	for _, j := range m.recurring {
+		m.openJob(j, now)
+	}
+}
+
+// ready puts a step among those that have tasks to start.
+func (m *Machine) ready(s *step, now time.Time) {
+	s.readyAt = now
+	m.wake(s, now)
+}
+
+// wake puts a step that may have a task to start among the open ones.
+func (m *Machine) wake(s *step, _ time.Time) {
+	if s.blocked > 0 || s.done || s.job.over() || s.listedOpen {
+		return
+	}
+	s.listedOpen = true
+	m.open = append(m.open, s)
+	m.changed = true
+}
+
+// Cancel takes in that a job's cancelling is stored.
+func (m *Machine) Cancel(id graph.JobID, now time.Time) {
+	if j := m.jobs[id]; j != nil {
+		m.cancel(j, now)
+	}
+}
+
+func (m *Machine) cancel(j *job, now time.Time) {
+	if j.shown.Final() || j.cancelled {
+		return
+	}
+	m.log.Decided("job cancelled", "job", j.spec.ID, "queue", j.spec.Queue, "runs", len(j.live))
+	j.cancelled = true
+	j.shown = progress.Cancelled
+	m.end(j, progress.Cancelled, now)
+}
+
+// forgetEnded forgets jobs whose state need not be told any more.
+func (m *Machine) forgetEnded(now time.Time) {
+	limit := now.Add(m.wall - m.bounds.Retention - forgetSlack).UnixMilli()
+	for id, j := range m.jobs {
+		if j.shown.Final() && j.endedAt < limit && len(j.live) == 0 && !j.dirty && j.savedRev == j.rev {
+			delete(m.jobs, id)
+		}
+	}
+}
+
+// forgetSlack is kept beyond the retention that clients were promised, for
+// clocks that differ.
+const forgetSlack = 30 * time.Second
+
+// orphan returns the step of a run of which nothing is known.
+func orphan(r order.Run) *step {
+	spec := &graph.Job{ID: r.Task.Job, Steps: []graph.Step{{}}}
+	j := newJob(spec, 0, time.Time{})
+	j.cancelled = true
+	return &step{job: j, id: r.Task.StepID, spec: &spec.Steps[0], done: true}
+}
--- /dev/null
+++ b/internal/work/dispatch/bounds.go
@@ -0,0 +1,44 @@
+package dispatch
+
+import "time"
+
+// Bounds are the figures of a deployment that decisions depend on. Each has a
+// default that suits a small deployment.
+type Bounds struct {
+	Lease       time.Duration // longest lease that a target grants
+	StopTime    time.Duration // a target takes at most so long to stop a run
+	GangTimeout time.Duration // members wait so long for the others
+	FarFactor   float64       // a task away from its data, or a gang on several racks, takes so many times as long
+	ReclaimTime time.Duration // within it, guaranteed work has begun
+	Retention   time.Duration // how long the state of an ended job is known
+	Parts       int           // parts over which jobs are spread
+}
+
+// DefaultBounds returns bounds for trials.
+func DefaultBounds() Bounds {
+	return Bounds{
+		Lease: 6 * time.Second, StopTime: 400 * time.Millisecond, GangTimeout: 3 * time.Second, FarFactor: 3,
+		ReclaimTime: 2900 * time.Millisecond, Retention: 120 * time.Second, Parts: 4,
+	}
+}
+
+const (
+	// holdWait is how long a report waits for an end: the longest that targets
+	// allow, so that a busy target without ends costs one call in two seconds.
+	holdWait = 2 * time.Second
+	// clockDrift is the share by which a target's clock may be slow.
+	clockDrift = 0.02
+	// leaseSlack is added to the time after which a lease is believed over, for
+	// the whole milliseconds of the target's clock and the way there.
+	leaseSlack = 100 * time.Millisecond
+	// retryOrder is the pause before an order without an answer is sent again:
+	// long enough for a lost packet to be sent again by TCP.
+	retryOrder = 250 * time.Millisecond
+	// startTries is how often a start without an answer is sent before the run
+	// is given up: with retryOrder well under the time that gangs wait.
+	startTries = 3
+	// retryHold is the pause before a target that did not report is asked again.
+	retryHold = 300 * time.Millisecond
+	// retrySave is the pause after the store refused a save.
+	retrySave = 200 * time.Millisecond
+)
--- /dev/null
+++ b/internal/work/dispatch/command.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import (
+	"time"
+
+	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/work/graph"
+)
+
+// Command is something for the shell to do. It is one of the types below.
+type Command interface{ command() }
+
+// Start asks for a start of a run on a target. The answer goes to
+// Machine.StartAnswered.
+type Start struct {
+	Target order.Address
+	Order  order.Start
+}
+
+// Stop asks for a stop of a run on a target. The answer goes to
+// Machine.StopAnswered.
+type Stop struct {
+	Target order.Address
+	Run    order.Run
+}
+
+// Hold asks for a report of a target. The answer goes to Machine.Held or
+// Machine.HoldFailed. A target has one hold outstanding at most.
+type Hold struct {
+	Target order.Address
+	Order  order.Hold
+	Sent   time.Time // when the machine asked for it
+}
+
+// Save asks for a transaction that writes the progress of jobs of one part. The
+// answer goes to Machine.Saved, Machine.SaveRefused or Machine.SaveFailed. A
+// part has one save outstanding at most.
+type Save struct {
+	Part int
+	Rows []SaveRow // never empty
+}
+
+// SaveRow is the progress of one job.
+type SaveRow struct {
+	Job       graph.JobID
+	Value     []byte
+	Version   int64 // that the row must have; 0: it must not be there
+	Completes bool  // the write must fail if the job was cancelled
+}
+
+func (Start) command() {}
+func (Stop) command()  {}
+func (Hold) command()  {}
+func (Save) command()  {}
--- /dev/null
+++ b/internal/work/dispatch/hold.go
@@ -0,0 +1,188 @@
+package dispatch
+
+import (
+	"errors"
+	"time"
+
+	"guavaglade.example/guavaglade/internal/fleet/order"
+)
+
+// ackWithin bounds how long an end that is saved stays unacknowledged: the
+// acknowledgement rides on the next hold, which a target without work would not
+// need otherwise.
+const ackWithin = time.Second
+
+// tickTarget asks the target for a report if one is due, and gives up what
+// cannot exist any more on a target that does not answer.
+func (m *Machine) tickTarget(t *target, now time.Time) {
+	if t.reach == silent && !now.Before(t.leaseEnd) && len(t.runs) > 0 {
+		m.log.Decided("target silent until its leases lapsed", "target", t.ID, "runs", len(t.runs), "silentMS", now.Sub(t.silentAt).Milliseconds())
+		m.loseAll(t, now)
+	}
+	for _, r := range t.sortedRuns() {
+		m.tickRun(r, now)
+	}
+	m.holdIfDue(t, now)
+}
+
+// holdIfDue asks for a report: the first one of this term at once; later ones
+// while something may run there or an acknowledgement is due.
+func (m *Machine) holdIfDue(t *target, now time.Time) {
+	if t.holding || now.Before(t.holdAgain) {
+		return
+	}
+	acks := t.acked > t.sentAck && !now.Before(t.ackDue)
+	switch {
+	case t.reach == unheld && t.listed:
+		m.hold(t, 0, now)
+	case t.reach == silent && (t.listed || len(t.runs) > 0):
+		m.hold(t, 0, now)
+	case t.reach == held && t.clockMS == 0:
+		m.hold(t, 0, now)
+	case t.reach == held && t.ordered():
+		m.hold(t, holdWait, now)
+	case t.reach == held && acks:
+		m.hold(t, 0, now)
+	}
+}
+
+// ordered reports whether an order was sent for anything that may run there.
+func (t *target) ordered() bool {
+	for _, r := range t.runs {
+		if r.phase != waiting {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Machine) hold(t *target, wait time.Duration, now time.Time) {
+	h := order.Hold{Term: m.term, Acked: t.acked}
+	if t.reach == held { // a silent target's lease must come to an end
+		h.Wait = wait
+		if t.clockMS != 0 {
+			h.Deadline = t.grant(now, m.bounds.Lease)
+		}
+	}
+	t.holding = true
+	m.out = append(m.out, Hold{Target: t.address(), Order: h, Sent: now})
+}
+
+// Held takes in a target's report.
+func (m *Machine) Held(id string, h Hold, rep order.Report, now time.Time) {
+	t := m.targets[id]
+	if t == nil {
+		return
+	}
+	t.holding = false
+	t.heardClock(rep.Clock, now)
+	t.sentAck = max(t.sentAck, h.Order.Acked)
+	if t.reach != held {
+		m.log.Decided("target reports", "target", t.ID, "running", len(rep.Running), "ended", len(rep.Ended), "first", !t.reported)
+		t.reach = held
+	}
+	there := map[order.Run]bool{}
+	for _, e := range rep.Ended {
+		if e.Number > t.seen {
+			t.seen = e.Number
+			m.ended(t, e, now)
+		}
+		there[e.Run] = true
+	}
+	for _, r := range rep.Running {
+		there[r.Run] = true
+		m.seenRunning(t, r, now)
+	}
+	if len(rep.Ended) < fullList {
+		m.missing(t, there, h.Sent, now)
+	}
+	t.reported = true
+	t.settleEnds(now)
+	if len(rep.Running) > 0 && h.Order.Deadline == 0 {
+		m.hold(t, 0, now) // its clock was not known: renew the lease at once
+	}
+	m.changed = true
+}
+
+// fullList is the number of ends at which a report may have left some out.
+const fullList = 500
+
+// missing gives up runs that the target was asked about and does not have: the
+// start or the stop was answered before the report was asked for, and it lists
+// neither the run nor its end.
+func (m *Machine) missing(t *target, there map[order.Run]bool, asked, now time.Time) {
+	for _, r := range t.sortedRuns() {
+		if there[r.Run] || r.settledAt.IsZero() || !r.settledAt.Before(asked) {
+			continue
+		}
+		m.log.Decided("run not on its target", "target", t.ID, "task", r.Task, "run", r.Number, "phase", int(r.phase))
+		m.release(r, now)
+	}
+}
+
+// HoldFailed takes in that a target did not report.
+func (m *Machine) HoldFailed(id string, err error, now time.Time) {
+	t := m.targets[id]
+	if t == nil {
+		return
+	}
+	t.holding = false
+	switch {
+	case errors.Is(err, order.ErrFenced):
+		m.fenced(t, "hold")
+		return
+	case errors.Is(err, order.ErrOtherLife):
+		m.lifeOver(t, now)
+	default:
+		m.quiet(t, err, now)
+	}
+	m.changed = true
+}
+
+// quiet notes that a target does not answer.
+func (m *Machine) quiet(t *target, err error, now time.Time) {
+	t.holdAgain = now.Add(retryHold)
+	if t.reach == held {
+		t.reach, t.silentAt = silent, now
+		m.log.Decided("target silent", "target", t.ID, "runs", len(t.runs), "error", err.Error())
+	}
+}
+
+// fenced ends the term: another leader has given orders there with a higher
+// token.
+func (m *Machine) fenced(t *target, step string) {
+	if !m.deposed {
+		m.log.Decided("deposed", "step", step, "target", t.ID, "term", m.term)
+	}
+	m.deposed = true
+}
+
+// lifeOver takes in that an incarnation has ended: nothing runs there any more.
+func (m *Machine) lifeOver(t *target, now time.Time) {
+	m.log.Decided("target's life is over", "target", t.ID, "runs", len(t.runs))
+	m.loseAll(t, now)
+	t.listed = false
+	delete(m.targets, t.ID)
+	m.byID = without(m.byID, t)
+}
+
+// loseAll releases all runs of a target.
+func (m *Machine) loseAll(t *target, now time.Time) {
+	for _, r := range t.sortedRuns() {
+		m.release(r, now)
+	}
+}
+
+// settleEnds moves on what may be acknowledged: ends in their order, up to the
+// first whose progress is not saved.
+func (t *target) settleEnds(now time.Time) {
+	n := 0
+	for n < len(t.ends) && t.ends[n].saved() {
+		t.acked = t.ends[n].number
+		n++
+	}
+	if n > 0 {
+		t.ends = t.ends[n:]
+		t.ackDue = now.Add(ackWithin)
+	}
+}
--- /dev/null
+++ b/internal/work/dispatch/job.go
@@ -0,0 +1,133 @@
+package dispatch
+
+import (
+	"time"
+
+	"guavaglade.example/guavaglade/internal/work/graph"
+	"guavaglade.example/guavaglade/internal/work/progress"
+)
+
+// job is an accepted job of which not everything has ended, or whose end is
+// still told.
+type job struct {
+	spec      *graph.Job
+	part      int
+	steps     []*step        // of the occurrences that are open, in order
+	opened    int            // occurrences opened so far
+	undone    int            // open steps that are not done
+	cancelled bool           //
+	state     progress.State // as decided
+	shown     progress.State // as clients may be told
+	endedAt   int64          // of a final state: milliseconds since 1970
+	started   bool           // a task has started
+	live      map[*run]bool  // runs that may exist
+	version   int64          // of the progress row
+	rev       int64          // rises with each change that must be saved
+	savedRev  int64          // the newest that was saved
+	sentRev   int64          // of the save that is outstanding
+	sentState progress.State // of the save that is outstanding
+	dirty     bool           // waits for a save
+	heardAt   time.Time      // when the leader heard of it
+	restored  bool           // it was accepted before this term
+	objective time.Duration  // within which it earns its whole worth
+}
+
+// step is one step of one occurrence.
+type step struct {
+	job     *job
+	id      graph.StepID
+	spec    *graph.Step
+	blocked int     // earlier steps that are not done
+	next    []*step // steps that wait for this one
+	tasks   []*task
+	undone  int
+	done    bool
+	dueAt   int64 // milliseconds since 1970 from which it may start; 0: at once
+	// Of a gang.
+	gangRun    int
+	failures   int
+	saved      string
+	pausedTo   time.Time
+	readyAt    time.Time // when it could first start
+	listedOpen bool      // it is among the machine's open steps
+}
+
+// task is one task of a step.
+type task struct {
+	step     *step
+	index    int
+	done     bool
+	highest  int    // highest run number that may have been used
+	failures int    // runs that ended as failed
+	saved    string // checkpoint to resume from
+	runs     []*run // that may exist; at most one unless the step allows copies
+	pausedTo time.Time
+	avoid    map[string]bool // targets on which it failed
+}
+
+func (t *task) id() graph.TaskID { return t.step.id.Task(t.index) }
+
+// checkpoint returns from where a new run of the task goes on.
+func (t *task) checkpoint() string {
+	if t.step.spec.Gang {
+		return t.step.saved
+	}
+	return t.saved
+}
+
+// newJob returns a job with no open occurrence.
+func newJob(spec *graph.Job, part int, now time.Time) *job {
+	return &job{
+		spec: spec, part: part, state: progress.Queued, shown: progress.Queued,
+		live: map[*run]bool{}, heardAt: now, objective: spec.Objective(),
+	}
+}
+
+// open opens the next occurrence: its steps exist from now on.
+func (j *job) open() []*step {
+	first := len(j.steps)
+	for i := range j.spec.Steps {
+		s := &step{
+			job: j, id: graph.StepID{Job: j.spec.ID, Occurrence: j.opened, Step: i}, spec: &j.spec.Steps[i],
+			dueAt: j.spec.Due(j.opened), undone: j.spec.Steps[i].Count,
+		}
+		for k := range s.spec.Count {
+			s.tasks = append(s.tasks, &task{step: s, index: k})
+		}
+		for _, a := range s.spec.After {
+			before := j.steps[first+a]
+			before.next = append(before.next, s)
+			s.blocked++
+		}
+		j.steps = append(j.steps, s)
+	}
+	j.opened++
+	j.undone += len(j.spec.Steps)
+	return j.steps[first:]
+}
+
+// find returns the task, or nil if the job has no such task or the occurrence
+// is not open.
+func (j *job) find(id graph.TaskID) *task {
+	per := len(j.spec.Steps)
+	if id.Occurrence >= j.opened || id.Step >= per {
+		return nil
+	}
+	s := j.steps[id.Occurrence*per+id.Step]
+	if id.Index >= len(s.tasks) {
+		return nil
+	}
+	return s.tasks[id.Index]
+}
+
+// over reports whether nothing of the job is to be started any more.
+func (j *job) over() bool { return j.cancelled || j.state.Final() }
+
+// anchor returns the moment from which the step's job earns, in milliseconds
+// since 1970.
+func (s *step) anchor() int64 {
+	if s.dueAt > 0 {
+		return s.dueAt
+	}
+	return s.job.spec.AcceptedAt
+}
--- /dev/null
+++ b/internal/work/dispatch/machine.go
@@ -0,0 +1,133 @@
+package dispatch
+
+import (
+	"hash/fnv"
+	"slices"
+	"strings"
+	"time"
+
+	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/fleet/roster"
+	"guavaglade.example/guavaglade/internal/work/graph"
+)
+
+// Machine decides for one term.
+type Machine struct {
+	bounds    Bounds
+	term      int64
+	log       Log
+	wall      time.Duration // time of day minus the steady time that is passed in
+	targets   map[string]*target
+	byID      []*target // by id, so that decisions do not depend on map order
+	jobs      map[graph.JobID]*job
+	recurring []*job  // in the order in which they came
+	open      []*step // steps that have tasks to start, in the order in which they came
+	parts     []part
+	out       []Command
+	begun     bool      // placing is allowed
+	heirEnd   time.Time // an earlier leader's leases have lapsed by then
+	changed   bool      // something may be startable that was not
+	deposed   bool
+}
+
+// Log takes in what was decided, one line for each decision. Its methods must
+// not block. kv are keys and values in turn.
+type Log interface {
+	Decided(what string, kv ...any)
+}
+
+type silence struct{}
+
+func (silence) Decided(string, ...any) {}
+
+// Option sets one property of a new machine.
+type Option func(*Machine)
+
+// WithLog sets where decisions are logged; without it they are not.
+func WithLog(l Log) Option { return func(m *Machine) { m.log = l } }
+
+// New returns a machine for a term, which must be above 0 and higher than any
+// earlier leader's.
+func New(term int64, b Bounds, opts ...Option) *Machine {
+	m := &Machine{
+		bounds: b, term: term, log: silence{}, targets: map[string]*target{}, jobs: map[graph.JobID]*job{},
+		parts: make([]part, b.Parts),
+	}
+	for _, o := range opts {
+		o(m)
+	}
+	return m
+}
+
+// PartOf returns the part in which the rows of a job are.
+func PartOf(id graph.JobID, parts int) int {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id)) // never fails
+	return int(h.Sum32() % uint32(parts))
+}
+
+// Term returns the machine's term.
+func (m *Machine) Term() int64 { return m.term }
+
+// Deposed reports whether a target or the store has shown that a newer term
+// has begun. The machine gives no commands from then on.
+func (m *Machine) Deposed() bool { return m.deposed }
+
+// Depose ends the machine's term.
+func (m *Machine) Depose() { m.deposed = true }
+
+// SetWall tells the time of day minus the steady time that the other methods
+// are given.
+func (m *Machine) SetWall(offset time.Duration) { m.wall = offset }
+
+// wallMS returns the time of day in milliseconds since 1970.
+func (m *Machine) wallMS(now time.Time) int64 { return now.Add(m.wall).UnixMilli() }
+
+// Begin allows placing: all accepted jobs and all registered targets were told.
+// What an earlier leader may have left on targets that have not reported is
+// believed over at heirEnd; until then no task that it may have started is
+// started again, unless every target has reported.
+func (m *Machine) Begin(heirEnd, now time.Time) {
+	m.begun, m.heirEnd, m.changed = true, heirEnd, true
+}
+
+// Tick does what is due.
+func (m *Machine) Tick(now time.Time) {
+	m.openDue(now)
+	for _, t := range m.byID {
+		m.tickTarget(t, now)
+	}
+	m.forgetEnded(now)
+	m.changed = true
+}
+
+// Listed takes in the targets that the platform's list has now, all of them.
+func (m *Machine) Listed(list []roster.Target, now time.Time) {
+	present := map[string]bool{}
+	for i := range list {
+		present[list[i].ID] = true
+		m.listOne(list[i], now)
+	}
+	for _, t := range m.byID {
+		if t.listed && !present[t.ID] {
+			t.listed = false
+			m.log.Decided("target left the list", "target", t.ID, "runs", len(t.runs))
+		}
+	}
+	m.changed = true
+}
+
+func (m *Machine) listOne(l roster.Target, now time.Time) {
+	t := m.targets[l.ID]
+	if t == nil {
+		t = &target{Target: l, runs: map[order.Run]*run{}, failed: map[graph.JobID]time.Time{}}
+		m.targets[l.ID] = t
+		at, _ := slices.BinarySearchFunc(m.byID, t, func(a, b *target) int { return strings.Compare(a.ID, b.ID) })
+		m.byID = slices.Insert(m.byID, at, t)
+	}
+	if l.Draining && !t.Draining {
+		t.drainingAt = now
+		m.log.Decided("target drains", "target", t.ID, "remainsMS", l.Remains, "runs", len(t.runs))
+	}
+	t.Target, t.listed = l, true
+}
--- /dev/null
+++ b/internal/work/dispatch/run.go
@@ -0,0 +1,39 @@
+package dispatch
+
+import (
+	"time"
+
+	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/work/graph"
+)
+
+// phase is how far a run has come.
+type phase int
+
+const (
+	waiting  phase = iota // for room on its target; no order was sent
+	starting              // a start was sent
+	running               // the target has it
+	stopping              // a stop is wanted
+)
+
+// run is a run of a task on a target, from the decision to start it until it
+// cannot exist any more.
+type run struct {
+	order.Run
+	task       *task
+	target     *target
+	charge     graph.Resources
+	phase      phase
+	placedAt   time.Time
+	sentAt     time.Time // of the last order
+	tries      int       // starts sent
+	unanswered bool      // a start was sent whose answer never came
+	pending    bool      // an order is outstanding
+	settledAt  time.Time // the target answered the start or the stop; zero: neither
+	resumedAt  string    // checkpoint that the start carried
+	checkpoint string    // newest that was reported
+	percent    int
+	reportedAt time.Time
+	beganAt    time.Time // first seen on the target
+}
--- /dev/null
+++ b/internal/work/dispatch/starting.go
@@ -0,0 +1,220 @@
+package dispatch
+
+import (
+	"errors"
+	"time"
+
+	"guavaglade.example/guavaglade/internal/fleet/order"
+)
+
+// place decides that a task runs on a target. Its room is taken at once; the
+// start is sent when the room is really free.
+func (m *Machine) place(x *task, t *target, number int, now time.Time) *run {
+	r := &run{
+		Run: order.Run{Task: x.id(), Number: number}, task: x, target: t,
+		charge: x.step.spec.Charge(), phase: waiting, placedAt: now,
+	}
+	x.highest = max(x.highest, number)
+	x.runs = append(x.runs, r)
+	x.step.job.live[r] = true
+	t.runs[r.Run] = r
+	t.promised = t.promised.Plus(r.charge)
+	return r
+}
+
+// fits reports whether the room that the run waits for is free: what may exist
+// on the target leaves enough.
+func (r *run) fits() bool {
+	return r.charge.Within(r.target.Capacity.Minus(r.target.used))
+}
+
+// startAll sends the starts of runs that wait, all at once.
+func (m *Machine) startAll(runs []*run, now time.Time) {
+	for _, r := range runs {
+		t := r.target
+		r.phase = starting
+		t.promised = t.promised.Minus(r.charge)
+		t.used = t.used.Plus(r.charge)
+		r.resumedAt = r.task.checkpoint()
+		m.sendStart(r, now)
+	}
+}
+
+func (m *Machine) sendStart(r *run, now time.Time) {
+	t := r.target
+	r.tries++
+	r.sentAt, r.pending = now, true
+	m.out = append(m.out, Start{Target: t.address(), Order: order.Start{
+		Run: r.Run, Spec: r.task.step.job.spec.Spec, Deadline: t.grant(now, m.bounds.Lease),
+		Term: m.term, Checkpoint: r.resumedAt,
+	}})
+	m.log.Decided("start", "target", t.ID, "task", r.Task, "run", r.Number, "try", r.tries, "checkpoint", r.resumedAt)
+}
+
+// StartAnswered takes in what became of a start; err is nil or wraps one of
+// package order's errors.
+func (m *Machine) StartAnswered(target string, what order.Run, clock int64, err error, now time.Time) {
+	t := m.targets[target]
+	if t == nil {
+		return
+	}
+	t.heardClock(clock, now)
+	if errors.Is(err, order.ErrFenced) {
+		m.fenced(t, "start")
+		return
+	}
+	r := t.runs[what]
+	if r == nil {
+		return
+	}
+	r.pending = false
+	switch {
+	case err == nil:
+		r.unanswered = false
+		if r.phase == starting {
+			r.settledAt = now
+			m.began(r, now)
+		}
+	case errors.Is(err, order.ErrOtherLife):
+		m.lifeOver(t, now)
+	case errors.Is(err, order.ErrUnanswered):
+		r.unanswered = true
+	case errors.Is(err, order.ErrUnreached):
+		// It is sent again by tickRun.
+	default:
+		m.startRefused(r, err, now)
+	}
+	m.changed = true
+}
+
+// began takes in that a run is on its target.
+func (m *Machine) began(r *run, now time.Time) {
+	t := r.target
+	if r.phase == waiting { // an adopted twin of it: cannot happen while run numbers rise
+		t.promised = t.promised.Minus(r.charge)
+		t.used = t.used.Plus(r.charge)
+	}
+	r.phase = running
+	r.beganAt, r.reportedAt = now, now
+	j := r.task.step.job
+	if !j.started {
+		j.started = true
+		m.touch(j)
+	}
+}
+
+// startRefused takes in that a target did not start a run and never will. A
+// gang of which one member was refused is stopped as a whole.
+func (m *Machine) startRefused(r *run, err error, now time.Time) {
+	t := r.target
+	m.log.Decided("start refused", "target", t.ID, "task", r.Task, "run", r.Number, "error", err.Error())
+	switch {
+	case errors.Is(err, order.ErrUnhealthy):
+		t.shunned = now.Add(unhealthyRest)
+	case errors.Is(err, order.ErrLate):
+		t.clockMS = 0 // the next report tells the clock
+	case errors.Is(err, order.ErrNoRoom):
+		t.shunned = now.Add(fullRest)
+	case errors.Is(err, order.ErrInvalid):
+		r.task.pausedTo = now.Add(invalidRest)
+	}
+	if r.unanswered {
+		// An earlier copy of the order may still arrive: only a stop ends that.
+		m.stop(r, "refused after an unanswered try", now)
+	} else {
+		m.release(r, now)
+	}
+	m.stopGang(r, "a member was refused", now)
+}
+
+// Rests of a target that refused a start, each long enough for its next report
+// or its recovery, and short against a task's run.
+const (
+	unhealthyRest = 2 * time.Second
+	fullRest      = 500 * time.Millisecond
+	invalidRest   = 5 * time.Second // of a task whose start a target did not understand
+)
+
+// stopGang stops the other members of the gang to which a run belongs.
+func (m *Machine) stopGang(r *run, why string, now time.Time) {
+	s := r.task.step
+	if !s.spec.Gang || s.job.live == nil {
+		return
+	}
+	for _, x := range s.tasks {
+		for _, o := range append([]*run(nil), x.runs...) {
+			if o != r && o.Number == r.Number {
+				m.stop(o, why, now)
+			}
+		}
+	}
+	s.pausedTo = now.Add(gangPause)
+}
+
+// gangPause is the pause before a gang that could not start is tried again, for
+// the target that refused to be known as such.
+const gangPause = 100 * time.Millisecond
+
+// stop ends a run: one that was not sent at once, another by an order that is
+// repeated until it is answered.
+func (m *Machine) stop(r *run, why string, now time.Time) {
+	if r.phase == stopping {
+		return
+	}
+	if r.phase == waiting {
+		m.release(r, now)
+		return
+	}
+	m.log.Decided("stop", "target", r.target.ID, "task", r.Task, "run", r.Number, "reason", why)
+	r.phase = stopping
+	r.settledAt = time.Time{}
+	m.sendStop(r, now)
+}
+
+func (m *Machine) sendStop(r *run, now time.Time) {
+	r.sentAt, r.pending = now, true
+	m.out = append(m.out, Stop{Target: r.target.address(), Run: r.Run})
+}
+
+// StopAnswered takes in what became of a stop.
+func (m *Machine) StopAnswered(target string, what order.Run, clock int64, err error, now time.Time) {
+	t := m.targets[target]
+	if t == nil {
+		return
+	}
+	t.heardClock(clock, now)
+	switch {
+	case errors.Is(err, order.ErrFenced):
+		m.fenced(t, "stop")
+		return
+	case errors.Is(err, order.ErrOtherLife):
+		m.lifeOver(t, now)
+		return
+	}
+	if r := t.runs[what]; r != nil {
+		r.pending = false
+		if err == nil {
+			r.settledAt = now
+		}
+	}
+}
+
+// tickRun sends an order again that got no answer.
+func (m *Machine) tickRun(r *run, now time.Time) {
+	if r.pending || now.Sub(r.sentAt) < retryOrder {
+		return
+	}
+	switch {
+	case r.phase == stopping && r.settledAt.IsZero():
+		m.sendStop(r, now)
+	case r.phase == starting && r.tries < startTries:
+		m.sendStart(r, now)
+	case r.phase == starting && r.unanswered:
+		m.stop(r, "start not answered", now)
+		m.stopGang(r, "a member's start was not answered", now)
+	case r.phase == starting:
+		m.log.Decided("start not sent", "target", r.target.ID, "task", r.Task, "run", r.Number)
+		m.release(r, now)
+		m.stopGang(r, "a member's target was not reached", now)
+	}
+}
