dispatch: note a run in the store before it is started

Change: the place of a run is part of the job's progress and is saved under the term's fence before the start is sent; a successor inherits the runs that were noted and waits for their targets or their leases. A target whose ends are not saved yet is not asked again before they are (it answered at once each time).

--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -183,7 +183,7 @@
 	o.set(o)
 	o.every(listEvery, o.list)
 	o.every(scanEvery, o.scan)
-	o.machine.Begin(heirEnd, steady.Now())
+	o.machine.Begin(heirEnd, false)
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
--- a/internal/work/dispatch/arriving.go
+++ b/internal/work/dispatch/arriving.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/fleet/roster"
 	"guavaglade.example/guavaglade/internal/work/graph"
 	"guavaglade.example/guavaglade/internal/work/progress"
 )
@@ -93,12 +94,35 @@
 		if !s.spec.Gang {
 			x.failures, x.saved = k.Failures[x.index], k.Saved[x.index]
 		}
+		x.highest = k.Runs[x.index]
+		s.gangRun = max(s.gangRun, x.highest)
 		if k.Done != nil && k.Done.Bit(x.index) == 1 {
 			m.done(x, now)
 		}
+		if p, ok := k.Placed[x.index]; ok && !x.done {
+			m.inherit(x, p, now)
+		}
 	}
 }
 
+// inherit takes over a run that an earlier leader noted. It exists until its
+// target reports without it, or its leases have lapsed.
+func (m *Machine) inherit(x *task, p progress.Place, now time.Time) {
+	t := m.targets[p.Target]
+	if t == nil { // Listed tells the rest, if it is still there
+		t = m.addTarget(roster.Target{ID: p.Target})
+	}
+	r := &run{
+		Run: order.Run{Task: x.id(), Number: p.Run}, task: x, target: t, charge: x.step.spec.Charge(),
+		phase: inherited, placedAt: now, settledAt: now,
+	}
+	x.runs = append(x.runs, r)
+	x.step.job.live[r] = true
+	x.step.job.started = true
+	t.runs[r.Run] = r
+	t.used = t.used.Plus(r.charge)
+}
+
 // openJob opens the occurrences that are due.
 func (m *Machine) openJob(j *job, now time.Time) {
 	if j.spec.Repeat > 0 && j.opened == 0 && !slices.Contains(m.recurring, j) {
--- a/internal/work/dispatch/clearing.go
+++ b/internal/work/dispatch/clearing.go
@@ -141,7 +141,7 @@
 func (c *clearing) candidates(t *target) []*run {
 	var list []*run
 	for _, r := range t.sortedRuns() {
-		if c.victims[r] || r.phase == stopping || r.phase == waiting {
+		if c.victims[r] || (r.phase != running && r.phase != starting) {
 			continue
 		}
 		s := r.task.step
--- a/internal/work/dispatch/ending.go
+++ b/internal/work/dispatch/ending.go
@@ -209,8 +209,11 @@
 	if r == nil {
 		r = m.adopt(t, seen, now)
 	}
-	if r.phase == starting || r.phase == waiting {
+	if r.phase == starting || r.phase == inherited {
 		m.began(r, now)
+		if r.task.step.job.over() || r.task.done {
+			m.stop(r, "its job has ended", now)
+		}
 	}
 	if r.phase == running && seen.Checkpoint != "" {
 		r.checkpoint = seen.Checkpoint
@@ -259,9 +262,6 @@
 		m.stop(r, reason, now)
 		return r
 	}
-	if !j.started {
-		j.started = true
-		m.touch(j)
-	}
+	j.started = true
 	return r
 }
--- a/internal/work/dispatch/hold.go
+++ b/internal/work/dispatch/hold.go
@@ -12,10 +12,16 @@
 // need otherwise.
 const ackWithin = time.Second
 
+// unsavedPause is the pause before a target is asked again that lists ends whose
+// progress is not saved yet: it would answer at once, with the same ends. It is
+// asked when they are saved, and after the pause in any case, so that its lease
+// is renewed while the store is away.
+const unsavedPause = time.Second
+
 // tickTarget asks the target for a report if one is due, and gives up what
 // cannot exist any more on a target that does not answer.
 func (m *Machine) tickTarget(t *target, now time.Time) {
-	if t.reach == silent && !now.Before(t.leaseEnd) && len(t.runs) > 0 {
+	if t.reach != held && !now.Before(t.leaseEnd) && len(t.runs) > 0 {
 		m.log.Decided("target silent until its leases lapsed", "target", t.ID, "runs", len(t.runs), "silentMS", now.Sub(t.silentAt).Milliseconds())
 		m.loseAll(t, now)
 	}
@@ -28,7 +34,7 @@
 // holdIfDue asks for a report: the first one of this term at once; later ones
 // while something may run there or an acknowledgement is due.
 func (m *Machine) holdIfDue(t *target, now time.Time) {
-	if t.holding || now.Before(t.holdAgain) {
+	if t.holding || now.Before(t.holdAgain) || (len(t.ends) > 0 && now.Before(t.endsDue)) {
 		return
 	}
 	acks := t.acked > t.sentAck && !now.Before(t.ackDue)
@@ -49,7 +55,7 @@
 // ordered reports whether an order was sent for anything that may run there.
 func (t *target) ordered() bool {
 	for _, r := range t.runs {
-		if r.phase != waiting {
+		if r.phase != waiting && r.phase != noted {
 			return true
 		}
 	}
@@ -98,6 +104,9 @@
 	}
 	t.reported = true
 	t.settleEnds(now)
+	if len(t.ends) > 0 {
+		t.endsDue = now.Add(unsavedPause)
+	}
 	if len(rep.Running) > 0 && h.Order.Deadline == 0 {
 		m.hold(t, 0, now) // its clock was not known: renew the lease at once
 	}
@@ -117,6 +126,7 @@
 		}
 		m.log.Decided("run not on its target", "target", t.ID, "task", r.Task, "run", r.Number, "phase", int(r.phase))
 		m.release(r, now)
+		m.stopGang(r, "a member is gone", now)
 	}
 }
 
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -26,6 +26,7 @@
 	out       []Command
 	begun     bool      // placing is allowed
 	heirEnd   time.Time // an earlier leader's leases have lapsed by then
+	blind     bool      // an earlier leader may have started what no row notes
 	changed   bool      // something may be startable that was not
 	deposed   bool
 }
@@ -84,18 +85,28 @@
 func (m *Machine) wallMS(now time.Time) int64 { return now.Add(m.wall).UnixMilli() }
 
 // Begin allows placing: all accepted jobs and all registered targets were told.
-// What an earlier leader may have left on targets that have not reported is
-// believed over at heirEnd; until then no task that it may have started is
-// started again, unless every target has reported.
-func (m *Machine) Begin(heirEnd, now time.Time) {
-	m.begun, m.heirEnd, m.changed = true, heirEnd, true
+// What an earlier leader left on targets that do not report is believed over at
+// heirEnd. Runs that it noted are waited for until then. If it may have started
+// some that it could not note, no job accepted before this term gets new runs
+// until then, unless every target has reported.
+func (m *Machine) Begin(heirEnd time.Time, blind bool) {
+	m.begun, m.heirEnd, m.blind, m.changed = true, heirEnd, blind, true
+	for _, t := range m.byID {
+		if t.reach == unheld {
+			t.leaseEnd = heirEnd
+		}
+	}
 }
 
 // Tick does what is due.
 func (m *Machine) Tick(now time.Time) {
 	m.openDue(now)
-	for _, t := range m.byID {
+	for _, t := range slices.Clone(m.byID) {
 		m.tickTarget(t, now)
+		if t.forgotten() {
+			delete(m.targets, t.ID)
+			m.byID = without(m.byID, t)
+		}
 	}
 	m.forgetEnded(now)
 	m.changed = true
@@ -120,10 +131,7 @@
 func (m *Machine) listOne(l roster.Target, now time.Time) {
 	t := m.targets[l.ID]
 	if t == nil {
-		t = &target{Target: l, runs: map[order.Run]*run{}, failed: map[graph.JobID]time.Time{}}
-		m.targets[l.ID] = t
-		at, _ := slices.BinarySearchFunc(m.byID, t, func(a, b *target) int { return strings.Compare(a.ID, b.ID) })
-		m.byID = slices.Insert(m.byID, at, t)
+		t = m.addTarget(l)
 	}
 	if l.Draining && !t.Draining {
 		t.drainingAt = now
@@ -131,3 +139,11 @@
 	}
 	t.Target, t.listed = l, true
 }
+
+func (m *Machine) addTarget(l roster.Target) *target {
+	t := &target{Target: l, runs: map[order.Run]*run{}, failed: map[graph.JobID]time.Time{}}
+	m.targets[l.ID] = t
+	at, _ := slices.BinarySearchFunc(m.byID, t, func(a, b *target) int { return strings.Compare(a.ID, b.ID) })
+	m.byID = slices.Insert(m.byID, at, t)
+	return t
+}
--- a/internal/work/dispatch/placing.go
+++ b/internal/work/dispatch/placing.go
@@ -70,7 +70,7 @@
 // heirsUnknown reports whether a target may still run something that an earlier
 // leader started and that has not been reported.
 func (m *Machine) heirsUnknown(now time.Time) bool {
-	if !now.Before(m.heirEnd) {
+	if !m.blind || !now.Before(m.heirEnd) {
 		return false
 	}
 	for _, t := range m.byID {
@@ -106,7 +106,7 @@
 			full = len(x.avoid) == 0 // the other tasks are alike
 			continue
 		}
-		m.startIfFits([]*run{m.place(x, t, x.highest+1, now)}, now)
+		m.startIfFits([]*run{m.place(x, t, x.highest+1, now)})
 	}
 	return left
 }
@@ -182,7 +182,7 @@
 	for i, x := range s.tasks {
 		runs[i] = m.place(x, plan[i], number, now)
 	}
-	m.startIfFits(runs, now)
+	m.startIfFits(runs)
 	return true
 }
 
@@ -252,9 +252,9 @@
 
 // startIfFits starts runs that were just placed if the room for all of them is
 // free now; else they wait for it.
-func (m *Machine) startIfFits(runs []*run, now time.Time) {
+func (m *Machine) startIfFits(runs []*run) {
 	if fitTogether(runs) {
-		m.startAll(runs, now)
+		m.note(runs)
 	}
 }
 
@@ -284,7 +284,7 @@
 				m.release(r, now)
 			}
 		case fitTogether(group):
-			m.startAll(group, now)
+			m.note(group)
 		}
 	}
 }
--- a/internal/work/dispatch/run.go
+++ b/internal/work/dispatch/run.go
@@ -11,10 +11,12 @@
 type phase int
 
 const (
-	waiting  phase = iota // for room on its target; no order was sent
-	starting              // a start was sent
-	running               // the target has it
-	stopping              // a stop is wanted
+	waiting   phase = iota // for room on its target
+	noted                  // its room is taken; it is started once that is saved
+	starting               // a start was sent
+	running                // the target has it
+	stopping               // a stop is wanted
+	inherited              // an earlier leader noted it; its target has not reported
 )
 
 // run is a run of a task on a target, from the decision to start it until it
@@ -26,6 +28,7 @@
 	charge     graph.Resources
 	phase      phase
 	placedAt   time.Time
+	noteRev    int64     // revision of the job's progress that contains it
 	sentAt     time.Time // of the last order
 	tries      int       // starts sent
 	unanswered bool      // a start was sent whose answer never came
--- a/internal/work/dispatch/save.go
+++ b/internal/work/dispatch/save.go
@@ -95,6 +95,15 @@
 			k.Failures = put(k.Failures, t.index, t.failures)
 			empty = false
 		}
+		if t.highest > 0 {
+			k.Runs = put(k.Runs, t.index, t.highest)
+			empty = false
+		}
+		for _, r := range t.runs {
+			if r.phase != waiting {
+				k.Placed = put(k.Placed, t.index, progress.Place{Target: r.target.ID, Run: r.Number})
+			}
+		}
 		if t.saved != "" {
 			k.Saved = put(k.Saved, t.index, t.saved)
 			empty = false
@@ -121,6 +130,7 @@
 	for _, j := range p.sending {
 		j.version, j.savedRev = version, j.sentRev
 		m.show(j, j.sentState)
+		m.startNoted(j, now)
 	}
 	p.sending = nil
 	for _, t := range m.byID {
--- a/internal/work/dispatch/starting.go
+++ b/internal/work/dispatch/starting.go
@@ -28,15 +28,28 @@
 	return r.charge.Within(r.target.Capacity.Minus(r.target.used))
 }
 
-// startAll sends the starts of runs that wait, all at once.
-func (m *Machine) startAll(runs []*run, now time.Time) {
+// note takes the room of runs that waited for it and has them saved. A start is
+// sent only after its run was saved under this term's fence: a successor, which
+// may not reach the run's target, finds in the rows what may exist there, and a
+// leader that was succeeded without knowing it can start nothing more.
+func (m *Machine) note(runs []*run) {
 	for _, r := range runs {
 		t := r.target
-		r.phase = starting
+		r.phase = noted
 		t.promised = t.promised.Minus(r.charge)
 		t.used = t.used.Plus(r.charge)
-		r.resumedAt = r.task.checkpoint()
-		m.sendStart(r, now)
+		r.noteRev = m.touch(r.task.step.job)
+	}
+}
+
+// startNoted sends the starts of a job's runs that are saved by now.
+func (m *Machine) startNoted(j *job, now time.Time) {
+	for _, r := range j.sortedLive() {
+		if r.phase == noted && r.noteRev <= j.savedRev {
+			r.phase = starting
+			r.resumedAt = r.task.checkpoint()
+			m.sendStart(r, now)
+		}
 	}
 }
 
@@ -89,18 +102,9 @@
 
 // began takes in that a run is on its target.
 func (m *Machine) began(r *run, now time.Time) {
-	t := r.target
-	if r.phase == waiting { // an adopted twin of it: cannot happen while run numbers rise
-		t.promised = t.promised.Minus(r.charge)
-		t.used = t.used.Plus(r.charge)
-	}
 	r.phase = running
 	r.beganAt, r.reportedAt = now, now
-	j := r.task.step.job
-	if !j.started {
-		j.started = true
-		m.touch(j)
-	}
+	r.task.step.job.started = true
 }
 
 // startRefused takes in that a target did not start a run and never will. A
@@ -158,10 +162,10 @@
 // stop ends a run: one that was not sent at once, another by an order that is
 // repeated until it is answered.
 func (m *Machine) stop(r *run, why string, now time.Time) {
-	if r.phase == stopping {
+	switch r.phase {
+	case stopping:
 		return
-	}
-	if r.phase == waiting {
+	case waiting, noted:
 		m.release(r, now)
 		return
 	}
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -35,6 +35,7 @@
 	reported   bool                      // a first report came in this term
 	seen       int64                     // highest end number that was taken in
 	ends       []mark                    // ends taken in and not yet saved, by number
+	endsDue    time.Time                 // while ends are not saved: no hold before
 	acked      int64                     // ends up to it are saved
 	sentAck    int64                     // acknowledged in the hold that was answered last
 	ackDue     time.Time                 // when unacknowledged ends are to be acknowledged at the latest; zero: none
@@ -58,6 +59,12 @@
 	return t.listed && t.reach == held && t.clockMS != 0 && !t.Draining && !now.Before(t.shunned)
 }
 
+// forgotten reports whether nothing need be known of the target any more: it has
+// left the list, nothing may run there and no end is left to acknowledge.
+func (t *target) forgotten() bool {
+	return !t.listed && len(t.runs) == 0 && len(t.ends) == 0 && (t.reach != held || t.acked == t.sentAck)
+}
+
 // room returns what is free, counting what waits for room as taken.
 func (t *target) room() graph.Resources { return t.Capacity.Minus(t.used).Minus(t.promised) }
 
--- a/internal/work/progress/progress.go
+++ b/internal/work/progress/progress.go
@@ -26,7 +26,14 @@
 	Done     *big.Int       `json:"done,omitempty"`     // bit i: task i is done
 	Failures map[int]int    `json:"failures,omitempty"` // by task; of a gang under 0
 	Saved    map[int]string `json:"saved,omitempty"`    // checkpoint by task; of a gang under 0
-	Runs     map[int]int    `json:"runs,omitempty"`     // highest number of a run that has ended, by task
+	Runs     map[int]int    `json:"runs,omitempty"`     // highest number of a run, by task that is not done; of a gang under 0
+	Placed   map[int]Place  `json:"placed,omitempty"`   // runs that may exist, by task
+}
+
+// Place is where a run may exist.
+type Place struct {
+	Target string `json:"target"` // incarnation
+	Run    int    `json:"run"`
 }
 
 // Job is the durable progress of a job.
