--- a/internal/work/dispatch/ending.go
+++ b/internal/work/dispatch/ending.go
@@ -86,7 +86,7 @@
 	}
 	saved := x.keep(e.Checkpoint)
 	if e.How == order.Failed && !s.spec.Lasting {
-		m.failure(x, t, now)
+		m.failure(x, t, e.Run.Number, now)
 		return true
 	}
 	if e.How == order.Failed {
@@ -184,21 +184,27 @@
 	return runs
 }
 
-// failure counts a failed run against its task, or its gang, and the target.
-func (m *Machine) failure(x *task, t *target, now time.Time) {
+// failure counts a failed run against its task, or its gang, and the target. A
+// run counts once: its end is listed again to a new leader if the earlier one
+// saved it and could not acknowledge it any more, and a gang's run may fail in
+// several members.
+func (m *Machine) failure(x *task, t *target, run int, now time.Time) {
 	s := x.step
 	t.failed[s.job.spec.ID] = now
-	count := &x.failures
+	failures := &x.failures
 	if s.spec.Gang {
-		count = &s.failures
+		failures = &s.failures
 	}
-	*count++
+	if slices.Contains(*failures, run) {
+		return
+	}
+	*failures = append(*failures, run)
 	if x.avoid == nil {
 		x.avoid = map[string]bool{}
 	}
 	x.avoid[t.ID] = true
-	if *count >= s.job.spec.MaxAttempts {
-		m.log.Decided("job failed", "job", s.job.spec.ID, "task", x.id(), "failures", *count, "target", t.ID)
+	if len(*failures) >= s.job.spec.MaxAttempts {
+		m.log.Decided("job failed", "job", s.job.spec.ID, "task", x.id(), "failures", len(*failures), "target", t.ID)
 		m.end(s.job, progress.Failed, now)
 	}
 }
--- a/internal/work/dispatch/job.go
+++ b/internal/work/dispatch/job.go
@@ -45,7 +45,7 @@
 	dueAt   int64 // milliseconds since 1970 from which it may start; 0: at once
 	// Of a gang.
 	gangRun    int
-	failures   int
+	failures   []int // numbers of its runs that failed
 	saved      string
 	pausedTo   time.Time
 	readyAt    time.Time // when it could first start
@@ -58,7 +58,7 @@
 	index    int
 	done     bool
 	highest  int    // highest run number that may have been used
-	failures int    // runs that ended as failed
+	failures []int  // numbers of its runs that failed
 	saved    string // checkpoint to resume from
 	runs     []*run // that may exist; at most one unless the step allows copies
 	pausedTo time.Time
--- a/internal/work/dispatch/save.go
+++ b/internal/work/dispatch/save.go
@@ -75,9 +75,9 @@
 // kept returns what must be kept of the step, or nil for nothing.
 func (s *step) kept() *progress.Step {
 	k := &progress.Step{}
-	empty := s.failures == 0 && s.saved == ""
-	if s.failures > 0 {
-		k.Failures = map[int]int{0: s.failures}
+	empty := len(s.failures) == 0 && s.saved == ""
+	if len(s.failures) > 0 {
+		k.Failures = map[int][]int{0: s.failures}
 	}
 	if s.saved != "" {
 		k.Saved = map[int]string{0: s.saved}
@@ -91,7 +91,7 @@
 			k.Done.SetBit(k.Done, t.index, 1)
 			empty = false
 			continue
-		case t.failures > 0:
+		case len(t.failures) > 0:
 			k.Failures = put(k.Failures, t.index, t.failures)
 			empty = false
 		}
--- a/internal/work/progress/progress.go
+++ b/internal/work/progress/progress.go
@@ -24,7 +24,7 @@
 // Step is what is known of a step of one occurrence.
 type Step struct {
 	Done     *big.Int       `json:"done,omitempty"`     // bit i: task i is done
-	Failures map[int]int    `json:"failures,omitempty"` // by task; of a gang under 0
+	Failures map[int][]int  `json:"failures,omitempty"` // numbers of the runs that failed, by task; of a gang under 0
 	Saved    map[int]string `json:"saved,omitempty"`    // checkpoint by task; of a gang under 0
 	Runs     map[int]int    `json:"runs,omitempty"`     // highest number of a run, by task that is not done; of a gang under 0
 	Placed   map[int]Place  `json:"placed,omitempty"`   // runs that may exist, by task
