--- a/internal/work/dispatch/clearing.go
+++ b/internal/work/dispatch/clearing.go
@@ -203,6 +203,8 @@
 		list = append(list, r)
 	}
 	slices.SortFunc(list, compareRuns)
+	size := weight(c.step.spec.Needs) * c.step.spec.Estimate.Seconds() * float64(len(c.plan))
+	m.log.Decided("room cleared", "step", c.step.id, "runs", len(list), "lossCoreS", int(c.cost), "gainCoreS", int(size), "waitedMS", m.wallMS(now)-c.step.anchor())
 	for _, r := range list {
 		m.stop(r, "room for "+c.step.id.String(), now)
 	}
