--- a/internal/host/dispatcher/carry.go
+++ b/internal/host/dispatcher/carry.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"guavaglade.example/guavaglade/internal/fleet/order"
-	"guavaglade.example/guavaglade/internal/host/steady"
 	"guavaglade.example/guavaglade/internal/platform/store"
 	"guavaglade.example/guavaglade/internal/work/dispatch"
 	"guavaglade.example/guavaglade/internal/work/graph"
@@ -35,7 +34,7 @@
 // may reports whether orders may be given at this moment. A process that was
 // frozen may have been succeeded meanwhile: the clock is read just before each
 // order, and counts the time of the freeze.
-func (o *office) may() bool { return o.term.Valid(steady.Now()) }
+func (o *office) may() bool { return o.term.Valid(o.clock()) }
 
 func (o *office) start(c dispatch.Start) {
 	ctx, cancel := context.WithTimeout(o.ctx, orderTime)
--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -45,15 +45,27 @@
 	line   order.Line
 	roster Roster
 	bounds dispatch.Bounds
+	clock  steady.Clock
 	log    logr.Logger
 	mu     sync.Mutex
 	now    *office // nil while another host leads
 }
 
+// Option sets one property of a new dispatcher.
+type Option func(*Dispatcher)
+
+// WithClock sets the clock by which leases are measured, by default the
+// system's.
+func WithClock(c steady.Clock) Option { return func(d *Dispatcher) { d.clock = c } }
+
 // New returns a dispatcher that does not lead yet.
-func New(s store.Store, l order.Line, r Roster, b dispatch.Bounds, log logr.Logger) *Dispatcher {
+func New(s store.Store, l order.Line, r Roster, b dispatch.Bounds, log logr.Logger, opts ...Option) *Dispatcher {
 	b.Parts = Parts
-	return &Dispatcher{store: s, line: l, roster: r, bounds: b, log: log}
+	d := &Dispatcher{store: s, line: l, roster: r, bounds: b, clock: steady.Now, log: log}
+	for _, o := range opts {
+		o(d)
+	}
+	return d
 }
 
 // office is one term while it lasts.
@@ -76,7 +88,7 @@
 		Dispatcher: d, ctx: ctx, term: t, work: make(chan func(time.Time), backlog),
 		machine: dispatch.New(t.Number(), d.bounds, dispatch.WithLog(decisions{d.log})),
 	}
-	began := steady.Now()
+	began := o.clock()
 	if err := o.restore(); err != nil {
 		return fmt.Errorf("term %d: %w", t.Number(), err)
 	}
@@ -84,7 +96,7 @@
 	if clean {
 		heirEnd = heirEnd.Add(-leader.Grace)
 	}
-	d.log.Info("restored", "term", t.Number(), "jobs", o.machine.Counts().Jobs, "tookMS", steady.Now().Sub(began).Milliseconds())
+	d.log.Info("restored", "term", t.Number(), "jobs", o.machine.Counts().Jobs, "tookMS", o.clock().Sub(began).Milliseconds())
 	err := o.run(heirEnd)
 	cancel()
 	d.set(nil)
@@ -129,8 +141,8 @@
 			results <- r
 		}()
 	}
-	now := steady.Now()
-	o.machine.SetWall(steady.WallOffset())
+	now := o.clock()
+	o.machine.SetWall(o.clock.WallOffset())
 	for i := range Parts {
 		r := <-results
 		if r.err != nil {
@@ -187,7 +199,7 @@
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
-		now := steady.Now()
+		now := o.clock()
 		for _, c := range o.machine.Decide(now) {
 			o.carryOut(c, now)
 		}
@@ -198,10 +210,10 @@
 		case <-o.ctx.Done():
 			return o.ctx.Err()
 		case f := <-o.work:
-			f(steady.Now())
+			f(o.clock())
 		case <-tick.C:
-			o.machine.SetWall(steady.WallOffset())
-			o.machine.Tick(steady.Now())
+			o.machine.SetWall(o.clock.WallOffset())
+			o.machine.Tick(o.clock())
 		}
 		o.drain()
 	}
@@ -212,7 +224,7 @@
 	for {
 		select {
 		case f := <-o.work:
-			f(steady.Now())
+			f(o.clock())
 		default:
 			return
 		}
@@ -224,7 +236,7 @@
 	for {
 		list, err := o.targets()
 		if err == nil {
-			o.machine.Listed(list, steady.Now())
+			o.machine.Listed(list, o.clock())
 			return nil
 		}
 		if o.ctx.Err() != nil {
@@ -301,7 +313,7 @@
 // ask has the loop run f and waits until it did.
 func (d *Dispatcher) ask(ctx context.Context, f func(m *dispatch.Machine, now time.Time)) error {
 	o := d.office()
-	if o == nil || !o.term.Valid(steady.Now()) {
+	if o == nil || !o.term.Valid(d.clock()) {
 		return ErrNotLeading
 	}
 	done := make(chan struct{})
--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -25,9 +25,14 @@
 
 // Figures of an entry.
 const (
-	callTime  = 1200 * time.Millisecond // bounds one call to the store, so that one more can follow before most deadlines
-	retryWait = 100 * time.Millisecond  // between two tries
-	tellTime  = time.Second             // bounds telling the leader; it scans the store, too
+	// callTime bounds one call to the store: a hundred times what it takes on an
+	// ordinary day, and short enough that a peer can be asked after it.
+	callTime = 1300 * time.Millisecond
+	// settleTime is how long an entry tries to learn what became of a write.
+	// Then the client is told that it is not known, and asks another host.
+	settleTime = 2400 * time.Millisecond
+	retryWait  = 100 * time.Millisecond // between two tries
+	tellTime   = time.Second            // bounds telling the leader; it scans the store, too
 )
 
 // Leader is asked and told about jobs.
@@ -38,24 +43,60 @@
 	Pending(ctx context.Context, queue string) (int, error)
 }
 
+// Relay has another host store what this one cannot. Its errors wrap
+// ErrNotAccepted, ErrNotKnown or ErrNoJob.
+type Relay interface {
+	RelaySubmit(ctx context.Context, j *graph.Job) error
+	RelayCancel(ctx context.Context, id graph.JobID) error
+}
+
 // Entry serves requests.
 type Entry struct {
-	store  store.Store
+	store  *store.Gauge
 	leader Leader
+	relay  Relay
 	log    logr.Logger
 }
 
 // New returns an entry.
-func New(s store.Store, l Leader, log logr.Logger) *Entry {
-	return &Entry{store: s, leader: l, log: log}
+func New(s *store.Gauge, l Leader, r Relay, log logr.Logger) *Entry {
+	return &Entry{store: s, leader: l, relay: r, log: log}
 }
 
-// Submit stores a job, unless it is stored already, and tells the leader. The
-// error wraps graph.ErrInvalid, ErrNotAccepted or ErrNotKnown.
+// Submit stores a job, unless it is stored already, and tells the leader. What
+// the store does not take from this host another one hands in. The error wraps
+// graph.ErrInvalid, ErrNotAccepted or ErrNotKnown.
 func (e *Entry) Submit(ctx context.Context, j *graph.Job) error {
 	if err := j.Check(); err != nil {
 		return err
 	}
+	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	err := e.SubmitHere(ctx, j)
+	if err == nil {
+		return nil
+	}
+	other := e.relay.RelaySubmit(ctx, j)
+	if other == nil {
+		e.log.Info("job stored by a peer", "job", j.ID, "queue", j.Queue, "account", j.Account, "here", err.Error())
+		return nil
+	}
+	err = either(err, other)
+	e.log.Info("job not stored", "job", j.ID, "queue", j.Queue, "account", j.Account, "error", err.Error())
+	return err
+}
+
+// either joins what two hosts could not do: nothing was stored only if both say
+// so.
+func either(here, there error) error {
+	if errors.Is(here, ErrNotAccepted) && !errors.Is(there, ErrNotAccepted) {
+		return fmt.Errorf("%w (here: %s)", there, here.Error())
+	}
+	return fmt.Errorf("%w (peer: %s)", here, there.Error())
+}
+
+// SubmitHere stores a job over this host's own way to the store.
+func (e *Entry) SubmitHere(ctx context.Context, j *graph.Job) error {
 	value, err := dispatcher.EncodeJob(j)
 	if err != nil {
 		return err
@@ -63,7 +104,6 @@
 	key := dispatcher.JobKey(partOf(j.ID), j.ID)
 	again, err := e.putNew(ctx, store.Tx{Expect: []store.Expect{{Key: key}}, Put: []store.Put{{Key: key, Value: value}}})
 	if err != nil {
-		e.log.Info("job not stored", "job", j.ID, "queue", j.Queue, "account", j.Account, "error", err.Error())
 		return err
 	}
 	e.log.Info("job stored", "job", j.ID, "queue", j.Queue, "account", j.Account, "again", again)
@@ -76,6 +116,9 @@
 // putNew makes a transaction that can take effect only once, until it is known
 // whether it did. again tells that an earlier one has.
 func (e *Entry) putNew(ctx context.Context, tx store.Tx) (again bool, err error) {
+	if !e.store.Try(time.Now()) {
+		return false, fmt.Errorf("%w: %w", ErrNotAccepted, errDown)
+	}
 	unsettled := false // an earlier try may still take effect
 	for {
 		try, cancel := context.WithTimeout(ctx, callTime)
@@ -88,14 +131,22 @@
 			return !unsettled, nil
 		case errors.Is(err, store.ErrUnavailable) && !unsettled:
 			return false, fmt.Errorf("%w: %w", ErrNotAccepted, err)
-		case errors.Is(err, store.ErrUnknown):
-			unsettled = true
 		}
-		select {
-		case <-ctx.Done():
+		unsettled = true
+		if ctx.Err() != nil || !e.store.Up() {
 			return false, fmt.Errorf("%w: %w", ErrNotKnown, err)
-		case <-time.After(retryWait):
 		}
+		pause(ctx, retryWait)
+	}
+}
+
+// errDown says that a call was not made since the last ones failed.
+var errDown = errors.New("the store does not serve this host now")
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
 }
 
@@ -110,19 +161,35 @@
 // Cancel stores that a job is cancelled, and tells the leader. The error wraps
 // ErrNoJob or ErrNoAnswer.
 func (e *Entry) Cancel(ctx context.Context, id graph.JobID) error {
-	part := partOf(id)
+	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	err := e.CancelHere(ctx, id)
+	if err == nil || errors.Is(err, ErrNoJob) {
+		return err
+	}
+	if other := e.relay.RelayCancel(ctx, id); other == nil || errors.Is(other, ErrNoJob) {
+		return other
+	}
+	return fmt.Errorf("%w: %w", ErrNoAnswer, err)
+}
+
+// CancelHere stores a cancelling over this host's own way to the store.
+func (e *Entry) CancelHere(ctx context.Context, id graph.JobID) error {
+	if !e.store.Try(time.Now()) {
+		return fmt.Errorf("%w: %w", ErrNotAccepted, errDown)
+	}
 	job, cancelled, err := e.read(ctx, id)
 	switch {
 	case err != nil:
-		return fmt.Errorf("%w: %w", ErrNoAnswer, err)
+		return fmt.Errorf("%w: %w", ErrNotAccepted, err)
 	case job.Version == 0:
 		return ErrNoJob
 	case cancelled:
 		return nil
 	}
-	key := dispatcher.CancelKey(part, id)
+	key := dispatcher.CancelKey(partOf(id), id)
 	if _, err := e.putNew(ctx, store.Tx{Expect: []store.Expect{{Key: key}}, Put: []store.Put{{Key: key, Value: []byte("{}")}}}); err != nil {
-		return fmt.Errorf("%w: %w", ErrNoAnswer, err)
+		return err
 	}
 	e.log.Info("cancelling stored", "job", id)
 	go e.tell(context.WithoutCancel(ctx), "cancelled", id, func(ctx context.Context) error { return e.leader.Cancelled(ctx, id) })
@@ -157,6 +224,9 @@
 	if leaderErr == nil && known {
 		return state, nil
 	}
+	if !e.store.Try(time.Now()) {
+		return "", fmt.Errorf("%w: %w (leader: %w)", ErrNoAnswer, errDown, leaderErr)
+	}
 	job, cancelled, err := e.read(ctx, id)
 	if err != nil {
 		return "", fmt.Errorf("%w: %w (leader: %w)", ErrNoAnswer, err, leaderErr)
--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"slices"
+	"sync"
 	"time"
 
 	"guavaglade.example/guavaglade/internal/config/catalog"
 	"guavaglade.example/guavaglade/internal/host/dispatcher"
+	"guavaglade.example/guavaglade/internal/host/entry"
 	"guavaglade.example/guavaglade/internal/host/leader"
 	"guavaglade.example/guavaglade/internal/host/peer"
 	"guavaglade.example/guavaglade/internal/work/graph"
@@ -17,11 +21,15 @@
 // The methods.
 const (
 	methodWatch     = "watch"
+	methodLook      = "look"
+	methodSucceed   = "succeed"
 	methodSubmitted = "submitted"
 	methodCancelled = "cancelled"
 	methodState     = "state"
 	methodPending   = "pending"
 	methodCatalog   = "catalog"
+	methodSubmit    = "submit"
+	methodCancel    = "cancel"
 )
 
 // Figures of the exchange.
@@ -33,12 +41,25 @@
 	watchTime = watchWait + 500*time.Millisecond
 	// askTime bounds every other call: within a zone one takes a millisecond.
 	askTime = 400 * time.Millisecond
+	// relayTime bounds a call that has a peer write to the store.
+	relayTime = 1100 * time.Millisecond
+	// watcherGone is how long after its last watch a host counts as alive.
+	watcherGone = 2 * time.Second
 )
 
+// watchBody is both sides of a watch.
 type watchBody struct {
 	Row     leader.Row `json:"row"`
-	Version int64      `json:"version"`        // of the configuration in force on the sender
-	From    string     `json:"from,omitempty"` // the sender's address
+	Version int64      `json:"version"`         // of the configuration in force on the sender
+	From    string     `json:"from,omitempty"`  // the sender's address
+	StoreUp bool       `json:"storeUp"`         // the store serves the sender
+	Peers   []string   `json:"peers,omitempty"` // hosts that the store serves, as the leader knows them
+}
+
+// succeedBody asks a host to take the leader row over.
+type succeedBody struct {
+	Row     leader.Row `json:"row"`
+	Version int64      `json:"version"` // of the leader row
 }
 
 type stateBody struct {
@@ -46,10 +67,26 @@
 	Known bool           `json:"known"`
 }
 
+// settledBody says what became of a relayed request.
+type settledBody struct {
+	Done        bool   `json:"done"`
+	NotAccepted bool   `json:"notAccepted,omitempty"` // nothing was stored and nothing will be
+	NoJob       bool   `json:"noJob,omitempty"`
+	Why         string `json:"why,omitempty"`
+}
+
 // Leading is the part of an election that peers ask about.
 type Leading interface {
 	Leader() leader.Row
 	Own() *leader.Term
+	Look(ctx context.Context) error
+	Succeed(ctx context.Context, r leader.Row, version int64) bool
+}
+
+// Storing is the part of an entry that peers use.
+type Storing interface {
+	SubmitHere(ctx context.Context, j *graph.Job) error
+	CancelHere(ctx context.Context, id graph.JobID) error
 }
 
 // Exchange answers peers and asks them.
@@ -57,18 +94,29 @@
 	net     *peer.Net
 	own     string // address for peers
 	leading Leading
+	storing Storing
+	up      func() bool // the store serves this host
 	desk    *dispatcher.Dispatcher
 	keeper  *catalog.Keeper
 	adopted func(version int64, from string) // told of a configuration that a peer had
+	mu      sync.Mutex
+	seen    map[string]watcher // hosts that watch this one, by address
+	peers   []string           // hosts that the store serves, as the leader last said
+}
+
+// watcher is a host that watches the leader.
+type watcher struct {
+	at      time.Time // of its last watch
+	storeUp bool
 }
 
 // New returns an exchange. Bind must be called before it is used.
-func New(own string, desk *dispatcher.Dispatcher, k *catalog.Keeper, adopted func(version int64, from string)) *Exchange {
-	return &Exchange{own: own, desk: desk, keeper: k, adopted: adopted}
+func New(own string, desk *dispatcher.Dispatcher, k *catalog.Keeper, up func() bool, adopted func(version int64, from string)) *Exchange {
+	return &Exchange{own: own, desk: desk, keeper: k, up: up, adopted: adopted, seen: map[string]watcher{}}
 }
 
 // Bind sets what the exchange works with that itself needs the exchange.
-func (x *Exchange) Bind(n *peer.Net, l Leading) { x.net, x.leading = n, l }
+func (x *Exchange) Bind(n *peer.Net, l Leading, s Storing) { x.net, x.leading, x.storing = n, l, s }
 
 // Handle answers a peer's call.
 func (x *Exchange) Handle(ctx context.Context, method string, params json.RawMessage) (any, error) {
@@ -88,6 +136,14 @@
 		return answer(params, func(in string) (any, error) { return x.desk.Pending(ctx, in) })
 	case methodCatalog:
 		return x.keeper.Stored(), nil
+	case methodLook:
+		return nil, x.leading.Look(ctx)
+	case methodSucceed:
+		return answer(params, func(in succeedBody) (any, error) { return x.leading.Succeed(ctx, in.Row, in.Version), nil })
+	case methodSubmit:
+		return answer(params, func(in graph.Job) (any, error) { return settled(x.storing.SubmitHere(ctx, &in)), nil })
+	case methodCancel:
+		return answer(params, func(in graph.JobID) (any, error) { return settled(x.storing.CancelHere(ctx, in)), nil })
 	}
 	return nil, fmt.Errorf("%s: %w", method, peer.ErrNoMethod)
 }
@@ -100,21 +156,48 @@
 	return f(in)
 }
 
-// watched answers a watcher after a while, and gets its configuration if that
-// is newer.
+// watched answers a watcher after a while, or at once when the term ends, and
+// gets its configuration if that is newer.
 func (x *Exchange) watched(ctx context.Context, in watchBody) (any, error) {
+	x.noteWatcher(in)
 	if in.Version > x.keeper.Version() && in.From != "" {
 		go x.fetch(context.WithoutCancel(ctx), in.From)
 	}
+	t := x.leading.Own()
+	if t == nil {
+		return nil, dispatcher.ErrNotLeading
+	}
 	select {
 	case <-ctx.Done():
+	case <-t.Over():
+		return nil, dispatcher.ErrNotLeading
 	case <-time.After(watchWait):
 	}
-	t := x.leading.Own()
-	if t == nil {
-		return nil, dispatcher.ErrNotLeading
+	return watchBody{Row: x.leading.Leader(), Version: x.keeper.Version(), Peers: x.served()}, nil
+}
+
+func (x *Exchange) noteWatcher(in watchBody) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.seen[in.From] = watcher{at: time.Now(), storeUp: in.StoreUp}
+}
+
+// served returns the hosts that watch this one and that the store serves,
+// sorted.
+func (x *Exchange) served() []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var list []string
+	for address, w := range x.seen {
+		switch {
+		case time.Since(w.at) > watcherGone:
+			delete(x.seen, address)
+		case w.storeUp:
+			list = append(list, address)
+		}
 	}
-	return watchBody{Row: x.leading.Leader(), Version: x.keeper.Version()}, nil
+	slices.Sort(list)
+	return list
 }
 
 // Watch implements leader.Peer.
@@ -122,16 +205,57 @@
 	ctx, cancel := context.WithTimeout(ctx, watchTime)
 	defer cancel()
 	var out watchBody
-	in := watchBody{Row: leader.Row{Term: term}, Version: x.keeper.Version(), From: x.own}
+	in := watchBody{Row: leader.Row{Term: term}, Version: x.keeper.Version(), From: x.own, StoreUp: x.up()}
 	if err := x.net.Call(ctx, address, methodWatch, in, &out); err != nil {
 		return leader.Row{}, err
 	}
+	x.mu.Lock()
+	x.peers = out.Peers
+	x.mu.Unlock()
 	if out.Version > x.keeper.Version() {
 		go x.fetch(context.WithoutCancel(ctx), address)
 	}
 	return out.Row, nil
 }
 
+// askedSuccessors bounds how many hosts are asked whether they could succeed.
+const askedSuccessors = 3
+
+// Successors implements leader.Peer. A host that last said that the store serves
+// it may not have asked since: each is asked to read the row now.
+func (x *Exchange) Successors(ctx context.Context) []string {
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	list := x.served()
+	list = list[:min(len(list), askedSuccessors)]
+	answers := make(chan string, len(list))
+	for _, address := range list {
+		go func() {
+			if x.net.Call(ctx, address, methodLook, nil, nil) != nil {
+				address = ""
+			}
+			answers <- address
+		}()
+	}
+	var able []string
+	for range list {
+		if address := <-answers; address != "" {
+			able = append(able, address)
+		}
+	}
+	slices.Sort(able)
+	return able
+}
+
+// HandOver implements leader.Peer.
+func (x *Exchange) HandOver(ctx context.Context, address string, r leader.Row, version int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	var took bool
+	err := x.net.Call(ctx, address, methodSucceed, succeedBody{Row: r, Version: version}, &took)
+	return err == nil && took
+}
+
 // fetch gets the configuration of a peer.
 func (x *Exchange) fetch(ctx context.Context, address string) {
 	ctx, cancel := context.WithTimeout(ctx, askTime)
@@ -193,3 +317,75 @@
 	err := x.ask(ctx, methodPending, queue, &n)
 	return n, err
 }
+
+func settled(err error) settledBody {
+	if err == nil {
+		return settledBody{Done: true}
+	}
+	return settledBody{NotAccepted: errors.Is(err, entry.ErrNotAccepted), NoJob: errors.Is(err, entry.ErrNoJob), Why: err.Error()}
+}
+
+func (b settledBody) err() error {
+	switch {
+	case b.Done:
+		return nil
+	case b.NoJob:
+		return entry.ErrNoJob
+	case b.NotAccepted:
+		return fmt.Errorf("%w: %s", entry.ErrNotAccepted, b.Why)
+	}
+	return fmt.Errorf("%w: %s", entry.ErrNotKnown, b.Why)
+}
+
+// RelaySubmit implements entry.Relay.
+func (x *Exchange) RelaySubmit(ctx context.Context, j *graph.Job) error {
+	return x.relay(ctx, methodSubmit, j)
+}
+
+// RelayCancel implements entry.Relay.
+func (x *Exchange) RelayCancel(ctx context.Context, id graph.JobID) error {
+	return x.relay(ctx, methodCancel, id)
+}
+
+// relay has another host write to the store: the first that answers of those
+// that the store serves.
+func (x *Exchange) relay(ctx context.Context, method string, in any) error {
+	ctx, cancel := context.WithTimeout(ctx, relayTime)
+	defer cancel()
+	err := fmt.Errorf("%w: no host known that the store serves", entry.ErrNotAccepted)
+	for _, address := range x.relays() {
+		var out settledBody
+		callErr := x.net.Call(ctx, address, method, in, &out)
+		switch {
+		case callErr == nil && out.Done:
+			return nil
+		case callErr == nil:
+			if err = out.err(); !errors.Is(err, entry.ErrNotAccepted) {
+				return err
+			}
+		case peer.Answered(callErr):
+			err = fmt.Errorf("%w: %w", entry.ErrNotAccepted, callErr)
+		default:
+			return fmt.Errorf("%w: %w", entry.ErrNotKnown, callErr)
+		}
+	}
+	return err
+}
+
+// relayTries bounds how many hosts are asked for one request.
+const relayTries = 2
+
+// relays returns the hosts to ask, in turn.
+func (x *Exchange) relays() []string {
+	list := x.served() // of a leader that the store turns away
+	if len(list) == 0 {
+		x.mu.Lock()
+		list = slices.Clone(x.peers)
+		x.mu.Unlock()
+	}
+	if row := x.leading.Leader(); row.Address != "" {
+		list = append([]string{row.Address}, list...)
+	}
+	list = slices.DeleteFunc(list, func(a string) bool { return a == x.own })
+	return list[:min(len(list), relayTries)]
+}
--- a/internal/host/leader/election.go
+++ b/internal/host/leader/election.go
@@ -18,6 +18,12 @@
 // while, or fails when the leader's process has gone.
 type Peer interface {
 	Watch(ctx context.Context, address string, term int64) (Row, error)
+	// Successors returns hosts that watch this one and that have read the
+	// leader row just now, by address.
+	Successors(ctx context.Context) []string
+	// HandOver asks the host at an address to take the row over, and reports
+	// whether it did.
+	HandOver(ctx context.Context, address string, r Row, version int64) bool
 }
 
 // Lead is what a host does while it leads. It returns when the context ends, or
@@ -28,6 +34,7 @@
 // Term is one time of leadership of this host.
 type Term struct {
 	number int64
+	over   chan struct{} // closed when it ends
 	mu     sync.Mutex
 	wrote  time.Time // when the last write that took effect was sent
 }
@@ -35,6 +42,9 @@
 // Number returns the term, the fencing token of its orders.
 func (t *Term) Number() int64 { return t.number }
 
+// Over returns a channel that is closed when the term ends.
+func (t *Term) Over() <-chan struct{} { return t.over }
+
 // Valid reports whether the leader may still give orders.
 func (t *Term) Valid(now time.Time) bool { return now.Sub(t.written()) < Grace }
 
@@ -56,21 +66,36 @@
 
 // Election follows the leader row and leads when it is this host's turn.
 type Election struct {
-	store   store.Store
-	peer    Peer
-	lead    Lead
-	own     Row // term 0; holder and address of this host
-	log     logr.Logger
-	mu      sync.Mutex
-	seen    Row
-	version int64     // of the row as seen
-	changed time.Time // when this host first saw that version
-	term    *Term     // nil while another host leads
+	store     store.Store
+	peer      Peer
+	lead      Lead
+	own       Row // term 0; holder and address of this host
+	clock     steady.Clock
+	log       logr.Logger
+	mu        sync.Mutex
+	seen      Row
+	version   int64         // of the row as seen
+	changed   time.Time     // when this host first saw that version
+	term      *Term         // nil while another host leads
+	following bool          // another host leads, and this one could
+	handed    chan handed   // terms that a leader handed over
+	lookTook  time.Duration // what the last look at the row took
 }
 
+// Option sets one property of a new election.
+type Option func(*Election)
+
+// WithClock sets the clock by which leases are measured, by default the
+// system's.
+func WithClock(c steady.Clock) Option { return func(e *Election) { e.clock = c } }
+
 // New returns an election for the host with the name and the address for peers.
-func New(s store.Store, p Peer, lead Lead, holder, address string, log logr.Logger) *Election {
-	return &Election{store: s, peer: p, lead: lead, own: Row{Holder: holder, Address: address}, log: log}
+func New(s store.Store, p Peer, lead Lead, holder, address string, log logr.Logger, opts ...Option) *Election {
+	e := &Election{store: s, peer: p, lead: lead, own: Row{Holder: holder, Address: address}, clock: steady.Now, log: log, handed: make(chan handed)}
+	for _, o := range opts {
+		o(e)
+	}
+	return e
 }
 
 // Leader returns the leader as last seen; its holder is empty if none is known.
@@ -90,12 +115,32 @@
 // Run takes part until the context ends; a leader resigns then.
 func (e *Election) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if e.follow(ctx) {
-			e.takeOver(ctx)
+		e.setFollowing(true)
+		following, stop := context.WithCancel(ctx)
+		ripe := make(chan bool, 1)
+		go func() { ripe <- e.follow(following) }()
+		select {
+		case h := <-e.handed:
+			stop()
+			<-ripe
+			e.setFollowing(false)
+			e.serve(ctx, h.term, h.row, h.version, true)
+		case takes := <-ripe:
+			e.setFollowing(false)
+			if takes && ctx.Err() == nil {
+				e.takeOver(ctx)
+			}
 		}
+		stop()
 	}
 }
 
+func (e *Election) setFollowing(on bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.following = on
+}
+
 // follow watches the leader, and reports whether its row may be taken over.
 func (e *Election) follow(ctx context.Context) bool {
 	row := e.Leader()
@@ -113,7 +158,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if err := e.look(ctx); err != nil {
+	if err := e.Look(ctx); err != nil {
 		e.log.V(1).Info("leader row not read", "error", err.Error())
 		// Time during which the store does not answer does not count against
 		// the leader: it cannot write its row either.
@@ -137,14 +182,18 @@
 	}
 }
 
-// look reads the leader row.
-func (e *Election) look(ctx context.Context) error {
+// Look reads the leader row.
+func (e *Election) Look(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
+	began := e.clock()
 	found, err := store.Get(ctx, e.store, RowKey)
 	if err != nil {
 		return err
 	}
+	e.mu.Lock()
+	e.lookTook = e.clock().Sub(began)
+	e.mu.Unlock()
 	row, err := DecodeRow(found.Value)
 	if err != nil {
 		e.log.Error(err, "leader row", "step", "read", "version", found.Version)
@@ -164,7 +213,7 @@
 		e.log.Info("leader", "holder", r.Holder, "term", r.Term, "address", r.Address)
 	}
 	if r != e.seen {
-		e.changed = steady.Now()
+		e.changed = e.clock()
 	}
 	e.seen, e.version = r, version
 }
@@ -173,47 +222,89 @@
 func (e *Election) stands() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return steady.Now().Sub(e.changed) >= Lease
+	return e.clock().Sub(e.changed) >= Lease
 }
 
 // restart begins to count anew how long the row stands still.
 func (e *Election) restart() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.changed = steady.Now()
+	e.changed = e.clock()
 }
 
+// slowFactor is how many times what a look takes is added to the lease: a
+// renewal is a transaction, which takes up to three times as long as a look.
+const slowFactor = 4
+
 // ripe reports whether the row may be taken over.
 func (e *Election) ripe() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.seen.over(e.own) || steady.Now().Sub(e.changed) >= Lease
+	// A store that is slow for this host is slow for the leader's writes, too.
+	patience := Lease + slowFactor*e.lookTook
+	return e.seen.over(e.own) || e.clock().Sub(e.changed) >= patience
 }
 
 // takeOver tries to take the row, and leads if that succeeds.
 func (e *Election) takeOver(ctx context.Context) {
 	e.mu.Lock()
-	next := e.own
-	next.Term, next.Beat = e.seen.Term+1, 1
-	version, before := e.version, e.seen
+	before, version := e.seen, e.version
 	e.mu.Unlock()
-	sent := steady.Now()
+	if t, next, version, err := e.take(ctx, before, version); err == nil {
+		e.serve(ctx, t, next, version, before.over(next))
+		return
+	}
+	pause(ctx, Look/4)
+}
+
+// take raises the term of a row as it was seen and puts this host into it.
+func (e *Election) take(ctx context.Context, before Row, version int64) (*Term, Row, int64, error) {
+	next := e.own
+	next.Term, next.Beat = before.Term+1, 1
+	sent := e.clock()
 	version, err := e.write(ctx, next, version)
 	if err != nil {
 		e.log.Info("leader row not taken", "term", next.Term, "error", err.Error())
-		pause(ctx, Look/4)
-		return
+		return nil, Row{}, 0, err
 	}
-	term := &Term{number: next.Term, wrote: sent}
-	e.begin(next, version, term)
+	t := &Term{number: next.Term, wrote: sent, over: make(chan struct{})}
+	e.begin(next, version, t)
 	e.log.Info("leading", "term", next.Term, "before", before.Holder)
-	e.serve(ctx, term, next, version, before.over(next))
+	return t, next, version, nil
+}
+
+// Succeed takes the row over from a leader that has ceased to give orders and
+// asks for it. It reports whether that succeeded.
+func (e *Election) Succeed(ctx context.Context, r Row, version int64) bool {
+	e.mu.Lock()
+	wanted := e.term == nil && e.following && r.Term >= e.seen.Term
+	e.mu.Unlock()
+	if !wanted {
+		return false
+	}
+	t, next, version, err := e.take(ctx, r, version)
+	if err != nil {
+		return false
+	}
+	select {
+	case e.handed <- handed{t, next, version}:
+		return true
+	case <-time.After(callTime): // it ends, or took the row over by itself meanwhile
+		return false
+	}
+}
+
+// handed is a term that a leader handed over to this host.
+type handed struct {
+	term    *Term
+	row     Row
+	version int64
 }
 
 func (e *Election) begin(r Row, version int64, t *Term) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.seen, e.version, e.term, e.changed = r, version, t, steady.Now()
+	e.seen, e.version, e.term, e.changed = r, version, t, e.clock()
 }
 
 // write writes the row over the version and settles a lost answer by reading it
@@ -246,34 +337,53 @@
 // serve leads and renews the row until the term ends.
 func (e *Election) serve(ctx context.Context, t *Term, r Row, version int64, clean bool) {
 	leading, end := context.WithCancel(ctx)
-	defer end()
+	lost := make(chan error, 1)
+	go func() {
+		var err error
+		version, err = e.keep(leading, t, &r, version)
+		lost <- err
+	}()
 	done := make(chan error, 1)
 	go func() { done <- e.lead(leading, t, clean) }()
-	tick := time.NewTicker(Renew)
-	defer tick.Stop()
 	var err error
-	for running := true; running; {
-		select {
-		case err = <-done:
-			running = false
-		case <-tick.C:
-			if version, err = e.renew(ctx, t, &r, version); err != nil {
-				end()
-				<-done
-				running = false
-			}
-		}
+	select {
+	case err = <-done:
+		end()
+		<-lost
+	case err = <-lost:
+		end()
+		<-done
 	}
 	e.mu.Lock()
 	e.term = nil
 	e.mu.Unlock()
+	close(t.over)
 	e.log.Info("no longer leading", "term", t.number, "reason", fmt.Sprint(err))
 	e.resign(ctx, r, version)
 }
 
+// keep renews the row until the context or the term ends. It changes the row
+// and returns its version as last written.
+func (e *Election) keep(ctx context.Context, t *Term, r *Row, version int64) (int64, error) {
+	tick := time.NewTicker(Renew)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return version, ctx.Err()
+		case <-tick.C:
+			now, err := e.renew(ctx, t, r, version)
+			if err != nil {
+				return version, err
+			}
+			version = now
+		}
+	}
+}
+
 // renew writes the row again. An error says that the term has ended.
 func (e *Election) renew(ctx context.Context, t *Term, r *Row, version int64) (int64, error) {
-	sent := steady.Now()
+	sent := e.clock()
 	next := *r
 	next.Beat++
 	v, err := e.write(ctx, next, version)
@@ -283,12 +393,18 @@
 		e.begin(next, v, t)
 		return v, nil
 	}
+	if ctx.Err() != nil {
+		return 0, ctx.Err()
+	}
 	if seen := e.Leader(); seen.Term > t.number || (seen.Term == t.number && seen.Holder != r.Holder) {
 		return 0, fmt.Errorf("term %d has begun: %w", seen.Term, err)
 	}
-	if !t.Valid(steady.Now()) {
+	if !t.Valid(e.clock()) {
 		return 0, fmt.Errorf("row not written for %s: %w", Grace, err)
 	}
+	if errors.Is(err, store.ErrUnavailable) && e.clock().Sub(t.written()) > Renew+Renew/2 && len(e.peer.Successors(ctx)) > 0 {
+		return version, fmt.Errorf("the store turns this host away and serves others: %w", err)
+	}
 	e.log.V(1).Info("leader row not renewed", "term", t.number, "error", err.Error())
 	e.mu.Lock()
 	found := e.version // read back, perhaps: an earlier lost write may have taken effect
@@ -296,9 +412,19 @@
 	return max(version, found), nil
 }
 
-// resign gives the row back, so that another host leads at once.
+// resign has a peer take the row over, or gives it back, so that another host
+// leads at once.
 func (e *Election) resign(ctx context.Context, r Row, version int64) {
+	if seen := e.Leader(); seen.Term > r.Term {
+		return
+	}
 	ctx = context.WithoutCancel(ctx)
+	for _, address := range e.peer.Successors(ctx) {
+		if e.peer.HandOver(ctx, address, r, version) {
+			e.log.Info("handed over", "term", r.Term, "to", address)
+			return
+		}
+	}
 	gone := Row{Term: r.Term, Beat: r.Beat + 1}
 	if _, err := e.write(ctx, gone, version); err != nil {
 		e.log.V(1).Info("leader row not given back", "term", r.Term, "error", err.Error())
--- a/internal/host/leader/row.go
+++ b/internal/host/leader/row.go
@@ -23,7 +23,7 @@
 	// hear from the leader.
 	Look = 300 * time.Millisecond
 	// callTime bounds a call to the store about the row.
-	callTime = time.Second
+	callTime = 1500 * time.Millisecond
 )
 
 // RowKey is the key of the leader row.
