dispatch, platform: room is cleared by cost against gain; cut-off hosts say so

Change: what may be thrown away for urgent work is a multiple of that work, small at first and larger as its slack runs out, without limit where a guarantee must be honoured; targets are held back for urgent work that waits; a gang takes a slower place only if it must begin or nothing is left to earn; steps are ordered by the next moment at which a start comes too late; large tasks with few accelerators are spread so that none is stranded. A host on which nothing can be stored is not ready, so the balancer sends its zone's clients on.

--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"guavaglade.example/guavaglade/internal/config/catalog"
 	"guavaglade.example/guavaglade/internal/fleet/order"
 	"guavaglade.example/guavaglade/internal/fleet/roster"
 	"guavaglade.example/guavaglade/internal/host/leader"
@@ -46,6 +47,7 @@
 	roster Roster
 	bounds dispatch.Bounds
 	clock  steady.Clock
+	keeper *catalog.Keeper // nil: no configuration
 	log    logr.Logger
 	mu     sync.Mutex
 	now    *office // nil while another host leads
@@ -58,6 +60,10 @@
 // system's.
 func WithClock(c steady.Clock) Option { return func(d *Dispatcher) { d.clock = c } }
 
+// WithCatalog sets where the configuration in force is found. Without one no
+// account has a guarantee.
+func WithCatalog(k *catalog.Keeper) Option { return func(d *Dispatcher) { d.keeper = k } }
+
 // New returns a dispatcher that does not lead yet.
 func New(s store.Store, l order.Line, r Roster, b dispatch.Bounds, log logr.Logger, opts ...Option) *Dispatcher {
 	b.Parts = Parts
@@ -71,13 +77,14 @@
 // office is one term while it lasts.
 type office struct {
 	*Dispatcher
-	ctx     context.Context
-	term    *leader.Term
-	machine *dispatch.Machine
-	work    chan func(now time.Time)
-	fences  [Parts]int64
-	scanned int64 // version up to which the jobs table was scanned
-	wg      sync.WaitGroup
+	ctx        context.Context
+	term       *leader.Term
+	machine    *dispatch.Machine
+	work       chan func(now time.Time)
+	fences     [Parts]int64
+	configured int64 // version of the configuration that the machine was told
+	scanned    int64 // version up to which the jobs table was scanned
+	wg         sync.WaitGroup
 }
 
 // Lead carries out a term until the context ends or a newer term is found.
@@ -192,6 +199,7 @@
 	if err := o.firstList(); err != nil {
 		return err
 	}
+	o.configure()
 	o.set(o)
 	o.every(listEvery, o.list)
 	o.every(scanEvery, o.scan)
@@ -212,6 +220,7 @@
 		case f := <-o.work:
 			f(o.clock())
 		case <-tick.C:
+			o.configure()
 			o.machine.SetWall(o.clock.WallOffset())
 			o.machine.Tick(o.clock())
 		}
@@ -219,6 +228,24 @@
 	}
 }
 
+// configure tells the machine of a newer configuration.
+func (o *office) configure() {
+	if o.keeper == nil {
+		return
+	}
+	now := o.keeper.Now()
+	if now == nil || now.Version() == o.configured {
+		return
+	}
+	o.configured = now.Version()
+	sure := map[string]int{}
+	for _, a := range now.Accounts() {
+		sure[a.Name] = a.Guaranteed
+	}
+	o.machine.SetGuarantees(sure)
+	o.log.Info("decides by configuration", "version", now.Version(), "accounts", len(sure))
+}
+
 // drain takes in all events that wait, so that one decision covers them.
 func (o *office) drain() {
 	for {
--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -100,6 +100,7 @@
 	keeper  *catalog.Keeper
 	adopted func(version int64, from string) // told of a configuration that a peer had
 	mu      sync.Mutex
+	heard   time.Time          // when a peer answered last
 	seen    map[string]watcher // hosts that watch this one, by address
 	peers   []string           // hosts that the store serves, as the leader last said
 }
@@ -179,6 +180,7 @@
 func (x *Exchange) noteWatcher(in watchBody) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	x.heard = time.Now()
 	x.seen[in.From] = watcher{at: time.Now(), storeUp: in.StoreUp}
 }
 
@@ -210,7 +212,7 @@
 		return leader.Row{}, err
 	}
 	x.mu.Lock()
-	x.peers = out.Peers
+	x.peers, x.heard = out.Peers, time.Now()
 	x.mu.Unlock()
 	if out.Version > x.keeper.Version() {
 		go x.fetch(context.WithoutCancel(ctx), address)
@@ -363,7 +365,7 @@
 			if err = out.err(); !errors.Is(err, entry.ErrNotAccepted) {
 				return err
 			}
-		case peer.Answered(callErr):
+		case peer.Answered(callErr), errors.Is(callErr, peer.ErrUnreached):
 			err = fmt.Errorf("%w: %w", entry.ErrNotAccepted, callErr)
 		default:
 			return fmt.Errorf("%w: %w", entry.ErrNotKnown, callErr)
@@ -372,6 +374,18 @@
 	return err
 }
 
+// Serves reports whether a request can be stored now: by this host, or by a peer
+// that it was in touch with lately.
+func (x *Exchange) Serves() bool {
+	if x.up() {
+		return true
+	}
+	x.mu.Lock()
+	heard := time.Since(x.heard) < watcherGone/2
+	x.mu.Unlock()
+	return heard && len(x.relays()) > 0
+}
+
 // relayTries bounds how many hosts are asked for one request.
 const relayTries = 2
 
--- a/internal/host/peer/net.go
+++ b/internal/host/peer/net.go
@@ -27,6 +27,10 @@
 // of an older version does.
 var ErrNoMethod = errors.New("method not known")
 
+// ErrUnreached is wrapped by the error of a call that was not sent, since no
+// connection was to be had.
+var ErrUnreached = errors.New("peer not reached")
+
 // Handler answers a call. params is the call's JSON; the result is sent as
 // JSON. It is called by several goroutines at once.
 type Handler func(ctx context.Context, method string, params json.RawMessage) (any, error)
@@ -200,7 +204,7 @@
 	defer cancel()
 	c, err := n.dialNet(ctx, address)
 	if err != nil {
-		return nil, fmt.Errorf("dial: %w", err)
+		return nil, fmt.Errorf("%w: dial: %w", ErrUnreached, err)
 	}
 	conn := n.open(c)
 	n.mu.Lock()
--- a/internal/work/dispatch/arriving.go
+++ b/internal/work/dispatch/arriving.go
@@ -20,6 +20,7 @@
 	}
 	j := newJob(spec, PartOf(spec.ID, m.bounds.Parts), now)
 	m.jobs[spec.ID] = j
+	m.noteSize(spec)
 	m.log.Decided("job", "job", spec.ID, "queue", spec.Queue, "account", spec.Account, "priority", spec.Priority, "steps", len(spec.Steps), "accepted", spec.AcceptedAt)
 	m.openJob(j, now)
 	m.changed = true
@@ -33,6 +34,7 @@
 	}
 	j := newJob(spec, PartOf(spec.ID, m.bounds.Parts), now)
 	j.restored, j.version, j.cancelled = true, version, cancelled
+	m.noteSize(spec)
 	m.jobs[spec.ID] = j
 	if p != nil {
 		j.state, j.shown, j.started, j.endedAt = p.State, p.State, p.Started, p.Ended
@@ -151,7 +153,6 @@
 
 // ready puts a step among those that have tasks to start.
 func (m *Machine) ready(s *step, now time.Time) {
-	s.readyAt = now
 	m.wake(s, now)
 }
 
--- a/internal/work/dispatch/clearing.go
+++ b/internal/work/dispatch/clearing.go
@@ -16,7 +16,7 @@
 	var best *target
 	var bestCost float64
 	for _, t := range m.byID {
-		if !s.suits(t, now) || s.spread(t) <= 0 || x.avoid[t.ID] {
+		if !s.suits(t, now) || m.heldFor(t, s) || s.spread(t) <= 0 || x.avoid[t.ID] {
 			continue
 		}
 		if _, cost, ok := c.cheapest(t); ok && (best == nil || cost < bestCost) {
@@ -26,24 +26,47 @@
 	if best == nil {
 		return nil
 	}
+	if bestCost > m.allowedLoss(s, 1, now) {
+		m.holdBack(s, []*target{best})
+		return nil
+	}
 	c.take(best)
 	m.stopVictims(c, now)
 	return best
 }
 
-// clearForGang makes room for a gang, at the least cost, and returns a target
-// for each of its tasks; nil if no set of targets can be cleared.
-func (m *Machine) clearForGang(s *step, now time.Time) []*target {
+// holdBack keeps targets free of less urgent work, for a step that waits for
+// room there: else each bit that comes free would go to tasks that need less.
+func (m *Machine) holdBack(s *step, targets []*target) {
+	if m.heldBack == nil {
+		m.heldBack = map[*target]map[*step]bool{}
+	}
+	for _, t := range targets {
+		if m.heldBack[t] == nil {
+			m.heldBack[t] = map[*step]bool{}
+		}
+		m.heldBack[t][s] = true
+	}
+}
+
+// clearForGang makes room for a gang on one of the sets, at the least cost, and
+// returns a target for each of its tasks; nil if none can be cleared, or only at
+// a cost that is not allowed yet.
+func (m *Machine) clearForGang(s *step, sets []set, now time.Time) []*target {
 	var best *clearing
-	for _, set := range m.groups(s, now) {
+	for _, set := range sets {
 		c := m.newClearing(s, now)
-		if c.fillSet(set) && (best == nil || c.cost < best.cost) {
+		if c.fillSet(set.targets) && (best == nil || c.cost < best.cost) {
 			best = c
 		}
 	}
 	if best == nil {
 		return nil
 	}
+	if best.cost > m.allowedLoss(s, len(s.tasks), now) {
+		m.holdBack(s, best.plan)
+		return nil
+	}
 	m.stopVictims(best, now)
 	return best.plan
 }
--- /dev/null
+++ b/internal/work/dispatch/gang.go
@@ -0,0 +1,250 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"guavaglade.example/guavaglade/internal/work/graph"
+)
+
+// placeGang places a gang whole, or not at all. It reports whether the step must
+// be looked at again.
+func (m *Machine) placeGang(s *step, now time.Time) bool {
+	for _, x := range s.tasks {
+		if len(x.runs) > 0 {
+			return true
+		}
+	}
+	if now.Before(s.pausedTo) {
+		return true
+	}
+	plan := m.planGang(s, now)
+	if plan == nil {
+		return true
+	}
+	number := s.gangRun + 1
+	s.gangRun = number
+	runs := make([]*run, len(s.tasks))
+	for i, x := range s.tasks {
+		runs[i] = m.place(x, plan[i], number, now)
+	}
+	m.startIfFits(runs)
+	return true
+}
+
+// set is a set of targets that could hold a gang.
+type set struct {
+	targets []*target
+	far     int // how often the gang runs slower there by the far factor: 0 to 2
+}
+
+// sets returns the sets of targets that could hold the whole gang if they were
+// empty, those first on which it runs fastest. A gang that wants one rack still
+// may run over several, and one whose data is on a rack on another, only slower.
+func (m *Machine) sets(s *step, now time.Time) []set {
+	byRack := map[string][]*target{}
+	var racks []string
+	var all []*target
+	for _, t := range m.byID {
+		if !s.suits(t, now) {
+			continue
+		}
+		if byRack[t.Rack] == nil {
+			racks = append(racks, t.Rack)
+		}
+		byRack[t.Rack] = append(byRack[t.Rack], t)
+		all = append(all, t)
+	}
+	if !s.spec.SameRack && s.spec.DataRack == "" {
+		return []set{{targets: all}}
+	}
+	slices.Sort(racks)
+	var list []set
+	for _, r := range racks {
+		c := set{targets: byRack[r]}
+		if s.spec.DataRack != "" && r != s.spec.DataRack {
+			c.far++
+		}
+		if s.holds(c.targets) {
+			list = append(list, c)
+		}
+	}
+	everywhere := set{targets: all}
+	if s.spec.DataRack != "" {
+		everywhere.far++
+	}
+	if s.spec.SameRack {
+		everywhere.far++
+	}
+	list = append(list, everywhere)
+	slices.SortStableFunc(list, func(a, b set) int { return cmp.Compare(a.far, b.far) })
+	return list
+}
+
+// holds reports whether empty targets could hold the gang.
+func (s *step) holds(targets []*target) bool {
+	charge, n := s.spec.Charge(), 0
+	for _, t := range targets {
+		n += min(fitting(charge, t.Capacity), max(s.spread(t), 0))
+	}
+	return n >= len(s.tasks)
+}
+
+// fitting returns how many tasks fit into room.
+func fitting(charge, room graph.Resources) int {
+	n := maxTasksPerTarget
+	if charge.CPU > 0 {
+		n = min(n, room.CPU/charge.CPU)
+	}
+	if charge.MemoryMB > 0 {
+		n = min(n, room.MemoryMB/charge.MemoryMB)
+	}
+	if charge.Accelerators > 0 {
+		n = min(n, room.Accelerators/charge.Accelerators)
+	}
+	return max(n, 0)
+}
+
+// maxTasksPerTarget bounds how many tasks without needs are thought to fit a
+// target.
+const maxTasksPerTarget = 1024
+
+// planGang returns a target for each task of a gang, or nil. Sets on which it
+// runs equally fast are tried together: first as they are, then with room cleared
+// for it. A gang on a slower set would hold its accelerators for as many times
+// longer, which costs others more than its own wait: so it takes one only if it
+// must begin now, or if nothing can be earned any more by waiting.
+func (m *Machine) planGang(s *step, now time.Time) []*target {
+	sets := m.sets(s, now)
+	for first := 0; first < len(sets); {
+		last := first
+		for last < len(sets) && sets[last].far == sets[first].far {
+			last++
+		}
+		if plan := m.planOn(s, sets[first:last], now); plan != nil {
+			return plan
+		}
+		if !m.mustBegin(s, now) && m.wallMS(now) <= s.lastStart() {
+			return nil
+		}
+		first = last
+	}
+	return nil
+}
+
+// planOn plans a gang on one of the sets: the one that is left with the least
+// room or, if none has room, the one that is cleared at the least cost.
+func (m *Machine) planOn(s *step, sets []set, now time.Time) []*target {
+	var best []*target
+	bestLeft := 0
+	for _, c := range sets {
+		if plan, left := m.fill(s, c.targets); plan != nil && (best == nil || left < bestLeft) {
+			best, bestLeft = plan, left
+		}
+	}
+	if best == nil && s.job.spec.Priority == 0 {
+		return m.clearForGang(s, sets, now)
+	}
+	return best
+}
+
+// fill puts a gang's tasks on the targets of a set, each where it fits best, and
+// returns how many accelerators of the set are left free then.
+func (m *Machine) fill(s *step, targets []*target) (plan []*target, left int) {
+	charge := s.spec.Charge()
+	room := make([]graph.Resources, len(targets))
+	slots := make([]int, len(targets))
+	total := 0
+	for i, t := range targets {
+		if !m.heldFor(t, s) {
+			room[i], slots[i] = t.room(), s.spread(t)
+		}
+		total += min(fitting(charge, room[i]), max(slots[i], 0))
+		left += room[i].Accelerators
+	}
+	if total < len(s.tasks) {
+		return nil, 0
+	}
+	for _, x := range s.tasks {
+		best := -1
+		var bestFit fit
+		for i, t := range targets {
+			if slots[i] <= 0 || !charge.Within(room[i]) {
+				continue
+			}
+			if f := m.fitOf(x, t, room[i]); best < 0 || f.compare(bestFit) < 0 {
+				best, bestFit = i, f
+			}
+		}
+		room[best] = room[best].Minus(charge)
+		slots[best]--
+		plan = append(plan, targets[best])
+	}
+	return plan, left - len(plan)*charge.Accelerators
+}
+
+// startIfFits notes runs that were just placed if the room for all of them is
+// free now; else they wait for it.
+func (m *Machine) startIfFits(runs []*run) {
+	if fitTogether(runs) {
+		m.note(runs)
+	}
+}
+
+// fitTogether reports whether what may exist on the runs' targets leaves room
+// for all of them.
+func fitTogether(runs []*run) bool {
+	need := map[*target]graph.Resources{}
+	for _, r := range runs {
+		need[r.target] = need[r.target].Plus(r.charge)
+	}
+	for t, n := range need {
+		if !n.Within(t.Capacity.Minus(t.used)) {
+			return false
+		}
+	}
+	return true
+}
+
+// startWaiting notes runs whose room has become free, and gives up those whose
+// target takes no work any more.
+func (m *Machine) startWaiting(now time.Time) {
+	for _, group := range m.waitingGroups() {
+		lost := slices.ContainsFunc(group, func(r *run) bool { return !r.target.open(now) })
+		switch {
+		case lost:
+			for _, r := range group {
+				m.release(r, now)
+			}
+		case fitTogether(group):
+			m.note(group)
+		}
+	}
+}
+
+// waitingGroups returns the runs that wait for room: gangs together, others
+// alone, in the order in which they were placed.
+func (m *Machine) waitingGroups() [][]*run {
+	var groups [][]*run
+	gangs := map[*step]int{}
+	for _, t := range m.byID {
+		if t.promised == (graph.Resources{}) {
+			continue
+		}
+		for _, r := range t.sortedRuns() {
+			if r.phase != waiting {
+				continue
+			}
+			s := r.task.step
+			if at, ok := gangs[s]; ok && s.spec.Gang {
+				groups[at] = append(groups[at], r)
+				continue
+			}
+			gangs[s] = len(groups)
+			groups = append(groups, []*run{r})
+		}
+	}
+	slices.SortStableFunc(groups, func(a, b []*run) int { return a[0].placedAt.Compare(b[0].placedAt) })
+	return groups
+}
--- a/internal/work/dispatch/job.go
+++ b/internal/work/dispatch/job.go
@@ -48,8 +48,9 @@
 	failures   []int // numbers of its runs that failed
 	saved      string
 	pausedTo   time.Time
-	readyAt    time.Time // when it could first start
-	listedOpen bool      // it is among the machine's open steps
+	rank       int64         // order among the open steps in this pass
+	tail       time.Duration // estimated work from this step on, along the longest chain
+	listedOpen bool          // it is among the machine's open steps
 }
 
 // task is one task of a step.
@@ -103,7 +104,15 @@
 	}
 	j.opened++
 	j.undone += len(j.spec.Steps)
-	return j.steps[first:]
+	opened := j.steps[first:]
+	for i := len(opened) - 1; i >= 0; i-- {
+		s := opened[i]
+		for _, n := range s.next {
+			s.tail = max(s.tail, n.tail)
+		}
+		s.tail += s.spec.Estimate
+	}
+	return opened
 }
 
 // find returns the task, or nil if the job has no such task or the occurrence
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -13,22 +13,25 @@
 
 // Machine decides for one term.
 type Machine struct {
-	bounds    Bounds
-	term      int64
-	log       Log
-	wall      time.Duration // time of day minus the steady time that is passed in
-	targets   map[string]*target
-	byID      []*target // by id, so that decisions do not depend on map order
-	jobs      map[graph.JobID]*job
-	recurring []*job  // in the order in which they came
-	open      []*step // steps that have tasks to start, in the order in which they came
-	parts     []part
-	out       []Command
-	begun     bool      // placing is allowed
-	heirEnd   time.Time // an earlier leader's leases have lapsed by then
-	blind     bool      // an earlier leader may have started what no row notes
-	changed   bool      // something may be startable that was not
-	deposed   bool
+	bounds     Bounds
+	term       int64
+	log        Log
+	wall       time.Duration // time of day minus the steady time that is passed in
+	targets    map[string]*target
+	byID       []*target // by id, so that decisions do not depend on map order
+	jobs       map[graph.JobID]*job
+	recurring  []*job  // in the order in which they came
+	open       []*step // steps that have tasks to start, in the order in which they came
+	parts      []part
+	out        []Command
+	begun      bool                       // placing is allowed
+	heirEnd    time.Time                  // an earlier leader's leases have lapsed by then
+	heldBack   map[*target]map[*step]bool // targets kept for urgent steps, in this pass
+	smallest   graph.Resources            // needs of the smallest task with one accelerator
+	guaranteed map[string]int             // accelerators for jobs of priority 0, by account
+	blind      bool                       // an earlier leader may have started what no row notes
+	changed    bool                       // something may be startable that was not
+	deposed    bool
 }
 
 // Log takes in what was decided, one line for each decision. Its methods must
@@ -77,6 +80,10 @@
 // Depose ends the machine's term.
 func (m *Machine) Depose() { m.deposed = true }
 
+// SetGuarantees tells how many accelerators each client account is guaranteed for
+// its jobs of priority 0.
+func (m *Machine) SetGuarantees(byAccount map[string]int) { m.guaranteed = byAccount }
+
 // SetWall tells the time of day minus the steady time that the other methods
 // are given.
 func (m *Machine) SetWall(offset time.Duration) { m.wall = offset }
