dispatch: looks beside holds that may be lost; load tests of clearing and fit

Change: a look without waiting beside the hold once its time is over or a stop was answered and its end is not listed; order time-outs from 600 to 350 ms; a new leader waits at most 150 ms for the first reports of all targets before it places. A driver for the machine over the stand-in targets, and tests of clearing, fit, spreading, whole targets kept, targets held back.

--- a/internal/host/dispatcher/carry.go
+++ b/internal/host/dispatcher/carry.go
@@ -66,7 +66,7 @@
 	}
 	o.post(func(now time.Time) {
 		if err != nil {
-			o.machine.HoldFailed(c.Target.ID, err, now)
+			o.machine.HoldFailed(c.Target.ID, c, err, now)
 			return
 		}
 		o.machine.Held(c.Target.ID, c, rep, now)
--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -27,8 +27,8 @@
 	scanEvery  = time.Second            // for jobs whose message was lost
 	storeTime  = 2 * time.Second        // bounds a call to the store
 	storePause = 150 * time.Millisecond // between two tries
-	orderTime  = 600 * time.Millisecond // bounds a start or stop: well under the time that gangs wait
-	holdExtra  = time.Second            // bounds a report beyond the time that it waits
+	orderTime  = 350 * time.Millisecond // bounds a start or stop: a tenth of the time that gangs wait
+	holdExtra  = 600 * time.Millisecond // bounds a report beyond the time that it waits
 	backlog    = 4096                   // events that wait for the loop
 )
 
@@ -203,7 +203,7 @@
 	o.set(o)
 	o.every(listEvery, o.list)
 	o.every(scanEvery, o.scan)
-	o.machine.Begin(heirEnd, false)
+	o.machine.Begin(heirEnd, o.clock(), false)
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
--- a/internal/work/dispatch/bounds.go
+++ b/internal/work/dispatch/bounds.go
@@ -31,9 +31,10 @@
 	// leaseSlack is added to the time after which a lease is believed over, for
 	// the whole milliseconds of the target's clock and the way there.
 	leaseSlack = 100 * time.Millisecond
-	// retryOrder is the pause before an order without an answer is sent again:
-	// long enough for a lost packet to be sent again by TCP.
-	retryOrder = 250 * time.Millisecond
+	// retryOrder is the time from an order to the next try if it got no answer:
+	// long enough for a lost packet to be sent again by TCP, and a tenth of the
+	// time that gangs wait.
+	retryOrder = 300 * time.Millisecond
 	// startTries is how often a start without an answer is sent before the run
 	// is given up: with retryOrder well under the time that gangs wait.
 	startTries = 3
--- /dev/null
+++ b/internal/work/dispatch/clearing_test.go
@@ -0,0 +1,93 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/work/graph"
+	"guavaglade.example/guavaglade/internal/work/progress"
+)
+
+// An urgent gang arrives while small tasks fill its rack. It is in time only if
+// their room is cleared; they are run again and all ends well.
+func TestRoomIsCleared(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 4, DefaultBounds())
+	d.submit(2, 6*time.Second, small(32))
+	d.run(time.Second)
+	id := d.submit(0, 2500*time.Millisecond, urgent(2, 8))
+	d.run(4 * time.Second)
+	is.True(d.took(id) > 0)
+	is.True(d.took(id) < 4*time.Second) // its objective
+	d.run(20 * time.Second)
+	d.check()
+}
+
+// An urgent job of one small task arrives while a large gang fills the fleet and
+// would lose far more work than the job is worth. It waits; the gang goes on.
+func TestLargeGangIsNotStoppedForLittle(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 4, DefaultBounds())
+	gang := d.submit(1, 8*time.Second, large(4, 8))
+	d.run(5 * time.Second)
+	d.submit(0, 2500*time.Millisecond, urgent(1, 1))
+	d.run(3500 * time.Millisecond)
+	is.True(d.took(gang) > 0) // not stopped
+	d.run(20 * time.Second)
+	d.check()
+}
+
+// The same urgent job, where its account is guaranteed an accelerator: it begins
+// in time whatever the gang loses.
+func TestGuaranteeIsReclaimed(t *testing.T) {
+	is := is.New(t)
+	b := DefaultBounds()
+	d := newDrive(t, 1, 4, b)
+	d.m.SetGuarantees(map[string]int{"a": 8})
+	d.submit(1, 8*time.Second, large(4, 8))
+	d.run(time.Second)
+	id := d.submit(0, 2500*time.Millisecond, urgent(1, 1))
+	d.run(b.ReclaimTime)
+	is.Equal(d.state(id), progress.Running)
+	d.run(40 * time.Second)
+	d.check()
+}
+
+// Room is cleared for an urgent gang, and the holds that would tell that the
+// stopped tasks have ended are lost. A look beside each finds it: the gang waits
+// for some tenths of a second and not for the holds' time-out.
+func TestClearedRoomIsFoundThoughHoldsAreLost(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 4, DefaultBounds())
+	d.submit(2, 6*time.Second, small(32))
+	d.run(1500 * time.Millisecond)
+	d.lose = func(c Command) bool {
+		h, ok := c.(Hold)
+		return ok && !h.Look
+	}
+	d.run(1500 * time.Millisecond) // the holds that were answered are asked again, and lost
+	id := d.submit(0, 2500*time.Millisecond, urgent(2, 8))
+	d.run(1500 * time.Millisecond)
+	is.Equal(d.state(id), progress.Running)
+	d.lose = nil
+	d.run(25 * time.Second)
+	d.check()
+}
+
+// Two urgent gangs wait for room that must not be cleared yet. Targets are held
+// back for them, so small tasks that arrive later do not take each bit that comes
+// free.
+func TestTargetsAreHeldBack(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 2, DefaultBounds())
+	d.submit(1, 3*time.Second, graph.Step{Count: 2, Needs: graph.Resources{CPU: 26000, Accelerators: 8}, Estimate: 8 * time.Second, Gang: true})
+	d.run(2500 * time.Millisecond)
+	id := d.submit(0, 2500*time.Millisecond, urgent(2, 4))
+	d.submit(2, 6*time.Second, small(16))
+	d.run(time.Second) // the large gang ends
+	is.Equal(d.state(id), progress.Running)
+	d.run(30 * time.Second)
+	d.check()
+}
--- a/internal/work/dispatch/command.go
+++ b/internal/work/dispatch/command.go
@@ -25,10 +25,12 @@
 }
 
 // Hold asks for a report of a target. The answer goes to Machine.Held or
-// Machine.HoldFailed. A target has one hold outstanding at most.
+// Machine.HoldFailed. A target has one hold outstanding at most, and beside it
+// one look.
 type Hold struct {
 	Target order.Address
 	Order  order.Hold
+	Look   bool      // beside a hold that may have been lost
 	Sent   time.Time // when the machine asked for it
 }
 
--- /dev/null
+++ b/internal/work/dispatch/drive_test.go
@@ -0,0 +1,242 @@
+package dispatch
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/fleet/roster"
+	"guavaglade.example/guavaglade/internal/standin/pool"
+	"guavaglade.example/guavaglade/internal/work/graph"
+	"guavaglade.example/guavaglade/internal/work/progress"
+)
+
+// Times of the driver: those of today's deployments.
+const (
+	driveStep = 10 * time.Millisecond
+	oneWay    = time.Millisecond
+	saveTime  = 12 * time.Millisecond
+)
+
+// drive runs a machine against the stand-in targets, step by step.
+type drive struct {
+	t       testing.TB
+	m       *Machine
+	p       *pool.Pool
+	now     time.Time
+	agenda  []happening
+	version int64
+	lose    func(c Command) bool // commands that are lost without an answer; nil: none
+	log     []string
+	ended   map[graph.JobID]time.Time // when jobs were shown as ended
+	asked   map[graph.JobID]time.Time
+	nextID  int
+}
+
+type happening struct {
+	at time.Time
+	do func()
+}
+
+// newDrive returns a machine in its first term over racks of targets with eight
+// accelerators each.
+func newDrive(t testing.TB, racks, perRack int, b Bounds) *drive {
+	d := &drive{
+		t: t, p: pool.New(pool.DefaultBounds()), now: time.Unix(1000, 0),
+		ended: map[graph.JobID]time.Time{}, asked: map[graph.JobID]time.Time{},
+	}
+	for r := range racks {
+		for i := range perRack {
+			name := fmt.Sprintf("r%d-%d", r, i)
+			d.p.Add(roster.Target{
+				ID: name + "#1", Address: name, Zone: fmt.Sprintf("z%d", r%3), Service: "s",
+				Capacity: graph.Resources{CPU: 64000, MemoryMB: 262144, Accelerators: 8}, Labels: []string{"a"}, Rack: fmt.Sprintf("r1-%d", r),
+			}, 1, d.now)
+		}
+	}
+	d.m = New(1, b, WithLog(d))
+	d.m.Listed(d.p.Roster(), d.now)
+	d.m.Begin(d.now, d.now, false)
+	d.decide()
+	d.run(100 * time.Millisecond)
+	return d
+}
+
+// Decided implements Log.
+func (d *drive) Decided(what string, kv ...any) {
+	d.log = append(d.log, fmt.Sprintf("%7.3f %s %v", d.now.Sub(time.Unix(1000, 0)).Seconds(), what, kv))
+}
+
+func (d *drive) after(wait time.Duration, f func()) {
+	h := happening{at: d.now.Add(wait), do: f}
+	at, _ := slices.BinarySearchFunc(d.agenda, h, func(a, b happening) int {
+		if c := a.at.Compare(b.at); c != 0 {
+			return c
+		}
+		return -1
+	})
+	d.agenda = slices.Insert(d.agenda, at, h)
+}
+
+// run lets time pass.
+func (d *drive) run(span time.Duration) {
+	until := d.now.Add(span)
+	for d.now.Before(until) {
+		next := d.now.Add(driveStep)
+		for len(d.agenda) > 0 && !d.agenda[0].at.After(next) {
+			h := d.agenda[0]
+			d.agenda = d.agenda[1:]
+			if h.at.After(d.now) {
+				d.now = h.at
+			}
+			h.do()
+			d.decide()
+		}
+		d.now = next
+		d.p.Advance(d.now)
+		if d.now.UnixMilli()%100 == 0 {
+			d.m.Tick(d.now)
+			d.decide()
+		}
+	}
+}
+
+func (d *drive) decide() {
+	for _, c := range d.m.Decide(d.now) {
+		d.carryOut(c)
+	}
+	for id := range d.asked {
+		if s, ok := d.m.State(id); ok && s.Final() {
+			if _, seen := d.ended[id]; !seen {
+				d.ended[id] = d.now
+			}
+		}
+	}
+}
+
+func (d *drive) carryOut(c Command) {
+	lost := d.lose != nil && d.lose(c)
+	switch c := c.(type) {
+	case Start:
+		d.give(lost, func() (int64, error) { return d.p.Start(c.Target, c.Order, d.now) }, func(clock int64, err error) {
+			d.m.StartAnswered(c.Target.ID, c.Order.Run, clock, err, d.now)
+		})
+	case Stop:
+		d.give(lost, func() (int64, error) { return d.p.Stop(c.Target, c.Run, d.m.Term(), d.now) }, func(clock int64, err error) {
+			d.m.StopAnswered(c.Target.ID, c.Run, clock, err, d.now)
+		})
+	case Hold:
+		if lost {
+			d.after(c.Order.Wait+600*time.Millisecond, func() { d.m.HoldFailed(c.Target.ID, c, order.ErrUnanswered, d.now) })
+			return
+		}
+		d.after(oneWay, func() { d.hold(c, d.now.Add(c.Order.Wait)) })
+	case Save:
+		d.after(saveTime, func() {
+			d.version++
+			d.m.Saved(c.Part, d.version, d.now)
+		})
+	}
+}
+
+// give carries an order out and tells the machine the answer, or after a while
+// that there was none.
+func (d *drive) give(lost bool, do func() (int64, error), answer func(clock int64, err error)) {
+	if lost {
+		d.after(350*time.Millisecond, func() { answer(0, order.ErrUnanswered) })
+		return
+	}
+	d.after(oneWay, func() {
+		clock, err := do()
+		d.after(oneWay, func() { answer(clock, err) })
+	})
+}
+
+// hold answers a hold once there is an end to tell or its time is over.
+func (d *drive) hold(c Hold, until time.Time) {
+	rep, err := d.p.Hold(c.Target, c.Order, d.now)
+	if err == nil && len(rep.Ended) == 0 && d.now.Before(until) {
+		d.after(driveStep, func() { d.hold(c, until) })
+		return
+	}
+	d.after(oneWay, func() {
+		if err != nil {
+			d.m.HoldFailed(c.Target.ID, c, err, d.now)
+			return
+		}
+		d.m.Held(c.Target.ID, c, rep, d.now)
+	})
+}
+
+// submit hands in a job whose tasks take so long.
+func (d *drive) submit(priority int, work time.Duration, steps ...graph.Step) graph.JobID {
+	d.nextID++
+	j := &graph.Job{
+		ID: graph.JobID(fmt.Sprintf("%016x", d.nextID)), Queue: "q", Service: "s", Account: "a", Priority: priority,
+		MaxAttempts: 3, Slack: 3, Allowance: time.Second, Steps: steps, AcceptedAt: d.now.UnixMilli(),
+	}
+	if priority == 0 {
+		j.Slack, j.Allowance = 1.5, 250*time.Millisecond
+	}
+	d.p.Submit(j, pool.Behaviour{Work: func(graph.TaskID) time.Duration { return work }})
+	d.asked[j.ID] = d.now
+	d.m.Accept(j, d.now)
+	d.decide()
+	return j.ID
+}
+
+// took returns how long a job took until it was shown as ended, or 0 if it has
+// not ended.
+func (d *drive) took(id graph.JobID) time.Duration {
+	at, ok := d.ended[id]
+	if !ok {
+		return 0
+	}
+	return at.Sub(d.asked[id])
+}
+
+// check fails the test for each breach, and for each job that has not ended.
+func (d *drive) check() {
+	d.t.Helper()
+	for _, b := range d.p.Breaches() {
+		d.t.Error(b)
+	}
+	for id := range d.asked {
+		if s, _ := d.m.State(id); !s.Final() {
+			d.t.Errorf("job %s is %s", id, s)
+		}
+	}
+	if d.t.Failed() {
+		for _, l := range d.log[max(0, len(d.log)-200):] {
+			d.t.Log(l)
+		}
+	}
+}
+
+func (d *drive) state(id graph.JobID) progress.State {
+	s, _ := d.m.State(id)
+	return s
+}
+
+// task returns a step of single tasks like those that fill the racks.
+func small(count int) graph.Step {
+	return graph.Step{Count: count, Needs: graph.Resources{CPU: 5600, MemoryMB: 29000, Accelerators: 1}, Estimate: 6 * time.Second}
+}
+
+// large returns a gang of large tasks on one rack.
+func large(count, accelerators int) graph.Step {
+	return graph.Step{
+		Count: count, Needs: graph.Resources{CPU: 26000, MemoryMB: 75000, Accelerators: accelerators},
+		Estimate: 8500 * time.Millisecond, Gang: true, SameRack: true,
+	}
+}
+
+// urgent returns a gang as urgent jobs ask for.
+func urgent(count, accelerators int) graph.Step {
+	return graph.Step{
+		Count: count, Needs: graph.Resources{CPU: 7500, MemoryMB: 39000, Accelerators: accelerators},
+		Estimate: 2500 * time.Millisecond, Gang: true, SameRack: true,
+	}
+}
--- /dev/null
+++ b/internal/work/dispatch/fit_test.go
@@ -0,0 +1,105 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/work/graph"
+)
+
+// Large tasks with one accelerator each take 26 of a target's 64 cores. Two on
+// one target leave 12 cores for six accelerators, so four could not be used:
+// they are spread, one to a target, and small tasks use what is left beside
+// them.
+func TestLargeTasksAreSpread(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 8, DefaultBounds())
+	d.submit(2, 6*time.Second, small(1))
+	d.run(100 * time.Millisecond)
+	d.submit(1, 8*time.Second, large(4, 1))
+	d.run(100 * time.Millisecond)
+	most := 0
+	for _, x := range d.m.byID {
+		n := 0
+		for r := range x.runs {
+			if d.m.jobs[r.Task.Job].spec.Priority == 1 {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	is.Equal(most, 1)
+	d.submit(2, 6*time.Second, small(48))
+	d.run(100 * time.Millisecond)
+	is.True(d.m.Counts().Runs >= 52) // nearly all accelerators work
+	d.run(20 * time.Second)
+	d.check()
+}
+
+// Small tasks fill targets on which something runs before they break into an
+// empty one, so whole targets stay free for gangs of large ones.
+func TestWholeTargetsAreKept(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 2, 4, DefaultBounds())
+	for range 8 {
+		d.submit(2, 5*time.Second, small(2))
+		d.run(50 * time.Millisecond)
+	}
+	empty := 0
+	for _, x := range d.m.byID {
+		if len(x.runs) == 0 {
+			empty++
+		}
+	}
+	is.Equal(empty, 6)
+	d.run(20 * time.Second)
+	d.check()
+}
+
+// A gang that wants one rack and is larger than any runs over two, slower,
+// rather than never.
+func TestGangLargerThanARack(t *testing.T) {
+	d := newDrive(t, 2, 2, DefaultBounds())
+	d.submit(1, 2*time.Second, large(4, 8))
+	d.run(10 * time.Second)
+	d.check()
+}
+
+// A task whose data is on a rack that is full runs elsewhere; one whose rack has
+// room runs there.
+func TestDataRack(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 2, 2, DefaultBounds())
+	s := small(1)
+	s.DataRack = "r1-1"
+	d.submit(2, 2*time.Second, s)
+	d.run(100 * time.Millisecond)
+	for _, x := range d.m.byID {
+		if x.Rack != "r1-1" {
+			is.Equal(len(x.runs), 0)
+		}
+	}
+	d.run(10 * time.Second)
+	d.check()
+}
+
+// Tasks of a step that are to be apart are, also while they are started again.
+func TestTasksApart(t *testing.T) {
+	d := newDrive(t, 1, 4, DefaultBounds())
+	s := small(8)
+	s.PerTarget = 2
+	d.submit(2, time.Second, s)
+	d.run(5 * time.Second)
+	d.check()
+}
+
+func TestFitting(t *testing.T) {
+	is := is.New(t)
+	room := graph.Resources{CPU: 64000, MemoryMB: 262144, Accelerators: 8}
+	is.Equal(fitting(graph.Resources{CPU: 26000, MemoryMB: 75000, Accelerators: 1}, room), 2)
+	is.Equal(fitting(graph.Resources{Accelerators: 8}, room), 1)
+	is.Equal(fitting(graph.Resources{MemoryMB: 300000}, room), 0)
+	is.Equal(fitting(graph.Resources{CPU: 1}, graph.Resources{CPU: -5}), 0)
+}
--- a/internal/work/dispatch/hold.go
+++ b/internal/work/dispatch/hold.go
@@ -29,6 +29,44 @@
 		m.tickRun(r, now)
 	}
 	m.holdIfDue(t, now)
+	m.lookIfDue(t, now)
+}
+
+// Figures of looks beside a hold.
+const (
+	// overdue is how long after its time a hold counts as lost.
+	overdue = 300 * time.Millisecond
+	// lookAfter is how long after a stop was answered its end is missed. A stop
+	// takes up to 400 ms, and most take half of it.
+	lookAfter = 450 * time.Millisecond
+	// lookEvery is the time between two looks at one target.
+	lookEvery = 400 * time.Millisecond
+)
+
+// lookIfDue asks for a report beside the hold that is outstanding, if that may
+// have been lost: its time is over, or a stop was answered and its end is not
+// listed. Without it a lost hold blinds the leader until its time-out, and room
+// that was cleared for urgent work goes unused for as long.
+func (m *Machine) lookIfDue(t *target, now time.Time) {
+	if !t.holding || t.looking || t.reach != held || now.Sub(t.lookedAt) < lookEvery {
+		return
+	}
+	if now.Sub(t.heldAt) < holdWait+overdue && !t.missesEnd(now) {
+		return
+	}
+	t.looking, t.lookedAt = true, now
+	m.out = append(m.out, Hold{Target: t.address(), Order: order.Hold{Term: m.term, Acked: t.acked}, Look: true, Sent: now})
+}
+
+// missesEnd reports whether a stop was answered long ago and its end was not
+// listed since.
+func (t *target) missesEnd(now time.Time) bool {
+	for _, r := range t.runs {
+		if r.phase == stopping && !r.settledAt.IsZero() && now.Sub(r.settledAt) >= lookAfter {
+			return true
+		}
+	}
+	return false
 }
 
 // holdIfDue asks for a report: the first one of this term at once; later ones
@@ -70,7 +108,7 @@
 			h.Deadline = t.grant(now, m.bounds.Lease)
 		}
 	}
-	t.holding = true
+	t.holding, t.heldAt = true, now
 	m.out = append(m.out, Hold{Target: t.address(), Order: h, Sent: now})
 }
 
@@ -80,7 +118,8 @@
 	if t == nil {
 		return
 	}
-	t.holding = false
+	t.answered(h)
+	t.heardAt = now
 	t.heardClock(rep.Clock, now)
 	t.sentAck = max(t.sentAck, h.Order.Acked)
 	if t.reach != held {
@@ -107,12 +146,21 @@
 	if len(t.ends) > 0 {
 		t.endsDue = now.Add(unsavedPause)
 	}
-	if len(rep.Running) > 0 && h.Order.Deadline == 0 {
+	if len(rep.Running) > 0 && h.Order.Deadline == 0 && !t.holding {
 		m.hold(t, 0, now) // its clock was not known: renew the lease at once
 	}
 	m.changed = true
 }
 
+// answered notes that a hold is no longer outstanding.
+func (t *target) answered(h Hold) {
+	if h.Look {
+		t.looking = false
+	} else {
+		t.holding = false
+	}
+}
+
 // fullList is the number of ends at which a report may have left some out.
 const fullList = 500
 
@@ -131,18 +179,20 @@
 }
 
 // HoldFailed takes in that a target did not report.
-func (m *Machine) HoldFailed(id string, err error, now time.Time) {
+func (m *Machine) HoldFailed(id string, h Hold, err error, now time.Time) {
 	t := m.targets[id]
 	if t == nil {
 		return
 	}
-	t.holding = false
+	t.answered(h)
 	switch {
 	case errors.Is(err, order.ErrFenced):
 		m.fenced(t, "hold")
 		return
 	case errors.Is(err, order.ErrOtherLife):
 		m.lifeOver(t, now)
+	case t.heardAt.After(h.Sent):
+		// It answered another one since: only this one was lost.
 	default:
 		m.quiet(t, err, now)
 	}
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -24,7 +24,8 @@
 	open       []*step // steps that have tasks to start, in the order in which they came
 	parts      []part
 	out        []Command
-	begun      bool                       // placing is allowed
+	begun      bool // placing is allowed
+	begunAt    time.Time
 	heirEnd    time.Time                  // an earlier leader's leases have lapsed by then
 	heldBack   map[*target]map[*step]bool // targets kept for urgent steps, in this pass
 	smallest   graph.Resources            // needs of the smallest task with one accelerator
@@ -96,8 +97,8 @@
 // heirEnd. Runs that it noted are waited for until then. If it may have started
 // some that it could not note, no job accepted before this term gets new runs
 // until then, unless every target has reported.
-func (m *Machine) Begin(heirEnd time.Time, blind bool) {
-	m.begun, m.heirEnd, m.blind, m.changed = true, heirEnd, blind, true
+func (m *Machine) Begin(heirEnd, now time.Time, blind bool) {
+	m.begun, m.begunAt, m.heirEnd, m.blind, m.changed = true, now, heirEnd, blind, true
 	for _, t := range m.byID {
 		if t.reach == unheld {
 			t.leaseEnd = heirEnd
--- a/internal/work/dispatch/schedule.go
+++ b/internal/work/dispatch/schedule.go
@@ -10,7 +10,7 @@
 // Decide returns the commands that follow from what the machine was told since
 // the last call: starts, stops, reports to ask for and progress to save.
 func (m *Machine) Decide(now time.Time) []Command {
-	if m.begun && m.changed && !m.deposed {
+	if m.begun && m.changed && !m.deposed && !m.gathers(now) {
 		m.changed = false
 		m.startWaiting(now)
 		m.schedule(now)
@@ -58,6 +58,19 @@
 	m.open = kept
 }
 
+// gatherTime is how long a new leader waits for the first reports of all targets
+// before it places anything: most come within a few round trips, and what is
+// placed on the first few is placed badly.
+const gatherTime = 150 * time.Millisecond
+
+// gathers reports whether the first reports are still awaited.
+func (m *Machine) gathers(now time.Time) bool {
+	if now.Sub(m.begunAt) >= gatherTime {
+		return false
+	}
+	return slices.ContainsFunc(m.byID, func(t *target) bool { return t.listed && t.reach == unheld })
+}
+
 // heirsUnknown reports whether a target may still run something that an earlier
 // leader started and that has not been reported.
 func (m *Machine) heirsUnknown(now time.Time) bool {
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -31,6 +31,10 @@
 	clockAt    time.Time                 // when that was received
 	leaseEnd   time.Time                 // everything that was ordered there has lapsed by then
 	holding    bool                      // a hold is outstanding
+	heldAt     time.Time                 // when the outstanding hold was sent
+	looking    bool                      // a look is outstanding
+	lookedAt   time.Time                 // when the last look was sent
+	heardAt    time.Time                 // when it last reported
 	holdAgain  time.Time                 // not before
 	reported   bool                      // a first report came in this term
 	seen       int64                     // highest end number that was taken in
