dispatch: an end of a job that is over changes nothing

Change: ends of jobs that are over change nothing; every end waits for what of its job is not saved yet, also if it changes nothing itself (a gang's second end could be acknowledged before the first one's effect was saved). A refused save pauses. Elections draw from a source that is passed in. Found scripts are kept in testdata/chaos, with stories of each as tests of the machine.

--- a/internal/host/leader/election.go
+++ b/internal/host/leader/election.go
@@ -71,6 +71,7 @@
 	lead      Lead
 	own       Row // term 0; holder and address of this host
 	clock     steady.Clock
+	draw      func(n int64) int64 // a random number from 0 up to n
 	log       logr.Logger
 	mu        sync.Mutex
 	seen      Row
@@ -89,9 +90,13 @@
 // system's.
 func WithClock(c steady.Clock) Option { return func(e *Election) { e.clock = c } }
 
+// WithDraw sets what returns a random number from 0 up to n, by default that of
+// math/rand.
+func WithDraw(draw func(n int64) int64) Option { return func(e *Election) { e.draw = draw } }
+
 // New returns an election for the host with the name and the address for peers.
 func New(s store.Store, p Peer, lead Lead, holder, address string, log logr.Logger, opts ...Option) *Election {
-	e := &Election{store: s, peer: p, lead: lead, own: Row{Holder: holder, Address: address}, clock: steady.Now, log: log, handed: make(chan handed)}
+	e := &Election{store: s, peer: p, lead: lead, own: Row{Holder: holder, Address: address}, clock: steady.Now, draw: rand.Int64N, log: log, handed: make(chan handed)}
 	for _, o := range opts {
 		o(e)
 	}
@@ -163,22 +168,24 @@
 		// Time during which the store does not answer does not count against
 		// the leader: it cannot write its row either.
 		e.restart()
-		pause(ctx, Look)
+		e.pause(ctx, Look)
 		return false
 	}
 	if e.ripe() {
 		return true
 	}
 	if now := e.Leader(); now.Term == row.Term && now.Holder == row.Holder {
-		pause(ctx, Look)
+		e.pause(ctx, Look)
 	}
 	return false
 }
 
-func pause(ctx context.Context, d time.Duration) {
+// pause waits between half and one and a half of d, so that hosts which lost the
+// leader together do not ask together again and again.
+func (e *Election) pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(d/2 + time.Duration(rand.Int64N(int64(d)))):
+	case <-time.After(d/2 + time.Duration(e.draw(int64(d)))):
 	}
 }
 
@@ -254,7 +261,7 @@
 		e.serve(ctx, t, next, version, before.over(next))
 		return
 	}
-	pause(ctx, Look/4)
+	e.pause(ctx, Look/4)
 }
 
 // take raises the term of a row as it was seen and puts this host into it.
--- a/internal/proof/deployment/chaos_test.go
+++ b/internal/proof/deployment/chaos_test.go
@@ -1,7 +1,10 @@
 package deployment
 
 import (
+	"encoding/json"
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -114,11 +117,36 @@
 	seeded.Check(t, func(rt *rapid.T) {
 		s := drawScript(rt)
 		if faults, log := s.play(t); len(faults) > 0 {
-			rt.Fatalf("%v\n%s\n%s", s.Troubles, strings.Join(faults, "\n"), log)
+			text, _ := json.Marshal(s) // plain numbers and texts
+			rt.Fatalf("%v\n%s\n%s\nkeep this in testdata/chaos: %s", s.Troubles, strings.Join(faults, "\n"), log, text)
 		}
 	})
 }
 
+// Scripts that once showed a fault, played again. What each showed stands in
+// testdata/chaos/README.md.
+func TestChaosFound(t *testing.T) {
+	files, err := filepath.Glob("testdata/chaos/*.json")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no scripts", err)
+	}
+	for _, f := range files {
+		t.Run(filepath.Base(f), func(t *testing.T) {
+			text, err := os.ReadFile(f)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var s script
+			if err := json.Unmarshal(text, &s); err != nil {
+				t.Fatal(err)
+			}
+			if faults, log := s.play(t); len(faults) > 0 {
+				t.Errorf("%s\n%s", strings.Join(faults, "\n"), log)
+			}
+		})
+	}
+}
+
 // play plays a script and returns the faults and the log.
 func (s script) play(t *testing.T) (faults []string, log string) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/proof/deployment/rig_test.go
+++ b/internal/proof/deployment/rig_test.go
@@ -127,7 +127,7 @@
 	desk := dispatcher.New(gauge, h.line, r.shared, dispatch.DefaultBounds(), log, dispatcher.WithClock(time.Now))
 	x := exchange.New(h.address, desk, catalog.NewKeeper(nil), gauge.Up, func(int64, string) {})
 	h.net = peer.New(x.Handle, nil, r.wires.dial(h.address), logr.Discard())
-	h.election = leader.New(gauge, x, desk.Lead, fmt.Sprintf("%s#%d", name, life), h.address, log, leader.WithClock(time.Now))
+	h.election = leader.New(gauge, x, desk.Lead, fmt.Sprintf("%s#%d", name, life), h.address, log, leader.WithClock(time.Now), leader.WithDraw(r.draw()))
 	h.entry = entry.New(gauge, x, x, log)
 	x.Bind(h.net, h.election, h.entry)
 	listener := r.wires.listen(h.address)
@@ -141,6 +141,12 @@
 	return h
 }
 
+// draw returns a source of random numbers of its own.
+func (r *rig) draw() func(n int64) int64 {
+	rnd := rand.New(rand.NewPCG(r.rnd.Uint64(), 4))
+	return rnd.Int64N
+}
+
 func (r *rig) logger(name string) logr.Logger {
 	return funcr.New(func(_, line string) {
 		r.logging.Lock()
--- a/internal/work/dispatch/ending.go
+++ b/internal/work/dispatch/ending.go
@@ -50,8 +50,7 @@
 
 // ended takes in an end that a target lists for the first time.
 func (m *Machine) ended(t *target, e order.Ended, now time.Time) {
-	r := t.runs[e.Run]
-	if r != nil {
+	if r := t.runs[e.Run]; r != nil {
 		m.release(r, now)
 	}
 	j := m.jobs[e.Run.Task.Job]
@@ -60,30 +59,31 @@
 		t.ends = append(t.ends, mark{number: e.Number})
 		return
 	}
-	k := mark{number: e.Number}
+	m.log.Decided("run ended", "target", t.ID, "task", e.Run.Task, "run", e.Run.Number, "how", e.How, "number", e.Number, "checkpoint", e.Checkpoint)
 	if x := j.find(e.Run.Task); x != nil {
 		x.highest = max(x.highest, e.Run.Number)
 		x.step.gangRun = max(x.step.gangRun, e.Run.Number)
-		if m.takeEnd(x, t, r, e, now) {
-			k.job, k.rev = j, m.touch(j)
+		if m.takeEnd(x, t, e, now) {
+			m.touch(j)
 		}
 	}
-	m.log.Decided("run ended", "target", t.ID, "task", e.Run.Task, "run", e.Run.Number, "how", e.How, "number", e.Number, "checkpoint", e.Checkpoint)
-	t.ends = append(t.ends, k)
+	// Also an end that changes nothing waits for what is not saved yet: another
+	// member's end may have ended the whole gang a moment ago, and must not be
+	// the only one that is left if that save fails.
+	t.ends = append(t.ends, mark{number: e.Number, job: j, rev: j.rev})
 }
 
-// takeEnd applies an end to its task and reports whether that must be saved
-// before the end is acknowledged.
-func (m *Machine) takeEnd(x *task, t *target, r *run, e order.Ended, now time.Time) bool {
+// takeEnd applies an end to its task and reports whether the job's progress has
+// changed. Ends of a job that is over change nothing.
+func (m *Machine) takeEnd(x *task, t *target, e order.Ended, now time.Time) bool {
 	s := x.step
-	j := s.job
-	if e.How == order.Done && !x.done && !s.spec.Lasting {
+	if s.job.over() || x.done {
+		return false
+	}
+	if e.How == order.Done && !s.spec.Lasting {
 		m.done(x, now)
 		return true
 	}
-	if j.over() || x.done {
-		return false
-	}
 	saved := x.keep(e.Checkpoint)
 	if e.How == order.Failed && !s.spec.Lasting {
 		m.failure(x, t, e.Run.Number, now)
--- a/internal/work/dispatch/save.go
+++ b/internal/work/dispatch/save.go
@@ -169,6 +169,8 @@
 // effect as a whole or whose answer was lost. They are saved again over what is
 // there: only this term's leader writes them, so what is there is older.
 func (m *Machine) SaveRefused(at int, found []Found, now time.Time) {
+	m.log.Decided("progress refused", "part", at, "rows", len(found))
+	m.parts[at].again = now.Add(retrySave / 10)
 	for _, f := range found {
 		j := m.jobs[f.Job]
 		if j == nil {
