soundness, dispatch: targets are judged by what becomes of their tasks

Cause: a target that fails all that it starts got new work as long as it had room; tasks that stood still or crawled were left; tasks on leaving targets were lost.

Change: odds that a target is unsound from failures, standstills and successes, fading with time: doubted ones get work last, condemned ones none. Runs that can be resumed are moved when they stand still, crawl or would be cut short; others only after a standstill of 8 s.

--- a/internal/work/dispatch/clearing.go
+++ b/internal/work/dispatch/clearing.go
@@ -16,7 +16,7 @@
 	var best *target
 	var bestCost float64
 	for _, t := range m.byID {
-		if !s.suits(t, now) || m.heldFor(t, s) || s.spread(t) <= 0 || x.avoid[t.ID] {
+		if !s.suits(t, now) || m.heldFor(t, s) || s.spread(t) <= 0 || x.shuns(t) {
 			continue
 		}
 		if _, cost, ok := c.cheapest(t); ok && (best == nil || cost < bestCost) {
--- a/internal/work/dispatch/ending.go
+++ b/internal/work/dispatch/ending.go
@@ -81,6 +81,7 @@
 		return false
 	}
 	if e.How == order.Done && !s.spec.Lasting {
+		t.health.Succeeded(now)
 		m.done(x, now)
 		return true
 	}
@@ -190,7 +191,6 @@
 // several members.
 func (m *Machine) failure(x *task, t *target, run int, now time.Time) {
 	s := x.step
-	t.failed[s.job.spec.ID] = now
 	failures := &x.failures
 	if s.spec.Gang {
 		failures = &s.failures
@@ -199,16 +199,31 @@
 		return
 	}
 	*failures = append(*failures, run)
-	if x.avoid == nil {
-		x.avoid = map[string]bool{}
+	if len(*failures) == 1 { // one that failed elsewhere, too, is itself at fault
+		t.health.Failed(now)
 	}
-	x.avoid[t.ID] = true
+	x.shun(t)
 	if len(*failures) >= s.job.spec.MaxAttempts {
 		m.log.Decided("job failed", "job", s.job.spec.ID, "task", x.id(), "failures", len(*failures), "target", t.ID)
 		m.end(s.job, progress.Failed, now)
 	}
 }
 
+// shun has a task, or its whole gang, rather not run on a target again.
+func (x *task) shun(t *target) {
+	avoid := &x.avoid
+	if x.step.spec.Gang {
+		avoid = &x.step.avoid
+	}
+	if *avoid == nil {
+		*avoid = map[string]bool{}
+	}
+	(*avoid)[t.ID] = true
+}
+
+// shuns reports whether a task would rather not run on a target.
+func (x *task) shuns(t *target) bool { return x.avoid[t.ID] || x.step.avoid[t.ID] }
+
 // seenRunning takes in a run that a target has.
 func (m *Machine) seenRunning(t *target, seen order.Running, now time.Time) {
 	r := t.runs[seen.Run]
@@ -225,7 +240,7 @@
 		r.checkpoint = seen.Checkpoint
 		r.task.keep(seen.Checkpoint)
 	}
-	r.percent, r.reportedAt = seen.Percent, now
+	r.progressed(seen.Percent, now)
 }
 
 // adopt takes over a run that was not started in this term, or whose life was
--- a/internal/work/dispatch/fit.go
+++ b/internal/work/dispatch/fit.go
@@ -36,7 +36,7 @@
 		if !s.suits(t, now) || m.heldFor(t, s) || !charge.Within(t.room()) || s.spread(t) <= 0 {
 			continue
 		}
-		if f := m.fitOf(x, t, t.room()); best == nil || f.compare(bestFit) < 0 {
+		if f := m.fitOf(x, t, t.room(), now); best == nil || f.compare(bestFit) < 0 {
 			best, bestFit = t, f
 		}
 	}
@@ -46,7 +46,7 @@
 // fit says how well a task fits a target; lower is better, the first difference
 // decides.
 type fit struct {
-	failed   int // 1 if it failed there before
+	doubt    int // 1 if it failed there before, or the target is doubted or slow
 	far      int // 1 if its data is on another rack
 	stranded int // accelerators that nobody could use beside it and could before
 	whole    int // 1 if a target without any work is broken into
@@ -56,18 +56,18 @@
 
 func (f fit) compare(o fit) int {
 	return cmp.Or(
-		cmp.Compare(f.failed, o.failed), cmp.Compare(f.far, o.far), cmp.Compare(f.stranded, o.stranded),
+		cmp.Compare(f.doubt, o.doubt), cmp.Compare(f.far, o.far), cmp.Compare(f.stranded, o.stranded),
 		cmp.Compare(f.whole, o.whole), cmp.Compare(f.left, o.left), cmp.Compare(f.cpu, o.cpu),
 	)
 }
 
 // fitOf returns how well a task fits a target with the room.
-func (m *Machine) fitOf(x *task, t *target, room graph.Resources) fit {
+func (m *Machine) fitOf(x *task, t *target, room graph.Resources, now time.Time) fit {
 	charge := x.step.spec.Charge()
 	after := room.Minus(charge)
 	f := fit{left: after.Accelerators, cpu: after.CPU, stranded: m.stranded(after) - m.stranded(room)}
-	if x.avoid[t.ID] {
-		f.failed = 1
+	if x.shuns(t) || t.health.Doubted(now) || t.health.Slow(now) {
+		f.doubt = 1
 	}
 	if rack := x.step.spec.DataRack; rack != "" && t.Rack != rack {
 		f.far = 1
--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -139,7 +139,7 @@
 	var best []*target
 	bestLeft := 0
 	for _, c := range sets {
-		if plan, left := m.fill(s, c.targets); plan != nil && (best == nil || left < bestLeft) {
+		if plan, left := m.fill(s, c.targets, now); plan != nil && (best == nil || left < bestLeft) {
 			best, bestLeft = plan, left
 		}
 	}
@@ -151,7 +151,7 @@
 
 // fill puts a gang's tasks on the targets of a set, each where it fits best, and
 // returns how many accelerators of the set are left free then.
-func (m *Machine) fill(s *step, targets []*target) (plan []*target, left int) {
+func (m *Machine) fill(s *step, targets []*target, now time.Time) (plan []*target, left int) {
 	charge := s.spec.Charge()
 	room := make([]graph.Resources, len(targets))
 	slots := make([]int, len(targets))
@@ -173,7 +173,7 @@
 			if slots[i] <= 0 || !charge.Within(room[i]) {
 				continue
 			}
-			if f := m.fitOf(x, t, room[i]); best < 0 || f.compare(bestFit) < 0 {
+			if f := m.fitOf(x, t, room[i], now); best < 0 || f.compare(bestFit) < 0 {
 				best, bestFit = i, f
 			}
 		}
--- a/internal/work/dispatch/hold.go
+++ b/internal/work/dispatch/hold.go
@@ -138,6 +138,7 @@
 		there[r.Run] = true
 		m.seenRunning(t, r, now)
 	}
+	m.watch(t, now)
 	if len(rep.Ended) < fullList {
 		m.missing(t, there, h.Sent, now)
 	}
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -145,11 +145,14 @@
 		t.drainingAt = now
 		m.log.Decided("target drains", "target", t.ID, "remainsMS", l.Remains, "runs", len(t.runs))
 	}
+	if l.Remains != t.Remains {
+		t.remainsAt = now
+	}
 	t.Target, t.listed = l, true
 }
 
 func (m *Machine) addTarget(l roster.Target) *target {
-	t := &target{Target: l, runs: map[order.Run]*run{}, failed: map[graph.JobID]time.Time{}}
+	t := &target{Target: l, runs: map[order.Run]*run{}}
 	m.targets[l.ID] = t
 	at, _ := slices.BinarySearchFunc(m.byID, t, func(a, b *target) int { return strings.Compare(a.ID, b.ID) })
 	m.byID = slices.Insert(m.byID, at, t)
--- a/internal/work/dispatch/run.go
+++ b/internal/work/dispatch/run.go
@@ -23,20 +23,24 @@
 // cannot exist any more.
 type run struct {
 	order.Run
-	task       *task
-	target     *target
-	charge     graph.Resources
-	phase      phase
-	placedAt   time.Time
-	noteRev    int64     // revision of the job's progress that contains it
-	sentAt     time.Time // of the last order
-	tries      int       // starts sent
-	unanswered bool      // a start was sent whose answer never came
-	pending    bool      // an order is outstanding
-	settledAt  time.Time // the target answered the start or the stop; zero: neither
-	resumedAt  string    // checkpoint that the start carried
-	checkpoint string    // newest that was reported
-	percent    int
-	reportedAt time.Time
-	beganAt    time.Time // first seen on the target
+	task         *task
+	target       *target
+	charge       graph.Resources
+	phase        phase
+	placedAt     time.Time
+	noteRev      int64     // revision of the job's progress that contains it
+	sentAt       time.Time // of the last order
+	tries        int       // starts sent
+	unanswered   bool      // a start was sent whose answer never came
+	pending      bool      // an order is outstanding
+	settledAt    time.Time // the target answered the start or the stop; zero: neither
+	resumedAt    string    // checkpoint that the start carried
+	checkpoint   string    // newest that was reported
+	percent      int
+	reportedAt   time.Time
+	movedAt      time.Time // when the progress changed last
+	stuck        bool      // it was noticed that it stands still
+	firstAt      time.Time // when the first progress was reported; zero: none yet
+	firstPercent int
+	beganAt      time.Time // first seen on the target
 }
--- /dev/null
+++ b/internal/work/dispatch/straggler.go
@@ -0,0 +1,222 @@
+package dispatch
+
+import (
+	"time"
+)
+
+// Figures of stragglers.
+const (
+	// standTime is how long a run may report the same progress before it counts
+	// as standing still, at least; standShare the same as a share of its estimate.
+	// Reports come every two seconds at the latest, and a hundredth of the longest
+	// runs takes a tenth of a second.
+	standTime  = 1800 * time.Millisecond
+	standShare = 0.3
+	// measureTime is the least time over which a speed is measured: in less, whole
+	// percents are too coarse.
+	measureTime = 700 * time.Millisecond
+	// moveGain and moveCost: a run is moved only if it will take so many times
+	// longer, and so much longer, here than from its checkpoint elsewhere.
+	moveGain = 1.5
+	moveCost = time.Second
+	// standLong is how long a run stands still before it is given up though its
+	// work is lost. Standstills mostly pass within some seconds: moving at once
+	// what cannot be resumed lost more than it gained (worth 0.710 against 0.746
+	// on days on which an eighth of the targets stand still for six seconds).
+	standLong = 8 * time.Second
+)
+
+// watch looks at the progress of a target's runs, as it was just reported, and
+// moves those that stand still or run far slower than they would elsewhere.
+func (m *Machine) watch(t *target, now time.Time) {
+	for _, r := range t.sortedRuns() {
+		if r.phase != running || r.task.step.spec.Lasting || r.task.step.job.over() {
+			continue
+		}
+		switch {
+		case r.standsStill(now):
+			m.stuck(r, now)
+		case m.crawls(r, now):
+			m.moveRun(r, "it runs slowly", now)
+		case t.Draining && m.isCutShort(r, now):
+			m.moveRun(r, "its target leaves before it ends", now)
+		}
+	}
+}
+
+// stuck takes in that a run stands still.
+func (m *Machine) stuck(r *run, now time.Time) {
+	since := now.Sub(r.movedAt)
+	if !r.stuck {
+		r.stuck = true
+		r.target.health.StoodStill(now)
+		m.log.Decided("run stands still", "target", r.target.ID, "task", r.Task, "run", r.Number, "percent", r.percent, "sinceMS", since.Milliseconds())
+	}
+	if r.task.step.spec.Checkpointing || since >= standLong {
+		m.moveRun(r, "it stands still", now)
+	}
+}
+
+// progressed takes in the progress that a target reports of a run.
+func (r *run) progressed(percent int, now time.Time) {
+	if r.movedAt.IsZero() || percent != r.percent {
+		r.movedAt, r.stuck = now, false
+	}
+	if r.firstAt.IsZero() && percent > 0 {
+		r.firstAt, r.firstPercent = now, percent
+	}
+	r.percent, r.reportedAt = percent, now
+}
+
+// standsStill reports whether a run that had begun to work does not go on.
+func (r *run) standsStill(now time.Time) bool {
+	if r.percent >= 100 || r.movedAt.IsZero() || !r.works() {
+		return false
+	}
+	limit := max(standTime, time.Duration(standShare*float64(r.task.step.spec.Estimate)))
+	return now.Sub(r.movedAt) >= limit
+}
+
+// works reports whether the run is not waiting for other members of its gang.
+func (r *run) works() bool {
+	if !r.task.step.spec.Gang {
+		return true
+	}
+	for _, x := range r.task.step.tasks {
+		if len(x.runs) == 0 || x.runs[0].phase != running || x.runs[0].Number != r.Number {
+			return false
+		}
+	}
+	return true
+}
+
+// speed returns the work that a run does, by its estimate, against the time that
+// it takes; 0 if it cannot be told yet.
+func (r *run) speed(far float64) float64 {
+	span := r.reportedAt.Sub(r.firstAt)
+	if r.firstAt.IsZero() || span < measureTime {
+		return 0
+	}
+	estimate := r.task.step.spec.Estimate.Seconds()
+	return float64(r.percent-r.firstPercent) / 100 * estimate * far / span.Seconds()
+}
+
+// farFactor returns how many times longer a run takes where it is.
+func (m *Machine) farFactor(r *run) float64 {
+	far := 1.0
+	s := r.task.step.spec
+	if s.DataRack != "" && r.target.Rack != s.DataRack {
+		far *= m.bounds.FarFactor
+	}
+	if s.SameRack && r.task.step.onSeveralRacks() {
+		far *= m.bounds.FarFactor
+	}
+	return far
+}
+
+func (s *step) onSeveralRacks() bool {
+	rack, seen := "", false
+	for _, x := range s.tasks {
+		for _, r := range x.runs {
+			if seen && r.target.Rack != rack {
+				return true
+			}
+			rack, seen = r.target.Rack, true
+		}
+	}
+	return false
+}
+
+// crawls reports whether a run goes on so slowly that it would end earlier from
+// its checkpoint on a sound target. The speed of its step's other tasks tells how
+// far its estimate is off. Runs that would begin anew are left: what they lost by
+// it was more than what they gained (worth 0.598 against 0.630 on days on which a
+// fifth of the targets run six times slower for seven seconds).
+func (m *Machine) crawls(r *run, now time.Time) bool {
+	speed := r.speed(m.farFactor(r))
+	if speed == 0 {
+		return false
+	}
+	usual := m.usualSpeed(r)
+	r.target.health.Ran(speed/usual, now)
+	if !r.target.health.Slow(now) || !r.task.step.spec.Checkpointing {
+		return false
+	}
+	estimate := r.task.step.spec.Estimate.Seconds()
+	left := 1 - float64(r.percent)/100
+	here := left * estimate * m.farFactor(r) / speed
+	// Slowness passes, too: it is expected to last as long again.
+	here = min(here, r.target.health.SlowFor(now).Seconds()+left*estimate/usual)
+	return here > moveGain*left*estimate/usual+moveCost.Seconds()
+}
+
+// usualSpeed returns the speed of the step's fastest task on another target, or 1
+// if none is known.
+func (m *Machine) usualSpeed(r *run) float64 {
+	usual := 0.0
+	for _, x := range r.task.step.tasks {
+		for _, o := range x.runs {
+			if o.target != r.target && o.phase == running {
+				usual = max(usual, o.speed(m.farFactor(o)))
+			}
+		}
+	}
+	if usual == 0 {
+		return 1
+	}
+	return usual
+}
+
+// isCutShort reports whether a run on a target that leaves will not end before it
+// does. One that loses its work by a move is left to its luck: targets often stay
+// somewhat longer than they must.
+func (m *Machine) isCutShort(r *run, now time.Time) bool {
+	left := r.expectedLeft(now)
+	stays := time.Duration(r.target.Remains)*time.Millisecond - now.Sub(r.target.remainsAt)
+	if r.task.step.spec.Checkpointing && !r.task.step.spec.Gang {
+		return left > stays
+	}
+	return left > stays+drainLuck
+}
+
+// drainLuck is how much longer than it must a target is hoped to stay.
+const drainLuck = 4 * time.Second
+
+// expectedLeft returns how much longer a run is expected to take.
+func (r *run) expectedLeft(now time.Time) time.Duration {
+	estimate := r.task.step.spec.Estimate
+	if speed := r.speed(1); speed > 0 {
+		return time.Duration(float64(100-r.percent) / 100 * float64(estimate) / speed)
+	}
+	return max(estimate-now.Sub(r.beganAt), 0)
+}
+
+// moveRun ends a run so that its task is started again elsewhere. A task that may
+// run twice gets a second run instead. Nothing is moved while no other target has
+// room for it.
+func (m *Machine) moveRun(r *run, why string, now time.Time) {
+	x := r.task
+	if x.step.spec.Gang {
+		m.moveGang(r, why, now)
+		return
+	}
+	t := m.choose(x, now)
+	if t == nil || t == r.target {
+		return
+	}
+	if !x.step.spec.Copies {
+		m.stop(r, why, now)
+		return
+	}
+	if len(x.runs) > 1 {
+		return
+	}
+	m.log.Decided("second run", "task", r.Task, "reason", why)
+	m.startIfFits([]*run{m.place(x, t, x.highest+1, now)})
+}
+
+// moveGang ends a whole gang for the sake of one member.
+func (m *Machine) moveGang(r *run, why string, now time.Time) {
+	m.stop(r, why, now)
+	m.stopGang(r, "another member: "+why, now)
+}
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -5,6 +5,7 @@
 
 	"guavaglade.example/guavaglade/internal/fleet/order"
 	"guavaglade.example/guavaglade/internal/fleet/roster"
+	"guavaglade.example/guavaglade/internal/fleet/soundness"
 	"guavaglade.example/guavaglade/internal/work/graph"
 )
 
@@ -23,28 +24,29 @@
 	listed     bool // the platform's list has it
 	drainingAt time.Time
 	reach      reach
-	silentAt   time.Time                 // when it ceased to answer
-	runs       map[order.Run]*run        // all runs that may exist there
-	used       graph.Resources           // charge of the runs that may exist there
-	promised   graph.Resources           // charge of the runs that wait for room there
-	clockMS    int64                     // its clock when last told
-	clockAt    time.Time                 // when that was received
-	leaseEnd   time.Time                 // everything that was ordered there has lapsed by then
-	holding    bool                      // a hold is outstanding
-	heldAt     time.Time                 // when the outstanding hold was sent
-	looking    bool                      // a look is outstanding
-	lookedAt   time.Time                 // when the last look was sent
-	heardAt    time.Time                 // when it last reported
-	holdAgain  time.Time                 // not before
-	reported   bool                      // a first report came in this term
-	seen       int64                     // highest end number that was taken in
-	ends       []mark                    // ends taken in and not yet saved, by number
-	endsDue    time.Time                 // while ends are not saved: no hold before
-	acked      int64                     // ends up to it are saved
-	sentAck    int64                     // acknowledged in the hold that was answered last
-	ackDue     time.Time                 // when unacknowledged ends are to be acknowledged at the latest; zero: none
-	failed     map[graph.JobID]time.Time // jobs that failed there lately
-	shunned    time.Time                 // gets no work until then
+	silentAt   time.Time          // when it ceased to answer
+	runs       map[order.Run]*run // all runs that may exist there
+	used       graph.Resources    // charge of the runs that may exist there
+	promised   graph.Resources    // charge of the runs that wait for room there
+	clockMS    int64              // its clock when last told
+	clockAt    time.Time          // when that was received
+	leaseEnd   time.Time          // everything that was ordered there has lapsed by then
+	holding    bool               // a hold is outstanding
+	heldAt     time.Time          // when the outstanding hold was sent
+	looking    bool               // a look is outstanding
+	lookedAt   time.Time          // when the last look was sent
+	heardAt    time.Time          // when it last reported
+	holdAgain  time.Time          // not before
+	reported   bool               // a first report came in this term
+	seen       int64              // highest end number that was taken in
+	ends       []mark             // ends taken in and not yet saved, by number
+	endsDue    time.Time          // while ends are not saved: no hold before
+	acked      int64              // ends up to it are saved
+	sentAck    int64              // acknowledged in the hold that was answered last
+	ackDue     time.Time          // when unacknowledged ends are to be acknowledged at the latest; zero: none
+	health     soundness.Record
+	remainsAt  time.Time // when it said how long it stays
+	shunned    time.Time // gets no work until then
 }
 
 // mark says which saved revision of a job contains an end.
@@ -60,7 +62,7 @@
 
 // open reports whether new work may be given to the target.
 func (t *target) open(now time.Time) bool {
-	return t.listed && t.reach == held && t.clockMS != 0 && !t.Draining && !now.Before(t.shunned)
+	return t.listed && t.reach == held && t.clockMS != 0 && !t.Draining && !now.Before(t.shunned) && !t.health.Condemned(now)
 }
 
 // forgotten reports whether nothing need be known of the target any more: it has
