dispatch: a target is doubted as long as its tasks stand still

Cause: the verdict on a standstill faded while it lasted, and a run that was moved at last was placed on the same target again. Change: each report without progress is a sign; a moved task shuns the target it was moved from.

--- a/internal/work/dispatch/straggler.go
+++ b/internal/work/dispatch/straggler.go
@@ -47,9 +47,9 @@
 // stuck takes in that a run stands still.
 func (m *Machine) stuck(r *run, now time.Time) {
 	since := now.Sub(r.movedAt)
+	r.target.health.StoodStill(now)
 	if !r.stuck {
 		r.stuck = true
-		r.target.health.StoodStill(now)
 		m.log.Decided("run stands still", "target", r.target.ID, "task", r.Task, "run", r.Number, "percent", r.percent, "sinceMS", since.Milliseconds())
 	}
 	if r.task.step.spec.Checkpointing || since >= standLong {
@@ -200,6 +200,7 @@
 		m.moveGang(r, why, now)
 		return
 	}
+	x.shun(r.target)
 	t := m.choose(x, now)
 	if t == nil || t == r.target {
 		return
