dispatch, platform: advice with tickets, pacing, lasting tasks, forgetting

What the product lacked for the platform's contracts: queues whose policy allows only some targets (one call for advice at a time, tickets kept for their time and carried by starts), tasks that fill beside tasks that serve (paced by the tail that a target reports), lasting tasks on leaving targets (moved in turn, as many at a time as their step may miss), rows of jobs that ended long ago (taken out under the fence).

Measured: unit tests only; no deployment at hand uses the first three.

--- a/internal/config/catalog/catalog.go
+++ b/internal/config/catalog/catalog.go
@@ -21,9 +21,7 @@
 	Allowance   time.Duration // and so much besides
 	Timeout     time.Duration // of a request; 0: none
 	Advised     bool          // the advice service names the targets that may run a step
-	AdviceTime  time.Duration
-	AdvicePer   time.Duration
-	AdviceValid time.Duration
+	AdviceValid time.Duration // how long a ticket holds
 }
 
 // Account is a client account.
--- a/internal/host/dispatcher/carry.go
+++ b/internal/host/dispatcher/carry.go
@@ -28,6 +28,12 @@
 		o.spawn(func() { o.hold(c) })
 	case dispatch.Save:
 		o.spawn(func() { o.save(c) })
+	case dispatch.Forget:
+		o.spawn(func() { o.forget(c) })
+	case dispatch.Pace:
+		o.spawn(func() { o.pace(c) })
+	case dispatch.Advise:
+		o.spawn(func() { o.advise(c) })
 	}
 }
 
@@ -56,6 +62,33 @@
 	o.post(func(now time.Time) { o.machine.StopAnswered(c.Target.ID, c.Run, clock, err, now) })
 }
 
+func (o *office) pace(c dispatch.Pace) {
+	ctx, cancel := context.WithTimeout(o.ctx, orderTime)
+	defer cancel()
+	clock, err := int64(0), errTermOver
+	if o.may() {
+		clock, err = o.line.Pace(ctx, c.Target, c.Run, c.Percent, o.term.Number())
+	}
+	o.post(func(now time.Time) { o.machine.PaceAnswered(c.Target.ID, c.Run, clock, err, now) })
+}
+
+// errNoAdviser says that a queue wants advice and the deployment has no service
+// for it.
+var errNoAdviser = errors.New("no advice service")
+
+func (o *office) advise(c dispatch.Advise) {
+	asked := o.clock()
+	var granted []order.Permit
+	var valid time.Duration
+	err := errNoAdviser
+	if o.adviser != nil {
+		ctx, cancel := context.WithTimeout(o.ctx, adviceTime)
+		defer cancel()
+		granted, valid, err = o.adviser.Advise(ctx, c.Step, c.Targets)
+	}
+	o.post(func(now time.Time) { o.machine.Advised(c, granted, valid, asked, err, now) })
+}
+
 func (o *office) hold(c dispatch.Hold) {
 	ctx, cancel := context.WithTimeout(o.ctx, c.Order.Wait+holdExtra)
 	defer cancel()
@@ -114,6 +147,22 @@
 	return tx
 }
 
+// forget takes the rows of jobs out. What fails is asked for again.
+func (o *office) forget(c dispatch.Forget) {
+	tx := store.Tx{Expect: []store.Expect{{Key: fenceKey(c.Part), Version: o.fences[c.Part]}}}
+	for _, id := range c.Jobs {
+		tx.Remove = append(tx.Remove, JobKey(c.Part, id), CancelKey(c.Part, id), ProgressKey(c.Part, id))
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, storeTime)
+	defer cancel()
+	if _, err := o.store.Commit(ctx, tx); err != nil {
+		o.log.V(1).Info("rows of ended jobs not taken out", "part", c.Part, "jobs", len(c.Jobs), "error", err.Error())
+		return
+	}
+	o.log.V(1).Info("rows of ended jobs taken out", "part", c.Part, "jobs", len(c.Jobs))
+	o.post(func(time.Time) { o.machine.Forgotten(c) })
+}
+
 // refused looks at the rows that made a transaction fail.
 func (o *office) refused(c dispatch.Save, tx store.Tx, rows []store.Row) {
 	there := map[store.Key]store.Row{}
--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -23,6 +23,7 @@
 // Figures of the shell.
 const (
 	tickEvery  = 100 * time.Millisecond // the finest bound that decisions keep is a retry after 200 ms
+	adviceTime = 5 * time.Second        // bounds a call for advice, which takes its time for each target that it names
 	listEvery  = time.Second            // half the time after which a draining target must get no work
 	scanEvery  = time.Second            // for jobs whose message was lost
 	storeTime  = 2 * time.Second        // bounds a call to the store
@@ -42,15 +43,16 @@
 
 // Dispatcher leads, whenever its host is told to.
 type Dispatcher struct {
-	store  store.Store
-	line   order.Line
-	roster Roster
-	bounds dispatch.Bounds
-	clock  steady.Clock
-	keeper *catalog.Keeper // nil: no configuration
-	log    logr.Logger
-	mu     sync.Mutex
-	now    *office // nil while another host leads
+	store   store.Store
+	line    order.Line
+	roster  Roster
+	bounds  dispatch.Bounds
+	clock   steady.Clock
+	adviser order.Adviser   // nil: none
+	keeper  *catalog.Keeper // nil: no configuration
+	log     logr.Logger
+	mu      sync.Mutex
+	now     *office // nil while another host leads
 }
 
 // Option sets one property of a new dispatcher.
@@ -60,6 +62,9 @@
 // system's.
 func WithClock(c steady.Clock) Option { return func(d *Dispatcher) { d.clock = c } }
 
+// WithAdviser sets who is asked for advice.
+func WithAdviser(a order.Adviser) Option { return func(d *Dispatcher) { d.adviser = a } }
+
 // WithCatalog sets where the configuration in force is found. Without one no
 // account has a guarantee.
 func WithCatalog(k *catalog.Keeper) Option { return func(d *Dispatcher) { d.keeper = k } }
--- /dev/null
+++ b/internal/work/dispatch/advice.go
@@ -0,0 +1,125 @@
+package dispatch
+
+import (
+	"time"
+
+	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/work/graph"
+)
+
+// The policy of some queues lets only some targets run a step, and only an
+// advice service knows which. It gives a ticket for each target that may; a start
+// carries it. The service answers one call at a time, and slower the more targets
+// a call names.
+
+// Figures of advice.
+const (
+	// mostNamed bounds the targets that one call names; the service takes a
+	// hundred. Thirty are about what a step of the usual width needs, if a part of
+	// them is allowed.
+	mostNamed = 30
+	// ticketMargin is kept of a ticket's time: for the note in the store and the
+	// way to the target.
+	ticketMargin = 200 * time.Millisecond
+	// adviceRest is the pause after a call that was refused or not answered.
+	adviceRest = 250 * time.Millisecond
+)
+
+// Advise asks which targets may run a step. The answer goes to Machine.Advised.
+type Advise struct {
+	Step    graph.StepID
+	Targets []string
+}
+
+func (Advise) command() {}
+
+// permits is what is known of the targets that may run a step.
+type permits struct {
+	tickets map[string]ticket // by target
+	barred  map[string]bool   // targets that may not, as long as they live
+}
+
+type ticket struct {
+	text  string
+	until time.Time
+}
+
+// permitted reports whether a target may run the step now; steps of queues
+// without advice may run anywhere.
+func (s *step) permitted(t *target, now time.Time) bool {
+	if !s.job.spec.Advised {
+		return true
+	}
+	k, ok := s.permits.tickets[t.ID]
+	return ok && now.Add(ticketMargin).Before(k.until)
+}
+
+// ticket returns the ticket to start the step on a target; empty for none.
+func (s *step) ticket(t *target) string { return s.permits.tickets[t.ID].text }
+
+// seekAdvice asks for leave to run a step that waits, on targets that could take
+// its tasks: those with room first.
+func (m *Machine) seekAdvice(s *step, now time.Time) {
+	if !s.job.spec.Advised || m.advising || now.Before(m.adviseAt) {
+		return
+	}
+	var names []string
+	for _, withRoom := range []bool{true, false} {
+		for _, t := range m.byID {
+			if len(names) == mostNamed || s.permits.barred[t.ID] || s.permitted(t, now) || !s.couldSuit(t, now) {
+				continue
+			}
+			if s.spec.Charge().Within(t.room()) == withRoom {
+				names = append(names, t.ID)
+			}
+		}
+	}
+	if len(names) == 0 {
+		return
+	}
+	m.advising = true
+	m.out = append(m.out, Advise{Step: s.id, Targets: names})
+}
+
+// Advised takes in the answer of the advice service: leave for some of the
+// targets that were named, for a time from when the answer was sent at the
+// earliest. err tells that there is no answer.
+func (m *Machine) Advised(a Advise, granted []order.Permit, valid time.Duration, asked time.Time, err error, now time.Time) {
+	m.advising = false
+	m.changed = true
+	if err != nil {
+		m.adviseAt = now.Add(adviceRest)
+		m.log.Decided("no advice", "step", a.Step, "targets", len(a.Targets), "error", err.Error())
+		return
+	}
+	s := m.stepOf(a.Step)
+	if s == nil {
+		return
+	}
+	m.log.Decided("advice", "step", a.Step, "targets", len(a.Targets), "granted", len(granted), "validMS", valid.Milliseconds())
+	if s.permits.tickets == nil {
+		s.permits = permits{tickets: map[string]ticket{}, barred: map[string]bool{}}
+	}
+	if valid == 0 {
+		valid = s.job.spec.AdviceValid
+	}
+	for _, id := range a.Targets {
+		s.permits.barred[id] = true
+	}
+	for _, g := range granted {
+		delete(s.permits.barred, g.Target)
+		s.permits.tickets[g.Target] = ticket{text: g.Ticket, until: asked.Add(valid)}
+	}
+}
+
+// stepOf returns an open step, or nil.
+func (m *Machine) stepOf(id graph.StepID) *step {
+	j := m.jobs[id.Job]
+	if j == nil {
+		return nil
+	}
+	if x := j.find(id.Task(0)); x != nil {
+		return x.step
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/work/dispatch/advice_test.go
@@ -0,0 +1,118 @@
+package dispatch
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/fleet/roster"
+	"guavaglade.example/guavaglade/internal/work/graph"
+)
+
+// newAdvised returns a machine over four targets with a job whose queue wants
+// advice.
+func newAdvised(t *testing.T, tasks int) (*standing, graph.JobID) {
+	t.Helper()
+	s := &standing{Machine: New(7, DefaultBounds()), now: time.Unix(1000, 0)}
+	var list []roster.Target
+	for i := range 4 {
+		name := fmt.Sprintf("t%d", i)
+		list = append(list, roster.Target{ID: name, Address: name, Service: "s", Capacity: graph.Resources{CPU: 64000, MemoryMB: 262144, Accelerators: 8}})
+	}
+	s.Listed(list, s.now)
+	for _, l := range list {
+		s.Held(l.ID, Hold{Sent: s.now}, order.Report{Clock: 5000}, s.now)
+	}
+	s.Begin(s.now, s.now, false)
+	j := one("00000000000000ba", tasks)
+	j.Advised, j.AdviceValid = true, 3*time.Second
+	s.Accept(j, s.now)
+	return s, j.ID
+}
+
+// commands returns the commands of one kind, and takes saves as done.
+func commands[C Command](s *standing) (list []C) {
+	for range 2 {
+		for _, c := range s.Decide(s.now) {
+			if x, ok := c.(C); ok {
+				list = append(list, x)
+			}
+			if save, ok := c.(Save); ok {
+				s.Saved(save.Part, 1, s.now)
+			}
+		}
+	}
+	return list
+}
+
+// A queue's policy allows one of four targets. Nothing is started before the
+// advice service was asked; then all tasks run on that target, with its ticket.
+func TestAdvice(t *testing.T) {
+	is := is.New(t)
+	s, _ := newAdvised(t, 3)
+	asked := commands[Advise](s)
+	is.Equal(len(asked), 1) // one call at a time
+	is.Equal(asked[0].Targets, []string{"t0", "t1", "t2", "t3"})
+	s.Advised(asked[0], []order.Permit{{Target: "t2", Ticket: "leave"}}, 3*time.Second, s.now, nil, s.now)
+	started := commands[Start](s)
+	is.Equal(len(started), 3)
+	for _, c := range started {
+		is.Equal(c.Target.ID, "t2")
+		is.Equal(c.Order.Ticket, "leave")
+	}
+}
+
+// A ticket's time is over before all tasks could start. The target is asked about
+// again; those that may not run the step are not.
+func TestTicketsExpire(t *testing.T) {
+	is := is.New(t)
+	s, _ := newAdvised(t, 10)
+	asked := commands[Advise](s)
+	s.Advised(asked[0], []order.Permit{{Target: "t2", Ticket: "leave"}}, 3*time.Second, s.now, nil, s.now)
+	is.Equal(len(commands[Start](s)), 8)
+	s.now = s.now.Add(3 * time.Second)
+	s.Tick(s.now)
+	again := commands[Advise](s)
+	is.Equal(len(again), 1)
+	is.Equal(again[0].Targets, []string{"t2"})
+}
+
+// The service refuses, or does not answer: it is asked again after a pause.
+func TestNoAdvice(t *testing.T) {
+	is := is.New(t)
+	s, _ := newAdvised(t, 1)
+	asked := commands[Advise](s)
+	s.Advised(asked[0], nil, 0, s.now, errors.New("busy"), s.now)
+	is.Equal(len(commands[Advise](s)), 0)
+	s.now = s.now.Add(adviceRest)
+	s.Tick(s.now)
+	is.Equal(len(commands[Advise](s)), 1)
+}
+
+// A target does not take a ticket that should still hold. It is asked about
+// again, and the start is not repeated with the same ticket.
+func TestTicketRefused(t *testing.T) {
+	is := is.New(t)
+	s, _ := newAdvised(t, 1)
+	asked := commands[Advise](s)
+	s.Advised(asked[0], []order.Permit{{Target: "t1", Ticket: "bad"}}, 3*time.Second, s.now, nil, s.now)
+	c := commands[Start](s)[0]
+	s.StartAnswered("t1", c.Order.Run, 5000, fmt.Errorf("start: %w", order.ErrNoTicket), s.now)
+	starts, asks := 0, 0
+	for range 2 {
+		for _, c := range s.Decide(s.now) {
+			switch c.(type) {
+			case Start:
+				starts++
+			case Advise:
+				asks++
+			}
+		}
+	}
+	is.Equal(starts, 0)
+	is.Equal(asks, 1)
+}
--- a/internal/work/dispatch/arriving.go
+++ b/internal/work/dispatch/arriving.go
@@ -116,7 +116,7 @@
 	}
 	r := &run{
 		Run: order.Run{Task: x.id(), Number: p.Run}, task: x, target: t, charge: x.step.spec.Charge(),
-		phase: inherited, placedAt: now, settledAt: now,
+		phase: inherited, placedAt: now, settledAt: now, share: shareOf(x.step),
 	}
 	x.runs = append(x.runs, r)
 	x.step.job.live[r] = true
@@ -183,20 +183,6 @@
 	m.end(j, progress.Cancelled, now)
 }
 
-// forgetEnded forgets jobs whose state need not be told any more.
-func (m *Machine) forgetEnded(now time.Time) {
-	limit := now.Add(m.wall - m.bounds.Retention - forgetSlack).UnixMilli()
-	for id, j := range m.jobs {
-		if j.shown.Final() && j.endedAt < limit && len(j.live) == 0 && !j.dirty && j.savedRev == j.rev {
-			delete(m.jobs, id)
-		}
-	}
-}
-
-// forgetSlack is kept beyond the retention that clients were promised, for
-// clocks that differ.
-const forgetSlack = 30 * time.Second
-
 // orphan returns the step of a run of which nothing is known.
 func orphan(r order.Run) *step {
 	spec := &graph.Job{ID: r.Task.Job, Steps: []graph.Step{{}}}
--- a/internal/work/dispatch/command.go
+++ b/internal/work/dispatch/command.go
@@ -50,6 +50,15 @@
 	Completes bool  // the write must fail if the job was cancelled
 }
 
+// Forget asks to take the rows of jobs out of the store: they ended so long ago
+// that nobody is told their state any more. The answer goes to Machine.Forgotten.
+type Forget struct {
+	Part int
+	Jobs []graph.JobID // never empty
+}
+
+func (Forget) command() {}
+
 func (Start) command() {}
 func (Stop) command()  {}
 func (Hold) command()  {}
--- a/internal/work/dispatch/ending.go
+++ b/internal/work/dispatch/ending.go
@@ -240,6 +240,7 @@
 		r.checkpoint = seen.Checkpoint
 		r.task.keep(seen.Checkpoint)
 	}
+	r.gauge = seen.Gauge
 	r.progressed(seen.Percent, now)
 }
 
@@ -268,7 +269,7 @@
 		reason = "its step is not due"
 	}
 	r.task = x
-	r.charge = x.step.spec.Charge()
+	r.charge, r.share = x.step.spec.Charge(), shareOf(x.step)
 	if j == nil || j.find(seen.Run.Task) == nil {
 		r.charge = t.Capacity.Minus(t.used) // not known what it takes: no other work beside it
 	}
--- a/internal/work/dispatch/fit.go
+++ b/internal/work/dispatch/fit.go
@@ -9,6 +9,11 @@
 
 // suits reports whether the step's tasks may run on the target at all.
 func (s *step) suits(t *target, now time.Time) bool {
+	return s.couldSuit(t, now) && s.permitted(t, now)
+}
+
+// couldSuit reports the same, whether or not there is leave to run the step there.
+func (s *step) couldSuit(t *target, now time.Time) bool {
 	return t.open(now) && t.Service == s.job.spec.Service && t.Has(s.spec.Label)
 }
 
@@ -48,6 +53,7 @@
 type fit struct {
 	doubt    int // 1 if it failed there before, or the target is doubted or slow
 	far      int // 1 if its data is on another rack
+	crowded  int // tasks there that it would disturb, or that would disturb it
 	stranded int // accelerators that nobody could use beside it and could before
 	whole    int // 1 if a target without any work is broken into
 	left     int // accelerators left free
@@ -56,7 +62,7 @@
 
 func (f fit) compare(o fit) int {
 	return cmp.Or(
-		cmp.Compare(f.doubt, o.doubt), cmp.Compare(f.far, o.far), cmp.Compare(f.stranded, o.stranded),
+		cmp.Compare(f.doubt, o.doubt), cmp.Compare(f.far, o.far), cmp.Compare(f.crowded, o.crowded), cmp.Compare(f.stranded, o.stranded),
 		cmp.Compare(f.whole, o.whole), cmp.Compare(f.left, o.left), cmp.Compare(f.cpu, o.cpu),
 	)
 }
@@ -65,7 +71,7 @@
 func (m *Machine) fitOf(x *task, t *target, room graph.Resources, now time.Time) fit {
 	charge := x.step.spec.Charge()
 	after := room.Minus(charge)
-	f := fit{left: after.Accelerators, cpu: after.CPU, stranded: m.stranded(after) - m.stranded(room)}
+	f := fit{crowded: t.crowds(x.step), left: after.Accelerators, cpu: after.CPU, stranded: m.stranded(after) - m.stranded(room)}
 	if x.shuns(t) || t.health.Doubted(now) || t.health.Slow(now) {
 		f.doubt = 1
 	}
--- a/internal/work/dispatch/hold.go
+++ b/internal/work/dispatch/hold.go
@@ -84,12 +84,20 @@
 	case t.reach == held && t.clockMS == 0:
 		m.hold(t, 0, now)
 	case t.reach == held && t.ordered():
-		m.hold(t, holdWait, now)
+		m.hold(t, t.wait(), now)
 	case t.reach == held && acks:
 		m.hold(t, 0, now)
 	}
 }
 
+// wait returns how long a report of the target waits for an end.
+func (t *target) wait() time.Duration {
+	if t.shares() {
+		return paceWait
+	}
+	return holdWait
+}
+
 // ordered reports whether an order was sent for anything that may run there.
 func (t *target) ordered() bool {
 	for _, r := range t.runs {
@@ -139,6 +147,8 @@
 		m.seenRunning(t, r, now)
 	}
 	m.watch(t, now)
+	m.pace(t, now)
+	m.moveLasting(t, now)
 	if len(rep.Ended) < fullList {
 		m.missing(t, there, h.Sent, now)
 	}
--- a/internal/work/dispatch/job.go
+++ b/internal/work/dispatch/job.go
@@ -47,6 +47,7 @@
 	gangRun    int
 	failures   []int // numbers of its runs that failed
 	saved      string
+	permits    permits
 	avoid      map[string]bool // targets on which it failed
 	pausedTo   time.Time
 	rank       int64         // order among the open steps in this pass
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -28,6 +28,9 @@
 	begunAt    time.Time
 	heirEnd    time.Time                  // an earlier leader's leases have lapsed by then
 	heldBack   map[*target]map[*step]bool // targets kept for urgent steps, in this pass
+	advising   bool                       // a call for advice is outstanding
+	forgetAt   time.Time                  // no jobs are forgotten before
+	adviseAt   time.Time                  // no call for advice before
 	smallest   graph.Resources            // needs of the smallest task with one accelerator
 	guaranteed map[string]int             // accelerators for jobs of priority 0, by account
 	blind      bool                       // an earlier leader may have started what no row notes
--- /dev/null
+++ b/internal/work/dispatch/pacing_test.go
@@ -0,0 +1,124 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/work/graph"
+	"guavaglade.example/guavaglade/internal/work/progress"
+)
+
+func TestPacedTo(t *testing.T) {
+	is := is.New(t)
+	is.Equal(pacedTo(100, 1.2), 0)  // over the limit: not at all
+	is.Equal(pacedTo(100, 0.9), 50) // near it: half
+	is.Equal(pacedTo(50, 0.7), 50)  // between: as it is
+	is.Equal(pacedTo(50, 0.3), 65)  // well below: a little more
+	is.Equal(pacedTo(95, 0.1), 100) // at most all
+	is.Equal(pacedTo(0, 0.1), 15)   // back from nothing
+}
+
+// A task that serves shares its target with one that fills. Its tail nears and
+// passes the limit: the filling one is slowed down, then halted; when the tail is
+// low again it is let on step by step.
+func TestFillingTaskIsPaced(t *testing.T) {
+	is := is.New(t)
+	s := newStanding()
+	serves, fills := graph.JobID("00000000000000ca"), graph.JobID("00000000000000cb")
+	a, b := one(serves, 1), one(fills, 1)
+	a.Steps[0].Lasting, a.Steps[0].TailLimit = true, 100*time.Millisecond
+	b.Steps[0].Filling = true
+	s.Restore(a, nil, 0, false, s.now)
+	s.Restore(b, nil, 0, false, s.now)
+	s.Begin(s.now, s.now, false)
+	tail := func(ms int) []Pace {
+		s.now = s.now.Add(time.Second)
+		s.report(order.Report{Running: []order.Running{
+			{Run: run1(serves, 0, 1), Percent: 100, Gauge: ms}, {Run: run1(fills, 0, 1), Percent: 3, Gauge: 9000},
+		}})
+		return commands[Pace](s)
+	}
+	is.Equal(tail(20)[0].Percent, 2*paceStep) // found: let on from low
+	for range 5 {
+		tail(20)
+	}
+	is.Equal(len(tail(70)), 0)
+	is.Equal(tail(90)[0].Percent, 50)
+	is.Equal(tail(130)[0].Percent, 0)
+	is.Equal(tail(40)[0].Percent, paceStep)
+}
+
+// The order to pace is not answered. It is given again with the next report.
+func TestPaceNotAnswered(t *testing.T) {
+	is := is.New(t)
+	s := newStanding()
+	serves, fills := graph.JobID("00000000000000cc"), graph.JobID("00000000000000cd")
+	a, b := one(serves, 1), one(fills, 1)
+	a.Steps[0].Lasting, a.Steps[0].TailLimit = true, 100*time.Millisecond
+	b.Steps[0].Filling = true
+	s.Restore(a, nil, 0, false, s.now)
+	s.Restore(b, nil, 0, false, s.now)
+	s.Begin(s.now, s.now, false)
+	rep := order.Report{Running: []order.Running{{Run: run1(serves, 0, 1), Percent: 100, Gauge: 200}, {Run: run1(fills, 0, 1)}}}
+	s.report(rep)
+	first := commands[Pace](s)
+	is.Equal(len(first), 1)
+	is.Equal(first[0].Percent, 0)
+	s.PaceAnswered("t1", first[0].Run, 0, order.ErrUnanswered, s.now)
+	s.now = s.now.Add(100 * time.Millisecond)
+	s.report(rep)
+	is.Equal(len(commands[Pace](s)), 1)
+}
+
+// Lasting tasks run on a target that leaves. They are moved one after the other,
+// as many at a time as their step may miss, and none of the others is stopped.
+func TestLastingTasksMoveInTurn(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 3, DefaultBounds())
+	s := small(6)
+	s.Lasting, s.MayMiss, s.PerTarget = true, 1, 3
+	id := d.submit(2, time.Hour, s)
+	d.run(time.Second)
+	for _, x := range d.m.byID { // the stand-in's lasting tasks serve at once
+		for _, r := range x.runs {
+			r.percent = 100
+		}
+	}
+	is.Equal(d.m.jobs[id].steps[0].away(), 0)
+	leaving := d.m.byID[0]
+	before := len(leaving.runs)
+	is.True(before >= 2)
+	leaving.Draining = true
+	d.m.moveLasting(leaving, d.now)
+	stopped := 0
+	for _, r := range leaving.runs {
+		if r.phase == stopping {
+			stopped++
+		}
+	}
+	is.Equal(stopped, 1)
+}
+
+// Jobs that ended long ago are taken out of the store, and are known until that
+// has happened.
+func TestForget(t *testing.T) {
+	is := is.New(t)
+	s := newStanding()
+	id := graph.JobID("00000000000000ce")
+	s.Restore(one(id, 1), &progress.Job{State: progress.Completed, Ended: s.now.UnixMilli()}, 5, false, s.now)
+	s.Begin(s.now, s.now, false)
+	s.Tick(s.now)
+	is.Equal(len(commands[Forget](s)), 0)
+	s.now = s.now.Add(DefaultBounds().Retention + forgetSlack + time.Second)
+	s.Tick(s.now)
+	f := commands[Forget](s)
+	is.Equal(len(f), 1)
+	_, known := s.State(id)
+	is.True(known)
+	s.Forgotten(f[0])
+	_, known = s.State(id)
+	is.True(!known)
+}
--- a/internal/work/dispatch/run.go
+++ b/internal/work/dispatch/run.go
@@ -36,6 +36,9 @@
 	settledAt    time.Time // the target answered the start or the stop; zero: neither
 	resumedAt    string    // checkpoint that the start carried
 	checkpoint   string    // newest that was reported
+	ticket       string    // that the start carries
+	share        int       // at which a filling run works, in percent
+	gauge        int       // as the target last reported it
 	percent      int
 	reportedAt   time.Time
 	movedAt      time.Time // when the progress changed last
--- a/internal/work/dispatch/schedule.go
+++ b/internal/work/dispatch/schedule.go
@@ -48,6 +48,9 @@
 		if !blocked || !s.job.restored {
 			more = m.placeStep(s, now)
 		}
+		if more {
+			m.seekAdvice(s, now)
+		}
 		if more {
 			kept = append(kept, s)
 		} else {
--- a/internal/work/dispatch/starting.go
+++ b/internal/work/dispatch/starting.go
@@ -12,7 +12,7 @@
 func (m *Machine) place(x *task, t *target, number int, now time.Time) *run {
 	r := &run{
 		Run: order.Run{Task: x.id(), Number: number}, task: x, target: t,
-		charge: x.step.spec.Charge(), phase: waiting, placedAt: now,
+		charge: x.step.spec.Charge(), phase: waiting, placedAt: now, ticket: x.step.ticket(t), share: 100,
 	}
 	x.highest = max(x.highest, number)
 	x.runs = append(x.runs, r)
@@ -59,7 +59,7 @@
 	r.sentAt, r.pending = now, true
 	m.out = append(m.out, Start{Target: t.address(), Order: order.Start{
 		Run: r.Run, Spec: r.task.step.job.spec.Spec, Deadline: t.grant(now, m.bounds.Lease),
-		Term: m.term, Checkpoint: r.resumedAt,
+		Term: m.term, Checkpoint: r.resumedAt, Ticket: r.ticket,
 	}})
 	m.log.Decided("start", "target", t.ID, "task", r.Task, "run", r.Number, "try", r.tries, "checkpoint", r.resumedAt)
 }
@@ -119,6 +119,8 @@
 		t.clockMS = 0 // the next report tells the clock
 	case errors.Is(err, order.ErrNoRoom):
 		t.shunned = now.Add(fullRest)
+	case errors.Is(err, order.ErrNoTicket):
+		delete(r.task.step.permits.tickets, t.ID)
 	case errors.Is(err, order.ErrInvalid):
 		r.task.pausedTo = now.Add(invalidRest)
 	}
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -45,6 +45,7 @@
 	sentAck    int64              // acknowledged in the hold that was answered last
 	ackDue     time.Time          // when unacknowledged ends are to be acknowledged at the latest; zero: none
 	health     soundness.Record
+	pacedAt    time.Time // when its filling tasks were paced last
 	remainsAt  time.Time // when it said how long it stays
 	shunned    time.Time // gets no work until then
 }
--- a/internal/work/graph/job.go
+++ b/internal/work/graph/job.go
@@ -92,8 +92,6 @@
 	Repeat      int           `json:"repeat,omitempty"`      // occurrences; 0 for a job that does not recur
 	AcceptedAt  int64         `json:"acceptedAt,omitempty"`  // milliseconds since 1970 on the accepting host's clock
 	Advised     bool          `json:"advised,omitempty"`     // the queue's policy names the targets that may run a step
-	AdviceTime  time.Duration `json:"adviceTime,omitempty"`  // what a call for advice takes
-	AdvicePer   time.Duration `json:"advicePer,omitempty"`   // and more for each target named
 	AdviceValid time.Duration `json:"adviceValid,omitempty"` // how long a ticket holds
 }
 
