--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
 
 	"guavaglade.example/guavaglade/internal/config/catalog"
 	"guavaglade.example/guavaglade/internal/fleet/order"
@@ -48,7 +49,8 @@
 	roster  Roster
 	bounds  dispatch.Bounds
 	clock   steady.Clock
-	adviser order.Adviser   // nil: none
+	adviser order.Adviser // nil: none
+	metrics tally.Scope
 	keeper  *catalog.Keeper // nil: no configuration
 	log     logr.Logger
 	mu      sync.Mutex
@@ -62,6 +64,9 @@
 // system's.
 func WithClock(c steady.Clock) Option { return func(d *Dispatcher) { d.clock = c } }
 
+// WithMetrics sets where the leader counts; without it nothing is counted.
+func WithMetrics(s tally.Scope) Option { return func(d *Dispatcher) { d.metrics = s } }
+
 // WithAdviser sets who is asked for advice.
 func WithAdviser(a order.Adviser) Option { return func(d *Dispatcher) { d.adviser = a } }
 
@@ -72,7 +77,7 @@
 // New returns a dispatcher that does not lead yet.
 func New(s store.Store, l order.Line, r Roster, b dispatch.Bounds, log logr.Logger, opts ...Option) *Dispatcher {
 	b.Parts = Parts
-	d := &Dispatcher{store: s, line: l, roster: r, bounds: b, clock: steady.Now, log: log}
+	d := &Dispatcher{store: s, line: l, roster: r, bounds: b, clock: steady.Now, metrics: tally.NoopScope, log: log}
 	for _, o := range opts {
 		o(d)
 	}
@@ -228,11 +233,23 @@
 			o.configure()
 			o.machine.SetWall(o.clock.WallOffset())
 			o.machine.Tick(o.clock())
+			o.count()
 		}
 		o.drain()
 	}
 }
 
+// count shows what the machine holds.
+func (o *office) count() {
+	c := o.machine.Counts()
+	for name, n := range map[string]int{
+		"jobs": c.Jobs, "targets": c.Targets, "targets_held": c.Held, "runs": c.Runs, "steps_waiting": c.Open,
+	} {
+		o.metrics.Gauge(name).Update(float64(n))
+	}
+	o.metrics.Gauge("term").Update(float64(o.term.Number()))
+}
+
 // configure tells the machine of a newer configuration.
 func (o *office) configure() {
 	if o.keeper == nil {
--- /dev/null
+++ b/internal/host/station/station.go
@@ -0,0 +1,188 @@
+package station
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/uber-go/tally/v4"
+
+	"guavaglade.example/guavaglade/internal/config/catalog"
+	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/host/dispatcher"
+	"guavaglade.example/guavaglade/internal/host/entry"
+	"guavaglade.example/guavaglade/internal/host/exchange"
+	"guavaglade.example/guavaglade/internal/host/leader"
+	"guavaglade.example/guavaglade/internal/host/peer"
+	"guavaglade.example/guavaglade/internal/platform/store"
+	"guavaglade.example/guavaglade/internal/work/dispatch"
+)
+
+// Ports are the ways to what is outside.
+type Ports struct {
+	Store   store.Store
+	Line    order.Line
+	Roster  dispatcher.Roster
+	Adviser order.Adviser // nil: none
+}
+
+// Identity says which host this is.
+type Identity struct {
+	Name  string // of the host
+	Zone  string // its availability zone
+	Peers string // IP:port where other hosts reach it
+}
+
+// Configuration says where the configuration is stored and how it is read.
+type Configuration struct {
+	Key    store.Key
+	Decode catalog.Decode
+}
+
+// Station is one process of the system.
+type Station struct {
+	identity Identity
+	config   Configuration
+	grace    time.Duration // a planned stop takes at most so long
+	log      logr.Logger
+	metrics  tally.Scope
+	store    *store.Gauge
+	keeper   *catalog.Keeper
+	desk     *dispatcher.Dispatcher
+	exchange *exchange.Exchange
+	election *leader.Election
+	entry    *entry.Entry
+	net      *peer.Net
+	stopping atomic.Bool
+}
+
+// Option sets one property of a new station.
+type Option func(*options)
+
+type options struct {
+	metrics tally.Scope
+	grace   time.Duration
+	bounds  dispatch.Bounds
+}
+
+// WithMetrics sets where the station counts; without it nothing is counted.
+func WithMetrics(s tally.Scope) Option { return func(o *options) { o.metrics = s } }
+
+// WithGrace sets how long a planned stop may take at most, by default 6 s.
+func WithGrace(d time.Duration) Option { return func(o *options) { o.grace = d } }
+
+// WithBounds sets the figures of the deployment, by default those for trials.
+func WithBounds(b dispatch.Bounds) Option { return func(o *options) { o.bounds = b } }
+
+// defaultGrace is how long a planned stop may take where nothing else is said.
+const defaultGrace = 6 * time.Second
+
+// New returns a station that is not running yet. Each process has an incarnation
+// of its own, so that a later one at the same address is told from it.
+func New(id Identity, p Ports, c Configuration, log logr.Logger, opts ...Option) *Station {
+	set := options{metrics: tally.NoopScope, grace: defaultGrace, bounds: dispatch.DefaultBounds()}
+	for _, o := range opts {
+		o(&set)
+	}
+	s := &Station{identity: id, config: c, grace: set.grace, log: log, metrics: set.metrics, keeper: catalog.NewKeeper(c.Decode)}
+	s.store = store.NewGauge(store.NewCounted(p.Store, set.metrics), s.storeChanged)
+	desk := []dispatcher.Option{dispatcher.WithCatalog(s.keeper), dispatcher.WithMetrics(set.metrics)}
+	if p.Adviser != nil {
+		desk = append(desk, dispatcher.WithAdviser(p.Adviser))
+	}
+	s.desk = dispatcher.New(s.store, order.NewCounted(p.Line, set.metrics), p.Roster, set.bounds, log, desk...)
+	s.exchange = exchange.New(id.Peers, s.desk, s.keeper, s.store.Up, func(version int64, from string) {
+		log.Info("configuration in force", "version", version, "from", from)
+	})
+	s.net = peer.New(s.exchange.Handle, nil, nil, log.V(1))
+	holder := id.Name + "#" + strconv.FormatInt(time.Now().UnixNano(), 36)
+	s.election = leader.New(s.store, s.exchange, s.desk.Lead, holder, id.Peers, log)
+	s.entry = entry.New(s.store, s.exchange, s.exchange, log)
+	s.exchange.Bind(s.net, s.election, s.entry)
+	return s
+}
+
+func (s *Station) storeChanged(up bool, err error) {
+	if up {
+		s.log.Info("store regained", "host", s.identity.Name)
+		return
+	}
+	s.log.Info("store lost", "host", s.identity.Name, "error", fmt.Sprint(err))
+}
+
+// Entry returns what serves requests.
+func (s *Station) Entry() *entry.Entry { return s.entry }
+
+// Catalog returns the configuration in force.
+func (s *Station) Catalog() *catalog.Keeper { return s.keeper }
+
+// Metrics returns where the station counts.
+func (s *Station) Metrics() tally.Scope { return s.metrics }
+
+// Stopping reports whether a planned stop has begun: clients are told not to use
+// their connections again.
+func (s *Station) Stopping() bool { return s.stopping.Load() }
+
+// Ready reports whether clients should be sent here. A host on which nothing can
+// be stored, as in a zone that is cut off, would refuse them all; if all hosts of
+// a zone say so, its clients go to the next zone.
+func (s *Station) Ready() bool {
+	return !s.stopping.Load() && s.keeper.Now() != nil && s.exchange.Serves()
+}
+
+// Figures of a planned stop.
+const (
+	// unreadyTime is how long a host that is to end goes on taking requests: the
+	// balancer asks each second and needs two refusals.
+	unreadyTime = 2200 * time.Millisecond
+	// stopMargin is kept of the time that a planned stop may take.
+	stopMargin = 700 * time.Millisecond
+)
+
+// Run serves peers on the listener until the context ends, then stops as planned:
+// it gives up leadership at once, lets the balancer see that it is not ready, and
+// has drain finish what clients wait for. An error says that it could not serve.
+func (s *Station) Run(ctx context.Context, peers net.Listener, drain func(ctx context.Context)) error {
+	life, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	failed := make(chan error, 1)
+	go func() { failed <- s.net.Serve(peers) }()
+	s.log.Info("host starts", "host", s.identity.Name, "zone", s.identity.Zone, "peers", s.identity.Peers)
+	go s.followConfig(life)
+	elected := make(chan struct{})
+	go func() {
+		s.election.Run(ctx)
+		close(elected)
+	}()
+	select {
+	case err := <-failed:
+		return fmt.Errorf("host %s: peers: %w", s.identity.Name, err)
+	case <-ctx.Done():
+	}
+	s.stop(life, elected, drain)
+	_ = peers.Close() // its loop ends by this
+	return nil
+}
+
+// stop ends the station within the time that a planned stop may take.
+func (s *Station) stop(ctx context.Context, elected chan struct{}, drain func(ctx context.Context)) {
+	s.log.Info("host stops", "host", s.identity.Name)
+	s.stopping.Store(true)
+	last, cancel := context.WithTimeout(ctx, max(s.grace-stopMargin, unreadyTime))
+	defer cancel()
+	select {
+	case <-time.After(unreadyTime):
+	case <-last.Done():
+	}
+	drain(last)
+	select {
+	case <-elected:
+	case <-last.Done():
+	}
+	s.net.Close()
+	s.log.Info("host stopped", "host", s.identity.Name)
+}
--- a/internal/operator/command/host.go
+++ b/internal/operator/command/host.go
@@ -6,6 +6,7 @@
 	"github.com/go-logr/logr"
 
 	"guavaglade.example/guavaglade/internal/report/linelog"
+	"guavaglade.example/guavaglade/internal/report/metrics"
 	"guavaglade.example/guavaglade/platform"
 )
 
@@ -22,5 +23,7 @@
 	}
 	out := linelog.New(c.out)
 	defer out.Close()
-	return platform.Serve(logr.FromSlogHandler(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level})))
+	scope, handler, closer := metrics.New()
+	defer func() { _ = closer.Close() }() // the process ends
+	return platform.Serve(scope, handler, logr.FromSlogHandler(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level})))
 }
--- /dev/null
+++ b/internal/platform/store/counted.go
@@ -0,0 +1,76 @@
+package store
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"guavaglade.example/guavaglade/internal/report/metrics"
+)
+
+// Counted passes calls on to a store, counts them by outcome and times them.
+type Counted struct {
+	Store
+	calls map[string]*callMetrics
+}
+
+type callMetrics struct {
+	ok, conflict, unavailable, unknown tally.Counter
+	latency                            tally.Histogram
+}
+
+// NewCounted returns a store that counts in the scope.
+func NewCounted(s Store, scope tally.Scope) *Counted {
+	c := &Counted{Store: s, calls: map[string]*callMetrics{}}
+	for _, call := range []string{"commit", "read", "changes"} {
+		tagged := scope.Tagged(map[string]string{"call": call})
+		outcome := func(name string) tally.Counter {
+			return tagged.Tagged(map[string]string{"outcome": name}).Counter("store_calls_total")
+		}
+		c.calls[call] = &callMetrics{
+			ok: outcome("ok"), conflict: outcome("conflict"), unavailable: outcome("unavailable"), unknown: outcome("unknown"),
+			latency: tagged.Histogram("store_seconds", metrics.Latencies),
+		}
+	}
+	return c
+}
+
+func (m *callMetrics) note(began time.Time, err error) {
+	m.latency.RecordDuration(time.Since(began))
+	switch {
+	case err == nil:
+		m.ok.Inc(1)
+	case errors.Is(err, ErrConflict), errors.Is(err, ErrHistory):
+		m.conflict.Inc(1)
+	case errors.Is(err, ErrUnavailable):
+		m.unavailable.Inc(1)
+	default:
+		m.unknown.Inc(1)
+	}
+}
+
+// Commit implements Store.
+func (c *Counted) Commit(ctx context.Context, tx Tx) (Result, error) {
+	began := time.Now()
+	res, err := c.Store.Commit(ctx, tx)
+	c.calls["commit"].note(began, err)
+	return res, err
+}
+
+// Read implements Store.
+func (c *Counted) Read(ctx context.Context, r Range) (Page, error) {
+	began := time.Now()
+	page, err := c.Store.Read(ctx, r)
+	c.calls["read"].note(began, err)
+	return page, err
+}
+
+// Changes implements Store.
+func (c *Counted) Changes(ctx context.Context, table string, after int64, wait time.Duration) (Page, error) {
+	began := time.Now()
+	page, err := c.Store.Changes(ctx, table, after, wait)
+	c.calls["changes"].note(began, err)
+	return page, err
+}
--- a/internal/standin/pool/pool.go
+++ b/internal/standin/pool/pool.go
@@ -119,6 +119,9 @@
 	p.jobs[j.ID] = &work{job: j, does: b, done: map[graph.TaskID]bool{}, noted: map[graph.TaskID]bool{}, failures: map[graph.TaskID]int{}}
 }
 
+// Knows reports whether a job was made known.
+func (p *Pool) Knows(id graph.JobID) bool { return p.jobs[id] != nil }
+
 // Cancelled notes that a job's cancelling was acknowledged.
 func (p *Pool) Cancelled(id graph.JobID, now time.Time) {
 	if w := p.jobs[id]; w != nil && w.cancelled.IsZero() {
--- a/internal/work/dispatch/starting.go
+++ b/internal/work/dispatch/starting.go
@@ -61,7 +61,7 @@
 		Run: r.Run, Spec: r.task.step.job.spec.Spec, Deadline: t.grant(now, m.bounds.Lease),
 		Term: m.term, Checkpoint: r.resumedAt, Ticket: r.ticket,
 	}})
-	m.log.Decided("start", "target", t.ID, "task", r.Task, "run", r.Number, "try", r.tries, "checkpoint", r.resumedAt)
+	m.log.Decided("start run", "target", t.ID, "task", r.Task, "run", r.Number, "try", r.tries, "checkpoint", r.resumedAt)
 }
 
 // StartAnswered takes in what became of a start; err is nil or wraps one of
@@ -171,7 +171,7 @@
 		m.release(r, now)
 		return
 	}
-	m.log.Decided("stop", "target", r.target.ID, "task", r.Task, "run", r.Number, "reason", why)
+	m.log.Decided("stop run", "target", r.target.ID, "task", r.Task, "run", r.Number, "reason", why)
 	r.phase = stopping
 	r.settledAt = time.Time{}
 	m.sendStop(r, now)
