leader, dispatch: the most powerful hosts lead; passes rest

A pass over all that waits and all targets followed every end, and every decision looked at every target for a hold.

Change: hosts tell their power with each watch; more powerful ones take the row first, and a leader hands over to one that has half as much again. A pass rests in proportion to the targets that it considered; urgent steps that come up meanwhile are placed at once; room that may be cleared is worked out once a pass; holds are considered only where something changed. The rule for starts that no row notes is gone: there are none since each start waits for its note.

--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -213,7 +213,7 @@
 	o.set(o)
 	o.every(listEvery, o.list)
 	o.every(scanEvery, o.scan)
-	o.machine.Begin(heirEnd, o.clock(), false)
+	o.machine.Begin(heirEnd, o.clock())
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
@@ -224,11 +224,16 @@
 		if o.machine.Deposed() {
 			return errNewerTerm
 		}
+		var due <-chan time.Time
+		if at, more := o.machine.Due(); more {
+			due = time.After(max(at.Sub(now), 0))
+		}
 		select {
 		case <-o.ctx.Done():
 			return o.ctx.Err()
 		case f := <-o.work:
 			f(o.clock())
+		case <-due:
 		case <-tick.C:
 			o.configure()
 			o.machine.SetWall(o.clock.WallOffset())
--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -53,7 +54,8 @@
 	Version int64      `json:"version"`         // of the configuration in force on the sender
 	From    string     `json:"from,omitempty"`  // the sender's address
 	StoreUp bool       `json:"storeUp"`         // the store serves the sender
-	Peers   []string   `json:"peers,omitempty"` // hosts that the store serves, as the leader knows them
+	Power   float64    `json:"power,omitempty"` // cores that the sender has
+	Peers   []string   `json:"peers,omitempty"` // hosts that the store serves, as the leader knows them, the most powerful first
 }
 
 // succeedBody asks a host to take the leader row over.
@@ -92,7 +94,8 @@
 // Exchange answers peers and asks them.
 type Exchange struct {
 	net     *peer.Net
-	own     string // address for peers
+	own     string  // address for peers
+	power   float64 // cores that this host has
 	leading Leading
 	storing Storing
 	up      func() bool // the store serves this host
@@ -109,11 +112,12 @@
 type watcher struct {
 	at      time.Time // of its last watch
 	storeUp bool
+	power   float64
 }
 
 // New returns an exchange. Bind must be called before it is used.
-func New(own string, desk *dispatcher.Dispatcher, k *catalog.Keeper, up func() bool, adopted func(version int64, from string)) *Exchange {
-	return &Exchange{own: own, desk: desk, keeper: k, up: up, adopted: adopted, seen: map[string]watcher{}}
+func New(own string, power float64, desk *dispatcher.Dispatcher, k *catalog.Keeper, up func() bool, adopted func(version int64, from string)) *Exchange {
+	return &Exchange{own: own, power: power, desk: desk, keeper: k, up: up, adopted: adopted, seen: map[string]watcher{}}
 }
 
 // Bind sets what the exchange works with that itself needs the exchange.
@@ -174,19 +178,19 @@
 		return nil, dispatcher.ErrNotLeading
 	case <-time.After(watchWait):
 	}
-	return watchBody{Row: x.leading.Leader(), Version: x.keeper.Version(), Peers: x.served()}, nil
+	return watchBody{Row: x.leading.Leader(), Version: x.keeper.Version(), Peers: x.served(0)}, nil
 }
 
 func (x *Exchange) noteWatcher(in watchBody) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.heard = time.Now()
-	x.seen[in.From] = watcher{at: time.Now(), storeUp: in.StoreUp}
+	x.seen[in.From] = watcher{at: time.Now(), storeUp: in.StoreUp, power: in.Power}
 }
 
-// served returns the hosts that watch this one and that the store serves,
-// sorted.
-func (x *Exchange) served() []string {
+// served returns the hosts that watch this one and that the store serves, with at
+// least so much power, the most powerful first.
+func (x *Exchange) served(least float64) []string {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	var list []string
@@ -194,20 +198,29 @@
 		switch {
 		case time.Since(w.at) > watcherGone:
 			delete(x.seen, address)
-		case w.storeUp:
+		case w.storeUp && w.power >= least:
 			list = append(list, address)
 		}
 	}
-	slices.Sort(list)
+	slices.SortFunc(list, func(a, b string) int {
+		return cmp.Or(cmp.Compare(x.seen[b].power, x.seen[a].power), cmp.Compare(a, b))
+	})
 	return list
 }
 
+// Rank implements leader.Peer.
+func (x *Exchange) Rank() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return max(slices.Index(x.peers, x.own), 0)
+}
+
 // Watch implements leader.Peer.
 func (x *Exchange) Watch(ctx context.Context, address string, term int64) (leader.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTime)
 	defer cancel()
 	var out watchBody
-	in := watchBody{Row: leader.Row{Term: term}, Version: x.keeper.Version(), From: x.own, StoreUp: x.up()}
+	in := watchBody{Row: leader.Row{Term: term}, Version: x.keeper.Version(), From: x.own, StoreUp: x.up(), Power: x.power}
 	if err := x.net.Call(ctx, address, methodWatch, in, &out); err != nil {
 		return leader.Row{}, err
 	}
@@ -225,10 +238,10 @@
 
 // Successors implements leader.Peer. A host that last said that the store serves
 // it may not have asked since: each is asked to read the row now.
-func (x *Exchange) Successors(ctx context.Context) []string {
+func (x *Exchange) Successors(ctx context.Context, least float64) []string {
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
-	list := x.served()
+	list := x.served(least)
 	list = list[:min(len(list), askedSuccessors)]
 	answers := make(chan string, len(list))
 	for _, address := range list {
@@ -239,14 +252,11 @@
 			answers <- address
 		}()
 	}
-	var able []string
+	able := map[string]bool{}
 	for range list {
-		if address := <-answers; address != "" {
-			able = append(able, address)
-		}
+		able[<-answers] = true
 	}
-	slices.Sort(able)
-	return able
+	return slices.DeleteFunc(list, func(a string) bool { return !able[a] })
 }
 
 // HandOver implements leader.Peer.
@@ -391,7 +401,7 @@
 
 // relays returns the hosts to ask, in turn.
 func (x *Exchange) relays() []string {
-	list := x.served() // of a leader that the store turns away
+	list := x.served(0) // of a leader that the store turns away
 	if len(list) == 0 {
 		x.mu.Lock()
 		list = slices.Clone(x.peers)
--- a/internal/host/leader/election.go
+++ b/internal/host/leader/election.go
@@ -19,8 +19,12 @@
 type Peer interface {
 	Watch(ctx context.Context, address string, term int64) (Row, error)
 	// Successors returns hosts that watch this one and that have read the
-	// leader row just now, by address.
-	Successors(ctx context.Context) []string
+	// leader row just now, by address, the most powerful first. least bounds the
+	// power of those that count.
+	Successors(ctx context.Context, least float64) []string
+	// Rank returns how many hosts the last leader knew that are more powerful
+	// than this one.
+	Rank() int
 	// HandOver asks the host at an address to take the row over, and reports
 	// whether it did.
 	HandOver(ctx context.Context, address string, r Row, version int64) bool
@@ -72,6 +76,7 @@
 	own       Row // term 0; holder and address of this host
 	clock     steady.Clock
 	draw      func(n int64) int64 // a random number from 0 up to n
+	power     float64             // cores that this host has
 	log       logr.Logger
 	mu        sync.Mutex
 	seen      Row
@@ -94,6 +99,10 @@
 // math/rand.
 func WithDraw(draw func(n int64) int64) Option { return func(e *Election) { e.draw = draw } }
 
+// WithPower sets how many cores the host has; of hosts of unlike power the most
+// powerful leads.
+func WithPower(cores float64) Option { return func(e *Election) { e.power = cores } }
+
 // New returns an election for the host with the name and the address for peers.
 func New(s store.Store, p Peer, lead Lead, holder, address string, log logr.Logger, opts ...Option) *Election {
 	e := &Election{store: s, peer: p, lead: lead, own: Row{Holder: holder, Address: address}, clock: steady.Now, draw: rand.Int64N, log: log, handed: make(chan handed)}
@@ -252,8 +261,40 @@
 	return e.seen.over(e.own) || e.clock().Sub(e.changed) >= patience
 }
 
+// Figures of choosing among hosts of unlike power.
+const (
+	// rankDelay is how long a host lets each more powerful one go first: a row is
+	// taken within two round trips to the store.
+	rankDelay = 60 * time.Millisecond
+	// mostRank bounds the wait where many more powerful hosts are lost together.
+	mostRank = 10
+	// muchMore is how many times more powerful another host must be for a leader
+	// to hand over to it: that costs a tenth of a second without orders.
+	muchMore = 1.5
+	// yieldEvery is the time between two looks for such a host.
+	yieldEvery = 2 * time.Second
+)
+
+// letFirst lets more powerful hosts go first, and reports whether the row may
+// still be taken over then.
+func (e *Election) letFirst(ctx context.Context) bool {
+	rank := min(e.peer.Rank(), mostRank)
+	if rank == 0 {
+		return true
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(time.Duration(rank) * rankDelay):
+	}
+	return e.Look(ctx) == nil && e.ripe()
+}
+
 // takeOver tries to take the row, and leads if that succeeds.
 func (e *Election) takeOver(ctx context.Context) {
+	if !e.letFirst(ctx) {
+		return
+	}
 	e.mu.Lock()
 	before, version := e.seen, e.version
 	e.mu.Unlock()
@@ -369,15 +410,24 @@
 	e.resign(ctx, r, version)
 }
 
+// errYield ends a term for the sake of a more powerful host.
+var errYield = errors.New("a much more powerful host could lead")
+
 // keep renews the row until the context or the term ends. It changes the row
 // and returns its version as last written.
 func (e *Election) keep(ctx context.Context, t *Term, r *Row, version int64) (int64, error) {
 	tick := time.NewTicker(Renew)
 	defer tick.Stop()
+	yield := time.NewTicker(yieldEvery)
+	defer yield.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return version, ctx.Err()
+		case <-yield.C:
+			if e.power > 0 && len(e.peer.Successors(ctx, e.power*muchMore)) > 0 {
+				return version, errYield
+			}
 		case <-tick.C:
 			now, err := e.renew(ctx, t, r, version)
 			if err != nil {
@@ -409,7 +459,7 @@
 	if !t.Valid(e.clock()) {
 		return 0, fmt.Errorf("row not written for %s: %w", Grace, err)
 	}
-	if errors.Is(err, store.ErrUnavailable) && e.clock().Sub(t.written()) > Renew+Renew/2 && len(e.peer.Successors(ctx)) > 0 {
+	if errors.Is(err, store.ErrUnavailable) && e.clock().Sub(t.written()) > Renew+Renew/2 && len(e.peer.Successors(ctx, 0)) > 0 {
 		return version, fmt.Errorf("the store turns this host away and serves others: %w", err)
 	}
 	e.log.V(1).Info("leader row not renewed", "term", t.number, "error", err.Error())
@@ -426,7 +476,7 @@
 		return
 	}
 	ctx = context.WithoutCancel(ctx)
-	for _, address := range e.peer.Successors(ctx) {
+	for _, address := range e.peer.Successors(ctx, 0) {
 		if e.peer.HandOver(ctx, address, r, version) {
 			e.log.Info("handed over", "term", r.Term, "to", address)
 			return
--- a/internal/host/station/station.go
+++ b/internal/host/station/station.go
@@ -32,9 +32,10 @@
 
 // Identity says which host this is.
 type Identity struct {
-	Name  string // of the host
-	Zone  string // its availability zone
-	Peers string // IP:port where other hosts reach it
+	Name  string  // of the host
+	Zone  string  // its availability zone
+	Peers string  // IP:port where other hosts reach it
+	Power float64 // cores that it has; 0: not known
 }
 
 // Configuration says where the configuration is stored and how it is read.
@@ -95,12 +96,12 @@
 		desk = append(desk, dispatcher.WithAdviser(p.Adviser))
 	}
 	s.desk = dispatcher.New(s.store, order.NewCounted(p.Line, set.metrics), p.Roster, set.bounds, log, desk...)
-	s.exchange = exchange.New(id.Peers, s.desk, s.keeper, s.store.Up, func(version int64, from string) {
+	s.exchange = exchange.New(id.Peers, id.Power, s.desk, s.keeper, s.store.Up, func(version int64, from string) {
 		log.Info("configuration in force", "version", version, "from", from)
 	})
 	s.net = peer.New(s.exchange.Handle, nil, nil, log.V(1))
 	holder := id.Name + "#" + strconv.FormatInt(time.Now().UnixNano(), 36)
-	s.election = leader.New(s.store, s.exchange, s.desk.Lead, holder, id.Peers, log)
+	s.election = leader.New(s.store, s.exchange, s.desk.Lead, holder, id.Peers, log, leader.WithPower(id.Power))
 	s.entry = entry.New(s.store, s.exchange, s.exchange, log)
 	s.exchange.Bind(s.net, s.election, s.entry)
 	return s
--- a/internal/proof/deployment/rig_test.go
+++ b/internal/proof/deployment/rig_test.go
@@ -125,7 +125,7 @@
 	h.line = pool.NewLine(r.shared, time.Millisecond, rand.New(rand.NewPCG(r.rnd.Uint64(), 3)))
 	gauge := store.NewGauge(h.link, func(up bool, err error) { log.Info("store", "serves", up, "error", fmt.Sprint(err)) })
 	desk := dispatcher.New(gauge, h.line, r.shared, dispatch.DefaultBounds(), log, dispatcher.WithClock(time.Now))
-	x := exchange.New(h.address, desk, catalog.NewKeeper(nil), gauge.Up, func(int64, string) {})
+	x := exchange.New(h.address, 1, desk, catalog.NewKeeper(nil), gauge.Up, func(int64, string) {})
 	h.net = peer.New(x.Handle, nil, r.wires.dial(h.address), logr.Discard())
 	h.election = leader.New(gauge, x, desk.Lead, fmt.Sprintf("%s#%d", name, life), h.address, log, leader.WithClock(time.Now), leader.WithDraw(r.draw()))
 	h.entry = entry.New(gauge, x, x, log)
--- a/internal/work/dispatch/advice_test.go
+++ b/internal/work/dispatch/advice_test.go
@@ -27,7 +27,7 @@
 	for _, l := range list {
 		s.Held(l.ID, Hold{Sent: s.now}, order.Report{Clock: 5000}, s.now)
 	}
-	s.Begin(s.now, s.now, false)
+	s.Begin(s.now, s.now)
 	j := one("00000000000000ba", tasks)
 	j.Advised, j.AdviceValid = true, 3*time.Second
 	s.Accept(j, s.now)
@@ -37,6 +37,7 @@
 // commands returns the commands of one kind, and takes saves as done.
 func commands[C Command](s *standing) (list []C) {
 	for range 2 {
+		s.now = s.now.Add(time.Millisecond) // a pass rests a little after the one before
 		for _, c := range s.Decide(s.now) {
 			if x, ok := c.(C); ok {
 				list = append(list, x)
@@ -104,6 +105,7 @@
 	s.StartAnswered("t1", c.Order.Run, 5000, fmt.Errorf("start: %w", order.ErrNoTicket), s.now)
 	starts, asks := 0, 0
 	for range 2 {
+		s.now = s.now.Add(time.Millisecond)
 		for _, c := range s.Decide(s.now) {
 			switch c.(type) {
 			case Start:
--- a/internal/work/dispatch/arriving.go
+++ b/internal/work/dispatch/arriving.go
@@ -33,7 +33,7 @@
 		return
 	}
 	j := newJob(spec, PartOf(spec.ID, m.bounds.Parts), now)
-	j.restored, j.version, j.cancelled = true, version, cancelled
+	j.version, j.cancelled = version, cancelled
 	m.noteSize(spec)
 	m.jobs[spec.ID] = j
 	if p != nil {
@@ -163,6 +163,7 @@
 	}
 	s.listedOpen = true
 	m.open = append(m.open, s)
+	m.fresh = append(m.fresh, s)
 	m.changed = true
 }
 
--- a/internal/work/dispatch/clearing.go
+++ b/internal/work/dispatch/clearing.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -14,23 +15,24 @@
 	s := x.step
 	c := m.newClearing(s, now)
 	var best *target
-	var bestCost float64
+	var bestOffer offer
+	m.considered += len(m.byID)
 	for _, t := range m.byID {
-		if !s.suits(t, now) || m.heldFor(t, s) || s.spread(t) <= 0 || x.shuns(t) {
+		if !s.suits(t, now) || m.heldFor(t, s) || x.shuns(t) {
 			continue
 		}
-		if _, cost, ok := c.cheapest(t); ok && (best == nil || cost < bestCost) {
-			best, bestCost = t, cost
+		if o := c.offer(t); o.ok && (best == nil || o.cost < bestOffer.cost) {
+			best, bestOffer = t, o
 		}
 	}
 	if best == nil {
 		return nil
 	}
-	if bestCost > m.allowedLoss(s, 1, now) {
+	if bestOffer.cost > m.allowedLoss(s, 1, now) {
 		m.holdBack(s, []*target{best})
 		return nil
 	}
-	c.take(best)
+	c.take(best, bestOffer)
 	m.stopVictims(c, now)
 	return best
 }
@@ -71,8 +73,15 @@
 	return best.plan
 }
 
+// victim is a run that may be stopped for work of priority 0.
+type victim struct {
+	run  *run
+	loss float64 // core-seconds thrown away; of a gang's member, what the gang loses
+}
+
 // clearing is a plan to stop runs for the tasks of a step.
 type clearing struct {
+	m       *Machine
 	step    *step
 	now     time.Time
 	charge  graph.Resources
@@ -80,37 +89,59 @@
 	planned map[*target]int
 	victims map[*run]bool
 	plan    []*target
-	cost    float64 // of all victims, in core-seconds of work that is lost
+	cost    float64 // of all victims
 }
 
 func (m *Machine) newClearing(s *step, now time.Time) *clearing {
 	return &clearing{
-		step: s, now: now, charge: s.spec.Charge(), room: map[*target]graph.Resources{},
+		m: m, step: s, now: now, charge: s.spec.Charge(), room: map[*target]graph.Resources{},
 		planned: map[*target]int{}, victims: map[*run]bool{},
 	}
 }
 
 // fillSet plans all tasks of the step on a set, each where it costs least.
 func (c *clearing) fillSet(set []*target) bool {
+	if !c.couldHold(set) {
+		return false
+	}
+	offers := make([]offer, len(set))
+	for i, t := range set {
+		offers[i] = c.offer(t)
+	}
 	for range c.step.tasks {
-		var best *target
-		var bestCost float64
-		for _, t := range set {
-			if c.step.spread(t)-c.planned[t] <= 0 {
-				continue
-			}
-			if _, cost, ok := c.cheapest(t); ok && (best == nil || cost < bestCost) {
-				best, bestCost = t, cost
+		best := -1
+		for i := range offers {
+			if offers[i].ok && (best < 0 || offers[i].cost < offers[best].cost) {
+				best = i
 			}
 		}
-		if best == nil {
+		if best < 0 {
 			return false
 		}
-		c.take(best)
+		gangs := c.take(set[best], offers[best])
+		for i, t := range set {
+			if i == best || gangs {
+				offers[i] = c.offer(t)
+			}
+		}
 	}
 	return true
 }
 
+// couldHold reports whether the tasks fit if all that may be stopped is.
+func (c *clearing) couldHold(set []*target) bool {
+	n := 0
+	for _, t := range set {
+		room := c.free(t)
+		for _, v := range c.m.victimsOn(t, c.now) {
+			room = room.Plus(v.run.charge)
+		}
+		n += min(fitting(c.charge, room), max(c.step.spread(t), 0))
+	}
+	c.m.considered += len(set)
+	return n >= len(c.step.tasks)
+}
+
 // free returns the room on a target under the plan, once the runs that are
 // being stopped there have ended.
 func (c *clearing) free(t *target) graph.Resources {
@@ -126,97 +157,105 @@
 	return room
 }
 
-// cheapest returns the runs to stop on a target so that one more task fits, and
-// what that costs.
-func (c *clearing) cheapest(t *target) (victims []*run, cost float64, ok bool) {
+// offer is what one more task on a target would cost.
+type offer struct {
+	victims []victim // to stop
+	cost    float64
+	ok      bool // it can be had
+}
+
+// offer returns the runs to stop on a target so that one more task fits: the
+// cheapest first, without those that turn out not to be needed.
+func (c *clearing) offer(t *target) offer {
+	if c.step.spread(t)-c.planned[t] <= 0 {
+		return offer{}
+	}
 	free := c.free(t)
 	if c.charge.Within(free) {
-		return nil, 0, true
+		return offer{ok: true}
 	}
-	for _, r := range c.candidates(t) {
-		victims = append(victims, r)
-		free = free.Plus(r.charge)
+	var list []victim
+	for _, v := range c.m.victimsOn(t, c.now) {
+		if c.victims[v.run] {
+			continue
+		}
+		list = append(list, v)
+		free = free.Plus(v.run.charge)
 		if c.charge.Within(free) {
-			return c.prune(victims, free)
+			return c.prune(list, free)
 		}
 	}
-	return nil, 0, false
+	return offer{}
 }
 
-// prune drops victims that turned out not to be needed, the dearest first.
-func (c *clearing) prune(victims []*run, free graph.Resources) ([]*run, float64, bool) {
-	needed := victims[:0:0]
-	cost := 0.0
-	for i := len(victims) - 1; i >= 0; i-- {
-		r := victims[i]
-		if c.charge.Within(free.Minus(r.charge)) {
-			free = free.Minus(r.charge)
+// prune drops victims that are not needed, the dearest first.
+func (c *clearing) prune(list []victim, free graph.Resources) offer {
+	o := offer{ok: true}
+	for i := len(list) - 1; i >= 0; i-- {
+		if less := free.Minus(list[i].run.charge); c.charge.Within(less) {
+			free = less
 			continue
 		}
-		needed = append(needed, r)
-		cost += lossOf(r, c.now)
+		o.victims = append(o.victims, list[i])
+		o.cost += list[i].loss
 	}
-	return needed, cost, true
+	return o
 }
 
-// candidates returns the runs that may be stopped on a target, the cheapest
-// first.
-func (c *clearing) candidates(t *target) []*run {
-	var list []*run
+// victimsOn returns the runs that may be stopped on a target for work of priority
+// 0, the cheapest first.
+func (m *Machine) victimsOn(t *target, now time.Time) []victim {
+	if list, ok := m.pass.victims[t]; ok {
+		return list
+	}
+	var list []victim
 	for _, r := range t.sortedRuns() {
-		if c.victims[r] || (r.phase != running && r.phase != starting) {
-			continue
-		}
 		s := r.task.step
-		if s.job.spec.Priority <= c.step.job.spec.Priority || s.spec.Lasting {
-			continue
+		if (r.phase == running || r.phase == starting) && s.job.spec.Priority > 0 && !s.spec.Lasting {
+			list = append(list, victim{run: r, loss: m.lossOf(r, now)})
 		}
-		list = append(list, r)
 	}
-	slices.SortStableFunc(list, func(a, b *run) int {
-		la, lb := lossOf(a, c.now), lossOf(b, c.now)
-		switch {
-		case la < lb:
-			return -1
-		case la > lb:
-			return 1
-		}
-		return 0
-	})
+	slices.SortStableFunc(list, func(a, b victim) int { return cmp.Compare(a.loss, b.loss) })
+	m.pass.victims[t] = list
+	m.considered += len(list)
 	return list
 }
 
-// take plans one more task on a target.
-func (c *clearing) take(t *target) {
-	victims, cost, _ := c.cheapest(t)
+// take plans one more task on a target. It reports whether a gang is stopped for
+// it, which makes room elsewhere, too.
+func (c *clearing) take(t *target, o offer) (gangs bool) {
 	free := c.free(t)
-	for _, r := range victims {
-		c.victims[r] = true
-		free = free.Plus(r.charge)
-		c.addGang(r)
+	for _, v := range o.victims {
+		c.victims[v.run] = true
+		free = free.Plus(v.run.charge)
 	}
 	c.room[t] = free.Minus(c.charge)
+	for _, v := range o.victims {
+		gangs = c.addGang(v.run) || gangs
+	}
 	c.planned[t]++
 	c.plan = append(c.plan, t)
-	c.cost += cost
+	c.cost += o.cost
+	return gangs
 }
 
 // addGang counts the other members of a victim's gang as free, too: they end
 // with it.
-func (c *clearing) addGang(r *run) {
+func (c *clearing) addGang(r *run) bool {
 	s := r.task.step
 	if !s.spec.Gang {
-		return
+		return false
 	}
 	for _, x := range s.tasks {
 		for _, o := range x.runs {
-			if o == r || c.victims[o] || o.phase == stopping {
+			if c.victims[o] || o.phase == stopping {
 				continue
 			}
 			c.victims[o] = true
 			c.room[o.target] = c.free(o.target).Plus(o.charge)
 		}
 	}
+	return true
 }
 
 // stopVictims stops the runs of a plan.
@@ -230,6 +269,7 @@
 	m.log.Decided("room cleared", "step", c.step.id, "runs", len(list), "lossCoreS", int(c.cost), "gainCoreS", int(size), "waitedMS", m.wallMS(now)-c.step.anchor())
 	for _, r := range list {
 		m.stop(r, "room for "+c.step.id.String(), now)
+		delete(m.pass.victims, r.target) // it cannot be stopped again in this pass
 	}
 }
 
@@ -248,17 +288,21 @@
 
 // lossOf returns what stopping a run throws away, in core-seconds; of a gang's
 // member, what the whole gang loses.
-func lossOf(r *run, now time.Time) float64 {
+func (m *Machine) lossOf(r *run, now time.Time) float64 {
 	s := r.task.step
 	if !s.spec.Gang {
 		return weight(s.spec.Needs) * (unsaved(r, now) + restartLoss)
 	}
+	if loss, ok := m.pass.losses[s]; ok {
+		return loss
+	}
 	loss := 0.0
 	for _, x := range s.tasks {
 		for _, o := range x.runs {
 			loss += weight(s.spec.Needs) * (unsaved(o, now) + restartLoss)
 		}
 	}
+	m.pass.losses[s] = loss
 	return loss
 }
 
--- a/internal/work/dispatch/drive_test.go
+++ b/internal/work/dispatch/drive_test.go
@@ -30,6 +30,7 @@
 	version int64
 	lose    func(c Command) bool // commands that are lost without an answer; nil: none
 	log     []string
+	woken   bool                      // a decision is on the agenda
 	ended   map[graph.JobID]time.Time // when jobs were shown as ended
 	asked   map[graph.JobID]time.Time
 	nextID  int
@@ -58,7 +59,7 @@
 	}
 	d.m = New(1, b, WithLog(d))
 	d.m.Listed(d.p.Roster(), d.now)
-	d.m.Begin(d.now, d.now, false)
+	d.m.Begin(d.now, d.now)
 	d.decide()
 	d.run(100 * time.Millisecond)
 	return d
@@ -107,6 +108,10 @@
 	for _, c := range d.m.Decide(d.now) {
 		d.carryOut(c)
 	}
+	if at, due := d.m.Due(); due && !d.woken {
+		d.woken = true
+		d.after(max(at.Sub(d.now), 0), func() { d.woken = false })
+	}
 	for id := range d.asked {
 		if s, ok := d.m.State(id); ok && s.Final() {
 			if _, seen := d.ended[id]; !seen {
--- a/internal/work/dispatch/fit.go
+++ b/internal/work/dispatch/fit.go
@@ -37,6 +37,7 @@
 	charge := s.spec.Charge()
 	var best *target
 	var bestFit fit
+	m.considered += len(m.byID)
 	for _, t := range m.byID {
 		if !s.suits(t, now) || m.heldFor(t, s) || !charge.Within(t.room()) || s.spread(t) <= 0 {
 			continue
--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -43,6 +43,7 @@
 // empty, those first on which it runs fastest. A gang that wants one rack still
 // may run over several, and one whose data is on a rack on another, only slower.
 func (m *Machine) sets(s *step, now time.Time) []set {
+	m.considered += len(m.byID)
 	byRack := map[string][]*target{}
 	var racks []string
 	var all []*target
@@ -163,9 +164,11 @@
 		total += min(fitting(charge, room[i]), max(slots[i], 0))
 		left += room[i].Accelerators
 	}
+	m.considered += len(targets)
 	if total < len(s.tasks) {
 		return nil, 0
 	}
+	m.considered += len(targets) * len(s.tasks)
 	for _, x := range s.tasks {
 		best := -1
 		var bestFit fit
--- a/internal/work/dispatch/hold.go
+++ b/internal/work/dispatch/hold.go
@@ -127,6 +127,7 @@
 		return
 	}
 	t.answered(h)
+	m.touchTarget(t)
 	t.heardAt = now
 	t.heardClock(rep.Clock, now)
 	t.sentAck = max(t.sentAck, h.Order.Acked)
@@ -196,6 +197,7 @@
 		return
 	}
 	t.answered(h)
+	m.touchTarget(t)
 	switch {
 	case errors.Is(err, order.ErrFenced):
 		m.fenced(t, "hold")
--- a/internal/work/dispatch/job.go
+++ b/internal/work/dispatch/job.go
@@ -28,7 +28,6 @@
 	sentState progress.State // of the save that is outstanding
 	dirty     bool           // waits for a save
 	heardAt   time.Time      // when the leader heard of it
-	restored  bool           // it was accepted before this term
 	objective time.Duration  // within which it earns its whole worth
 }
 
--- /dev/null
+++ b/internal/work/dispatch/load_test.go
@@ -0,0 +1,93 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// stream hands in jobs of three sorts at random, as the users' request sheets
+// describe them: large gangs, urgent gangs and wide steps of small tasks.
+type stream struct {
+	*drive
+	rnd  *rand.Rand
+	rate float64 // jobs a second of all sorts
+	wide float64 // how much wider than today's steps are
+}
+
+// accelerators are what tasks of gangs ask for.
+var accelerators = []int{1, 2, 4, 8, 8}
+
+// next hands one job in.
+func (s *stream) next() {
+	width := func(mean float64) int { return max(1, int(s.rnd.ExpFloat64()*mean*s.wide)) }
+	around := func(d time.Duration) time.Duration {
+		return time.Duration(float64(d) * (0.7 + 0.6*s.rnd.Float64()))
+	}
+	n := accelerators[s.rnd.IntN(len(accelerators))]
+	switch x := s.rnd.Float64(); {
+	case x < 0.17:
+		g := large(min(width(4), 16), n)
+		g.SameRack = s.rnd.Float64() < 0.6
+		s.submit(1, around(8500*time.Millisecond), g)
+	case x < 0.80:
+		g := urgent(min(width(2.5), 12), n)
+		g.SameRack = s.rnd.Float64() < 0.8
+		s.submit(0, around(2500*time.Millisecond), g)
+	default:
+		t := small(min(width(13), 90))
+		t.Checkpointing = s.rnd.Float64() < 0.45
+		s.submit(2, around(6100*time.Millisecond), t)
+	}
+}
+
+// pass lets time pass while jobs come in.
+func (s *stream) pass(span time.Duration) {
+	for until := s.now.Add(span); s.now.Before(until); {
+		s.run(max(driveStep, time.Duration(s.rnd.ExpFloat64()/s.rate*float64(time.Second))))
+		s.next()
+	}
+}
+
+// served returns the share of the jobs handed in before a time that have ended
+// within so many times their estimate.
+func (s *stream) served(priority int, within float64, before time.Time) float64 {
+	n, good := 0, 0
+	for id, asked := range s.asked {
+		j := s.m.jobs[id]
+		if j == nil || j.spec.Priority != priority || asked.After(before) {
+			continue
+		}
+		n++
+		if at, ok := s.ended[id]; ok && at.Sub(asked) <= time.Duration(within*float64(j.spec.Steps[0].Estimate)) {
+			good++
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return float64(good) / float64(n)
+}
+
+// BenchmarkDecide sweeps sizes of deployments and measures what a second of the
+// machine's time costs, with the stand-in targets.
+func BenchmarkDecide(b *testing.B) {
+	for _, x := range []struct {
+		name           string
+		racks, perRack int
+		rate, wide     float64
+	}{
+		{"48", 6, 8, 4, 1}, {"48full", 6, 8, 9, 1}, {"350", 18, 20, 12, 2}, {"350full", 18, 20, 28, 2}, {"920", 46, 20, 30, 2},
+	} {
+		b.Run(x.name, func(b *testing.B) {
+			s := &stream{drive: newDrive(b, x.racks, x.perRack, DefaultBounds()), rnd: rand.New(rand.NewPCG(1, 2)), rate: x.rate, wide: x.wide}
+			s.pass(15 * time.Second)
+			b.ResetTimer()
+			for b.Loop() {
+				s.pass(time.Second)
+			}
+			b.ReportMetric(float64(s.m.Counts().Runs), "runs")
+			b.ReportMetric(float64(s.m.Counts().Open), "waiting")
+		})
+	}
+}
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -26,14 +26,17 @@
 	out        []Command
 	begun      bool // placing is allowed
 	begunAt    time.Time
-	heirEnd    time.Time                  // an earlier leader's leases have lapsed by then
+	touched    []*target // for which a hold is to be considered
+	fresh      []*step   // that came up since the last pass
+	passAt     time.Time // the next pass is not before
+	pass       pass
+	considered int                        // targets considered in this pass, over all steps
 	heldBack   map[*target]map[*step]bool // targets kept for urgent steps, in this pass
 	advising   bool                       // a call for advice is outstanding
 	forgetAt   time.Time                  // no jobs are forgotten before
 	adviseAt   time.Time                  // no call for advice before
 	smallest   graph.Resources            // needs of the smallest task with one accelerator
 	guaranteed map[string]int             // accelerators for jobs of priority 0, by account
-	blind      bool                       // an earlier leader may have started what no row notes
 	changed    bool                       // something may be startable that was not
 	deposed    bool
 }
@@ -96,12 +99,10 @@
 func (m *Machine) wallMS(now time.Time) int64 { return now.Add(m.wall).UnixMilli() }
 
 // Begin allows placing: all accepted jobs and all registered targets were told.
-// What an earlier leader left on targets that do not report is believed over at
-// heirEnd. Runs that it noted are waited for until then. If it may have started
-// some that it could not note, no job accepted before this term gets new runs
-// until then, unless every target has reported.
-func (m *Machine) Begin(heirEnd, now time.Time, blind bool) {
-	m.begun, m.begunAt, m.heirEnd, m.blind, m.changed = true, now, heirEnd, blind, true
+// What an earlier leader noted on targets that do not report is believed over at
+// heirEnd: by then all leases have lapsed that it can have granted.
+func (m *Machine) Begin(heirEnd, now time.Time) {
+	m.begun, m.begunAt, m.changed = true, now, true
 	for _, t := range m.byID {
 		if t.reach == unheld {
 			t.leaseEnd = heirEnd
@@ -119,6 +120,9 @@
 			m.byID = without(m.byID, t)
 		}
 	}
+	for _, t := range m.byID {
+		m.touchTarget(t)
+	}
 	m.forgetEnded(now)
 	m.changed = true
 }
@@ -152,6 +156,7 @@
 		t.remainsAt = now
 	}
 	t.Target, t.listed = l, true
+	m.touchTarget(t)
 }
 
 func (m *Machine) addTarget(l roster.Target) *target {
--- a/internal/work/dispatch/pacing_test.go
+++ b/internal/work/dispatch/pacing_test.go
@@ -33,7 +33,7 @@
 	b.Steps[0].Filling = true
 	s.Restore(a, nil, 0, false, s.now)
 	s.Restore(b, nil, 0, false, s.now)
-	s.Begin(s.now, s.now, false)
+	s.Begin(s.now, s.now)
 	tail := func(ms int) []Pace {
 		s.now = s.now.Add(time.Second)
 		s.report(order.Report{Running: []order.Running{
@@ -61,7 +61,7 @@
 	b.Steps[0].Filling = true
 	s.Restore(a, nil, 0, false, s.now)
 	s.Restore(b, nil, 0, false, s.now)
-	s.Begin(s.now, s.now, false)
+	s.Begin(s.now, s.now)
 	rep := order.Report{Running: []order.Running{{Run: run1(serves, 0, 1), Percent: 100, Gauge: 200}, {Run: run1(fills, 0, 1)}}}
 	s.report(rep)
 	first := commands[Pace](s)
@@ -109,7 +109,7 @@
 	s := newStanding()
 	id := graph.JobID("00000000000000ce")
 	s.Restore(one(id, 1), &progress.Job{State: progress.Completed, Ended: s.now.UnixMilli()}, 5, false, s.now)
-	s.Begin(s.now, s.now, false)
+	s.Begin(s.now, s.now)
 	s.Tick(s.now)
 	is.Equal(len(commands[Forget](s)), 0)
 	s.now = s.now.Add(DefaultBounds().Retention + forgetSlack + time.Second)
--- a/internal/work/dispatch/restore_test.go
+++ b/internal/work/dispatch/restore_test.go
@@ -40,6 +40,7 @@
 // saves returns the saves that the machine asks for, and takes them as done.
 func (s *standing) saves() []SaveRow {
 	var rows []SaveRow
+	s.now = s.now.Add(time.Millisecond) // a pass rests a little after the one before
 	for _, c := range s.Decide(s.now) {
 		if c, ok := c.(Save); ok {
 			rows = append(rows, c.Rows...)
@@ -61,7 +62,7 @@
 	s := newStanding()
 	id := graph.JobID("00000000000000aa")
 	s.Restore(one(id, 2), &progress.Job{State: progress.Completed, Ended: 1}, 5, true, s.now)
-	s.Begin(s.now, s.now, false)
+	s.Begin(s.now, s.now)
 	s.report(order.Report{Ended: []order.Ended{{Number: 1, Run: run1(id, 0, 1), How: order.Done}}})
 	is.Equal(len(s.saves()), 0)
 	state, known := s.State(id)
@@ -78,7 +79,7 @@
 	id := graph.JobID("00000000000000ab")
 	failed := &progress.Step{Failures: map[int][]int{0: {1}}, Runs: map[int]int{0: 1}}
 	s.Restore(one(id, 1), &progress.Job{State: progress.Queued, Steps: map[string]*progress.Step{"0.0": failed}}, 5, false, s.now)
-	s.Begin(s.now, s.now, false)
+	s.Begin(s.now, s.now)
 	s.report(order.Report{Ended: []order.Ended{{Number: 1, Run: run1(id, 0, 1), How: order.Failed}}})
 	state, _ := s.State(id)
 	is.Equal(state, progress.Queued)
@@ -100,7 +101,7 @@
 	j := one(id, 2)
 	j.Steps[0].Gang = true
 	s.Restore(j, nil, 0, false, s.now)
-	s.Begin(s.now, s.now, false)
+	s.Begin(s.now, s.now)
 	s.report(order.Report{Ended: []order.Ended{
 		{Number: 1, Run: run1(id, 0, 1), How: order.Done}, {Number: 2, Run: run1(id, 1, 1), How: order.Done},
 	}})
@@ -118,7 +119,7 @@
 	id := graph.JobID("00000000000000ad")
 	placed := &progress.Step{Placed: map[int]progress.Place{0: {Target: "t1", Run: 1}}, Runs: map[int]int{0: 1}}
 	s.Restore(one(id, 1), &progress.Job{State: progress.Queued, Steps: map[string]*progress.Step{"0.0": placed}}, 5, false, s.now)
-	s.Begin(s.now.Add(6*time.Second), s.now, false)
+	s.Begin(s.now.Add(6*time.Second), s.now)
 	is.Equal(len(s.saves()), 0) // nothing is placed before the report
 	s.now = s.now.Add(time.Millisecond)
 	s.report(order.Report{})
@@ -142,7 +143,7 @@
 	placed := &progress.Step{Placed: map[int]progress.Place{0: {Target: "gone", Run: 3}}, Runs: map[int]int{0: 3}}
 	s.Restore(one(id, 1), &progress.Job{State: progress.Queued, Steps: map[string]*progress.Step{"0.0": placed}}, 5, false, s.now)
 	end := s.now.Add(6 * time.Second)
-	s.Begin(end, s.now, false)
+	s.Begin(end, s.now)
 	s.report(order.Report{})
 	is.Equal(len(s.saves()), 0)
 	s.now = end.Add(-time.Millisecond)
--- a/internal/work/dispatch/save.go
+++ b/internal/work/dispatch/save.go
@@ -134,7 +134,10 @@
 	}
 	p.sending = nil
 	for _, t := range m.byID {
-		t.settleEnds(now)
+		if len(t.ends) > 0 {
+			t.settleEnds(now)
+			m.touchTarget(t)
+		}
 	}
 }
 
--- a/internal/work/dispatch/schedule.go
+++ b/internal/work/dispatch/schedule.go
@@ -11,13 +11,19 @@
 // the last call: starts, stops, reports to ask for and progress to save.
 func (m *Machine) Decide(now time.Time) []Command {
 	if m.begun && m.changed && !m.deposed && !m.gathers(now) {
-		m.changed = false
 		m.startWaiting(now)
-		m.schedule(now)
+		if now.Before(m.passAt) {
+			m.placeFresh(now)
+		} else {
+			m.changed = false
+			m.schedule(now)
+		}
 	}
-	for _, t := range m.byID {
+	for _, t := range m.touched {
+		t.touched = false
 		m.holdIfDue(t, now)
 	}
+	m.touched = m.touched[:0]
 	m.flush(now)
 	out := m.out
 	m.out = nil
@@ -27,8 +33,63 @@
 	return out
 }
 
+// Due returns when Decide has something to do though nothing more happens, and
+// whether it has.
+func (m *Machine) Due() (time.Time, bool) {
+	at := m.passAt
+	if ready := m.begunAt.Add(gatherTime); at.Before(ready) {
+		at = ready
+	}
+	return at, m.begun && m.changed && !m.deposed
+}
+
+// touchTarget has a hold considered for a target of which something has changed.
+func (m *Machine) touchTarget(t *target) {
+	if !t.touched {
+		t.touched = true
+		m.touched = append(m.touched, t)
+	}
+}
+
+// passRest is the pause after a pass for each target that was considered for a
+// step. A full backlog on many targets would otherwise take the whole processor:
+// each end frees some room, and each pass tries all that wait. At about 50 ns for
+// a target, passes take a tenth of the processor at most.
+const passRest = 500 * time.Nanosecond
+
+// pass is what is worked out once for all steps of a pass.
+type pass struct {
+	victims map[*target][]victim // that may be stopped for work of priority 0
+	losses  map[*step]float64    // of gangs
+	wanted  map[string]int       // accelerators that accounts want for priority 0
+}
+
+// newPass begins a pass.
+func (m *Machine) newPass() {
+	m.pass = pass{victims: map[*target][]victim{}, losses: map[*step]float64{}}
+	m.considered = 0
+}
+
+// placeFresh places steps that came up since the last pass, so that urgent work
+// need not wait for the next one.
+func (m *Machine) placeFresh(now time.Time) {
+	fresh := m.fresh
+	m.fresh = nil
+	if len(fresh) == 0 {
+		return
+	}
+	m.newPass()
+	for _, s := range fresh {
+		if s.listedOpen && !s.done && !s.job.over() && s.job.spec.Priority == 0 && m.placeStep(s, now) {
+			m.seekAdvice(s, now)
+		}
+	}
+}
+
 // schedule gives the open steps targets, the most urgent first.
 func (m *Machine) schedule(now time.Time) {
+	m.newPass()
+	m.fresh = nil
 	wall := m.wallMS(now)
 	for _, s := range m.open {
 		s.rank = s.rankAt(wall)
@@ -36,7 +97,6 @@
 	slices.SortStableFunc(m.open, func(a, b *step) int {
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.anchor(), b.anchor()))
 	})
-	blocked := m.heirsUnknown(now)
 	m.heldBack = nil
 	kept := m.open[:0]
 	for _, s := range m.open {
@@ -44,10 +104,7 @@
 			s.listedOpen = false
 			continue
 		}
-		more := true
-		if !blocked || !s.job.restored {
-			more = m.placeStep(s, now)
-		}
+		more := m.placeStep(s, now)
 		if more {
 			m.seekAdvice(s, now)
 		}
@@ -59,6 +116,7 @@
 	}
 	clear(m.open[len(kept):])
 	m.open = kept
+	m.passAt = now.Add(time.Duration(m.considered) * passRest)
 }
 
 // gatherTime is how long a new leader waits for the first reports of all targets
@@ -74,20 +132,6 @@
 	return slices.ContainsFunc(m.byID, func(t *target) bool { return t.listed && t.reach == unheld })
 }
 
-// heirsUnknown reports whether a target may still run something that an earlier
-// leader started and that has not been reported.
-func (m *Machine) heirsUnknown(now time.Time) bool {
-	if !m.blind || !now.Before(m.heirEnd) {
-		return false
-	}
-	for _, t := range m.byID {
-		if t.reach == unheld {
-			return true
-		}
-	}
-	return false
-}
-
 // lateFactor is how many times the objective a job may take and still earn: the
 // users' rule for late jobs.
 const lateFactor = 3
--- a/internal/work/dispatch/starting.go
+++ b/internal/work/dispatch/starting.go
@@ -57,6 +57,7 @@
 	t := r.target
 	r.tries++
 	r.sentAt, r.pending = now, true
+	m.touchTarget(t)
 	m.out = append(m.out, Start{Target: t.address(), Order: order.Start{
 		Run: r.Run, Spec: r.task.step.job.spec.Spec, Deadline: t.grant(now, m.bounds.Lease),
 		Term: m.term, Checkpoint: r.resumedAt, Ticket: r.ticket,
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -31,6 +31,7 @@
 	clockMS    int64              // its clock when last told
 	clockAt    time.Time          // when that was received
 	leaseEnd   time.Time          // everything that was ordered there has lapsed by then
+	touched    bool               // among those for which a hold is to be considered
 	holding    bool               // a hold is outstanding
 	heldAt     time.Time          // when the outstanding hold was sent
 	looking    bool               // a look is outstanding
--- a/internal/work/dispatch/urgency.go
+++ b/internal/work/dispatch/urgency.go
@@ -55,16 +55,24 @@
 	if sure == 0 {
 		return false
 	}
-	wanted := 0
+	if m.pass.wanted == nil {
+		m.pass.wanted = m.wantedByAccount()
+	}
+	return m.pass.wanted[account] <= sure
+}
+
+// wantedByAccount returns how many accelerators the open jobs of priority 0 want.
+func (m *Machine) wantedByAccount() map[string]int {
+	wanted := map[string]int{}
 	for _, j := range m.jobs {
-		if j.spec.Priority != 0 || j.spec.Account != account || j.over() {
+		if j.spec.Priority != 0 || j.over() {
 			continue
 		}
 		for _, s := range j.steps {
 			if !s.done {
-				wanted += s.undone * s.spec.Needs.Accelerators
+				wanted[j.spec.Account] += s.undone * s.spec.Needs.Accelerators
 			}
 		}
 	}
-	return wanted <= sure
+	return wanted
 }
