leader: much weaker hosts let others go first

Change: a host that the list lacks comes last; one that is outpowered waits a second longer; a reading of the configuration that failed is given twice the time; a leader whose writes get no answer hands over like one that is refused.

--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -42,6 +42,9 @@
 	watchTime = watchWait + 500*time.Millisecond
 	// askTime bounds every other call: within a zone one takes a millisecond.
 	askTime = 400 * time.Millisecond
+	// lookTime bounds asking hosts whether they could succeed: a leader that cannot
+	// keep up is slow to send and to receive.
+	lookTime = 1500 * time.Millisecond
 	// relayTime bounds a call that has a peer write to the store.
 	relayTime = 1100 * time.Millisecond
 	// watcherGone is how long after its last watch a host counts as alive.
@@ -55,7 +58,13 @@
 	From    string     `json:"from,omitempty"`  // the sender's address
 	StoreUp bool       `json:"storeUp"`         // the store serves the sender
 	Power   float64    `json:"power,omitempty"` // cores that the sender has
-	Peers   []string   `json:"peers,omitempty"` // hosts that the store serves, as the leader knows them, the most powerful first
+	Peers   []peerBody `json:"peers,omitempty"` // hosts that the store serves, as the leader knows them, the most powerful first
+}
+
+// peerBody is a host as the leader knows it.
+type peerBody struct {
+	Address string  `json:"address"`
+	Power   float64 `json:"power"` // cores
 }
 
 // succeedBody asks a host to take the leader row over.
@@ -105,7 +114,7 @@
 	mu      sync.Mutex
 	heard   time.Time          // when a peer answered last
 	seen    map[string]watcher // hosts that watch this one, by address
-	peers   []string           // hosts that the store serves, as the leader last said
+	peers   []peerBody         // hosts that the store serves, as the leader last said
 }
 
 // watcher is a host that watches the leader.
@@ -178,7 +187,7 @@
 		return nil, dispatcher.ErrNotLeading
 	case <-time.After(watchWait):
 	}
-	return watchBody{Row: x.leading.Leader(), Version: x.keeper.Version(), Peers: x.served(0)}, nil
+	return watchBody{Row: x.leading.Leader(), Version: x.keeper.Version(), Peers: x.listed()}, nil
 }
 
 func (x *Exchange) noteWatcher(in watchBody) {
@@ -208,11 +217,28 @@
 	return list
 }
 
-// Rank implements leader.Peer.
-func (x *Exchange) Rank() int {
+// Rank implements leader.Peer. A host that the leader's last list lacks comes after
+// all that are in it: the store may not have served it, or it had just begun.
+func (x *Exchange) Rank(muchMore float64) (rank int, outpowered bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return max(slices.Index(x.peers, x.own), 0)
+	rank = slices.IndexFunc(x.peers, func(p peerBody) bool { return p.Address == x.own })
+	if rank < 0 {
+		rank = len(x.peers)
+	}
+	return rank, len(x.peers) > 0 && x.peers[0].Power >= x.power*muchMore
+}
+
+// listed returns the hosts that the store serves, for watchers.
+func (x *Exchange) listed() []peerBody {
+	list := x.served(0)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	peers := make([]peerBody, 0, len(list))
+	for _, address := range list {
+		peers = append(peers, peerBody{Address: address, Power: x.seen[address].power})
+	}
+	return peers
 }
 
 // Watch implements leader.Peer.
@@ -239,7 +265,7 @@
 // Successors implements leader.Peer. A host that last said that the store serves
 // it may not have asked since: each is asked to read the row now.
 func (x *Exchange) Successors(ctx context.Context, least float64) []string {
-	ctx, cancel := context.WithTimeout(ctx, askTime)
+	ctx, cancel := context.WithTimeout(ctx, lookTime)
 	defer cancel()
 	list := x.served(least)
 	list = list[:min(len(list), askedSuccessors)]
@@ -404,7 +430,9 @@
 	list := x.served(0) // of a leader that the store turns away
 	if len(list) == 0 {
 		x.mu.Lock()
-		list = slices.Clone(x.peers)
+		for _, p := range x.peers {
+			list = append(list, p.Address)
+		}
 		x.mu.Unlock()
 	}
 	if row := x.leading.Leader(); row.Address != "" {
--- a/internal/host/leader/election.go
+++ b/internal/host/leader/election.go
@@ -22,9 +22,9 @@
 	// leader row just now, by address, the most powerful first. least bounds the
 	// power of those that count.
 	Successors(ctx context.Context, least float64) []string
-	// Rank returns how many hosts the last leader knew that are more powerful
-	// than this one.
-	Rank() int
+	// Rank returns how many hosts the last leader knew that come before this one,
+	// and whether one of them has so many times its power.
+	Rank(muchMore float64) (rank int, outpowered bool)
 	// HandOver asks the host at an address to take the row over, and reports
 	// whether it did.
 	HandOver(ctx context.Context, address string, r Row, version int64) bool
@@ -258,6 +258,9 @@
 	defer e.mu.Unlock()
 	// A store that is slow for this host is slow for the leader's writes, too.
 	patience := Lease + slowFactor*e.lookTook
+	if _, outpowered := e.peer.Rank(muchMore); outpowered {
+		patience += outpoweredWait
+	}
 	return e.seen.over(e.own) || e.clock().Sub(e.changed) >= patience
 }
 
@@ -268,6 +271,9 @@
 	rankDelay = 60 * time.Millisecond
 	// mostRank bounds the wait where many more powerful hosts are lost together.
 	mostRank = 10
+	// outpoweredWait is how much longer a host waits that is much weaker than
+	// another one: that one looks at the row as often as this.
+	outpoweredWait = time.Second
 	// muchMore is how many times more powerful another host must be for a leader
 	// to hand over to it: that costs a tenth of a second without orders.
 	muchMore = 1.5
@@ -278,7 +284,8 @@
 // letFirst lets more powerful hosts go first, and reports whether the row may
 // still be taken over then.
 func (e *Election) letFirst(ctx context.Context) bool {
-	rank := min(e.peer.Rank(), mostRank)
+	rank, _ := e.peer.Rank(muchMore)
+	rank = min(rank, mostRank)
 	if rank == 0 {
 		return true
 	}
@@ -317,7 +324,7 @@
 	}
 	t := &Term{number: next.Term, wrote: sent, over: make(chan struct{})}
 	e.begin(next, version, t)
-	e.log.Info("leading", "term", next.Term, "before", before.Holder)
+	e.log.Info("leading", "term", next.Term, "before", before.Holder, "power", e.power)
 	return t, next, version, nil
 }
 
@@ -459,7 +466,7 @@
 	if !t.Valid(e.clock()) {
 		return 0, fmt.Errorf("row not written for %s: %w", Grace, err)
 	}
-	if errors.Is(err, store.ErrUnavailable) && e.clock().Sub(t.written()) > Renew+Renew/2 && len(e.peer.Successors(ctx, 0)) > 0 {
+	if e.clock().Sub(t.written()) > Renew+Renew/2 && len(e.peer.Successors(ctx, 0)) > 0 {
 		return version, fmt.Errorf("the store turns this host away and serves others: %w", err)
 	}
 	e.log.V(1).Info("leader row not renewed", "term", t.number, "error", err.Error())
--- a/internal/host/station/config.go
+++ b/internal/host/station/config.go
@@ -14,7 +14,8 @@
 	// force within two seconds.
 	feedWait  = 600 * time.Millisecond
 	feedExtra = 500 * time.Millisecond // some times what a slow store takes
-	readTime  = 600 * time.Millisecond // the same, for the reading after a failed feed
+	readTime  = 600 * time.Millisecond // the same, for the reading after a failed feed; twice as long after each one that failed
+	longRead  = 3 * time.Second        // at most so long
 	feedPause = 150 * time.Millisecond // between two tries
 )
 
@@ -22,11 +23,14 @@
 // does not serve this host, it comes from peers.
 func (s *Station) followConfig(ctx context.Context) {
 	version := int64(-1) // of the store; below 0: read the row
+	patience := readTime
 	for ctx.Err() == nil {
 		var err error
 		if version < 0 {
-			version, err = s.readConfig(ctx)
+			version, err = s.readConfig(ctx, patience)
+			patience = min(2*patience, longRead) // a host that is short of processor time needs longer
 		} else {
+			patience = readTime
 			version, err = s.awaitConfig(ctx, version)
 		}
 		if err != nil && ctx.Err() == nil {
@@ -36,8 +40,8 @@
 	}
 }
 
-func (s *Station) readConfig(ctx context.Context) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, readTime)
+func (s *Station) readConfig(ctx context.Context, patience time.Duration) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	k := s.config.Key
 	page, err := s.store.Read(ctx, store.Range{Table: k.Table, Part: k.Part, From: k.Name, To: k.Name + "\x00"})
