config, work: what the product's own interface needs of the core

The texts of operators become catalogs (config/version, one row, changed under its version), requests become jobs (work/request). A job may run once only, and may be given up as not run when it has not started in time. Shapes of guarantees stand in fleet/shape, which knows nothing of where they are placed. The core tells of each job that is settled, for the burn report.

--- a/internal/config/catalog/catalog.go
+++ b/internal/config/catalog/catalog.go
@@ -33,9 +33,17 @@
 
 // Service is a pool of targets.
 type Service struct {
-	Name    string
-	Guards  bool // its targets refuse what does not fit
-	Standby bool // its machines are off and not paid for
+	Name      string
+	Guards    bool // its targets refuse what does not fit
+	Standby   bool // its machines are off and not paid for
+	Objective Objective
+}
+
+// Objective is a service-level objective: a share of the jobs ends well within a
+// time.
+type Objective struct {
+	Target float64       // share of good jobs, below 1; 0: no objective
+	Within time.Duration // from acceptance; 0: each job's own objective
 }
 
 // Limits bound requests of clients; 0 stands for none.
@@ -56,13 +64,26 @@
 	limits   Limits
 	byHost   map[string][]int  // positions in queues, by virtual host
 	byKey    map[string]string // account names, by key
+	leaving  map[string]bool   // ids of targets that an operator takes out
+}
+
+// Option sets one property of a new catalog.
+type Option func(*Catalog)
+
+// WithLeaving names the targets that an operator takes out: they get no new work.
+func WithLeaving(ids ...string) Option {
+	return func(c *Catalog) {
+		for _, id := range ids {
+			c.leaving[id] = true
+		}
+	}
 }
 
 // New returns a catalog.
-func New(version int64, queues []Queue, accounts []Account, services []Service, l Limits) *Catalog {
+func New(version int64, queues []Queue, accounts []Account, services []Service, l Limits, opts ...Option) *Catalog {
 	c := &Catalog{
 		version: version, queues: slices.Clone(queues), accounts: slices.Clone(accounts), limits: l,
-		services: map[string]Service{}, byHost: map[string][]int{}, byKey: map[string]string{},
+		services: map[string]Service{}, byHost: map[string][]int{}, byKey: map[string]string{}, leaving: map[string]bool{},
 	}
 	slices.SortStableFunc(c.queues, func(a, b Queue) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	for i, q := range c.queues {
@@ -77,6 +98,9 @@
 			c.byKey[k] = a.Name
 		}
 	}
+	for _, o := range opts {
+		o(c)
+	}
 	return c
 }
 
@@ -92,12 +116,29 @@
 // Queues returns the queues. The caller must not change them.
 func (c *Catalog) Queues() []Queue { return c.queues }
 
+// Leaving reports whether an operator takes the target out.
+func (c *Catalog) Leaving(id string) bool { return c != nil && c.leaving[id] }
+
 // Service returns a service by name.
 func (c *Catalog) Service(name string) (Service, bool) {
 	s, ok := c.services[name]
 	return s, ok
 }
 
+// Objectives returns the objectives of the services that have one, by name.
+func (c *Catalog) Objectives() map[string]Objective {
+	byName := map[string]Objective{}
+	if c == nil {
+		return byName
+	}
+	for name, s := range c.services {
+		if s.Objective.Target > 0 {
+			byName[name] = s.Objective
+		}
+	}
+	return byName
+}
+
 // Find returns the queue of a request, and what follows its prefix in the path.
 func (c *Catalog) Find(virtualHost, path string) (q Queue, rest string, ok bool) {
 	for _, i := range c.byHost[strings.ToLower(virtualHost)] {
--- /dev/null
+++ b/internal/config/catalog/catalog_test.go
@@ -0,0 +1,80 @@
+package catalog_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/config/catalog"
+)
+
+func sample(version int64) *catalog.Catalog {
+	return catalog.New(version,
+		[]catalog.Queue{{Name: "all", VirtualHost: "Jobs.Example", Prefix: "/"}, {Name: "plan", VirtualHost: "jobs.example", Prefix: "/plan/"}},
+		[]catalog.Account{{Name: "norte", Keys: []string{"k1", "k2"}, Guaranteed: 8}},
+		[]catalog.Service{{Name: "refill", Objective: catalog.Objective{Target: 0.9, Within: time.Second}}, {Name: "plan"}},
+		catalog.Limits{},
+	)
+}
+
+// A request goes to the queue with the longest prefix; host names are compared
+// without regard to case.
+func TestFind(t *testing.T) {
+	is := is.New(t)
+	c := sample(1)
+	q, rest, ok := c.Find("JOBS.example", "/plan/7")
+	is.True(ok)
+	is.Equal(q.Name, "plan")
+	is.Equal(rest, "7")
+	q, rest, ok = c.Find("jobs.example", "/other")
+	is.True(ok)
+	is.Equal(q.Name, "all")
+	is.Equal(rest, "other")
+	_, _, ok = c.Find("elsewhere", "/plan/7")
+	is.True(!ok)
+}
+
+func TestAccount(t *testing.T) {
+	is := is.New(t)
+	name, ok := sample(1).Account("k2")
+	is.True(ok)
+	is.Equal(name, "norte")
+	_, ok = sample(1).Account("k3")
+	is.True(!ok)
+}
+
+func TestObjectives(t *testing.T) {
+	is := is.New(t)
+	is.Equal(sample(1).Objectives(), map[string]catalog.Objective{"refill": {Target: 0.9, Within: time.Second}})
+	is.Equal((*catalog.Catalog)(nil).Objectives(), map[string]catalog.Objective{})
+}
+
+// A configuration reaches a host from the store and from its peers, in any order
+// and more than once: what is in force never goes back to an older version, and a
+// text that cannot be read leaves it as it is.
+func TestKeeperNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	errOdd := errors.New("odd")
+	k := catalog.NewKeeper(func(stored []byte) (*catalog.Catalog, error) {
+		if stored[0] == 'x' {
+			return nil, errOdd
+		}
+		return sample(int64(stored[0] - '0')), nil
+	})
+	is.Equal(k.Version(), int64(0))
+	offer := func(s string) bool {
+		ok, err := k.Offer([]byte(s))
+		is.NoErr(err)
+		return ok
+	}
+	is.True(offer("2"))
+	is.True(!offer("1"))
+	is.True(!offer("2"))
+	_, err := k.Offer([]byte("x"))
+	is.True(errors.Is(err, errOdd))
+	is.Equal(k.Version(), int64(2))
+	is.True(offer("5"))
+	is.Equal(k.Stored(), []byte("5"))
+}
--- a/internal/config/text/account.go
+++ b/internal/config/text/account.go
@@ -5,7 +5,7 @@
 	"strings"
 
 	"guavaglade.example/guavaglade/internal/config/document"
-	"guavaglade.example/guavaglade/internal/fleet/guarantee"
+	"guavaglade.example/guavaglade/internal/fleet/shape"
 )
 
 // The bounds of an account's weight among borrowers.
@@ -49,11 +49,7 @@
 	if !ok || !shaped {
 		return
 	}
-	g, err := guarantee.New(account, s, count)
-	if err != nil {
-		at.Fault("", err.Error())
-		return
-	}
+	g := shape.Guarantee{Account: account, Shape: s, Count: count}
 	for _, zone := range zones {
 		r.config.guarantees[zone] = append(r.config.guarantees[zone], g)
 	}
--- a/internal/config/text/config.go
+++ b/internal/config/text/config.go
@@ -3,8 +3,7 @@
 import (
 	"time"
 
-	"guavaglade.example/guavaglade/internal/fleet/cell"
-	"guavaglade.example/guavaglade/internal/fleet/guarantee"
+	"guavaglade.example/guavaglade/internal/fleet/shape"
 )
 
 // Config is what an accepted text means. It never changes once made. A nil
@@ -12,8 +11,8 @@
 type Config struct {
 	services   map[string]Service
 	accounts   map[string]Account
-	guarantees map[string][]guarantee.Guarantee // by zone
-	leaving    map[string]bool                  // workers that an operator takes out
+	guarantees map[string][]shape.Guarantee // by zone
+	leaving    map[string]bool              // workers that an operator takes out
 }
 
 // Service returns a service by name; ok is false if there is none.
@@ -51,16 +50,44 @@
 }
 
 // Guarantees returns what is guaranteed in a zone, in the order of the text.
-func (c *Config) Guarantees(zone string) []guarantee.Guarantee {
+func (c *Config) Guarantees(zone string) []shape.Guarantee {
 	if c == nil {
 		return nil
 	}
 	return c.guarantees[zone]
 }
 
+// GuaranteedAccelerators returns how many accelerators an account is guaranteed
+// over all zones.
+func (c *Config) GuaranteedAccelerators(account string) int {
+	if c == nil {
+		return 0
+	}
+	n := 0
+	for _, gs := range c.guarantees {
+		for _, g := range gs {
+			if g.Account == account {
+				n += g.Count * g.Shape.Total()
+			}
+		}
+	}
+	return n
+}
+
 // Leaving reports whether an operator takes the worker out.
 func (c *Config) Leaving(worker string) bool { return c != nil && c.leaving[worker] }
 
+// LeavingTargets returns the workers that an operator takes out, sorted.
+func (c *Config) LeavingTargets() []string {
+	var ids []string
+	for _, id := range sortedKeys(c.leaving) {
+		if c.leaving[id] {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Service is what a service wants.
 type Service struct {
 	name          string
@@ -115,7 +142,7 @@
 // Kind is a job that a service runs.
 type Kind struct {
 	name       string
-	shape      cell.Shape
+	shape      shape.Shape
 	repeatable bool
 	long       bool
 	urgent     bool
@@ -133,7 +160,7 @@
 func (k Kind) Name() string { return k.name }
 
 // Shape returns what a gang of the kind asks for.
-func (k Kind) Shape() cell.Shape { return k.shape }
+func (k Kind) Shape() shape.Shape { return k.shape }
 
 // Repeatable reports whether a job of the kind may be started again.
 func (k Kind) Repeatable() bool { return k.repeatable }
--- a/internal/config/text/parse.go
+++ b/internal/config/text/parse.go
@@ -6,8 +6,7 @@
 	"strings"
 
 	"guavaglade.example/guavaglade/internal/config/document"
-	"guavaglade.example/guavaglade/internal/fleet/cell"
-	"guavaglade.example/guavaglade/internal/fleet/guarantee"
+	"guavaglade.example/guavaglade/internal/fleet/shape"
 )
 
 // Fault is one thing that is wrong with a text: line, section, key and reason.
@@ -52,7 +51,7 @@
 // promise is a guarantee with its section.
 type promise struct {
 	at    *document.Section
-	value guarantee.Guarantee
+	value shape.Guarantee
 	zones []string
 }
 
@@ -62,7 +61,7 @@
 		config: &Config{
 			services:   map[string]Service{},
 			accounts:   map[string]Account{},
-			guarantees: map[string][]guarantee.Guarantee{},
+			guarantees: map[string][]shape.Guarantee{},
 			leaving:    map[string]bool{},
 		},
 		zones: map[string]*zone{},
@@ -128,17 +127,17 @@
 	return owner, name, named(at, owner) && named(at, name)
 }
 
-func shapeOf(at *document.Section) (s cell.Shape, ok bool) {
+func shapeOf(at *document.Section) (s shape.Shape, ok bool) {
 	const memoryDefault = 1024 // MB
-	members := at.Int("members", 1, 1, cell.MaxMembers)
-	accelerators := at.Int("accelerators", 0, 0, cell.MaxAccelerators)
+	members := at.Int("members", 1, 1, shape.MaxMembers)
+	accelerators := at.Int("accelerators", 0, 0, shape.MaxAccelerators)
 	cores := at.Int("cores", 1, 0, 1<<16)
 	memory := at.Int("memory", memoryDefault, 0, 1<<30)
-	adjacency := at.Choice("adjacency", string(cell.Any), string(cell.Any), string(cell.SameRack), string(cell.SameWorker))
-	s, err := cell.NewShape(members, accelerators, cores, memory, cell.Adjacency(adjacency))
+	adjacency := at.Choice("adjacency", string(shape.Any), string(shape.Any), string(shape.SameRack), string(shape.SameWorker))
+	s, err := shape.NewShape(members, accelerators, cores, memory, shape.Adjacency(adjacency))
 	if err != nil {
 		at.Fault("", err.Error())
-		return cell.Shape{}, false
+		return shape.Shape{}, false
 	}
 	return s, true
 }
--- a/internal/config/text/references.go
+++ b/internal/config/text/references.go
@@ -11,7 +11,7 @@
 	r.cycles()
 	r.keys()
 	for _, p := range r.guarantees {
-		account := p.value.Account()
+		account := p.value.Account
 		if _, ok := r.config.accounts[account]; !ok {
 			p.at.Faultf("", "account %q is not described; add [account %s]", account, account)
 		}
--- a/internal/config/text/zone.go
+++ b/internal/config/text/zone.go
@@ -5,9 +5,7 @@
 	"strings"
 
 	"guavaglade.example/guavaglade/internal/config/document"
-	"guavaglade.example/guavaglade/internal/fleet/cell"
-	"guavaglade.example/guavaglade/internal/fleet/guarantee"
-	"guavaglade.example/guavaglade/internal/fleet/placement"
+	"guavaglade.example/guavaglade/internal/fleet/shape"
 )
 
 // mostWorkers bounds the workers of one zone that a text may describe.
@@ -18,14 +16,14 @@
 // there is known from the platform.
 type zone struct {
 	name    string
-	workers []cell.Worker
+	workers []shape.Worker
 }
 
 func (r *reader) zone(name string, at *document.Section) {
 	at.Require("workers")
 	workers := at.Int("workers", 0, 1, mostWorkers)
 	racks := at.Int("racks", 1, 1, mostWorkers)
-	accelerators := at.Int("acceleratorsPerWorker", 0, 0, cell.MaxAccelerators)
+	accelerators := at.Int("acceleratorsPerWorker", 0, 0, shape.MaxAccelerators)
 	cores := at.Int("cores", 1, 1, 1<<16)
 	memory := at.Int("memory", 1024, 1, 1<<30)
 	slots := at.Int("slots", 8, 1, 1<<16)
@@ -37,46 +35,33 @@
 	}
 	z := &zone{name: name}
 	for i := range workers {
-		id, rack := fmt.Sprintf("%s-w%05d", name, i), fmt.Sprintf("%s-r%05d", name, i*racks/workers)
-		w, err := cell.NewWorker(id, name, rack, accelerators, cores, memory, slots)
-		if err != nil {
-			at.Fault("", err.Error())
-			return
-		}
-		z.workers = append(z.workers, w)
+		z.workers = append(z.workers, shape.Worker{
+			Rack: fmt.Sprintf("%s-r%05d", name, i*racks/workers), Accelerators: accelerators, Cores: cores, Memory: memory, Slots: slots,
+		})
 	}
 	r.zones[name] = z
 }
 
-// empty returns the zone's room with nothing placed.
-func (z *zone) empty() *placement.Zone {
-	room := placement.NewZone(nil)
-	for _, w := range z.workers {
-		room.AddWorker(w)
-	}
-	return room
-}
-
 // fits checks that each job fits in some zone and that the guarantees of each
 // zone can be packed at once. It needs every zone to be described.
 func (r *reader) fits() {
-	rooms := map[string]*placement.Zone{}
+	rooms := map[string]*shape.Zone{}
 	for name, z := range r.zones {
 		if len(z.workers) == 0 {
 			return // its section is at fault already
 		}
-		rooms[name] = z.empty()
+		rooms[name] = shape.NewZone(z.workers)
 	}
 	if len(rooms) == 0 {
 		return
 	}
-	known := map[cell.Shape]error{}
+	known := map[shape.Shape]error{}
 	for _, at := range r.jobs {
-		shape := r.shapeOf(at)
-		err, ok := known[shape]
+		asked := r.shapeOf(at)
+		err, ok := known[asked]
 		if !ok {
-			err = fitsAny(shape, rooms)
-			known[shape] = err
+			err = fitsAny(asked, rooms)
+			known[asked] = err
 		}
 		if err != nil {
 			at.Faultf("", "can run in none of the described zones: %v", err)
@@ -86,16 +71,16 @@
 }
 
 // shapeOf returns the shape of the job that a section described.
-func (r *reader) shapeOf(at *document.Section) cell.Shape {
+func (r *reader) shapeOf(at *document.Section) shape.Shape {
 	owner, name, _ := strings.Cut(strings.TrimPrefix(at.Name(), "job "), ".")
 	return r.config.services[owner].kinds[name].shape
 }
 
 // fitsAny returns why a shape fits in none of the zones, nil if it fits in one.
-func fitsAny(s cell.Shape, rooms map[string]*placement.Zone) error {
+func fitsAny(s shape.Shape, rooms map[string]*shape.Zone) error {
 	var last error
 	for _, zone := range sortedKeys(rooms) {
-		if last = rooms[zone].CanEver(s); last == nil {
+		if last = rooms[zone].CanHold(s); last == nil {
 			return nil
 		}
 	}
@@ -103,7 +88,7 @@
 }
 
 // packs checks the guarantees of each zone.
-func (r *reader) packs(rooms map[string]*placement.Zone) {
+func (r *reader) packs(rooms map[string]*shape.Zone) {
 	byZone := map[string][]promise{}
 	for _, p := range r.guarantees {
 		for _, name := range p.zones {
@@ -117,14 +102,14 @@
 	for _, name := range sortedKeys(byZone) {
 		// All at once first: a sound text of the size to design for is checked
 		// by each host with each version, and one by one takes seconds.
-		if rooms[name].SetGuarantees(valuesOf(byZone[name])) != nil {
+		if rooms[name].Pack(valuesOf(byZone[name])) != nil {
 			packOneByOne(name, rooms[name], byZone[name])
 		}
 	}
 }
 
-func valuesOf(ps []promise) []guarantee.Guarantee {
-	gs := make([]guarantee.Guarantee, 0, len(ps))
+func valuesOf(ps []promise) []shape.Guarantee {
+	gs := make([]shape.Guarantee, 0, len(ps))
 	for _, p := range ps {
 		gs = append(gs, p.value)
 	}
@@ -133,15 +118,15 @@
 
 // packOneByOne notes a fault for each guarantee that cannot be kept beside those
 // before it that can.
-func packOneByOne(zone string, room *placement.Zone, ps []promise) {
+func packOneByOne(zone string, room *shape.Zone, ps []promise) {
 	var kept []promise
 	for _, p := range ps {
-		if err := room.CanEver(p.value.Shape()); err != nil {
+		if err := room.CanHold(p.value.Shape); err != nil {
 			p.at.Faultf("", "zone %s: %v", zone, err)
 			continue
 		}
 		with := append(kept[:len(kept):len(kept)], p)
-		if err := room.SetGuarantees(valuesOf(with)); err != nil {
+		if err := room.Pack(valuesOf(with)); err != nil {
 			p.at.Faultf("", "zone %s: cannot be kept beside the guarantees before it: %v", zone, err)
 			continue
 		}
--- /dev/null
+++ b/internal/config/version/version.go
@@ -0,0 +1,154 @@
+package version
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"time"
+
+	"guavaglade.example/guavaglade/internal/config/catalog"
+	"guavaglade.example/guavaglade/internal/config/text"
+	"guavaglade.example/guavaglade/internal/platform/store"
+)
+
+// Key is where the current version stands.
+var Key = store.Key{Table: "configuration", Name: "current"}
+
+// Version is one version of the configuration text.
+type Version struct {
+	Number int64  `json:"number"` // from 1
+	Change string `json:"change"` // id of the change that made it
+	Text   string `json:"text"`
+}
+
+// Errors of a change.
+var (
+	// ErrBase says that the change was based on another version than the
+	// current one.
+	ErrBase = errors.New("based on another version than the current one")
+	// ErrOtherText says that the change id was used with another text.
+	ErrOtherText = errors.New("the change id was used with another text")
+)
+
+// Decode reads a stored version.
+func Decode(stored []byte) (Version, error) {
+	var v Version
+	if err := json.Unmarshal(stored, &v); err != nil {
+		return Version{}, fmt.Errorf("configuration version: %w", err)
+	}
+	if v.Number < 1 {
+		return Version{}, fmt.Errorf("configuration version: number %d", v.Number)
+	}
+	return v, nil
+}
+
+// Catalog reads a stored version as the configuration in force, as
+// catalog.Decode.
+func Catalog(stored []byte) (*catalog.Catalog, error) {
+	v, err := Decode(stored)
+	if err != nil {
+		return nil, err
+	}
+	c, err := text.Parse([]byte(v.Text))
+	if err != nil {
+		return nil, fmt.Errorf("configuration version %d: %w", v.Number, err)
+	}
+	return Translate(v.Number, c), nil
+}
+
+// Attempts and waits of jobs that the text describes.
+const (
+	// attempts is how often a repeatable job's task may fail.
+	attempts = 3
+	// slack and allowance make the objective of a job whose service has none.
+	slack     = 3
+	allowance = 10 * time.Second
+)
+
+// Translate returns the queues, accounts and services of a text: each job that it
+// describes is a queue of its own.
+func Translate(number int64, c *text.Config) *catalog.Catalog {
+	var queues []catalog.Queue
+	var services []catalog.Service
+	for _, name := range c.Services() {
+		s, _ := c.Service(name)
+		services = append(services, catalog.Service{Name: name, Objective: catalog.Objective(s.Objective())})
+		for _, kind := range s.Kinds() {
+			k, _ := s.Kind(kind)
+			queues = append(queues, Queue(s, k))
+		}
+	}
+	var accounts []catalog.Account
+	for _, name := range c.Accounts() {
+		accounts = append(accounts, catalog.Account{Name: name, Guaranteed: c.GuaranteedAccelerators(name)})
+	}
+	return catalog.New(number, queues, accounts, services, catalog.Limits{}, catalog.WithLeaving(c.LeavingTargets()...))
+}
+
+// Priorities of jobs: urgent ones and those under a guarantee may have room
+// cleared for them.
+const (
+	priorityUrgent  = 0
+	priorityUsual   = 1
+	priorityBorrows = 2
+)
+
+// Queue returns the queue of a kind of job.
+func Queue(s text.Service, k text.Kind) catalog.Queue {
+	q := catalog.Queue{
+		Name: s.Name() + "." + k.Name(), Service: s.Name(), Priority: priorityUsual, MaxAttempts: attempts,
+		Slack: slack, Allowance: allowance,
+	}
+	if o := s.Objective(); o.Target > 0 {
+		q.Allowance = o.Within
+		q.Slack = 1
+	}
+	switch {
+	case k.Urgent() || k.Guaranteed():
+		q.Priority = priorityUrgent
+	case k.Stoppable():
+		q.Priority = priorityBorrows
+	}
+	if !k.Repeatable() {
+		q.MaxAttempts = 1
+	}
+	return q
+}
+
+// Change puts a text as the version after base. It returns the version that is
+// current then. The error wraps ErrBase, ErrOtherText, store.ErrUnavailable or
+// store.ErrUnknown.
+func Change(ctx context.Context, s store.Store, base int64, change, body string) (Version, error) {
+	row, err := store.Get(ctx, s, Key)
+	if err != nil {
+		return Version{}, fmt.Errorf("change %s: %w", change, err)
+	}
+	current := Version{}
+	if row.Version != 0 {
+		if current, err = Decode(row.Value); err != nil {
+			return Version{}, fmt.Errorf("change %s: %w", change, err)
+		}
+	}
+	switch {
+	case current.Change == change && current.Text == body:
+		return current, nil // an earlier try whose answer was lost
+	case current.Change == change:
+		return current, fmt.Errorf("change %s: %w", change, ErrOtherText)
+	case current.Number != base:
+		return current, fmt.Errorf("change %s: based on %d, current is %d: %w", change, base, current.Number, ErrBase)
+	}
+	next := Version{Number: base + 1, Change: change, Text: body}
+	value, err := json.Marshal(next)
+	if err != nil {
+		return Version{}, fmt.Errorf("change %s: %w", change, err)
+	}
+	_, err = s.Commit(ctx, store.Tx{Expect: []store.Expect{{Key: Key, Version: row.Version}}, Put: []store.Put{{Key: Key, Value: value}}})
+	if errors.Is(err, store.ErrConflict) {
+		return Change(ctx, s, base, change, body) // somebody else was faster: say with what
+	}
+	if err != nil {
+		return Version{}, fmt.Errorf("change %s: %w", change, err)
+	}
+	return next, nil
+}
--- /dev/null
+++ b/internal/config/version/version_test.go
@@ -0,0 +1,123 @@
+package version_test
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/config/version"
+	"guavaglade.example/guavaglade/internal/platform/store"
+	"guavaglade.example/guavaglade/internal/standin/rows"
+)
+
+const body = `
+[service refill]
+objectiveTarget = 0.9
+objectiveWithin = 5s
+
+[job refill.bill]
+accelerators = 1
+repeatable = false
+urgent = true
+
+[account norte]
+keyHash = c3c7b967d6b911640ddde156241db5933de1999d65c45ccc3c697b5bd1465d79
+
+[account ops]
+operator = true
+keyHash = 9437e87fae95c03d3778f2575bb18ce30e647e51d86a8c37963364e1fc4f374e
+
+[guarantee norte.large]
+zones = leon, celaya
+members = 2
+accelerators = 8
+count = 3
+`
+
+func link() *rows.Link {
+	return rows.NewLink(rows.New(time.Millisecond), rand.New(rand.NewPCG(1, 1)))
+}
+
+func TestCatalog(t *testing.T) {
+	is := is.New(t)
+	c, err := version.Catalog([]byte(`{"number":4,"change":"a","text":"[service refill]\n"}`))
+	is.NoErr(err)
+	is.Equal(c.Version(), int64(4))
+	for _, odd := range []string{``, `[]`, `{"number":0}`, `{"number":1,"text":"[nonsense"}`} {
+		if _, err := version.Catalog([]byte(odd)); err == nil {
+			t.Errorf("%q was taken", odd)
+		}
+	}
+}
+
+// Two operators change the text at once, both from the version that they see. One
+// is told that another was faster, and with which version; nothing is lost or
+// mixed.
+func TestChangesRace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := link()
+		ctx := context.Background()
+		first, err := version.Change(ctx, s, 0, "a", body)
+		is.NoErr(err)
+		is.Equal(first.Number, int64(1))
+		results := make(chan error, 2)
+		for _, change := range []string{"b", "c"} {
+			go func() {
+				_, err := version.Change(ctx, s, 1, change, body+"# "+change+"\n")
+				results <- err
+			}()
+		}
+		one, two := <-results, <-results
+		is.True((one == nil) != (two == nil))
+		is.True(errors.Is(errors.Join(one, two), version.ErrBase))
+	})
+}
+
+// The answer to a change was lost, and the operator puts it again with the same
+// change id: it is the same version. With another text it is refused.
+func TestChangeAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := link()
+		ctx := context.Background()
+		first, err := version.Change(ctx, s, 0, "a", body)
+		is.NoErr(err)
+		again, err := version.Change(ctx, s, 0, "a", body)
+		is.NoErr(err)
+		is.Equal(again, first)
+		_, err = version.Change(ctx, s, 1, "a", body+"\n")
+		is.True(errors.Is(err, version.ErrOtherText))
+		row, err := store.Get(ctx, s, version.Key)
+		is.NoErr(err)
+		stored, err := version.Decode(row.Value)
+		is.NoErr(err)
+		is.Equal(stored, first)
+	})
+}
+
+// Each job that the text describes is a queue, and what an account is guaranteed in
+// all zones is added up.
+func TestTranslate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := link()
+		_, err := version.Change(context.Background(), s, 0, "a", body)
+		is.NoErr(err)
+		row, err := store.Get(context.Background(), s, version.Key)
+		is.NoErr(err)
+		c, err := version.Catalog(row.Value)
+		is.NoErr(err)
+		q := c.Queues()[0]
+		is.Equal(q.Name, "refill.bill")
+		is.Equal(q.Priority, 0)
+		is.Equal(q.MaxAttempts, 1)
+		is.Equal(c.Accounts()[0].Guaranteed, 2*3*2*8)
+		is.Equal(c.Objectives()["refill"].Within, 5*time.Second)
+	})
+}
--- /dev/null
+++ b/internal/fleet/shape/shape_test.go
@@ -0,0 +1,31 @@
+package shape_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/fleet/shape"
+)
+
+func TestNewShapeRefuses(t *testing.T) {
+	cases := []struct {
+		name                                 string
+		members, accelerators, cores, memory int
+		adjacency                            shape.Adjacency
+	}{
+		{"no members", 0, 1, 1, 1, shape.Any},
+		{"too many members", 65, 1, 1, 1, shape.Any},
+		{"negative accelerators", 1, -1, 1, 1, shape.Any},
+		{"negative cores", 1, 1, -1, 1, shape.Any},
+		{"negative memory", 1, 1, 1, -1, shape.Any},
+		{"unknown adjacency", 1, 1, 1, 1, "row"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := shape.NewShape(c.members, c.accelerators, c.cores, c.memory, c.adjacency)
+			is.True(err != nil)
+		})
+	}
+}
--- a/internal/work/dispatch/clearing.go
+++ b/internal/work/dispatch/clearing.go
@@ -211,7 +211,7 @@
 	var list []victim
 	for _, r := range t.sortedRuns() {
 		s := r.task.step
-		if (r.phase == running || r.phase == starting) && s.job.spec.Priority > 0 && !s.spec.Lasting {
+		if (r.phase == running || r.phase == starting) && s.job.spec.Priority > 0 && !s.spec.Lasting && !s.job.spec.Once {
 			list = append(list, victim{run: r, loss: m.lossOf(r, now)})
 		}
 	}
--- a/internal/work/dispatch/command.go
+++ b/internal/work/dispatch/command.go
@@ -5,6 +5,7 @@
 
 	"guavaglade.example/guavaglade/internal/fleet/order"
 	"guavaglade.example/guavaglade/internal/work/graph"
+	"guavaglade.example/guavaglade/internal/work/progress"
 )
 
 // Command is something for the shell to do. It is one of the types below.
@@ -57,9 +58,17 @@
 	Jobs []graph.JobID // never empty
 }
 
-func (Forget) command() {}
+// Settled tells that a job has ended, by itself and not by its client, and that
+// this is saved. There is no answer.
+type Settled struct {
+	Job   *graph.Job // must not be changed
+	State progress.State
+	Took  time.Duration // from its acceptance
+}
 
-func (Start) command() {}
-func (Stop) command()  {}
-func (Hold) command()  {}
-func (Save) command()  {}
+func (Start) command()   {}
+func (Stop) command()    {}
+func (Hold) command()    {}
+func (Save) command()    {}
+func (Forget) command()  {}
+func (Settled) command() {}
--- a/internal/work/dispatch/ending.go
+++ b/internal/work/dispatch/ending.go
@@ -48,9 +48,21 @@
 	m.wake(r.task.step, now)
 }
 
+// endOnce ends a job that may be run only once, after one of its runs that may
+// have begun is over and its task is not done: it must not be started again.
+func (m *Machine) endOnce(r *run, now time.Time) {
+	j := r.task.step.job
+	if !j.spec.Once || r.task.done || j.over() || r.phase == waiting || r.phase == noted {
+		return
+	}
+	m.log.Decided("job may have run, and is not started again", "job", j.spec.ID, "task", r.Task, "run", r.Number)
+	m.end(j, progress.Failed, now)
+}
+
 // ended takes in an end that a target lists for the first time.
 func (m *Machine) ended(t *target, e order.Ended, now time.Time) {
-	if r := t.runs[e.Run]; r != nil {
+	r := t.runs[e.Run]
+	if r != nil {
 		m.release(r, now)
 	}
 	j := m.jobs[e.Run.Task.Job]
@@ -67,6 +79,9 @@
 			m.touch(j)
 		}
 	}
+	if r != nil {
+		m.endOnce(r, now)
+	}
 	// Also an end that changes nothing waits for what is not saved yet: another
 	// member's end may have ended the whole gang a moment ago, and must not be
 	// the only one that is left if that save fails.
--- a/internal/work/dispatch/hold.go
+++ b/internal/work/dispatch/hold.go
@@ -186,6 +186,7 @@
 		}
 		m.log.Decided("run not on its target", "target", t.ID, "task", r.Task, "run", r.Number, "phase", int(r.phase))
 		m.release(r, now)
+		m.endOnce(r, now)
 		m.stopGang(r, "a member is gone", now)
 	}
 }
@@ -243,6 +244,7 @@
 func (m *Machine) loseAll(t *target, now time.Time) {
 	for _, r := range t.sortedRuns() {
 		m.release(r, now)
+		m.endOnce(r, now)
 	}
 }
 
--- /dev/null
+++ b/internal/work/dispatch/once_test.go
@@ -0,0 +1,89 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/standin/pool"
+	"guavaglade.example/guavaglade/internal/work/graph"
+	"guavaglade.example/guavaglade/internal/work/progress"
+)
+
+// A billed order may run at most once. Its target crashes while it runs: nobody
+// knows how far it came, so it is not started again, and its caller is told that
+// it failed.
+func TestOnceIsNotStartedAgain(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 2, DefaultBounds())
+	j := one("00000000000000da", 1)
+	j.Once, j.AcceptedAt = true, d.now.UnixMilli()
+	d.p.Submit(j, pool.Behaviour{Work: func(graph.TaskID) time.Duration { return 5 * time.Second }})
+	d.asked[j.ID] = d.now
+	d.m.Accept(j, d.now)
+	d.run(time.Second)
+	is.Equal(d.state(j.ID), progress.Running)
+	d.p.Kill(d.onlyTarget(string(j.ID)), d.now)
+	d.run(15 * time.Second)
+	is.Equal(d.state(j.ID), progress.Failed)
+	is.Equal(d.p.Starts(), 1)
+	d.check()
+}
+
+// The same order is done before anything goes wrong.
+func TestOnceIsDone(t *testing.T) {
+	is := is.New(t)
+	s := newStanding()
+	id := graph.JobID("00000000000000db")
+	j := one(id, 1)
+	j.Once = true
+	s.Accept(j, s.now)
+	s.Begin(s.now, s.now)
+	s.report(order.Report{})
+	started := commands[Start](s)
+	is.Equal(len(started), 1)
+	s.StartAnswered("t1", started[0].Order.Run, 5000, nil, s.now)
+	s.now = s.now.Add(time.Second)
+	s.report(order.Report{Ended: []order.Ended{{Number: 1, Run: started[0].Order.Run, How: order.Done}}})
+	s.saves()
+	state, _ := s.State(id)
+	is.Equal(state, progress.Completed)
+}
+
+// A start that was certainly not sent is no run: the order is started elsewhere.
+func TestOnceAfterARefusal(t *testing.T) {
+	is := is.New(t)
+	s := newStanding()
+	j := one("00000000000000dc", 1)
+	j.Once = true
+	s.Accept(j, s.now)
+	s.Begin(s.now, s.now)
+	s.report(order.Report{})
+	started := commands[Start](s)
+	s.StartAnswered("t1", started[0].Order.Run, 5000, order.ErrUnhealthy, s.now)
+	s.now = s.now.Add(3 * time.Second)
+	s.Tick(s.now)
+	is.Equal(len(commands[Start](s)), 1)
+}
+
+// A job that is of no use after a while is given up if nothing of it has started
+// by then, and its caller is told that it did not run.
+func TestGivenUpBeforeTheStart(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 1, DefaultBounds())
+	d.submit(1, 20*time.Second, graph.Step{Count: 1, Needs: graph.Resources{Accelerators: 8}, Estimate: 20 * time.Second})
+	d.run(time.Second)
+	j := one("00000000000000dd", 1)
+	j.StartBy = d.now.Add(2 * time.Second).UnixMilli()
+	d.p.Submit(j, pool.Behaviour{Work: func(graph.TaskID) time.Duration { return time.Second }})
+	d.asked[j.ID] = d.now
+	d.m.Accept(j, d.now)
+	d.run(time.Second)
+	is.Equal(d.state(j.ID), progress.Queued)
+	d.run(2 * time.Second)
+	is.Equal(d.state(j.ID), progress.NotRun)
+	d.run(20 * time.Second)
+	d.check()
+}
--- a/internal/work/dispatch/query.go
+++ b/internal/work/dispatch/query.go
@@ -1,6 +1,11 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
+	"time"
+
+	"guavaglade.example/guavaglade/internal/report/view"
 	"guavaglade.example/guavaglade/internal/work/graph"
 	"guavaglade.example/guavaglade/internal/work/progress"
 )
@@ -11,10 +16,24 @@
 	if j == nil {
 		return "", false
 	}
+	return j.told(), true
+}
+
+// told returns the state that clients may be told.
+func (j *job) told() progress.State {
 	if !j.shown.Final() && j.started {
-		return progress.Running, true
+		return progress.Running
+	}
+	return j.shown
+}
+
+// Told returns what clients may be told of a job, and whether it is known.
+func (m *Machine) Told(id graph.JobID) (view.Told, bool) {
+	j := m.jobs[id]
+	if j == nil {
+		return view.Told{}, false
 	}
-	return j.shown, true
+	return view.Told{State: j.told(), Queue: j.spec.Queue, Account: j.spec.Account}, true
 }
 
 // Pending returns how many accepted jobs of a queue have not started.
@@ -28,6 +47,80 @@
 	return n
 }
 
+// Jobs returns the jobs of a client account, or of all where it is empty, in the
+// order in which they were accepted.
+func (m *Machine) Jobs(account string) []view.Job {
+	list := []view.Job{}
+	for _, j := range m.jobs {
+		if account == "" || j.spec.Account == account {
+			list = append(list, j.view())
+		}
+	}
+	slices.SortFunc(list, func(a, b view.Job) int {
+		return cmp.Or(a.Accepted.Compare(b.Accepted), cmp.Compare(a.ID, b.ID))
+	})
+	return list
+}
+
+// Job returns one job, and whether it is known.
+func (m *Machine) Job(id graph.JobID) (view.Job, bool) {
+	j := m.jobs[id]
+	if j == nil {
+		return view.Job{}, false
+	}
+	return j.view(), true
+}
+
+func (j *job) view() view.Job {
+	v := view.Job{
+		ID: j.spec.ID, Queue: j.spec.Queue, Account: j.spec.Account, Priority: j.spec.Priority, State: j.told(),
+		Accepted: time.UnixMilli(j.spec.AcceptedAt).UTC(), Runs: len(j.live),
+	}
+	if j.endedAt != 0 {
+		v.Ended = time.UnixMilli(j.endedAt).UTC()
+	}
+	for _, s := range j.steps {
+		v.Tasks += len(s.tasks)
+		v.Done += len(s.tasks) - s.undone
+	}
+	return v
+}
+
+// Fleet returns what the machine holds of targets and accounts.
+func (m *Machine) Fleet(now time.Time) view.Fleet {
+	f := view.Fleet{Term: m.term, Waiting: len(m.open), Targets: []view.Target{}, Accounts: []view.Account{}}
+	for _, t := range m.byID {
+		f.Targets = append(f.Targets, view.Target{
+			ID: t.ID, Zone: t.Zone, Rack: t.Rack, Service: t.Service, Accelerators: t.Capacity.Accelerators,
+			Cores: t.Capacity.CPU / 1000, MemoryMB: t.Capacity.MemoryMB,
+			Free: t.room().Accelerators, Runs: len(t.runs), State: t.describe(now),
+		})
+	}
+	wanted := m.wantedByAccount()
+	for name, sure := range m.guaranteed {
+		f.Accounts = append(f.Accounts, view.Account{Name: name, Guaranteed: sure, Wanted: wanted[name]})
+	}
+	slices.SortFunc(f.Accounts, func(a, b view.Account) int { return cmp.Compare(a.Name, b.Name) })
+	return f
+}
+
+// describe says in a word whether a target gets work.
+func (t *target) describe(now time.Time) string {
+	switch {
+	case !t.listed:
+		return "unlisted"
+	case t.reach == unheld:
+		return "unheld"
+	case t.reach == silent:
+		return "silent"
+	case t.Draining:
+		return "draining"
+	case t.health.Condemned(now) || t.health.Doubted(now):
+		return "doubted"
+	}
+	return "ready"
+}
+
 // Counts is what a machine holds.
 type Counts struct {
 	Jobs, Targets, Held, Runs, Open int
--- a/internal/work/dispatch/save.go
+++ b/internal/work/dispatch/save.go
@@ -149,9 +149,20 @@
 	j.shown = s
 	if s.Final() {
 		m.log.Decided("job ended", "job", j.spec.ID, "queue", j.spec.Queue, "state", s, "accepted", j.spec.AcceptedAt, "ended", j.endedAt)
+		m.settled(j, s)
 	}
 }
 
+// settled tells of a job that came to its end. What its client took back says
+// nothing about service, and a job that recurs or lasts has no time to keep.
+func (m *Machine) settled(j *job, s progress.State) {
+	if s == progress.Cancelled || j.spec.Repeat > 0 || j.spec.Lasting() {
+		return
+	}
+	took := time.Duration(j.endedAt-j.spec.AcceptedAt) * time.Millisecond
+	m.out = append(m.out, Settled{Job: j.spec, State: s, Took: max(took, 0)})
+}
+
 // SaveFailed takes in that the store could not be asked, or that nothing is
 // known of the outcome yet. The rows are saved again.
 func (m *Machine) SaveFailed(at int, now time.Time) {
--- a/internal/work/dispatch/schedule.go
+++ b/internal/work/dispatch/schedule.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"guavaglade.example/guavaglade/internal/work/progress"
 )
 
 // Decide returns the commands that follow from what the machine was told since
@@ -104,6 +106,10 @@
 			s.listedOpen = false
 			continue
 		}
+		if m.giveUp(s.job, wall) {
+			s.listedOpen = false
+			continue
+		}
 		more := m.placeStep(s, now)
 		if more {
 			m.seekAdvice(s, now)
@@ -119,6 +125,17 @@
 	m.passAt = now.Add(time.Duration(m.considered) * passRest)
 }
 
+// giveUp ends a job that was to have started by now and has not.
+func (m *Machine) giveUp(j *job, wall int64) bool {
+	if j.spec.StartBy == 0 || wall < j.spec.StartBy || j.started || len(j.live) > 0 {
+		return false
+	}
+	m.log.Decided("job given up before it started", "job", j.spec.ID, "startBy", j.spec.StartBy)
+	j.state, j.endedAt = progress.NotRun, wall
+	m.touch(j)
+	return true
+}
+
 // gatherTime is how long a new leader waits for the first reports of all targets
 // before it places anything: most come within a few round trips, and what is
 // placed on the first few is placed badly.
--- a/internal/work/dispatch/straggler.go
+++ b/internal/work/dispatch/straggler.go
@@ -30,7 +30,7 @@
 // moves those that stand still or run far slower than they would elsewhere.
 func (m *Machine) watch(t *target, now time.Time) {
 	for _, r := range t.sortedRuns() {
-		if r.phase != running || r.task.step.spec.Lasting || r.share < 100 || r.task.step.job.over() {
+		if r.phase != running || r.task.step.spec.Lasting || r.task.step.job.spec.Once || r.share < 100 || r.task.step.job.over() {
 			continue
 		}
 		switch {
--- a/internal/work/graph/job.go
+++ b/internal/work/graph/job.go
@@ -91,6 +91,8 @@
 	Every       time.Duration `json:"every,omitempty"`       // between occurrences
 	Repeat      int           `json:"repeat,omitempty"`      // occurrences; 0 for a job that does not recur
 	AcceptedAt  int64         `json:"acceptedAt,omitempty"`  // milliseconds since 1970 on the accepting host's clock
+	Once        bool          `json:"once,omitempty"`        // a task whose run may have begun is never started again
+	StartBy     int64         `json:"startBy,omitempty"`     // given up if nothing has started by then, in milliseconds since 1970; 0: never
 	Advised     bool          `json:"advised,omitempty"`     // the queue's policy names the targets that may run a step
 	AdviceValid time.Duration `json:"adviceValid,omitempty"` // how long a ticket holds
 }
--- a/internal/work/progress/progress.go
+++ b/internal/work/progress/progress.go
@@ -9,17 +9,18 @@
 // State is what a client is shown of a job.
 type State string
 
-// The states. The last three are final.
+// The states. The last four are final.
 const (
 	Queued    State = "queued"
 	Running   State = "running"
 	Completed State = "completed"
 	Failed    State = "failed"
 	Cancelled State = "cancelled"
+	NotRun    State = "notRun" // given up before anything was started
 )
 
 // Final reports whether the state never changes again.
-func (s State) Final() bool { return s == Completed || s == Failed || s == Cancelled }
+func (s State) Final() bool { return s == Completed || s == Failed || s == Cancelled || s == NotRun }
 
 // Step is what is known of a step of one occurrence.
 type Step struct {
@@ -60,7 +61,7 @@
 		return nil, fmt.Errorf("decode progress: %w", err)
 	}
 	switch j.State {
-	case Queued, Running, Completed, Failed, Cancelled:
+	case Queued, Running, Completed, Failed, Cancelled, NotRun:
 		return j, nil
 	}
 	return nil, fmt.Errorf("decode progress: state %q", j.State)
--- /dev/null
+++ b/internal/work/request/request.go
@@ -0,0 +1,100 @@
+package request
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"regexp"
+	"strconv"
+	"time"
+
+	"guavaglade.example/guavaglade/internal/config/catalog"
+	"guavaglade.example/guavaglade/internal/config/text"
+	"guavaglade.example/guavaglade/internal/config/version"
+	"guavaglade.example/guavaglade/internal/fleet/shape"
+	"guavaglade.example/guavaglade/internal/work/graph"
+)
+
+// MaxInput is the largest input of a request, in bytes: it is kept with the job.
+const MaxInput = graph.MaxSpec
+
+// Errors of a request.
+var (
+	// ErrInvalid says that a request can never be taken as it is.
+	ErrInvalid = errors.New("invalid request")
+	// ErrUnknown says that the configuration has no such service or job.
+	ErrUnknown = errors.New("not in the configuration")
+)
+
+// idForm is what a request id may look like.
+var idForm = regexp.MustCompile(`^[A-Za-z0-9._-]{1,100}$`)
+
+// Request is what a client asks for.
+type Request struct {
+	RequestID string `json:"requestId"` // the client's own; the same id is the same job
+	Service   string `json:"service"`
+	Job       string `json:"job"`             // name of the job in its service
+	Input     []byte `json:"input,omitempty"` // handed to each task, base64 on the wire
+}
+
+// JobID returns the id of an account's request.
+func JobID(account, requestID string) graph.JobID {
+	const half = 8 // bytes; 16 hexadecimal digits
+	sum := sha256.Sum256([]byte(strconv.Itoa(len(account)) + ":" + account + "/" + requestID))
+	return graph.JobID(hex.EncodeToString(sum[:half]))
+}
+
+// Resolve returns the job that an account asks for at a time. The error wraps
+// ErrInvalid or ErrUnknown.
+func (r Request) Resolve(c *text.Config, account string, at time.Time) (*graph.Job, error) {
+	if !idForm.MatchString(r.RequestID) {
+		return nil, fmt.Errorf("%w: requestId %q: want 1 to 100 letters, digits and . _ -", ErrInvalid, r.RequestID)
+	}
+	if len(r.Input) > MaxInput {
+		return nil, fmt.Errorf("%w: input of %d bytes, at most %d", ErrInvalid, len(r.Input), MaxInput)
+	}
+	s, ok := c.Service(r.Service)
+	if !ok {
+		return nil, fmt.Errorf("%w: service %q", ErrUnknown, r.Service)
+	}
+	k, ok := s.Kind(r.Job)
+	if !ok {
+		return nil, fmt.Errorf("%w: job %q of service %q", ErrUnknown, r.Job, r.Service)
+	}
+	q := version.Queue(s, k)
+	j := &graph.Job{
+		ID: JobID(account, r.RequestID), Account: account, Spec: string(r.Input), Once: !k.Repeatable(),
+		AcceptedAt: at.UnixMilli(), Steps: []graph.Step{stepOf(k)},
+	}
+	fill(j, q)
+	if k.StartIn() > 0 {
+		j.StartBy = at.Add(k.StartIn()).UnixMilli()
+	}
+	if err := j.Check(); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	return j, nil
+}
+
+// fill completes a job with what its queue says.
+func fill(j *graph.Job, q catalog.Queue) {
+	j.Queue, j.Service, j.Priority, j.MaxAttempts = q.Name, q.Service, q.Priority, q.MaxAttempts
+	j.Slack, j.Allowance = q.Slack, q.Allowance
+}
+
+// stepOf returns the tasks of a kind. Members that must stand on one worker are
+// one task with the needs of all: so they share a worker whatever else happens.
+func stepOf(k text.Kind) graph.Step {
+	s := k.Shape()
+	step := graph.Step{
+		Count: s.Members(), Gang: s.Members() > 1, SameRack: s.Adjacency() == shape.SameRack,
+		Estimate: k.Declared(), Checkpointing: k.Stoppable(),
+		Needs: graph.Resources{CPU: s.Cores() * 1000, MemoryMB: s.Memory(), Accelerators: s.Accelerators()},
+	}
+	if s.Adjacency() == shape.SameWorker {
+		step.Needs = step.Needs.Times(step.Count)
+		step.Count, step.Gang = 1, false
+	}
+	return step
+}
