host: views, stories, adopted configurations and the burn report in any host

Any host answers for jobs, a job's story, the fleet and what is in force, by asking the leader. A client account sees its own jobs; another's is not there. exchange is split by duty: watching, relaying, asking, viewing.

--- a/internal/host/dispatcher/carry.go
+++ b/internal/host/dispatcher/carry.go
@@ -28,6 +28,8 @@
 		o.spawn(func() { o.hold(c) })
 	case dispatch.Save:
 		o.spawn(func() { o.save(c) })
+	case dispatch.Settled:
+		o.settled(c)
 	case dispatch.Forget:
 		o.spawn(func() { o.forget(c) })
 	case dispatch.Pace:
--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,8 +18,6 @@
 	"guavaglade.example/guavaglade/internal/host/steady"
 	"guavaglade.example/guavaglade/internal/platform/store"
 	"guavaglade.example/guavaglade/internal/work/dispatch"
-	"guavaglade.example/guavaglade/internal/work/graph"
-	"guavaglade.example/guavaglade/internal/work/progress"
 )
 
 // Figures of the shell.
@@ -52,6 +51,7 @@
 	adviser order.Adviser // nil: none
 	metrics tally.Scope
 	keeper  *catalog.Keeper // nil: no configuration
+	settled func(dispatch.Settled)
 	log     logr.Logger
 	mu      sync.Mutex
 	now     *office // nil while another host leads
@@ -70,6 +70,9 @@
 // WithAdviser sets who is asked for advice.
 func WithAdviser(a order.Adviser) Option { return func(d *Dispatcher) { d.adviser = a } }
 
+// WithOutcomes sets who is told of jobs that have ended. It must not block.
+func WithOutcomes(f func(dispatch.Settled)) Option { return func(d *Dispatcher) { d.settled = f } }
+
 // WithCatalog sets where the configuration in force is found. Without one no
 // account has a guarantee.
 func WithCatalog(k *catalog.Keeper) Option { return func(d *Dispatcher) { d.keeper = k } }
@@ -77,7 +80,7 @@
 // New returns a dispatcher that does not lead yet.
 func New(s store.Store, l order.Line, r Roster, b dispatch.Bounds, log logr.Logger, opts ...Option) *Dispatcher {
 	b.Parts = Parts
-	d := &Dispatcher{store: s, line: l, roster: r, bounds: b, clock: steady.Now, metrics: tally.NoopScope, log: log}
+	d := &Dispatcher{store: s, line: l, roster: r, bounds: b, clock: steady.Now, metrics: tally.NoopScope, settled: func(dispatch.Settled) {}, log: log}
 	for _, o := range opts {
 		o(d)
 	}
@@ -90,6 +93,7 @@
 	ctx        context.Context
 	term       *leader.Term
 	machine    *dispatch.Machine
+	stories    *stories // what the machine decided
 	work       chan func(now time.Time)
 	fences     [Parts]int64
 	configured int64 // version of the configuration that the machine was told
@@ -102,9 +106,9 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	o := &office{
-		Dispatcher: d, ctx: ctx, term: t, work: make(chan func(time.Time), backlog),
-		machine: dispatch.New(t.Number(), d.bounds, dispatch.WithLog(decisions{d.log})),
+		Dispatcher: d, ctx: ctx, term: t, work: make(chan func(time.Time), backlog), stories: newStories(d.log),
 	}
+	o.machine = dispatch.New(t.Number(), d.bounds, dispatch.WithLog(o.stories))
 	began := o.clock()
 	if err := o.restore(); err != nil {
 		return fmt.Errorf("term %d: %w", t.Number(), err)
@@ -133,12 +137,6 @@
 	return d.now
 }
 
-// decisions logs what a machine decides.
-type decisions struct{ log logr.Logger }
-
-// Decided implements dispatch.Log.
-func (d decisions) Decided(what string, kv ...any) { d.log.Info(what, kv...) }
-
 // restore fences all parts and reads their rows.
 func (o *office) restore() error {
 	type result struct {
@@ -304,7 +302,15 @@
 func (o *office) targets() ([]roster.Target, error) {
 	ctx, cancel := context.WithTimeout(o.ctx, storeTime)
 	defer cancel()
-	return o.roster.Targets(ctx)
+	list, err := o.roster.Targets(ctx)
+	if err != nil || o.keeper == nil {
+		return list, err
+	}
+	list = slices.Clone(list)
+	for i := range list {
+		list[i].Draining = list[i].Draining || o.keeper.Now().Leaving(list[i].ID)
+	}
+	return list, nil
 }
 
 func (o *office) every(d time.Duration, f func()) {
@@ -340,47 +346,3 @@
 	}
 	o.post(func(now time.Time) { o.machine.Listed(list, now) })
 }
-
-// Submitted tells the leader of a job that was accepted and stored.
-func (d *Dispatcher) Submitted(ctx context.Context, j *graph.Job) error {
-	return d.ask(ctx, func(m *dispatch.Machine, now time.Time) { m.Accept(j, now) })
-}
-
-// Cancelled tells the leader of a job whose cancelling was stored.
-func (d *Dispatcher) Cancelled(ctx context.Context, id graph.JobID) error {
-	return d.ask(ctx, func(m *dispatch.Machine, now time.Time) { m.Cancel(id, now) })
-}
-
-// State returns what clients may be told of a job, and whether the leader knows
-// it.
-func (d *Dispatcher) State(ctx context.Context, id graph.JobID) (state progress.State, known bool, err error) {
-	err = d.ask(ctx, func(m *dispatch.Machine, _ time.Time) { state, known = m.State(id) })
-	return state, known, err
-}
-
-// Pending returns how many jobs of a queue have not started.
-func (d *Dispatcher) Pending(ctx context.Context, queue string) (n int, err error) {
-	err = d.ask(ctx, func(m *dispatch.Machine, _ time.Time) { n = m.Pending(queue) })
-	return n, err
-}
-
-// ask has the loop run f and waits until it did.
-func (d *Dispatcher) ask(ctx context.Context, f func(m *dispatch.Machine, now time.Time)) error {
-	o := d.office()
-	if o == nil || !o.term.Valid(d.clock()) {
-		return ErrNotLeading
-	}
-	done := make(chan struct{})
-	o.post(func(now time.Time) {
-		f(o.machine, now)
-		close(done)
-	})
-	select {
-	case <-done:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-o.ctx.Done():
-		return ErrNotLeading
-	}
-}
--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -10,6 +10,7 @@
 
 	"guavaglade.example/guavaglade/internal/host/dispatcher"
 	"guavaglade.example/guavaglade/internal/platform/store"
+	"guavaglade.example/guavaglade/internal/report/view"
 	"guavaglade.example/guavaglade/internal/work/dispatch"
 	"guavaglade.example/guavaglade/internal/work/graph"
 	"guavaglade.example/guavaglade/internal/work/progress"
@@ -39,7 +40,7 @@
 type Leader interface {
 	Submitted(ctx context.Context, j *graph.Job) error
 	Cancelled(ctx context.Context, id graph.JobID) error
-	State(ctx context.Context, id graph.JobID) (s progress.State, known bool, err error)
+	State(ctx context.Context, id graph.JobID) (told view.Told, known bool, err error)
 	Pending(ctx context.Context, queue string) (int, error)
 }
 
@@ -47,7 +48,7 @@
 // ErrNotAccepted, ErrNotKnown or ErrNoJob.
 type Relay interface {
 	RelaySubmit(ctx context.Context, j *graph.Job) error
-	RelayCancel(ctx context.Context, id graph.JobID) error
+	RelayCancel(ctx context.Context, id graph.JobID, by Caller) error
 }
 
 // Entry serves requests.
@@ -158,33 +159,50 @@
 	}
 }
 
+// Caller is who asks about a job that is there already.
+type Caller struct {
+	Account  string `json:"account,omitempty"`
+	Operator bool   `json:"operator,omitempty"` // may see and cancel the jobs of every account
+}
+
+// May reports whether the jobs of an account are the caller's to see and cancel.
+// Those of no account are everybody's.
+func (c Caller) May(account string) bool {
+	return c.Operator || account == "" || account == c.Account
+}
+
 // Cancel stores that a job is cancelled, and tells the leader. The error wraps
-// ErrNoJob or ErrNoAnswer.
-func (e *Entry) Cancel(ctx context.Context, id graph.JobID) error {
+// ErrNoJob, also for a job that is not the caller's, or ErrNoAnswer.
+func (e *Entry) Cancel(ctx context.Context, id graph.JobID, by Caller) error {
 	ctx, cancel := context.WithTimeout(ctx, settleTime)
 	defer cancel()
-	err := e.CancelHere(ctx, id)
+	err := e.CancelHere(ctx, id, by)
 	if err == nil || errors.Is(err, ErrNoJob) {
 		return err
 	}
-	if other := e.relay.RelayCancel(ctx, id); other == nil || errors.Is(other, ErrNoJob) {
+	if other := e.relay.RelayCancel(ctx, id, by); other == nil || errors.Is(other, ErrNoJob) {
 		return other
 	}
 	return fmt.Errorf("%w: %w", ErrNoAnswer, err)
 }
 
 // CancelHere stores a cancelling over this host's own way to the store.
-func (e *Entry) CancelHere(ctx context.Context, id graph.JobID) error {
+func (e *Entry) CancelHere(ctx context.Context, id graph.JobID, by Caller) error {
 	if !e.store.Try(time.Now()) {
 		return fmt.Errorf("%w: %w", ErrNotAccepted, errDown)
 	}
-	job, cancelled, err := e.read(ctx, id)
+	row, cancelled, err := e.read(ctx, id)
 	switch {
 	case err != nil:
 		return fmt.Errorf("%w: %w", ErrNotAccepted, err)
-	case job.Version == 0:
+	case row.Version == 0:
 		return ErrNoJob
-	case cancelled:
+	}
+	// A row that cannot be read belongs to nobody that could be asked.
+	if j, err := dispatcher.DecodeJob(row.Value); err == nil && !by.May(j.Account) {
+		return ErrNoJob
+	}
+	if cancelled {
 		return nil
 	}
 	key := dispatcher.CancelKey(partOf(id), id)
@@ -217,35 +235,58 @@
 	return job, cancelled, nil
 }
 
-// State returns a job's state: as the leader tells it, else as the store has
-// it. The error wraps ErrNoJob or ErrNoAnswer.
-func (e *Entry) State(ctx context.Context, id graph.JobID) (progress.State, error) {
-	state, known, leaderErr := e.leader.State(ctx, id)
+// State returns what to tell of a job: as the leader knows it, else as the store
+// has it. The error wraps ErrNoJob, also for a job that is not the caller's, or
+// ErrNoAnswer.
+func (e *Entry) State(ctx context.Context, id graph.JobID, by Caller) (view.Told, error) {
+	told, err := e.tellState(ctx, id)
+	if err == nil && !by.May(told.Account) {
+		return view.Told{}, ErrNoJob
+	}
+	return told, err
+}
+
+func (e *Entry) tellState(ctx context.Context, id graph.JobID) (view.Told, error) {
+	told, known, leaderErr := e.leader.State(ctx, id)
 	if leaderErr == nil && known {
-		return state, nil
+		return told, nil
 	}
 	if !e.store.Try(time.Now()) {
-		return "", fmt.Errorf("%w: %w (leader: %w)", ErrNoAnswer, errDown, leaderErr)
-	}
-	job, cancelled, err := e.read(ctx, id)
-	if err != nil {
-		return "", fmt.Errorf("%w: %w (leader: %w)", ErrNoAnswer, err, leaderErr)
+		return view.Told{}, fmt.Errorf("%w: %w (leader: %w)", ErrNoAnswer, errDown, leaderErr)
 	}
-	if job.Version == 0 {
-		return "", ErrNoJob
+	told, err := e.stored(ctx, id)
+	if err != nil && !errors.Is(err, ErrNoJob) {
+		return view.Told{}, fmt.Errorf("%w: %w (leader: %w)", ErrNoAnswer, err, leaderErr)
 	}
-	row, err := store.Get(ctx, e.store, dispatcher.ProgressKey(partOf(id), id))
+	return told, err
+}
+
+// stored returns what the rows of a job say.
+func (e *Entry) stored(ctx context.Context, id graph.JobID) (view.Told, error) {
+	row, cancelled, err := e.read(ctx, id)
 	if err != nil {
-		return "", fmt.Errorf("%w: %w", ErrNoAnswer, err)
+		return view.Told{}, err
 	}
 	if row.Version == 0 {
-		return stateOf(progress.Queued, false, cancelled), nil
+		return view.Told{}, ErrNoJob
 	}
-	p, err := progress.Decode(row.Value)
+	j, err := dispatcher.DecodeJob(row.Value)
 	if err != nil {
-		return "", fmt.Errorf("%w: %w", ErrNoAnswer, err)
+		return view.Told{}, err
+	}
+	told := view.Told{State: progress.Queued, Queue: j.Queue, Account: j.Account}
+	saved, err := store.Get(ctx, e.store, dispatcher.ProgressKey(partOf(id), id))
+	if err != nil {
+		return view.Told{}, err
+	}
+	p := &progress.Job{State: progress.Queued}
+	if saved.Version != 0 {
+		if p, err = progress.Decode(saved.Value); err != nil {
+			return view.Told{}, err
+		}
 	}
-	return stateOf(p.State, p.Started, cancelled), nil
+	told.State = stateOf(p.State, p.Started, cancelled)
+	return told, nil
 }
 
 // stateOf returns what to tell of a job: a final state that was saved stands,
--- /dev/null
+++ b/internal/host/exchange/watching.go
@@ -0,0 +1,178 @@
+package exchange
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"guavaglade.example/guavaglade/internal/host/dispatcher"
+	"guavaglade.example/guavaglade/internal/host/leader"
+)
+
+// watchBody is both sides of a watch.
+type watchBody struct {
+	Row     leader.Row `json:"row"`
+	Version int64      `json:"version"`         // of the configuration in force on the sender
+	From    string     `json:"from,omitempty"`  // the sender's address
+	StoreUp bool       `json:"storeUp"`         // the store serves the sender
+	Power   float64    `json:"power,omitempty"` // cores that the sender has
+	Peers   []peerBody `json:"peers,omitempty"` // hosts that the store serves, as the leader knows them, the most powerful first
+}
+
+// peerBody is a host as the leader knows it.
+type peerBody struct {
+	Address string  `json:"address"`
+	Power   float64 `json:"power"` // cores
+}
+
+// succeedBody asks a host to take the leader row over.
+type succeedBody struct {
+	Row     leader.Row `json:"row"`
+	Version int64      `json:"version"` // of the leader row
+}
+
+// watcher is a host that watches the leader.
+type watcher struct {
+	at      time.Time // of its last watch
+	storeUp bool
+	power   float64
+	version int64 // of the configuration in force there
+}
+
+// watched answers a watcher after a while, or at once when the term ends, and
+// gets its configuration if that is newer.
+func (x *Exchange) watched(ctx context.Context, in watchBody) (any, error) {
+	x.noteWatcher(in)
+	if in.Version > x.keeper.Version() && in.From != "" {
+		go x.fetch(context.WithoutCancel(ctx), in.From)
+	}
+	t := x.leading.Own()
+	if t == nil {
+		return nil, dispatcher.ErrNotLeading
+	}
+	select {
+	case <-ctx.Done():
+	case <-t.Over():
+		return nil, dispatcher.ErrNotLeading
+	case <-time.After(watchWait):
+	}
+	return watchBody{Row: x.leading.Leader(), Version: x.keeper.Version(), Peers: x.listed()}, nil
+}
+
+func (x *Exchange) noteWatcher(in watchBody) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.heard = time.Now()
+	x.seen[in.From] = watcher{at: time.Now(), storeUp: in.StoreUp, power: in.Power, version: in.Version}
+}
+
+// served returns the hosts that watch this one and that the store serves, with at
+// least so much power, the most powerful first.
+func (x *Exchange) served(least float64) []string {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var list []string
+	for address, w := range x.seen {
+		switch {
+		case time.Since(w.at) > watcherGone:
+			delete(x.seen, address)
+		case w.storeUp && w.power >= least:
+			list = append(list, address)
+		}
+	}
+	slices.SortFunc(list, func(a, b string) int {
+		return cmp.Or(cmp.Compare(x.seen[b].power, x.seen[a].power), cmp.Compare(a, b))
+	})
+	return list
+}
+
+// Rank implements leader.Peer. A host that the leader's last list lacks comes after
+// all that are in it: the store may not have served it, or it had just begun.
+func (x *Exchange) Rank(muchMore float64) (rank int, outpowered bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	rank = slices.IndexFunc(x.peers, func(p peerBody) bool { return p.Address == x.own })
+	if rank < 0 {
+		rank = len(x.peers)
+	}
+	return rank, len(x.peers) > 0 && x.peers[0].Power >= x.power*muchMore
+}
+
+// listed returns the hosts that the store serves, for watchers.
+func (x *Exchange) listed() []peerBody {
+	list := x.served(0)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	peers := make([]peerBody, 0, len(list))
+	for _, address := range list {
+		peers = append(peers, peerBody{Address: address, Power: x.seen[address].power})
+	}
+	return peers
+}
+
+// Watch implements leader.Peer.
+func (x *Exchange) Watch(ctx context.Context, address string, term int64) (leader.Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTime)
+	defer cancel()
+	var out watchBody
+	in := watchBody{Row: leader.Row{Term: term}, Version: x.keeper.Version(), From: x.own, StoreUp: x.up(), Power: x.power}
+	if err := x.net.Call(ctx, address, methodWatch, in, &out); err != nil {
+		return leader.Row{}, err
+	}
+	x.mu.Lock()
+	x.peers, x.heard = out.Peers, time.Now()
+	x.mu.Unlock()
+	if out.Version > x.keeper.Version() {
+		go x.fetch(context.WithoutCancel(ctx), address)
+	}
+	return out.Row, nil
+}
+
+// askedSuccessors bounds how many hosts are asked whether they could succeed.
+const askedSuccessors = 3
+
+// Successors implements leader.Peer. A host that last said that the store serves
+// it may not have asked since: each is asked to read the row now.
+func (x *Exchange) Successors(ctx context.Context, least float64) []string {
+	ctx, cancel := context.WithTimeout(ctx, lookTime)
+	defer cancel()
+	list := x.served(least)
+	list = list[:min(len(list), askedSuccessors)]
+	answers := make(chan string, len(list))
+	for _, address := range list {
+		go func() {
+			if x.net.Call(ctx, address, methodLook, nil, nil) != nil {
+				address = ""
+			}
+			answers <- address
+		}()
+	}
+	able := map[string]bool{}
+	for range list {
+		able[<-answers] = true
+	}
+	return slices.DeleteFunc(list, func(a string) bool { return !able[a] })
+}
+
+// HandOver implements leader.Peer.
+func (x *Exchange) HandOver(ctx context.Context, address string, r leader.Row, version int64) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	var took bool
+	err := x.net.Call(ctx, address, methodSucceed, succeedBody{Row: r, Version: version}, &took)
+	return err == nil && took
+}
+
+// fetch gets the configuration of a peer.
+func (x *Exchange) fetch(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, askTime)
+	defer cancel()
+	var stored []byte
+	if err := x.net.Call(ctx, address, methodCatalog, nil, &stored); err != nil || len(stored) == 0 {
+		return // it travels with the next watch, too
+	}
+	if ok, err := x.keeper.Offer(stored); err == nil && ok {
+		x.adopted(x.keeper.Version(), address)
+	}
+}
--- a/internal/host/station/station.go
+++ b/internal/host/station/station.go
@@ -19,7 +19,9 @@
 	"guavaglade.example/guavaglade/internal/host/leader"
 	"guavaglade.example/guavaglade/internal/host/peer"
 	"guavaglade.example/guavaglade/internal/platform/store"
+	"guavaglade.example/guavaglade/internal/report/burn"
 	"guavaglade.example/guavaglade/internal/work/dispatch"
+	"guavaglade.example/guavaglade/internal/work/progress"
 )
 
 // Ports are the ways to what is outside.
@@ -49,6 +51,7 @@
 	identity Identity
 	config   Configuration
 	grace    time.Duration // a planned stop takes at most so long
+	unready  time.Duration // of it, while the balancer learns of it
 	log      logr.Logger
 	metrics  tally.Scope
 	store    *store.Gauge
@@ -58,6 +61,7 @@
 	election *leader.Election
 	entry    *entry.Entry
 	net      *peer.Net
+	burn     *burn.Recorder // of jobs that ended while this host led
 	stopping atomic.Bool
 }
 
@@ -68,6 +72,8 @@
 	metrics tally.Scope
 	grace   time.Duration
 	bounds  dispatch.Bounds
+	peerTLS peer.Client // nil: peers are reached without TLS
+	unready time.Duration
 }
 
 // WithMetrics sets where the station counts; without it nothing is counted.
@@ -76,6 +82,13 @@
 // WithGrace sets how long a planned stop may take at most, by default 6 s.
 func WithGrace(d time.Duration) Option { return func(o *options) { o.grace = d } }
 
+// WithPeerTLS sets how peers are reached over TLS.
+func WithPeerTLS(c peer.Client) Option { return func(o *options) { o.peerTLS = c } }
+
+// WithUnreadyTime sets how long a planned stop goes on taking requests while the
+// balancer sees that the host is not ready, by default unreadyTime.
+func WithUnreadyTime(d time.Duration) Option { return func(o *options) { o.unready = d } }
+
 // WithBounds sets the figures of the deployment, by default those for trials.
 func WithBounds(b dispatch.Bounds) Option { return func(o *options) { o.bounds = b } }
 
@@ -85,22 +98,28 @@
 // New returns a station that is not running yet. Each process has an incarnation
 // of its own, so that a later one at the same address is told from it.
 func New(id Identity, p Ports, c Configuration, log logr.Logger, opts ...Option) *Station {
-	set := options{metrics: tally.NoopScope, grace: defaultGrace, bounds: dispatch.DefaultBounds()}
+	set := options{metrics: tally.NoopScope, grace: defaultGrace, unready: unreadyTime, bounds: dispatch.DefaultBounds()}
 	for _, o := range opts {
 		o(&set)
 	}
-	s := &Station{identity: id, config: c, grace: set.grace, log: log, metrics: set.metrics, keeper: catalog.NewKeeper(c.Decode)}
+	holder := id.Name + "#" + strconv.FormatInt(time.Now().UnixNano(), 36)
+	s := &Station{
+		identity: id, config: c, grace: set.grace, unready: set.unready, log: log, metrics: set.metrics,
+		keeper: catalog.NewKeeper(c.Decode), burn: burn.New(holder),
+	}
 	s.store = store.NewGauge(store.NewCounted(p.Store, set.metrics), s.storeChanged)
-	desk := []dispatcher.Option{dispatcher.WithCatalog(s.keeper), dispatcher.WithMetrics(set.metrics)}
+	desk := []dispatcher.Option{
+		dispatcher.WithCatalog(s.keeper), dispatcher.WithMetrics(set.metrics), dispatcher.WithOutcomes(s.recordOutcome),
+	}
 	if p.Adviser != nil {
 		desk = append(desk, dispatcher.WithAdviser(p.Adviser))
 	}
 	s.desk = dispatcher.New(s.store, order.NewCounted(p.Line, set.metrics), p.Roster, set.bounds, log, desk...)
-	s.exchange = exchange.New(id.Peers, id.Power, s.desk, s.keeper, s.store.Up, func(version int64, from string) {
-		log.Info("configuration in force", "version", version, "from", from)
-	})
-	s.net = peer.New(s.exchange.Handle, nil, nil, log.V(1))
-	holder := id.Name + "#" + strconv.FormatInt(time.Now().UnixNano(), 36)
+	s.exchange = exchange.New(
+		id.Peers, s.desk, s.keeper, s.store.Up, exchange.WithPower(id.Power), exchange.WithLog(log),
+		exchange.WithAdopted(s.adopted), exchange.WithCounted(func() burn.Snapshot { return s.burn.Snapshot(time.Now()) }),
+	)
+	s.net = peer.New(s.exchange.Handle, set.peerTLS, nil, log.V(1))
 	s.election = leader.New(s.store, s.exchange, s.desk.Lead, holder, id.Peers, log, leader.WithPower(id.Power))
 	s.entry = entry.New(s.store, s.exchange, s.exchange, log)
 	s.exchange.Bind(s.net, s.election, s.entry)
@@ -115,6 +134,36 @@
 	s.log.Info("store lost", "host", s.identity.Name, "error", fmt.Sprint(err))
 }
 
+func (s *Station) adopted(version int64, from string) {
+	s.log.Info("configuration in force", "version", version, "from", from)
+}
+
+// recordOutcome counts a job that ended, for the burn report.
+func (s *Station) recordOutcome(d dispatch.Settled) {
+	objectives := s.keeper.Now().Objectives()
+	well := d.State == progress.Completed
+	if objectives[d.Job.Service].Within == 0 {
+		well = well && d.Took <= d.Job.Objective()
+	}
+	s.burn.SetObjectives(objectives)
+	s.burn.Record(d.Job.Service, d.Job.Account, d.Took, well, time.Now())
+}
+
+// Burn returns the burn report of all hosts that answer.
+func (s *Station) Burn(ctx context.Context) (burn.Report, error) {
+	counted, err := s.exchange.Burn(ctx)
+	if err != nil {
+		return burn.Report{}, err
+	}
+	return counted.Report(time.Now(), s.keeper.Now().Objectives())
+}
+
+// Views returns what operators and clients read.
+func (s *Station) Views() *exchange.Exchange { return s.exchange }
+
+// Store returns the store as the station reaches it.
+func (s *Station) Store() store.Store { return s.store }
+
 // Entry returns what serves requests.
 func (s *Station) Entry() *entry.Entry { return s.entry }
 
@@ -173,10 +222,10 @@
 func (s *Station) stop(ctx context.Context, elected chan struct{}, drain func(ctx context.Context)) {
 	s.log.Info("host stops", "host", s.identity.Name)
 	s.stopping.Store(true)
-	last, cancel := context.WithTimeout(ctx, max(s.grace-stopMargin, unreadyTime))
+	last, cancel := context.WithTimeout(ctx, max(s.grace-stopMargin, s.unready))
 	defer cancel()
 	select {
-	case <-time.After(unreadyTime):
+	case <-time.After(s.unready):
 	case <-last.Done():
 	}
 	drain(last)
--- a/internal/report/burn/burn_test.go
+++ b/internal/report/burn/burn_test.go
@@ -12,7 +12,6 @@
 	"github.com/sebdah/goldie/v2"
 	"pgregory.net/rapid"
 
-	"guavaglade.example/guavaglade/internal/config/text"
 	"guavaglade.example/guavaglade/internal/proof/seeded"
 	"guavaglade.example/guavaglade/internal/report/burn"
 )
@@ -256,12 +255,20 @@
 	is.Equal(len(r.Snapshot(later).Series), 1)
 }
 
-func TestObjectivesOf(t *testing.T) {
+// Where each job has an objective of its own, who records says what was in time.
+func TestJobsWithObjectivesOfTheirOwn(t *testing.T) {
 	is := is.New(t)
-	c, err := text.Parse([]byte("[service a]\nobjectiveTarget = 0.9\nobjectiveWithin = 1s\n[service b]\n"))
+	r := burn.New("a")
+	r.SetObjectives(burn.Objectives{"refill": {Target: 0.9}})
+	r.Record("refill", "kiosks", time.Hour, true, noon)
+	r.Record("refill", "kiosks", time.Second, false, noon)
+	report, err := r.Report(noon)
 	is.NoErr(err)
-	is.Equal(burn.ObjectivesOf(c), burn.Objectives{"a": {Target: 0.9, Within: time.Second}})
-	is.Equal(burn.ObjectivesOf(nil), burn.Objectives{})
+	is.Equal(report.Lines[0].Good, int64(1))
+	is.Equal(report.Lines[0].Bad, int64(1))
+	var out bytes.Buffer
+	is.NoErr(report.WriteText(&out))
+	is.True(bytes.Contains(out.Bytes(), []byte("90% in its time")))
 }
 
 func BenchmarkRecord(b *testing.B) {
--- a/internal/report/burn/recorder.go
+++ b/internal/report/burn/recorder.go
@@ -4,7 +4,7 @@
 	"sync"
 	"time"
 
-	"guavaglade.example/guavaglade/internal/config/text"
+	"guavaglade.example/guavaglade/internal/config/catalog"
 )
 
 // MaxSeries is how many pairs of service and client account a Recorder keeps.
@@ -12,18 +12,7 @@
 
 // Objectives are the objectives of services by name. A service that is absent,
 // or has a target of 0, has none.
-type Objectives map[string]text.Objective
-
-// ObjectivesOf returns the objectives of a configuration.
-func ObjectivesOf(c *text.Config) Objectives {
-	o := Objectives{}
-	for _, name := range c.Services() {
-		if s, ok := c.Service(name); ok && s.Objective().Target > 0 {
-			o[name] = s.Objective()
-		}
-	}
-	return o
-}
+type Objectives map[string]catalog.Objective
 
 type seriesName struct{ service, account string }
 
@@ -53,7 +42,7 @@
 }
 
 // Record counts one request that ended at a time. It is good if it is ok and,
-// where the service has an objective, its latency is within the objective's. A
+// where the service's objective says a time, its latency is within it. A
 // request that its caller took back is neither and should not be recorded.
 func (r *Recorder) Record(service, account string, latency time.Duration, ok bool, at time.Time) {
 	r.mu.Lock()
@@ -64,7 +53,7 @@
 		return
 	}
 	o := r.objectives[service]
-	s.record(latency, ok && (o.Target == 0 || latency <= o.Within), at)
+	s.record(latency, ok && (o.Target == 0 || o.Within == 0 || latency <= o.Within), at)
 }
 
 // seriesOf returns the series of a name, nil if there is no place for it.
--- a/internal/report/burn/report.go
+++ b/internal/report/burn/report.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"guavaglade.example/guavaglade/internal/config/text"
+	"guavaglade.example/guavaglade/internal/config/catalog"
 )
 
 // The windows that are watched. A window ends with the minute of now, which may
@@ -106,7 +106,7 @@
 }
 
 // linesOf returns the lines of one service: all accounts first, then each.
-func linesOf(accounts []Series, o text.Objective, now time.Time) []Line {
+func linesOf(accounts []Series, o catalog.Objective, now time.Time) []Line {
 	total := newSum()
 	lines := make([]Line, 1, len(accounts)+1)
 	for _, one := range accounts {
@@ -120,7 +120,7 @@
 	return lines
 }
 
-func lineOf(name seriesName, s *sum, o text.Objective, now time.Time) Line {
+func lineOf(name seriesName, s *sum, o catalog.Objective, now time.Time) Line {
 	minutes := s.sorted()
 	good, bad := count(minutes, longest, now)
 	rates := Rates{
--- a/internal/report/burn/write.go
+++ b/internal/report/burn/write.go
@@ -60,6 +60,9 @@
 
 func (l Line) objective() string {
 	share := strconv.FormatFloat(100*l.Target, 'g', 6, 64)
+	if l.WithinMS == 0 {
+		return share + "% in its time" // each job has its own
+	}
 	return fmt.Sprintf("%s%% in %s", share, time.Duration(l.WithinMS)*time.Millisecond)
 }
 
