--- a/internal/host/api/api.go
+++ b/internal/host/api/api.go
@@ -13,21 +13,27 @@
 
 	"guavaglade.example/guavaglade/internal/config/text"
 	"guavaglade.example/guavaglade/internal/host/credential"
-	"guavaglade.example/guavaglade/internal/host/server"
+	"guavaglade.example/guavaglade/internal/host/settings"
+	"guavaglade.example/guavaglade/internal/host/station"
+	"guavaglade.example/guavaglade/internal/report/metrics"
 )
 
-// API serves callers and operators of one host.
+// API serves clients and operators of one host.
 type API struct {
-	node    *server.Node
-	metrics http.Handler // serves /metrics; nil for none
+	station  *station.Station
+	settings settings.Settings
+	metrics  http.Handler // serves /metrics; nil for none
+	inForce  *parsed
 }
 
-// New returns the API of a node. If metrics is nil, /metrics is not there.
-func New(n *server.Node, metrics http.Handler) *API { return &API{node: n, metrics: metrics} }
+// New returns the API of a station. If shown is nil, /metrics is not there.
+func New(st *station.Station, s settings.Settings, shown http.Handler) *API {
+	return &API{station: st, settings: s, metrics: shown, inForce: &parsed{}}
+}
 
 // Handler returns the HTTP surface.
 func (a *API) Handler() http.Handler {
-	return http.MaxBytesHandler(a.router(), int64(a.node.Settings().MaxBody()))
+	return http.MaxBytesHandler(a.router(), int64(a.settings.MaxBody()))
 }
 
 func (a *API) router() *mux.Router {
@@ -37,37 +43,42 @@
 	if a.metrics != nil {
 		r.Handle("/metrics", a.metrics).Methods(http.MethodGet)
 	}
+	views := Views{a.station}
 	v1 := r.PathPrefix("/v1").Subrouter()
 	v1.HandleFunc("/jobs", a.as(a.submit)).Methods(http.MethodPost)
 	v1.HandleFunc("/jobs", a.as(a.list)).Methods(http.MethodGet)
 	v1.HandleFunc("/jobs/{id}", a.as(a.get)).Methods(http.MethodGet)
 	v1.HandleFunc("/jobs/{id}", a.as(a.cancel)).Methods(http.MethodDelete)
 	v1.HandleFunc("/jobs/{id}/explain", a.as(a.explain)).Methods(http.MethodGet)
-	v1.HandleFunc("/tickets", a.as(a.ticket)).Methods(http.MethodPost)
 	v1.HandleFunc("/configuration", a.asOperator(a.getConfiguration)).Methods(http.MethodGet)
 	v1.HandleFunc("/configuration", a.asOperator(a.putConfiguration)).Methods(http.MethodPut)
-	v1.HandleFunc("/inforce", a.asOperator(a.inForce)).Methods(http.MethodGet)
-	v1.HandleFunc("/fleet", a.asOperator(a.fleet)).Methods(http.MethodGet)
-	v1.HandleFunc("/burn", a.asOperator(a.burn)).Methods(http.MethodGet)
+	v1.HandleFunc("/inforce", a.asOperator(plain(views.inForce))).Methods(http.MethodGet)
+	v1.HandleFunc("/fleet", a.asOperator(plain(views.fleet))).Methods(http.MethodGet)
+	v1.HandleFunc("/burn", a.asOperator(plain(views.burn))).Methods(http.MethodGet)
 	v1.HandleFunc("/guarantees", a.as(a.guarantees)).Methods(http.MethodGet)
-	r.NotFoundHandler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		Problem{Status: http.StatusNotFound, Detail: "no such path: " + r.URL.Path}.write(w, time.Now())
-	})
+	r.NotFoundHandler = http.HandlerFunc(noSuchPath)
 	refuseOtherMethods(r)
 	r.Use(a.counted)
 	return r
 }
 
+func noSuchPath(w http.ResponseWriter, r *http.Request) {
+	Problem{Status: http.StatusNotFound, Detail: "no such path: " + r.URL.Path}.write(w, time.Now())
+}
+
 // counted counts and times the requests of each route by status.
 func (a *API) counted(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if a.station.Stopping() {
+			w.Header().Set("Connection", "close")
+		}
 		begun := time.Now()
 		seen := &statusWriter{ResponseWriter: w, status: http.StatusOK}
 		next.ServeHTTP(seen, r)
 		route, _ := mux.CurrentRoute(r).GetPathTemplate()
-		scope := a.node.Metrics().Tagged(map[string]string{"route": route, "status": strconv.Itoa(seen.status), "method": r.Method})
-		scope.Counter("requests").Inc(1)
-		scope.Timer("request_seconds").Record(time.Since(begun))
+		scope := a.station.Metrics().Tagged(map[string]string{"route": route, "method": r.Method})
+		scope.Histogram("request_seconds", metrics.Latencies).RecordDuration(time.Since(begun))
+		scope.Tagged(map[string]string{"status": strconv.Itoa(seen.status)}).Counter("requests_total").Inc(1)
 	})
 }
 
@@ -90,14 +101,27 @@
 	config   *text.Config
 }
 
+// mayRead returns the account whose jobs the caller may list; empty: all.
+func (c caller) mayRead() string {
+	if c.operator {
+		return ""
+	}
+	return c.account.Name()
+}
+
 type handler func(w http.ResponseWriter, r *http.Request, c caller)
 
+// plain makes a handler of one that does not ask who calls.
+func plain(f http.HandlerFunc) handler {
+	return func(w http.ResponseWriter, r *http.Request, _ caller) { f(w, r) }
+}
+
 // as lets only a known key through.
 func (a *API) as(h handler) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		c, ok := a.callerOf(r)
 		if !ok {
-			a.node.Metrics().Counter("callers_refused").Inc(1)
+			a.station.Metrics().Counter("callers_refused").Inc(1)
 			Problem{Status: http.StatusUnauthorized, Detail: "show a client account's key as a bearer token"}.write(w, time.Now())
 			return
 		}
@@ -124,45 +148,39 @@
 	if !ok {
 		return caller{}, false
 	}
-	config, err := a.node.Config(r.Context())
-	if err != nil {
-		return caller{}, false
-	}
+	config := a.inForce.config(a.station.Catalog())
 	c := caller{config: config}
 	account, found := key.Account(config)
 	if found {
 		c.account, c.operator = account, account.Operator()
 	}
-	if config == nil && key.Matches(a.node.Settings().OperatorKeyHash()) {
+	if config == nil && key.Matches(a.settings.OperatorKeyHash()) {
 		c.operator, found = true, true
 	}
 	return c, found
 }
 
-func (a *API) health(w http.ResponseWriter, r *http.Request) {
-	if _, err := a.node.Config(r.Context()); err != nil {
-		Problem{Status: http.StatusServiceUnavailable, Detail: err.Error()}.write(w, time.Now())
-		return
-	}
-	reply(w, http.StatusOK, struct {
-		Host string `json:"host"`
-	}{a.node.ID()})
+// hostBody names the host that answers.
+type hostBody struct {
+	Host string `json:"host"`
+}
+
+func (a *API) health(w http.ResponseWriter, _ *http.Request) {
+	reply(w, http.StatusOK, hostBody{a.settings.PeerAddress()})
 }
 
-func (a *API) ready(w http.ResponseWriter, r *http.Request) {
-	if err := a.node.Ready(r.Context()); err != nil {
-		Problem{Status: http.StatusServiceUnavailable, Detail: err.Error()}.write(w, time.Now())
+func (a *API) ready(w http.ResponseWriter, _ *http.Request) {
+	if !a.station.Ready() {
+		Problem{Status: http.StatusServiceUnavailable, Detail: "stopping, without a configuration, or nothing can be stored"}.write(w, time.Now())
 		return
 	}
-	reply(w, http.StatusOK, struct {
-		Host string `json:"host"`
-	}{a.node.ID()})
+	reply(w, http.StatusOK, hostBody{a.settings.PeerAddress()})
 }
 
 func reply(w http.ResponseWriter, status int, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(v)
+	_ = json.NewEncoder(w).Encode(v) // a client that has gone needs no answer
 }
 
 // read parses a body; it answers bad input and returns false.
@@ -173,7 +191,7 @@
 	if err == nil {
 		return true
 	}
-	a.node.Metrics().Counter("callers_bad_input").Inc(1)
+	a.station.Metrics().Counter("callers_bad_input").Inc(1)
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		Problem{Status: http.StatusRequestEntityTooLarge, Detail: fmt.Sprintf("body: more than %d bytes", large.Limit)}.write(w, time.Now())
@@ -183,7 +201,7 @@
 	return false
 }
 
-// unavailable answers that this host could not ask itself or a peer.
+// unavailable answers that neither the leader nor the store could be asked.
 func unavailable(w http.ResponseWriter, err error) {
 	now := time.Now()
 	status := http.StatusServiceUnavailable
--- a/internal/host/api/configuration.go
+++ b/internal/host/api/configuration.go
@@ -4,28 +4,60 @@
 	"errors"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
+	"guavaglade.example/guavaglade/internal/config/catalog"
 	"guavaglade.example/guavaglade/internal/config/text"
-	"guavaglade.example/guavaglade/internal/platform/ledger"
-	"guavaglade.example/guavaglade/internal/platform/table"
+	"guavaglade.example/guavaglade/internal/config/version"
+	"guavaglade.example/guavaglade/internal/fleet/shape"
+	"guavaglade.example/guavaglade/internal/platform/store"
+	"guavaglade.example/guavaglade/internal/report/view"
 )
 
-// ConfigurationView is a version of the configuration.
-type ConfigurationView struct {
-	Version int64     `json:"version"`
-	Since   time.Time `json:"since,omitzero"` // in force on this host
-	Change  string    `json:"change,omitempty"`
-	Text    string    `json:"text,omitempty"`
+// parsed keeps the text that is in force as it was parsed last.
+type parsed struct {
+	mu      sync.Mutex
+	version version.Version
+	text    *text.Config // nil: none is in force
+}
+
+// config returns the text in force, nil if there is none.
+func (p *parsed) config(k *catalog.Keeper) *text.Config {
+	p.current(k)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.text
 }
 
-func (a *API) getConfiguration(w http.ResponseWriter, r *http.Request, _ caller) {
-	c, since, err := a.node.InForceText(r.Context())
+// current returns the version in force, the zero one if there is none. The keeper
+// has checked the text before it took it.
+func (p *parsed) current(k *catalog.Keeper) version.Version {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if k.Version() == p.version.Number {
+		return p.version
+	}
+	v, err := version.Decode(k.Stored())
 	if err != nil {
-		unavailable(w, err)
-		return
+		return p.version
 	}
-	reply(w, http.StatusOK, ConfigurationView{Version: c.Version, Since: since, Change: c.Change, Text: string(c.Body)})
+	if c, err := text.Parse([]byte(v.Text)); err == nil {
+		p.version, p.text = v, c
+	}
+	return p.version
+}
+
+// ConfigurationView is a version of the configuration.
+type ConfigurationView struct {
+	Version int64  `json:"version"`
+	Change  string `json:"change,omitempty"`
+	Text    string `json:"text,omitempty"`
+}
+
+func (a *API) getConfiguration(w http.ResponseWriter, _ *http.Request, _ caller) {
+	v := a.inForce.current(a.station.Catalog())
+	reply(w, http.StatusOK, ConfigurationView{Version: v.Number, Change: v.Change, Text: v.Text})
 }
 
 func (a *API) putConfiguration(w http.ResponseWriter, r *http.Request, _ caller) {
@@ -42,46 +74,68 @@
 		Problem{Status: http.StatusBadRequest, Detail: "give a change id and the base version, 0 for the first text"}.write(w, now)
 		return
 	}
-	config, err := text.Parse([]byte(body.Text))
-	if err == nil {
-		err = a.node.CheckPacking(r.Context(), config)
-	}
-	if err != nil {
-		Problem{
-			Status: http.StatusUnprocessableEntity, Detail: "the text has faults; nothing was changed",
-			Faults: strings.Split(err.Error(), "\n"),
-		}.write(w, now)
+	if faults := a.check(r, body.Text); len(faults) > 0 {
+		Problem{Status: http.StatusUnprocessableEntity, Detail: "the text has faults; nothing was changed", Faults: faults}.write(w, now)
 		return
 	}
-	c, err := a.node.Change(r.Context(), body.Base, body.Change, []byte(body.Text))
+	v, err := version.Change(r.Context(), a.station.Store(), body.Base, body.Change, body.Text)
 	switch {
-	case errors.Is(err, ledger.ErrOtherChange):
+	case errors.Is(err, version.ErrOtherText):
 		Problem{Status: http.StatusUnprocessableEntity, Detail: err.Error()}.write(w, now)
-	case errors.Is(err, ledger.ErrBase):
-		Problem{Status: http.StatusConflict, Detail: err.Error(), Current: c.Version}.write(w, now)
+	case errors.Is(err, version.ErrBase):
+		Problem{Status: http.StatusConflict, Detail: err.Error(), Current: v.Number}.write(w, now)
 	case err != nil:
 		changeFailed(w, err, now)
 	default:
-		reply(w, http.StatusOK, ConfigurationView{Version: c.Version, Change: c.Change})
+		reply(w, http.StatusOK, ConfigurationView{Version: v.Number, Change: v.Change})
 	}
 }
 
-func (a *API) inForce(w http.ResponseWriter, r *http.Request, _ caller) {
-	rows, err := a.node.InForce(r.Context())
+// check returns the faults of a text, among them guarantees that the targets
+// registered now cannot hold together. Where the leader cannot be asked for them,
+// the guarantees are not checked: an operator must be able to change the text while
+// a zone is away.
+func (a *API) check(r *http.Request, body string) []string {
+	c, err := text.Parse([]byte(body))
 	if err != nil {
-		unavailable(w, err)
-		return
+		return strings.Split(err.Error(), "\n")
+	}
+	f, err := a.station.Views().Fleet(r.Context())
+	if err != nil {
+		return nil
 	}
-	reply(w, http.StatusOK, rows)
+	var faults []string
+	for zone, targets := range workersOf(f) {
+		if err := shape.NewZone(targets).Pack(c.Guarantees(zone)); err != nil {
+			faults = append(faults, "zone "+zone+": "+err.Error())
+		}
+	}
+	return faults
 }
 
+// workersOf returns the targets of each zone as guarantees see them.
+func workersOf(f view.Fleet) map[string][]shape.Worker {
+	zones := map[string][]shape.Worker{}
+	for _, t := range f.Targets {
+		zones[t.Zone] = append(zones[t.Zone], shape.Worker{
+			Rack: t.Rack, Accelerators: t.Accelerators, Cores: t.Cores, Memory: t.MemoryMB, Slots: slots,
+		})
+	}
+	return zones
+}
+
+// slots bounds the tasks of a guarantee on one target: what a target takes at
+// once is bounded by its cores and memory alone.
+const slots = 1 << 10
+
 // changeFailed tells an operator whether a change that failed may have been
 // accepted. If its answer was lost it is not known; putting it again with the
 // same change id settles it.
 func changeFailed(w http.ResponseWriter, err error, now time.Time) {
-	p := Problem{Status: http.StatusServiceUnavailable, Type: "notAccepted", RetryAfter: now.Add(2 * time.Second)}
+	const comeBack = 2 * time.Second // the store is seldom away for less
+	p := Problem{Status: http.StatusServiceUnavailable, Type: "notAccepted", RetryAfter: now.Add(comeBack)}
 	p.Detail = "not accepted: " + err.Error()
-	if errors.Is(err, table.ErrUnknown) {
+	if errors.Is(err, store.ErrUnknown) {
 		p.Status, p.Type = http.StatusGatewayTimeout, "notKnownYet"
 		p.Detail = "not known yet, put it again with the same change id: " + err.Error()
 	}
--- a/internal/host/api/jobs.go
+++ b/internal/host/api/jobs.go
@@ -1,6 +1,7 @@
 package api
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net/http"
@@ -8,43 +9,27 @@
 
 	"github.com/gorilla/mux"
 
-	"guavaglade.example/guavaglade/internal/host/intake"
-	"guavaglade.example/guavaglade/internal/host/server"
-	"guavaglade.example/guavaglade/internal/work/gang"
-	"guavaglade.example/guavaglade/internal/work/job"
+	"guavaglade.example/guavaglade/internal/host/entry"
+	"guavaglade.example/guavaglade/internal/report/view"
+	"guavaglade.example/guavaglade/internal/work/graph"
+	"guavaglade.example/guavaglade/internal/work/progress"
+	"guavaglade.example/guavaglade/internal/work/request"
 )
 
-// JobView is a job as its caller sees it.
+// JobView is a job as its client sees it.
 type JobView struct {
-	ID         job.ID      `json:"id"`
-	State      job.State   `json:"state"`
-	Durable    bool        `json:"durable"`
-	Attempt    int         `json:"attempt,omitempty"`
-	Reason     string      `json:"reason,omitempty"`
-	RetryAfter time.Time   `json:"retryAfter,omitzero"`
-	Answer     *job.Answer `json:"answer,omitempty"` // of a succeeded job
-	AskAgainAt string      `json:"askAgainAt,omitempty"`
+	ID    graph.JobID    `json:"id"`
+	Job   string         `json:"job"` // service and name
+	State progress.State `json:"state"`
 }
 
-// Story is a job with all that became of it, oldest line first.
-type Story struct {
-	JobView
-	Lines []intake.Line `json:"lines"`
-}
-
-func viewOf(v server.View) JobView {
-	out := JobView{ID: v.Job.ID(), State: v.State, Durable: v.Durable, AskAgainAt: v.AskAgainAt}
-	if !v.State.Final() {
-		return out
-	}
-	out.ID, out.Attempt, out.Reason, out.RetryAfter = v.Outcome.Job, gang.Round(v.Outcome.Attempt), v.Outcome.Reason, v.Outcome.RetryAfter
-	if v.State == job.Succeeded {
-		out.Answer = &v.Outcome.Answer
-	}
-	return out
-}
+// Figures of waiting for a job's end.
+const (
+	firstLook = 50 * time.Millisecond  // most small jobs take longer
+	lastLook  = 400 * time.Millisecond // a second look costs a call to the leader
+)
 
-// waitOf returns until when a caller wants to wait. The wait is optional and
+// waitOf returns until when a client wants to wait. The wait is optional and
 // bounded by the settings.
 func (a *API) waitOf(r *http.Request, now time.Time) (time.Time, error) {
 	q := r.URL.Query().Get("wait")
@@ -55,12 +40,12 @@
 	if err != nil || d < 0 {
 		return time.Time{}, fmt.Errorf("wait=%s: want a duration such as 20s", q)
 	}
-	return now.Add(min(d, a.node.Settings().MaxWait())), nil
+	return now.Add(min(d, a.settings.MaxWait())), nil
 }
 
 func (a *API) submit(w http.ResponseWriter, r *http.Request, c caller) {
 	now := time.Now()
-	var body server.Request
+	var body request.Request
 	if !a.read(w, r, &body) {
 		return
 	}
@@ -69,119 +54,145 @@
 		Problem{Status: http.StatusBadRequest, Detail: err.Error()}.write(w, now)
 		return
 	}
-	body.Account = c.account.Name()
-	if body.Account == "" {
+	if c.account.Name() == "" {
 		Problem{Status: http.StatusForbidden, Detail: "the key is no client account's"}.write(w, now)
 		return
 	}
-	v, err := a.node.Submit(r.Context(), body, until)
+	j, err := body.Resolve(c.config, c.account.Name(), now)
+	if err == nil {
+		err = a.station.Entry().Submit(r.Context(), j)
+	}
 	if err != nil {
 		refused(w, err)
 		return
 	}
+	a.answerSubmitted(w, r, j, until)
+}
+
+// answerSubmitted answers for a job that is stored. The request id may have been
+// used before: then the job that is stored is the earlier one.
+func (a *API) answerSubmitted(w http.ResponseWriter, r *http.Request, j *graph.Job, until time.Time) {
+	by := entry.Caller{Account: j.Account}
+	told, err := a.await(r.Context(), j.ID, by, until)
+	if err != nil { // it is accepted whether it can be told of or not
+		told = view.Told{State: progress.Queued, Queue: j.Queue, Account: j.Account}
+	}
+	if told.Queue != j.Queue {
+		Problem{
+			Status: http.StatusUnprocessableEntity,
+			Detail: fmt.Sprintf("the request id was used for %s before; this request was not taken", told.Queue),
+		}.write(w, time.Now())
+		return
+	}
 	status := http.StatusAccepted
-	if v.State.Final() {
+	if told.State.Final() {
 		status = http.StatusOK
 	}
-	reply(w, status, viewOf(v))
+	reply(w, status, JobView{ID: j.ID, Job: told.Queue, State: told.State})
 }
 
-// refused answers why a job was not taken.
-func refused(w http.ResponseWriter, err error) {
-	var no *server.Refusal
-	if !errors.As(err, &no) {
-		unavailable(w, err)
-		return
-	}
-	p := Problem{Status: no.Status, Detail: no.Error(), RetryAfter: no.RetryAfter}
-	if no.NotRun {
-		p.State = string(job.NotRun)
+// await returns what is told of a job, once it has ended or the time is over.
+func (a *API) await(ctx context.Context, id graph.JobID, by entry.Caller, until time.Time) (view.Told, error) {
+	for look := firstLook; ; look = min(2*look, lastLook) {
+		told, err := a.station.Entry().State(ctx, id, by)
+		left := time.Until(until)
+		if errors.Is(err, entry.ErrNoJob) || err == nil && told.State.Final() || left <= 0 {
+			return told, err
+		}
+		select {
+		case <-time.After(min(look, left)):
+		case <-ctx.Done():
+			return told, ctx.Err()
+		}
 	}
-	p.write(w, time.Now())
 }
 
-// find looks a job up for its own account, or answers that it is not there.
-func (a *API) find(w http.ResponseWriter, r *http.Request, c caller) (server.View, bool) {
-	id := job.ID(mux.Vars(r)["id"])
+// refused answers why a job was not taken.
+func refused(w http.ResponseWriter, err error) {
+	const comeBack = time.Second // the store and a leader are seldom away for less
 	now := time.Now()
-	until, err := a.waitOf(r, now)
-	if err != nil {
-		Problem{Status: http.StatusBadRequest, Detail: err.Error()}.write(w, now)
-		return server.View{}, false
-	}
-	v, ok, err := a.node.Find(r.Context(), id, until)
-	if err != nil {
-		unavailable(w, err)
-		return server.View{}, false
-	}
-	// Another account's job is not told from one that is not there.
-	if !ok || !c.operator && !id.Of(c.account.Name()) {
-		Problem{Status: http.StatusNotFound, Detail: fmt.Sprintf("no job %s", id)}.write(w, now)
-		return server.View{}, false
+	switch {
+	case errors.Is(err, request.ErrInvalid), errors.Is(err, graph.ErrInvalid):
+		Problem{Status: http.StatusBadRequest, Detail: err.Error(), State: string(progress.NotRun)}.write(w, now)
+	case errors.Is(err, request.ErrUnknown):
+		Problem{Status: http.StatusNotFound, Detail: err.Error(), State: string(progress.NotRun)}.write(w, now)
+	case errors.Is(err, entry.ErrNotAccepted):
+		Problem{
+			Status: http.StatusServiceUnavailable, Type: "notAccepted", Detail: err.Error(),
+			State: string(progress.NotRun), RetryAfter: now.Add(comeBack),
+		}.write(w, now)
+	default:
+		Problem{Status: http.StatusGatewayTimeout, Type: "notKnownYet", Detail: err.Error(), RetryAfter: now.Add(comeBack)}.write(w, now)
 	}
-	return v, true
 }
 
-func (a *API) get(w http.ResponseWriter, r *http.Request, c caller) {
-	if v, ok := a.find(w, r, c); ok {
-		reply(w, http.StatusOK, viewOf(v))
-	}
+// jobOf returns the id of the job that a request is about.
+func jobOf(r *http.Request) graph.JobID { return graph.JobID(mux.Vars(r)["id"]) }
+
+func (c caller) entry() entry.Caller {
+	return entry.Caller{Account: c.account.Name(), Operator: c.operator}
 }
 
-func (a *API) explain(w http.ResponseWriter, r *http.Request, c caller) {
-	v, ok := a.find(w, r, c)
-	if !ok {
-		return
-	}
-	reply(w, http.StatusOK, Story{viewOf(v), v.Lines})
+// notFound answers for a job that is not there or not the caller's: the two are
+// not told apart.
+func notFound(w http.ResponseWriter, id graph.JobID) {
+	Problem{Status: http.StatusNotFound, Detail: fmt.Sprintf("no job %s", id)}.write(w, time.Now())
 }
 
-func (a *API) cancel(w http.ResponseWriter, r *http.Request, c caller) {
-	v, ok := a.find(w, r, c)
-	if !ok {
+func (a *API) get(w http.ResponseWriter, r *http.Request, c caller) {
+	id := jobOf(r)
+	until, err := a.waitOf(r, time.Now())
+	if err != nil {
+		Problem{Status: http.StatusBadRequest, Detail: err.Error()}.write(w, time.Now())
 		return
 	}
-	if err := a.node.Cancel(r.Context(), v); err != nil {
+	told, err := a.await(r.Context(), id, c.entry(), until)
+	switch {
+	case errors.Is(err, entry.ErrNoJob):
+		notFound(w, id)
+	case err != nil:
 		unavailable(w, err)
-		return
+	default:
+		reply(w, http.StatusOK, JobView{ID: id, Job: told.Queue, State: told.State})
 	}
-	reply(w, http.StatusAccepted, viewOf(v))
 }
 
-func (a *API) ticket(w http.ResponseWriter, r *http.Request, c caller) {
-	if c.account.Name() == "" {
-		Problem{Status: http.StatusForbidden, Detail: "the key is no client account's"}.write(w, time.Now())
-		return
-	}
-	text, deadline, err := a.node.Ticket(r.Context(), c.account.Name())
-	if err != nil {
+func (a *API) explain(w http.ResponseWriter, r *http.Request, c caller) {
+	Views{a.station}.story(w, r, c.entry())
+}
+
+func (a *API) cancel(w http.ResponseWriter, r *http.Request, c caller) {
+	id := jobOf(r)
+	err := a.station.Entry().Cancel(r.Context(), id, c.entry())
+	switch {
+	case errors.Is(err, entry.ErrNoJob):
+		notFound(w, id)
+	case err != nil:
 		unavailable(w, err)
-		return
+	default:
+		reply(w, http.StatusAccepted, struct {
+			ID graph.JobID `json:"id"`
+		}{id})
 	}
-	reply(w, http.StatusOK, TicketView{Ticket: text, Deadline: deadline})
 }
 
-// TicketView is a ticket as its caller sees it.
-type TicketView struct {
-	Ticket   string    `json:"ticket"`
-	Deadline time.Time `json:"deadline"` // it cannot be spent after it
+func (a *API) list(w http.ResponseWriter, r *http.Request, c caller) {
+	Views{a.station}.jobs(w, r, c.mayRead())
 }
 
-func (a *API) list(w http.ResponseWriter, r *http.Request, c caller) {
-	account := c.account.Name()
-	if c.operator {
-		account = ""
-	}
-	views, err := a.node.Jobs(r.Context(), account)
+// guarantees answers with what accounts are guaranteed and want now: an account's
+// own, or all to an operator.
+func (a *API) guarantees(w http.ResponseWriter, r *http.Request, c caller) {
+	f, err := a.station.Views().Fleet(r.Context())
 	if err != nil {
 		unavailable(w, err)
 		return
 	}
-	jobs := make([]JobView, 0, len(views))
-	for _, v := range views {
-		one := viewOf(v)
-		one.Answer = nil // the list goes without; an empty one would look like the job's
-		jobs = append(jobs, one)
+	rows := []view.Account{}
+	for _, g := range f.Accounts {
+		if c.operator || g.Name == c.account.Name() {
+			rows = append(rows, g)
+		}
 	}
-	reply(w, http.StatusOK, jobs)
+	reply(w, http.StatusOK, rows)
 }
--- a/internal/host/api/views.go
+++ b/internal/host/api/views.go
@@ -4,44 +4,80 @@
 	"bytes"
 	"net/http"
 
-	"guavaglade.example/guavaglade/internal/host/server"
+	"github.com/gorilla/mux"
+
+	"guavaglade.example/guavaglade/internal/host/entry"
+	"guavaglade.example/guavaglade/internal/host/station"
 )
 
-// GuaranteeView is one guaranteed shape of an account in a zone.
-type GuaranteeView struct {
-	Zone string `json:"zone"`
-	server.GuaranteeView
+// Views is what operators read of a deployment, from any of its hosts.
+type Views struct {
+	station *station.Station
+}
+
+// NewViews returns the views of a station.
+func NewViews(s *station.Station) Views { return Views{s} }
+
+// Handler returns the views without a question for a key: they are to be served at
+// an address that only operators reach. The paths are those of the API.
+func (v Views) Handler() http.Handler {
+	r := mux.NewRouter()
+	r.HandleFunc("/v1/jobs", func(w http.ResponseWriter, r *http.Request) { v.jobs(w, r, "") }).Methods(http.MethodGet)
+	r.HandleFunc("/v1/jobs/{id}/explain", func(w http.ResponseWriter, r *http.Request) {
+		v.story(w, r, entry.Caller{Operator: true})
+	}).Methods(http.MethodGet)
+	r.HandleFunc("/v1/inforce", v.inForce).Methods(http.MethodGet)
+	r.HandleFunc("/v1/fleet", v.fleet).Methods(http.MethodGet)
+	r.HandleFunc("/v1/burn", v.burn).Methods(http.MethodGet)
+	r.NotFoundHandler = http.HandlerFunc(noSuchPath)
+	refuseOtherMethods(r)
+	return r
 }
 
-func (a *API) fleet(w http.ResponseWriter, r *http.Request, _ caller) {
-	views, err := a.node.Fleet(r.Context())
+func (v Views) jobs(w http.ResponseWriter, r *http.Request, account string) {
+	list, err := v.station.Views().Jobs(r.Context(), account)
 	if err != nil {
 		unavailable(w, err)
 		return
 	}
-	reply(w, http.StatusOK, views)
+	reply(w, http.StatusOK, list)
 }
 
-func (a *API) guarantees(w http.ResponseWriter, r *http.Request, c caller) {
-	views, err := a.node.Fleet(r.Context())
+// story answers with a job and what the leader decided about it in its term.
+func (v Views) story(w http.ResponseWriter, r *http.Request, by entry.Caller) {
+	id := jobOf(r)
+	s, known, err := v.station.Views().Story(r.Context(), id)
+	switch {
+	case err != nil:
+		unavailable(w, err)
+	case !known || !by.May(s.Job.Account):
+		notFound(w, id)
+	default:
+		reply(w, http.StatusOK, s)
+	}
+}
+
+func (v Views) inForce(w http.ResponseWriter, r *http.Request) {
+	list, err := v.station.Views().InForce(r.Context())
 	if err != nil {
 		unavailable(w, err)
 		return
 	}
-	rows := []GuaranteeView{}
-	for _, v := range views {
-		for _, g := range v.Guarantees {
-			if c.operator || g.Account == c.account.Name() {
-				rows = append(rows, GuaranteeView{Zone: v.Zone, GuaranteeView: g})
-			}
-		}
+	reply(w, http.StatusOK, list)
+}
+
+func (v Views) fleet(w http.ResponseWriter, r *http.Request) {
+	f, err := v.station.Views().Fleet(r.Context())
+	if err != nil {
+		unavailable(w, err)
+		return
 	}
-	reply(w, http.StatusOK, rows)
+	reply(w, http.StatusOK, f)
 }
 
 // burn answers with the burn report as text, SVG or, by default, JSON.
-func (a *API) burn(w http.ResponseWriter, r *http.Request, _ caller) {
-	report, err := a.node.Burn(r.Context())
+func (v Views) burn(w http.ResponseWriter, r *http.Request) {
+	report, err := v.station.Burn(r.Context())
 	if err != nil {
 		unavailable(w, err)
 		return
@@ -59,5 +95,5 @@
 		return
 	}
 	w.Header().Set("Content-Type", kind)
-	_, _ = w.Write(body.Bytes())
+	_, _ = w.Write(body.Bytes()) // a reader that has gone needs no answer
 }
--- a/internal/host/settings/doc.go
+++ b/internal/host/settings/doc.go
@@ -1,6 +1,7 @@
 // Package settings holds what one process of the system is told when it starts:
-// its addresses and availability zone, its peers, the platform, TLS files and
-// limits.
+// its addresses and availability zone, the platform, TLS files and limits. Other
+// hosts are not named: each finds the leader by the platform's store, and the
+// leader knows the others.
 //
 // Settings are INI. Every key is checked; an unknown key or section and a host
 // name in place of an IP number are refused with file, line and reason, all
@@ -8,9 +9,8 @@
 // settings are read once at the start and concern one host.
 //
 //	[host]       zone, callerAddress, peerAddress, logLevel
-//	[peers ZONE] addresses of the hosts of one availability zone
-//	[platform]   address, writesPerSecond, readsPerSecond
+//	[platform]   address
 //	[tls]        callerCert, callerKey, peerCert, peerKey, peerCA
 //	[operator]   keyHash
-//	[limits]     bodies, headers, connections, times, queue
+//	[limits]     bodies, headers, connections, times
 package settings
--- a/internal/host/settings/field.go
+++ b/internal/host/settings/field.go
@@ -19,7 +19,7 @@
 
 func (f field) name() string { return f.section + "." + f.key }
 
-// fields are all keys but those of the peers, in the order they are shown.
+// fields are all keys, in the order they are shown.
 var fields = []field{
 	textField("host", "zone", "name of the availability zone", true, checkZone, func(s *Settings) *string { return &s.zone }),
 	textField("host", "callerAddress", "IP:port that callers and operators reach", true, checkOwn, func(s *Settings) *string { return &s.callerAddress }),
@@ -31,9 +31,7 @@
 		},
 		show: func(s *Settings) string { return s.logLevel },
 	},
-	textField("platform", "address", "IP:port of the platform's service", true, checkReached, func(s *Settings) *string { return &s.platform.Address }),
-	rateField("writesPerSecond", "writes a second of all hosts together", func(s *Settings) *float64 { return &s.platform.WritesPerSecond }),
-	rateField("readsPerSecond", "reads a second of all hosts together", func(s *Settings) *float64 { return &s.platform.ReadsPerSecond }),
+	textField("platform", "address", "IP:port of the platform's store", true, checkReached, func(s *Settings) *string { return &s.platform }),
 	fileField("callerCert", "PEM file; not set: callers connect without TLS", func(s *Settings) *string { return &s.tls.CallerCert }),
 	fileField("callerKey", "PEM file", func(s *Settings) *string { return &s.tls.CallerKey }),
 	fileField("peerCert", "PEM file; not set: hosts connect without TLS", func(s *Settings) *string { return &s.tls.PeerCert }),
@@ -47,7 +45,6 @@
 	timeField("maxWait", "duration, longest ?wait= of a caller", 0, 24*time.Hour, func(s *Settings) *time.Duration { return &s.limits.MaxWait }),
 	timeField("unreadyTime", "duration that a planned stop goes on taking requests while the balancer sees that the host is not ready", 0, time.Hour, func(s *Settings) *time.Duration { return &s.limits.UnreadyTime }),
 	timeField("stopGrace", "duration that a planned stop waits for callers' answers", 0, time.Hour, func(s *Settings) *time.Duration { return &s.limits.StopGrace }),
-	sizeField("queueLimit", "open jobs that the host holds; ordinary ones are refused from 80 % on, guaranteed ones from 95 %", 1, 1<<20, func(s *Settings) *int { return &s.limits.QueueLimit }),
 }
 
 func textField(section, key, unit string, required bool, check func(string) error, at func(*Settings) *string) field {
@@ -76,14 +73,6 @@
 	return f
 }
 
-func rateField(key, unit string, at func(*Settings) *float64) field {
-	read := func(d *document.Section, key string, s *Settings) {
-		*at(s) = d.Float(key, *at(s), 1, 1e6)
-	}
-	show := func(s *Settings) string { return strconv.FormatFloat(*at(s), 'g', -1, 64) }
-	return field{"platform", key, unit, false, false, read, show}
-}
-
 func sizeField(key, unit string, least, most int, at func(*Settings) *int) field {
 	read := func(d *document.Section, key string, s *Settings) {
 		*at(s) = d.Int(key, *at(s), least, most)
--- a/internal/host/settings/parse.go
+++ b/internal/host/settings/parse.go
@@ -50,42 +50,14 @@
 			s.origins[f.name()] = fmt.Sprintf("%s:%d", name, at.KeyLine(f.key))
 		}
 	}
-	s.readPeers(name, d)
 	s.checkFiles(d)
 	checkSections(d)
 	if faults := d.Faults(); len(faults) > 0 {
 		return Settings{}, &Error{file: name, faults: faults}
 	}
-	s.settle()
 	return s, nil
 }
 
-func (s *Settings) readPeers(name string, d *document.Document) {
-	lines := map[string]int{}
-	for _, at := range d.Sections() {
-		zone, ok := strings.CutPrefix(at.Name(), "peers ")
-		if !ok {
-			continue
-		}
-		if err := checkZone(zone); err != nil {
-			at.Fault("", err.Error())
-		}
-		at.Require("addresses")
-		for _, address := range at.List("addresses") {
-			if err := checkReached(address); err != nil {
-				at.Fault("addresses", err.Error())
-				continue
-			}
-			if line, twice := lines[address]; twice {
-				at.Faultf("addresses", "%s stands already on line %d", address, line)
-			}
-			lines[address] = at.KeyLine("addresses")
-			s.peers = append(s.peers, Peer{Address: address, Zone: zone})
-		}
-		s.origins[at.Name()] = fmt.Sprintf("%s:%d", name, at.KeyLine("addresses"))
-	}
-}
-
 // checkFiles refuses TLS that is half set: a host without one of the files
 // would start in plain text, which its operator did not mean.
 func (s *Settings) checkFiles(d *document.Document) {
@@ -114,11 +86,10 @@
 		known[f.section] = true
 	}
 	for _, at := range d.Sections() {
-		kind, _, named := strings.Cut(at.Name(), " ")
-		if known[at.Name()] || kind == "peers" && named {
+		if known[at.Name()] {
 			at.Unknown()
 			continue
 		}
-		at.Fault("", "unknown section; known are host, peers ZONE, platform, tls, operator, limits")
+		at.Fault("", "unknown section; known are host, platform, tls, operator, limits")
 	}
 }
--- a/internal/host/settings/print.go
+++ b/internal/host/settings/print.go
@@ -16,9 +16,6 @@
 	section := ""
 	for _, f := range fields {
 		if f.section != section {
-			if section == "host" {
-				s.printPeers(&b)
-			}
 			section = f.section
 			fmt.Fprintf(&b, "[%s]\n", section)
 		}
@@ -47,18 +44,6 @@
 	fmt.Fprintf(b, " ; %s; default %s; from %s\n", f.unit, base, from)
 }
 
-func (s Settings) printPeers(b *strings.Builder) {
-	for i := 0; i < len(s.peers); {
-		zone := s.peers[i].Zone
-		var addresses []string
-		for ; i < len(s.peers) && s.peers[i].Zone == zone; i++ {
-			addresses = append(addresses, s.peers[i].Address)
-		}
-		fmt.Fprintf(b, "[peers %s]\naddresses = %s ; IP:port each, without this host; default none; from %s\n",
-			zone, strings.Join(addresses, ", "), s.origin("peers "+zone, true))
-	}
-}
-
 // origin returns where a key was set: a file and line, the program that made
 // the settings, or nowhere.
 func (s Settings) origin(name string, set bool) string {
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -12,8 +12,9 @@
 	"time"
 
 	"guavaglade.example/guavaglade/internal/host/api"
-	"guavaglade.example/guavaglade/internal/host/server"
 	"guavaglade.example/guavaglade/internal/report/burn"
+	"guavaglade.example/guavaglade/internal/report/view"
+	"guavaglade.example/guavaglade/internal/work/request"
 )
 
 // MaxBody bounds what is read of one answer, in bytes.
@@ -56,7 +57,7 @@
 }
 
 // Submit asks for a job and waits up to wait for its end; 0 does not wait.
-func (c *Client) Submit(ctx context.Context, r server.Request, wait time.Duration) (api.JobView, error) {
+func (c *Client) Submit(ctx context.Context, r request.Request, wait time.Duration) (api.JobView, error) {
 	var v api.JobView
 	err := c.do(ctx, http.MethodPost, "/v1/jobs?wait="+wait.String(), r, &v)
 	return v, err
@@ -69,25 +70,23 @@
 	return v, err
 }
 
-// Jobs returns the jobs that the host answers for.
-func (c *Client) Jobs(ctx context.Context) ([]api.JobView, error) {
-	var vs []api.JobView
+// Jobs returns the account's jobs, or all to an operator.
+func (c *Client) Jobs(ctx context.Context) ([]view.Job, error) {
+	var vs []view.Job
 	err := c.do(ctx, http.MethodGet, "/v1/jobs", nil, &vs)
 	return vs, err
 }
 
 // Explain returns a job with its story.
-func (c *Client) Explain(ctx context.Context, id string) (api.Story, error) {
-	var s api.Story
+func (c *Client) Explain(ctx context.Context, id string) (view.Story, error) {
+	var s view.Story
 	err := c.do(ctx, http.MethodGet, "/v1/jobs/"+url.PathEscape(id)+"/explain", nil, &s)
 	return s, err
 }
 
 // Cancel says that a job is no longer wanted.
-func (c *Client) Cancel(ctx context.Context, id string) (api.JobView, error) {
-	var v api.JobView
-	err := c.do(ctx, http.MethodDelete, "/v1/jobs/"+url.PathEscape(id), nil, &v)
-	return v, err
+func (c *Client) Cancel(ctx context.Context, id string) error {
+	return c.do(ctx, http.MethodDelete, "/v1/jobs/"+url.PathEscape(id), nil, &struct{}{})
 }
 
 // Configuration returns the text in force on the host.
@@ -110,17 +109,17 @@
 }
 
 // InForce returns what each host has in force.
-func (c *Client) InForce(ctx context.Context) ([]server.InForce, error) {
-	var rows []server.InForce
+func (c *Client) InForce(ctx context.Context) ([]view.InForce, error) {
+	var rows []view.InForce
 	err := c.do(ctx, http.MethodGet, "/v1/inforce", nil, &rows)
 	return rows, err
 }
 
-// Fleet returns what the placer of each zone knows.
-func (c *Client) Fleet(ctx context.Context) ([]server.ZoneView, error) {
-	var vs []server.ZoneView
-	err := c.do(ctx, http.MethodGet, "/v1/fleet", nil, &vs)
-	return vs, err
+// Fleet returns what the leader holds of targets and accounts.
+func (c *Client) Fleet(ctx context.Context) (view.Fleet, error) {
+	var f view.Fleet
+	err := c.do(ctx, http.MethodGet, "/v1/fleet", nil, &f)
+	return f, err
 }
 
 // Burn returns the burn report of all hosts.
@@ -130,13 +129,6 @@
 	return r, err
 }
 
-// Ticket returns a ticket for one request that may run once only.
-func (c *Client) Ticket(ctx context.Context) (api.TicketView, error) {
-	var v api.TicketView
-	err := c.do(ctx, http.MethodPost, "/v1/tickets", nil, &v)
-	return v, err
-}
-
 func (c *Client) do(ctx context.Context, method, path string, body, into any) error {
 	var value []byte
 	if body != nil {
--- a/internal/operator/command/configuration.go
+++ b/internal/operator/command/configuration.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"text/tabwriter"
-	"time"
 
 	"github.com/google/uuid"
 
@@ -118,9 +117,9 @@
 		return err
 	}
 	return c.print(c.streams, rows, func(w *tabwriter.Writer) {
-		_, _ = fmt.Fprintln(w, "ZONE\tHOST\tVERSION\tSINCE\tSTATE\tPLACER")
+		_, _ = fmt.Fprintln(w, "HOST\tVERSION\tLEADS\tREACHES THE STORE")
 		for _, r := range rows {
-			_, _ = fmt.Fprintf(w, "%s\t%s\t%d\t%s\t%s\t%t\n", r.Zone, r.Host, r.Version, r.Since.Format(time.RFC3339Nano), r.State, r.Placer)
+			_, _ = fmt.Fprintf(w, "%s\t%d\t%t\t%t\n", r.Host, r.Version, r.Leads, r.StoreUp)
 		}
 	})
 }
--- a/internal/operator/command/reading.go
+++ b/internal/operator/command/reading.go
@@ -5,7 +5,6 @@
 	"io"
 	"os"
 	"text/tabwriter"
-	"time"
 )
 
 type fleetViewCommand struct {
@@ -13,7 +12,7 @@
 	target
 }
 
-// Execute shows the workers, the queue and the guarantees of each zone.
+// Execute shows the leader's targets and what accounts are guaranteed.
 func (c *fleetViewCommand) Execute([]string) error {
 	ctx, cancel := c.context()
 	defer cancel()
@@ -21,49 +20,23 @@
 	if err != nil {
 		return err
 	}
-	views, err := k.Fleet(ctx)
+	f, err := k.Fleet(ctx)
 	if err != nil {
 		return err
 	}
-	return c.print(c.streams, views, func(w *tabwriter.Writer) {
-		for _, v := range views {
-			_, _ = fmt.Fprintf(w, "zone %s\tplacer %s\twaiting %d\tquarantined %v\t%s\n", v.Zone, v.Placer, v.Waiting, v.Quarantined, v.Error)
-			for _, k := range v.Workers {
-				_, _ = fmt.Fprintf(w, "  worker %s\track %s\tfree %d of %d\tleaving %t\n", k.ID, k.Rack, k.Free, k.Accelerators, k.Leaving)
-			}
-			if v.Head != nil {
-				_, _ = fmt.Fprintf(w, "  room is kept for %s\tplanned %s\n", v.Head.Job, v.Head.Planned.Format(time.TimeOnly))
-			}
-			for _, t := range v.Stragglers {
-				_, _ = fmt.Fprintf(w, "  straggler %s\ton %s\t%s\n", t.Job, t.Worker, t.Reason)
-			}
-			for _, g := range v.Guarantees {
-				_, _ = fmt.Fprintf(w, "  guarantee %s\t%d x %s\tat risk %d\n", g.Account, g.Count, g.Shape, g.AtRisk)
-			}
+	return c.print(c.streams, f, func(w *tabwriter.Writer) {
+		_, _ = fmt.Fprintf(w, "leader %s\tterm %d\twaiting %d\n", f.Leader, f.Term, f.Waiting)
+		_, _ = fmt.Fprintln(w, "TARGET\tSERVICE\tZONE\tRACK\tFREE\tRUNS\tSTATE")
+		for _, t := range f.Targets {
+			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d of %d\t%d\t%s\n", t.ID, t.Service, t.Zone, t.Rack, t.Free, t.Accelerators, t.Runs, t.State)
+		}
+		_, _ = fmt.Fprintln(w, "ACCOUNT\tGUARANTEED\tWANTED")
+		for _, a := range f.Accounts {
+			_, _ = fmt.Fprintf(w, "%s\t%d\t%d\n", a.Name, a.Guaranteed, a.Wanted)
 		}
 	})
 }
 
-type ticketCommand struct {
-	streams
-	target
-}
-
-// Execute gets a ticket.
-func (c *ticketCommand) Execute([]string) error {
-	ctx, cancel := c.context()
-	defer cancel()
-	k, err := c.client()
-	if err != nil {
-		return err
-	}
-	v, err := k.Ticket(ctx)
-	if err != nil {
-		return err
-	}
-	return c.print(c.streams, v, func(w *tabwriter.Writer) { _, _ = fmt.Fprintln(w, v.Ticket) })
-}
-
 type reportCommand struct {
 	streams
 	target
--- a/internal/operator/command/root.go
+++ b/internal/operator/command/root.go
@@ -37,35 +37,27 @@
 }
 
 func addCommands(p *flags.Parser, s streams) error {
-	stand, err := p.AddCommand("standin", "run a stand-in of the platform or of a fleet",
-		"Stand-ins take the place of the users' platform and targets in trials.", &struct{}{})
-	if err != nil {
-		return err
-	}
 	for _, c := range []struct {
-		to      *flags.Command
 		name    string
 		short   string
 		long    string
 		options any
 	}{
-		{p.Command, "serve", "run an entry host", "Example: guavaglade serve --settings host1.ini", &serveCommand{streams: s}},
-		{p.Command, "host", "run a host on the users' platform", "Example: GUAVAGLADE_BOOT=/etc/guavaglade/local.toml guavaglade host", &hostCommand{streams: s}},
-		{stand, "platform", "run a stand-in platform", "Example: guavaglade standin platform --listen 127.0.0.1:7000", &platformCommand{streams: s}},
-		{stand, "fleet", "run a stand-in fleet", "Example: guavaglade standin fleet --platform 127.0.0.1:7000 --zones leon,celaya,irapuato --workers 12", &fleetCommand{streams: s}},
-		{p.Command, "demo", "run everything in one process and show it", "Example: guavaglade demo", &demoCommand{streams: s}},
-		{p.Command, "check", "check a configuration text", "Example: guavaglade check examples/spf.ini", &checkCommand{streams: s}},
-		{p.Command, "apply", "make a configuration text current", "Example: guavaglade apply --host 127.0.0.1:7301 --key KEY examples/spf.ini", &applyCommand{streams: s}},
-		{p.Command, "show", "show what is in force on each host", "Example: guavaglade show --host 127.0.0.1:7301 --key KEY", &showCommand{streams: s}},
-		{p.Command, "submit", "submit a job", "Example: guavaglade submit --host 127.0.0.1:7301 --key KEY --request r1 --wait 20s refill.planRoutes", &submitCommand{streams: s}},
-		{p.Command, "jobs", "list jobs", "Example: guavaglade jobs --host 127.0.0.1:7301 --key KEY", &jobsCommand{streams: s}},
-		{p.Command, "explain", "tell a job's whole story", "Example: guavaglade explain --host 127.0.0.1:7301 --key KEY JOB", &explainCommand{streams: s}},
-		{p.Command, "cancel", "cancel a job", "Example: guavaglade cancel --host 127.0.0.1:7301 --key KEY JOB", &cancelCommand{streams: s}},
-		{p.Command, "ticket", "get a ticket for a request that may run once only", "Example: guavaglade ticket --host 127.0.0.1:7301 --key KEY", &ticketCommand{streams: s}},
-		{p.Command, "fleet", "show workers, queues and guarantees of each zone", "Example: guavaglade fleet --host 127.0.0.1:7301 --key KEY", &fleetViewCommand{streams: s}},
-		{p.Command, "report", "print the burn report", "Example: guavaglade report --host 127.0.0.1:7301 --key KEY --svg burn.svg", &reportCommand{streams: s}},
+		{"serve", "run an entry host", "Example: guavaglade serve --settings host1.ini", &serveCommand{streams: s}},
+		{"host", "run a host on the users' platform", "The platform names the settings file. Example: guavaglade host", &hostCommand{streams: s}},
+		{"standin", "run a stand-in platform with targets, for trials", "Example: guavaglade standin --listen 127.0.0.1:7000 --racks 3", &standinCommand{streams: s}},
+		{"demo", "run everything in one process and show it", "Example: guavaglade demo", &demoCommand{streams: s}},
+		{"check", "check a configuration text", "Example: guavaglade check examples/spf.ini", &checkCommand{streams: s}},
+		{"apply", "make a configuration text current", "Example: guavaglade apply --host 127.0.0.1:7301 --key KEY examples/spf.ini", &applyCommand{streams: s}},
+		{"show", "show what is in force on each host", "Example: guavaglade show --host 127.0.0.1:7301 --key KEY", &showCommand{streams: s}},
+		{"submit", "submit a job", "Example: guavaglade submit --host 127.0.0.1:7301 --key KEY --request r1 --wait 20s refill.planRoutes", &submitCommand{streams: s}},
+		{"jobs", "list jobs", "Example: guavaglade jobs --host 127.0.0.1:7301 --key KEY", &jobsCommand{streams: s}},
+		{"explain", "tell a job's whole story", "Example: guavaglade explain --host 127.0.0.1:7301 --key KEY JOB", &explainCommand{streams: s}},
+		{"cancel", "cancel a job", "Example: guavaglade cancel --host 127.0.0.1:7301 --key KEY JOB", &cancelCommand{streams: s}},
+		{"fleet", "show the targets and what accounts are guaranteed", "Example: guavaglade fleet --host 127.0.0.1:7301 --key KEY", &fleetViewCommand{streams: s}},
+		{"report", "print the burn report", "Example: guavaglade report --host 127.0.0.1:7301 --key KEY --svg burn.svg", &reportCommand{streams: s}},
 	} {
-		if _, err := c.to.AddCommand(c.name, c.short, c.long, c.options); err != nil {
+		if _, err := p.AddCommand(c.name, c.short, c.long, c.options); err != nil {
 			return fmt.Errorf("command %s: %w", c.name, err)
 		}
 	}
--- a/internal/operator/demo/demo.go
+++ b/internal/operator/demo/demo.go
@@ -15,10 +15,11 @@
 
 	"guavaglade.example/guavaglade/internal/host/api"
 	"guavaglade.example/guavaglade/internal/host/credential"
-	"guavaglade.example/guavaglade/internal/host/server"
 	"guavaglade.example/guavaglade/internal/operator/client"
+	"guavaglade.example/guavaglade/internal/report/view"
 	"guavaglade.example/guavaglade/internal/standin/site"
-	"guavaglade.example/guavaglade/internal/work/job"
+	"guavaglade.example/guavaglade/internal/work/progress"
+	"guavaglade.example/guavaglade/internal/work/request"
 )
 
 //go:embed demo.ini
@@ -50,13 +51,13 @@
 	part  string
 	view  api.JobView
 	err   error
-	want  job.State
+	want  progress.State
 	taken time.Duration
 }
 
 // Run runs the demo and prints what became of each request.
 func Run(ctx context.Context, out io.Writer, log logr.Logger) error {
-	b, err := site.Start(ctx, site.WithOperatorKey(credential.NewKey(operatorKey).Hash()), site.WithLog(log))
+	b, err := start(ctx, credential.NewKey(operatorKey).Hash(), log)
 	if err != nil {
 		return err
 	}
@@ -67,55 +68,55 @@
 	if err == nil {
 		err = printBurn(ctx, b, out)
 	}
-	return errors.Join(err, b.Stop())
+	return errors.Join(err, b.close())
 }
 
 // printBurn prints the burn report of all hosts.
-func printBurn(ctx context.Context, b *site.Site, out io.Writer) error {
-	r, err := client.New(b.Callers(0), operatorKey, nil).Burn(ctx)
+func printBurn(ctx context.Context, b *deployment, out io.Writer) error {
+	r, err := client.New(b.hosts.Callers(0), operatorKey, nil).Burn(ctx)
 	if err != nil {
 		return err
 	}
 	return r.WriteText(out)
 }
 
-func play(ctx context.Context, b *site.Site, out io.Writer) ([]row, error) {
+func play(ctx context.Context, b *deployment, out io.Writer) ([]row, error) {
 	if err := apply(ctx, b, out); err != nil {
 		return nil, err
 	}
 	var rows []row
-	rows = append(rows, many(ctx, b, 12, "small jobs", accountKey, "refill.label", quick, job.Succeeded)...)
+	rows = append(rows, many(ctx, b, 12, "small jobs", accountKey, "refill.label", quick, progress.Completed)...)
 	rows = append(rows,
-		one(ctx, b, 0, "gang of 16", accountKey, "refill.plan", "gang", quick, job.Succeeded),
-		one(ctx, b, 1, "may run once only", accountKey, "refill.bill", "bill", quick, job.Succeeded),
-		one(ctx, b, 2, "same request again", accountKey, "refill.bill", "bill", quick, job.Succeeded),
-		one(ctx, b, 2, "can never run", accountKey, "refill.huge", "huge", quick, job.NotRun),
+		one(ctx, b, 0, "gang of 16", accountKey, "refill.plan", "gang", quick, progress.Completed),
+		one(ctx, b, 1, "may run once only", accountKey, "refill.bill", "bill", quick, progress.Completed),
+		one(ctx, b, 2, "same request again", accountKey, "refill.bill", "bill", quick, progress.Completed),
+		one(ctx, b, 2, "can never run", accountKey, "refill.huge", "huge", quick, progress.NotRun),
 	)
 	rows = append(rows, reclaim(ctx, b)...)
 	return append(rows, plannedStop(ctx, b)...), nil
 }
 
-// reclaim fills a zone with borrowed work that can be stopped and then asks for
-// the room that another account is guaranteed there.
-func reclaim(ctx context.Context, b *site.Site) []row {
-	const borrowers = 4 // each fills one of the zone's four workers
+// reclaim fills all zones with borrowed work that can be stopped and then asks for
+// the room that another account is guaranteed.
+func reclaim(ctx context.Context, b *deployment) []row {
+	borrowers := targetsPerRack * len(site.Zones) // each fills a target
 	lent := make(chan []row)
 	go func() { lent <- sameHost(ctx, b, borrowers, 0, "borrows idle room", "refill.forecast", slow) }()
 	if !running(ctx, b, borrowers) {
-		return append(<-lent, row{part: "reclaim", err: errUnexpected, want: job.Succeeded})
+		return append(<-lent, row{part: "reclaim", err: errUnexpected, want: progress.Completed})
 	}
-	urgent := one(ctx, b, 0, "takes its guarantee back", otherKey, "refill.urgent", "urgent", quick, job.Succeeded)
+	urgent := one(ctx, b, 0, "takes its guarantee back", otherKey, "refill.urgent", "urgent", quick, progress.Completed)
 	return append(<-lent, urgent)
 }
 
 // running waits until so many jobs of the first host run.
-func running(ctx context.Context, b *site.Site, want int) bool {
-	c := client.New(b.Callers(0), operatorKey, nil)
+func running(ctx context.Context, b *deployment, want int) bool {
+	c := client.New(b.hosts.Callers(0), operatorKey, nil)
 	for ctx.Err() == nil {
 		n := 0
 		jobs, _ := c.Jobs(ctx)
 		for _, v := range jobs {
-			if v.State == job.Running {
+			if v.State == progress.Running {
 				n++
 			}
 		}
@@ -128,23 +129,22 @@
 }
 
 // plannedStop stops the second host while callers wait at it.
-func plannedStop(ctx context.Context, b *site.Site) []row {
+func plannedStop(ctx context.Context, b *deployment) []row {
 	const callers = 8
 	done := make(chan []row)
 	go func() { done <- sameHost(ctx, b, callers, 1, "waits while its host stops", "refill.label", slow) }()
 	time.Sleep(quickRun)
-	b.Hosts()[1].Stop()
+	b.hosts.Hosts()[1].Stop()
 	rows := <-done
-	// The host's counts are with its heir once it has ended.
-	if err := b.Hosts()[1].Ended(); err != nil {
-		rows = append(rows, row{part: "planned stop", err: err, want: job.Succeeded})
+	if err := b.hosts.Hosts()[1].Ended(); err != nil {
+		rows = append(rows, row{part: "planned stop", err: err, want: progress.Completed})
 	}
 	return rows
 }
 
 // apply makes the text current and waits until all hosts have it in force.
-func apply(ctx context.Context, b *site.Site, out io.Writer) error {
-	c := client.New(b.Callers(0), operatorKey, nil)
+func apply(ctx context.Context, b *deployment, out io.Writer) error {
+	c := client.New(b.hosts.Callers(0), operatorKey, nil)
 	if _, err := c.Apply(ctx, 0, "demo-1", configuration); err != nil {
 		return fmt.Errorf("apply the demo's text: %w", err)
 	}
@@ -154,8 +154,8 @@
 		if err != nil {
 			return err
 		}
-		if len(rows) == len(b.Hosts()) && everywhere(rows, 1) {
-			_, err = fmt.Fprintf(out, "version 1 in force on %d hosts of %d zones after %s\n", len(rows), len(b.Zones()), time.Since(begun).Round(time.Millisecond))
+		if len(rows) == len(b.hosts.Hosts()) && everywhere(rows, 1) {
+			_, err = fmt.Fprintf(out, "version 1 in force on %d hosts of %d zones after %s\n", len(rows), len(site.Zones), time.Since(begun).Round(time.Millisecond))
 			return err
 		}
 		select {
@@ -166,7 +166,7 @@
 	}
 }
 
-func everywhere(rows []server.InForce, version int64) bool {
+func everywhere(rows []view.InForce, version int64) bool {
 	for _, r := range rows {
 		if r.Version != version {
 			return false
@@ -175,25 +175,25 @@
 	return true
 }
 
-func one(ctx context.Context, b *site.Site, first int, part, key, kind, request string, input []byte, want job.State) row {
+func one(ctx context.Context, b *deployment, first int, part, key, kind, id string, input []byte, want progress.State) row {
 	begun := time.Now()
 	service, name, _ := strings.Cut(kind, ".")
-	r := server.Request{RequestID: request, Service: service, Job: name, Input: input}
-	v, err := client.New(b.Callers(first), key, nil).Submit(ctx, r, 20*time.Second)
+	r := request.Request{RequestID: id, Service: service, Job: name, Input: input}
+	v, err := client.New(b.hosts.Callers(first), key, nil).Submit(ctx, r, 20*time.Second)
 	return row{part: part, view: v, err: err, want: want, taken: time.Since(begun)}
 }
 
 // many submits jobs to all hosts in turn, at once.
-func many(ctx context.Context, b *site.Site, n int, part, key, kind string, input []byte, want job.State) []row {
+func many(ctx context.Context, b *deployment, n int, part, key, kind string, input []byte, want progress.State) []row {
 	return gather(n, func(i int) row {
 		return one(ctx, b, i, part, key, kind, fmt.Sprintf("%s-%d", kind, i), input, want)
 	})
 }
 
 // sameHost submits jobs to one host, at once.
-func sameHost(ctx context.Context, b *site.Site, n, host int, part, kind string, input []byte) []row {
+func sameHost(ctx context.Context, b *deployment, n, host int, part, kind string, input []byte) []row {
 	return gather(n, func(i int) row {
-		return one(ctx, b, host, part, accountKey, kind, fmt.Sprintf("%s-at%d-%d", kind, host, i), input, job.Succeeded)
+		return one(ctx, b, host, part, accountKey, kind, fmt.Sprintf("%s-at%d-%d", kind, host, i), input, progress.Completed)
 	})
 }
 
@@ -209,10 +209,10 @@
 
 func printRows(out io.Writer, rows []row) error {
 	w := tabwriter.NewWriter(out, 2, 8, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "PART\tJOB\tSTATE\tATTEMPT\tTIME\tREASON")
+	_, _ = fmt.Fprintln(w, "PART\tJOB\tSTATE\tTIME\tREMARK")
 	bad := 0
 	for _, r := range rows {
-		reason := r.view.Reason
+		reason := ""
 		if r.err != nil {
 			reason = r.err.Error()
 		}
@@ -220,7 +220,7 @@
 			bad++
 			reason = fmt.Sprintf("WANT %s: %s", r.want, reason)
 		}
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\n", r.part, r.view.ID, r.view.State, r.view.Attempt, r.taken.Round(time.Millisecond), reason)
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\n", r.part, r.view.ID, r.view.State, r.taken.Round(time.Millisecond), reason)
 	}
 	if err := w.Flush(); err != nil {
 		return err
--- /dev/null
+++ b/internal/operator/demo/deployment.go
@@ -0,0 +1,51 @@
+package demo
+
+import (
+	"context"
+
+	"github.com/go-logr/logr"
+
+	"guavaglade.example/guavaglade/internal/host/station"
+	"guavaglade.example/guavaglade/internal/standin/site"
+	"guavaglade.example/guavaglade/platform"
+	"guavaglade.example/guavaglade/platform/standin"
+)
+
+// targetsPerRack is how many targets each zone has, with 8 accelerators each.
+const targetsPerRack = 4
+
+// deployment is hosts on a stand-in platform.
+type deployment struct {
+	platform *standin.Site
+	hosts    *site.Site
+	end      context.CancelFunc
+}
+
+// start starts a deployment. The key with the hash may apply the first
+// configuration.
+func start(ctx context.Context, keyHash string, log logr.Logger) (*deployment, error) {
+	ctx, end := context.WithCancel(ctx)
+	size := standin.Size{Racks: len(site.Zones), PerRack: targetsPerRack, Zones: site.Zones}
+	p, err := standin.Open(ctx, "127.0.0.1:0", "refill", size)
+	if err != nil {
+		end()
+		return nil, err
+	}
+	p.LearnFromRows()
+	ways := func(_ int, log logr.Logger) station.Ports { return platform.Ports(p.Address(), log) }
+	hosts, err := site.Start(ways, site.WithOperatorKey(keyHash), site.WithLog(log))
+	if err != nil {
+		p.Close()
+		end()
+		return nil, err
+	}
+	return &deployment{platform: p, hosts: hosts, end: end}, nil
+}
+
+// close stops all hosts as planned, then the platform.
+func (d *deployment) close() error {
+	err := d.hosts.Stop()
+	d.platform.Close()
+	d.end()
+	return err
+}
--- a/internal/standin/site/doc.go
+++ b/internal/standin/site/doc.go
@@ -1,4 +1,4 @@
-// Package site starts a whole small site in one process: the stand-in platform
-// and targets, and hosts in several availability zones with real TCP between
-// them on loopback. The demo and the failure tests use it.
+// Package site runs hosts of the system with its own interface in one process, in
+// some availability zones, with real TCP between them and their callers. The ways to
+// the platform are the caller's to give.
 package site
