--- /dev/null
+++ b/internal/host/leader/leading.go
@@ -0,0 +1,115 @@
+package leader
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+)
+
+// serve leads and renews the row until the term ends.
+func (e *Election) serve(ctx context.Context, t *Term, r Row, version int64, clean bool) {
+	leading, end := context.WithCancel(ctx)
+	lost := make(chan error, 1)
+	go func() {
+		var err error
+		version, err = e.keep(leading, t, &r, version)
+		lost <- err
+	}()
+	done := make(chan error, 1)
+	go func() { done <- e.lead(leading, t, clean) }()
+	var err error
+	select {
+	case err = <-done:
+		end()
+		<-lost
+	case err = <-lost:
+		end()
+		<-done
+	}
+	e.mu.Lock()
+	e.term = nil
+	e.mu.Unlock()
+	close(t.over)
+	e.log.Info("no longer leading", "term", t.number, "reason", fmt.Sprint(err))
+	e.resign(ctx, r, version)
+}
+
+// errYield ends a term for the sake of a more powerful host.
+var errYield = errors.New("a much more powerful host could lead")
+
+// keep renews the row until the context or the term ends. It changes the row
+// and returns its version as last written.
+func (e *Election) keep(ctx context.Context, t *Term, r *Row, version int64) (int64, error) {
+	tick := time.NewTicker(Renew)
+	defer tick.Stop()
+	yield := time.NewTicker(yieldEvery)
+	defer yield.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return version, ctx.Err()
+		case <-yield.C:
+			if e.power > 0 && len(e.peer.Successors(ctx, e.power*muchMore)) > 0 {
+				return version, errYield
+			}
+		case <-tick.C:
+			now, err := e.renew(ctx, t, r, version)
+			if err != nil {
+				return version, err
+			}
+			version = now
+		}
+	}
+}
+
+// renew writes the row again. An error says that the term has ended.
+func (e *Election) renew(ctx context.Context, t *Term, r *Row, version int64) (int64, error) {
+	sent := e.clock()
+	next := *r
+	next.Beat++
+	v, err := e.write(ctx, next, version)
+	if err == nil {
+		*r = next
+		t.write(sent)
+		e.begin(next, v, t)
+		return v, nil
+	}
+	if ctx.Err() != nil {
+		return 0, ctx.Err()
+	}
+	if seen := e.Leader(); seen.Term > t.number || (seen.Term == t.number && seen.Holder != r.Holder) {
+		return 0, fmt.Errorf("term %d has begun: %w", seen.Term, err)
+	}
+	if !t.Valid(e.clock()) {
+		return 0, fmt.Errorf("row not written for %s: %w", Grace, err)
+	}
+	if e.clock().Sub(t.written()) > Renew+Renew/2 && len(e.peer.Successors(ctx, 0)) > 0 {
+		return version, fmt.Errorf("the store turns this host away and serves others: %w", err)
+	}
+	e.log.V(1).Info("leader row not renewed", "term", t.number, "error", err.Error())
+	e.mu.Lock()
+	found := e.version // read back, perhaps: an earlier lost write may have taken effect
+	e.mu.Unlock()
+	return max(version, found), nil
+}
+
+// resign has a peer take the row over, or gives it back, so that another host
+// leads at once.
+func (e *Election) resign(ctx context.Context, r Row, version int64) {
+	if seen := e.Leader(); seen.Term > r.Term {
+		return
+	}
+	ctx = context.WithoutCancel(ctx)
+	for _, address := range e.peer.Successors(ctx, 0) {
+		if e.peer.HandOver(ctx, address, r, version) {
+			e.log.Info("handed over", "term", r.Term, "to", address)
+			return
+		}
+	}
+	gone := Row{Term: r.Term, Beat: r.Beat + 1}
+	if _, err := e.write(ctx, gone, version); err != nil {
+		e.log.V(1).Info("leader row not given back", "term", r.Term, "error", err.Error())
+	}
+	e.note(gone, 0)
+}
