--- a/internal/work/dispatch/pacing_test.go
+++ b/internal/work/dispatch/pacing_test.go
@@ -79,7 +79,7 @@
 	is := is.New(t)
 	d := newDrive(t, 1, 3, DefaultBounds())
 	s := small(6)
-	s.Lasting, s.MayMiss, s.PerTarget = true, 1, 3
+	s.Lasting, s.MaxUnavailable, s.PerTarget = true, 1, 3
 	id := d.submit(2, time.Hour, s)
 	d.run(time.Second)
 	for _, x := range d.m.byID { // the stand-in's lasting tasks serve at once
--- a/internal/work/graph/job.go
+++ b/internal/work/graph/job.go
@@ -48,22 +48,22 @@
 
 // Step is a number of alike tasks.
 type Step struct {
-	Count         int           `json:"count"`
-	Needs         Resources     `json:"needs"`
-	Estimate      time.Duration `json:"estimate,omitempty"`      // of one task's run; rough, 0 for none
-	After         []int         `json:"after,omitempty"`         // steps whose tasks must all be done first
-	Checkpointing bool          `json:"checkpointing,omitempty"` // a run that was stopped can be resumed
-	Gang          bool          `json:"gang,omitempty"`          // the tasks run together or not at all
-	SameRack      bool          `json:"sameRack,omitempty"`      // slower on more than one rack
-	Label         string        `json:"label,omitempty"`         // that the target must have
-	DataRack      string        `json:"dataRack,omitempty"`      // slower on any other rack
-	PerTarget     int           `json:"perTarget,omitempty"`     // most tasks on one target; 0: no limit
-	Copies        bool          `json:"copies,omitempty"`        // a task may run twice at once
-	Lasting       bool          `json:"lasting,omitempty"`       // runs until the job is cancelled
-	Image         string        `json:"image,omitempty"`         // tasks of one image behave alike
-	TailLimit     time.Duration `json:"tailLimit,omitempty"`     // of a lasting task's response times; 0: none
-	Filling       bool          `json:"filling,omitempty"`       // uses the processor time that others leave
-	MayMiss       int           `json:"mayMiss,omitempty"`       // tasks that may be away at once by our doing
+	Count          int           `json:"count"`
+	Needs          Resources     `json:"needs"`
+	Estimate       time.Duration `json:"estimate,omitempty"`       // of one task's run; rough, 0 for none
+	After          []int         `json:"after,omitempty"`          // steps whose tasks must all be done first
+	Checkpointing  bool          `json:"checkpointing,omitempty"`  // a run that was stopped can be resumed
+	Gang           bool          `json:"gang,omitempty"`           // the tasks run together or not at all
+	SameRack       bool          `json:"sameRack,omitempty"`       // slower on more than one rack
+	Label          string        `json:"label,omitempty"`          // that the target must have
+	DataRack       string        `json:"dataRack,omitempty"`       // slower on any other rack
+	PerTarget      int           `json:"perTarget,omitempty"`      // most tasks on one target; 0: no limit
+	Copies         bool          `json:"copies,omitempty"`         // a task may run twice at once
+	Lasting        bool          `json:"lasting,omitempty"`        // runs until the job is cancelled
+	Image          string        `json:"image,omitempty"`          // tasks of one image behave alike
+	TailLimit      time.Duration `json:"tailLimit,omitempty"`      // of a lasting task's response times; 0: none
+	Filling        bool          `json:"filling,omitempty"`        // uses the processor time that others leave
+	MaxUnavailable int           `json:"maxUnavailable,omitempty"` // tasks that may be away at once by our doing
 }
 
 // Charge returns what a task takes of a target's room: the processor time of a
@@ -153,7 +153,7 @@
 		return fmt.Errorf("%d tasks", s.Count)
 	}
 	n := s.Needs
-	if n.CPU < 0 || n.MemoryMB < 0 || n.Accelerators < 0 || s.Estimate < 0 || s.PerTarget < 0 || s.MayMiss < 0 {
+	if n.CPU < 0 || n.MemoryMB < 0 || n.Accelerators < 0 || s.Estimate < 0 || s.PerTarget < 0 || s.MaxUnavailable < 0 {
 		return errors.New("a negative amount")
 	}
 	for _, a := range s.After {
