entry: a cancelling is answered when the leader knows of it

Cause: TestCancelOverHTTP failed once (running, wanted cancelled). A client that cancels at one host and reads at another could read that the job still runs: the leader was told in the background, after the answer. Ruled out: the store; the row was written before the answer. Change: the answer waits until the leader has heard, 100 ms at the most. Tests of an entry's decisions: lost answers, refusals, others' jobs, requests that come again, a leader that has gone.

--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -34,6 +34,10 @@
 	settleTime = 2400 * time.Millisecond
 	retryWait  = 100 * time.Millisecond // between two tries
 	tellTime   = time.Second            // bounds telling the leader; it scans the store, too
+	// readBack is how long an answer to a cancelling waits until the leader knows of
+	// it, so that whoever reads the job next, at any host, finds it cancelled. It is
+	// many times a round trip between hosts; a leader that is lost costs no more.
+	readBack = 100 * time.Millisecond
 )
 
 // Leader is asked and told about jobs.
@@ -210,7 +214,15 @@
 		return err
 	}
 	e.log.Info("cancelling stored", "job", id)
-	go e.tell(context.WithoutCancel(ctx), "cancelled", id, func(ctx context.Context) error { return e.leader.Cancelled(ctx, id) })
+	told := make(chan struct{})
+	go func() {
+		defer close(told)
+		e.tell(context.WithoutCancel(ctx), "cancelled", id, func(ctx context.Context) error { return e.leader.Cancelled(ctx, id) })
+	}()
+	select {
+	case <-told:
+	case <-time.After(readBack):
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/host/entry/entry_test.go
@@ -0,0 +1,204 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/host/dispatcher"
+	"guavaglade.example/guavaglade/internal/platform/store"
+	"guavaglade.example/guavaglade/internal/report/view"
+	"guavaglade.example/guavaglade/internal/standin/rows"
+	"guavaglade.example/guavaglade/internal/work/graph"
+	"guavaglade.example/guavaglade/internal/work/progress"
+)
+
+const (
+	storeCost = 5 * time.Millisecond
+	one       = graph.JobID("00000000000000aa")
+)
+
+var errGone = errors.New("no leader")
+
+// listener is a leader that takes a while to hear, or is gone.
+type listener struct {
+	takes     time.Duration
+	gone      bool
+	cancelled map[graph.JobID]bool
+	known     map[graph.JobID]view.Told
+}
+
+func (l *listener) hear(ctx context.Context) error {
+	if l.gone {
+		<-ctx.Done()
+		return errGone
+	}
+	time.Sleep(l.takes)
+	return nil
+}
+
+func (l *listener) Submitted(ctx context.Context, _ *graph.Job) error { return l.hear(ctx) }
+
+func (l *listener) Cancelled(ctx context.Context, id graph.JobID) error {
+	if err := l.hear(ctx); err != nil {
+		return err
+	}
+	l.cancelled[id] = true
+	return nil
+}
+
+func (l *listener) State(_ context.Context, id graph.JobID) (view.Told, bool, error) {
+	if l.gone {
+		return view.Told{}, false, errGone
+	}
+	t, known := l.known[id]
+	return t, known, nil
+}
+
+func (l *listener) Pending(context.Context, string) (int, error) { return 0, nil }
+
+// alone is a relay without peers.
+type alone struct{ err error }
+
+func (a alone) RelaySubmit(context.Context, *graph.Job) error          { return a.err }
+func (a alone) RelayCancel(context.Context, graph.JobID, Caller) error { return a.err }
+
+type rig struct {
+	table  *rows.Table
+	link   *rows.Link
+	leader *listener
+	entry  *Entry
+}
+
+func newRig(peer error) *rig {
+	t := rows.New(storeCost)
+	l := rows.NewLink(t, rand.New(rand.NewPCG(1, 2)))
+	r := &rig{table: t, link: l, leader: &listener{cancelled: map[graph.JobID]bool{}, known: map[graph.JobID]view.Told{}}}
+	r.entry = New(store.NewGauge(l, func(bool, error) {}), r.leader, alone{peer}, logr.Discard())
+	return r
+}
+
+func job(id graph.JobID, account string) *graph.Job {
+	return &graph.Job{
+		ID: id, Queue: "q", Account: account, Service: "s", MaxAttempts: 1,
+		Steps: []graph.Step{{Count: 1, Needs: graph.Resources{CPU: 100}, Estimate: time.Second}},
+	}
+}
+
+var (
+	ctx   = context.Background()
+	kiosk = Caller{Account: "kiosks"}
+)
+
+// A client cancels a job at one host and reads it at another one, which asks the
+// leader. If the answer to the cancelling went out before the leader had heard of
+// it, the client would read that the job still runs.
+func TestCancelIsKnownToTheLeaderWhenAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(nil)
+		r.leader.takes = 30 * time.Millisecond
+		is.NoErr(r.entry.Submit(ctx, job(one, "kiosks")))
+		is.NoErr(r.entry.Cancel(ctx, one, kiosk))
+		is.True(r.leader.cancelled[one])
+	})
+}
+
+// A leader that has gone does not hold up the answer to a cancelling: it is
+// stored, and the next leader reads it.
+func TestCancelWithoutLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(nil)
+		is.NoErr(r.entry.Submit(ctx, job(one, "kiosks")))
+		synctest.Wait() // the leader has heard of the job
+		r.leader.gone = true
+		began := time.Now()
+		is.NoErr(r.entry.Cancel(ctx, one, kiosk))
+		is.True(time.Since(began) < readBack+10*storeCost)
+		told, err := r.entry.State(ctx, one, kiosk)
+		is.NoErr(err)
+		is.Equal(told.State, progress.Cancelled)
+		time.Sleep(tellTime) // the leader is given up on
+	})
+}
+
+// Another account's job is as one that is not there, and stays as it is.
+func TestOthersJobs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(nil)
+		is.NoErr(r.entry.Submit(ctx, job(one, "kiosks")))
+		_, err := r.entry.State(ctx, one, Caller{Account: "salons"})
+		is.True(errors.Is(err, ErrNoJob))
+		is.True(errors.Is(r.entry.Cancel(ctx, one, Caller{Account: "salons"}), ErrNoJob))
+		told, err := r.entry.State(ctx, one, Caller{Operator: true})
+		is.NoErr(err)
+		is.Equal(told.State, progress.Queued)
+		_, err = r.entry.State(ctx, "00000000000000bb", kiosk)
+		is.True(errors.Is(err, ErrNoJob))
+	})
+}
+
+// The store loses the answer to a write that took effect. The client is told that
+// the job was taken: a refusal would not be true.
+func TestSubmitSettlesALostAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(ErrNotAccepted)
+		r.link.Set(rows.Trouble{Lose: 1})
+		err := r.entry.Submit(ctx, job(one, "kiosks"))
+		is.True(r.table.Get(dispatcher.JobKey(partOf(one), one)).Version > 0) // it took effect
+		is.True(!errors.Is(err, ErrNotAccepted))
+	})
+}
+
+// A refusal by the store is final if no earlier try may still take effect and the
+// peers could not store the job either.
+func TestSubmitRefused(t *testing.T) {
+	for name, c := range map[string]struct{ peer, want error }{
+		"nobody stores":       {ErrNotAccepted, ErrNotAccepted},
+		"the peer stored it":  {nil, nil},
+		"the peer cannot say": {ErrNotKnown, ErrNotKnown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				r := newRig(c.peer)
+				r.link.Set(rows.Trouble{Refuse: true})
+				err := r.entry.Submit(ctx, job(one, "kiosks"))
+				is.True(errors.Is(err, c.want))
+				is.Equal(errors.Is(err, ErrNotAccepted), c.want == ErrNotAccepted)
+				is.Equal(r.table.Get(dispatcher.JobKey(partOf(one), one)).Version, int64(0))
+			})
+		})
+	}
+}
+
+// The same request again, at any host, is the same job: it is taken, not stored
+// twice.
+func TestSubmitAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(nil)
+		is.NoErr(r.entry.Submit(ctx, job(one, "kiosks")))
+		before := r.table.Get(dispatcher.JobKey(partOf(one), one)).Version
+		is.NoErr(r.entry.Submit(ctx, job(one, "kiosks")))
+		is.Equal(r.table.Get(dispatcher.JobKey(partOf(one), one)).Version, before)
+	})
+}
+
+// What the rows of a job say is told when no leader answers.
+func TestStateOf(t *testing.T) {
+	is := is.New(t)
+	is.Equal(stateOf(progress.Completed, true, true), progress.Completed) // a cancelling that came later changes nothing
+	is.Equal(stateOf(progress.Queued, true, true), progress.Cancelled)
+	is.Equal(stateOf(progress.Queued, true, false), progress.Running)
+	is.Equal(stateOf(progress.Queued, false, false), progress.Queued)
+}
