entry, store: a silent store is found out by the host; lost answers are settled at once

Each host found out that the store was silent by the requests of its own clients, two of them for 2.4 s each; while it was away one request in 250 ms was sent to it as a question. A write whose answer was lost was made again only after 1.3 s. Change: the host itself asks a store that was not heard of for 0.9 s, and at once when it seems to go down; while it is away requests are refused at once. An entry spends 1.3 s on a request, or 40 % of what its client has left. While a write is overdue its row is looked for, and made again unless the store is slow. Sixteen parts. Tests: an entry over a lossy and over a silent store, and with little time.

--- a/internal/host/dispatcher/rows.go
+++ b/internal/host/dispatcher/rows.go
@@ -22,10 +22,13 @@
 	cancelSuffix  = ".cancel"
 )
 
-// Parts is the number of parts over which the rows of jobs are spread. A part
-// carries about 100 transactions a second: four are enough for several times the
-// jobs of the largest deployment that is planned for.
-const Parts = 4
+// Parts is the number of parts over which the rows of jobs are spread. A part makes
+// its transactions one after the other, about 100 a second. Four would carry several
+// times the jobs of the largest deployment that is planned for, but not those of
+// today on a store that is fifty times as slow: with sixteen, a sixth more of the
+// requests of such a time are served, and a quiet day makes no more calls that can
+// be told. A leader's first write goes to each part.
+const Parts = 16
 
 // JobKey returns the key of an accepted job.
 func JobKey(part int, id graph.JobID) store.Key {
--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -26,14 +26,17 @@
 
 // Figures of an entry.
 const (
-	// callTime bounds one call to the store: a hundred times what it takes on an
-	// ordinary day, and short enough that a peer can be asked after it.
-	callTime = 1300 * time.Millisecond
+	// callTime bounds reading from the store, and writing to it over this host's own
+	// way: a hundred times what a call takes on an ordinary day, and short enough
+	// that a peer can be asked after it.
+	callTime = 800 * time.Millisecond
 	// settleTime is how long an entry tries to learn what became of a write.
 	// Then the client is told that it is not known, and asks another host.
-	settleTime = 2400 * time.Millisecond
-	retryWait  = 100 * time.Millisecond // between two tries
-	tellTime   = time.Second            // bounds telling the leader; it scans the store, too
+	settleTime = 1300 * time.Millisecond
+	// settleShare is the share of a client's time that an entry spends on it at most:
+	// with the rest, the client can ask another host.
+	settleShare = 0.4
+	tellTime    = time.Second // bounds telling the leader; it scans the store, too
 	// readBack is how long an answer to a cancelling waits until the leader knows of
 	// it, so that whoever reads the job next, at any host, finds it cancelled. It is
 	// many times a round trip between hosts; a leader that is lost costs no more.
@@ -75,7 +78,7 @@
 	if err := j.Check(); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	ctx, cancel := context.WithTimeout(ctx, patience(ctx))
 	defer cancel()
 	err := e.SubmitHere(ctx, j)
 	if err == nil {
@@ -91,6 +94,15 @@
 	return err
 }
 
+// patience returns how long a request may take to settle.
+func patience(ctx context.Context) time.Duration {
+	until, limited := ctx.Deadline()
+	if !limited {
+		return settleTime
+	}
+	return min(settleTime, time.Duration(settleShare*float64(time.Until(until))))
+}
+
 // either joins what two hosts could not do: nothing was stored only if both say
 // so.
 func either(here, there error) error {
@@ -118,43 +130,9 @@
 	return nil
 }
 
-// putNew makes a transaction that can take effect only once, until it is known
-// whether it did. again tells that an earlier one has.
-func (e *Entry) putNew(ctx context.Context, tx store.Tx) (again bool, err error) {
-	if !e.store.Try(time.Now()) {
-		return false, fmt.Errorf("%w: %w", ErrNotAccepted, errDown)
-	}
-	unsettled := false // an earlier try may still take effect
-	for {
-		try, cancel := context.WithTimeout(ctx, callTime)
-		_, err := e.store.Commit(try, tx)
-		cancel()
-		switch {
-		case err == nil:
-			return false, nil
-		case errors.Is(err, store.ErrConflict):
-			return !unsettled, nil
-		case errors.Is(err, store.ErrUnavailable) && !unsettled:
-			return false, fmt.Errorf("%w: %w", ErrNotAccepted, err)
-		}
-		unsettled = true
-		if ctx.Err() != nil || !e.store.Up() {
-			return false, fmt.Errorf("%w: %w", ErrNotKnown, err)
-		}
-		pause(ctx, retryWait)
-	}
-}
-
 // errDown says that a call was not made since the last ones failed.
 var errDown = errors.New("the store does not serve this host now")
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 func (e *Entry) tell(ctx context.Context, what string, id graph.JobID, f func(ctx context.Context) error) {
 	ctx, cancel := context.WithTimeout(ctx, tellTime)
 	defer cancel()
@@ -178,7 +156,7 @@
 // Cancel stores that a job is cancelled, and tells the leader. The error wraps
 // ErrNoJob, also for a job that is not the caller's, or ErrNoAnswer.
 func (e *Entry) Cancel(ctx context.Context, id graph.JobID, by Caller) error {
-	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	ctx, cancel := context.WithTimeout(ctx, patience(ctx))
 	defer cancel()
 	err := e.CancelHere(ctx, id, by)
 	if err == nil || errors.Is(err, ErrNoJob) {
@@ -192,7 +170,7 @@
 
 // CancelHere stores a cancelling over this host's own way to the store.
 func (e *Entry) CancelHere(ctx context.Context, id graph.JobID, by Caller) error {
-	if !e.store.Try(time.Now()) {
+	if !e.store.Up() {
 		return fmt.Errorf("%w: %w", ErrNotAccepted, errDown)
 	}
 	row, cancelled, err := e.read(ctx, id)
@@ -263,7 +241,7 @@
 	if leaderErr == nil && known {
 		return told, nil
 	}
-	if !e.store.Try(time.Now()) {
+	if !e.store.Up() {
 		return view.Told{}, fmt.Errorf("%w: %w (leader: %w)", ErrNoAnswer, errDown, leaderErr)
 	}
 	told, err := e.stored(ctx, id)
--- a/internal/host/entry/entry_test.go
+++ b/internal/host/entry/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
@@ -80,7 +81,7 @@
 	t := rows.New(storeCost)
 	l := rows.NewLink(t, rand.New(rand.NewPCG(1, 2)))
 	r := &rig{table: t, link: l, leader: &listener{cancelled: map[graph.JobID]bool{}, known: map[graph.JobID]view.Told{}}}
-	r.entry = New(store.NewGauge(l, func(bool, error) {}), r.leader, alone{peer}, logr.Discard())
+	r.entry = New(store.NewGauge(l, dispatcher.JobKey(0, one), func(bool, error) {}), r.leader, alone{peer}, logr.Discard())
 	return r
 }
 
@@ -159,6 +160,61 @@
 	})
 }
 
+// The store takes each write and loses most of the answers. A client is not told to
+// wait for a time-out or that nothing is known: the write is made again at once, and
+// the conflict says that it took effect.
+func TestSubmitOverALossyStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(ErrNotAccepted)
+		r.link.Set(rows.Trouble{Lose: 0.6})
+		for i := range 50 {
+			began := time.Now()
+			is.NoErr(r.entry.Submit(ctx, job(graph.JobID(fmt.Sprintf("%016x", i)), "kiosks")))
+			is.True(time.Since(began) < 5*leastOverdue)
+		}
+	})
+}
+
+// A client that has little time left is answered while it can still ask another
+// host.
+func TestSubmitLeavesTheClientTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(ErrNotAccepted)
+		r.link.Set(rows.Trouble{Silent: true})
+		hurried, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		err := r.entry.Submit(hurried, job(one, "kiosks"))
+		is.True(errors.Is(err, ErrNotKnown))
+		is.True(time.Since(began) <= 200*time.Millisecond)
+	})
+}
+
+// The store does not answer at all. The host finds that out by itself, and refuses
+// requests at once then; it takes them soon after the store is back.
+func TestSilentStoreIsFoundOut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(ErrNotAccepted)
+		following, end := context.WithCancel(ctx)
+		defer end()
+		go r.entry.store.Follow(following)
+		time.Sleep(5 * time.Second)
+		is.NoErr(r.entry.Submit(ctx, job(one, "kiosks")))
+		r.link.Set(rows.Trouble{Silent: true})
+		time.Sleep(2500 * time.Millisecond)
+		began := time.Now()
+		err := r.entry.Submit(ctx, job("00000000000000cc", "kiosks"))
+		is.True(errors.Is(err, ErrNotAccepted))
+		is.Equal(time.Since(began), time.Duration(0))
+		r.link.Set(rows.Trouble{})
+		time.Sleep(1200 * time.Millisecond)
+		is.NoErr(r.entry.Submit(ctx, job("00000000000000cc", "kiosks")))
+	})
+}
+
 // A refusal by the store is final if no earlier try may still take effect and the
 // peers could not store the job either.
 func TestSubmitRefused(t *testing.T) {
--- a/internal/host/station/station.go
+++ b/internal/host/station/station.go
@@ -107,7 +107,7 @@
 		identity: id, config: c, grace: set.grace, unready: set.unready, log: log, metrics: set.metrics,
 		keeper: catalog.NewKeeper(c.Decode), burn: burn.New(holder),
 	}
-	s.store = store.NewGauge(store.NewCounted(p.Store, set.metrics), s.storeChanged)
+	s.store = store.NewGauge(store.NewCounted(p.Store, set.metrics), leader.RowKey, s.storeChanged)
 	desk := []dispatcher.Option{
 		dispatcher.WithCatalog(s.keeper), dispatcher.WithMetrics(set.metrics), dispatcher.WithOutcomes(s.recordOutcome),
 	}
@@ -203,6 +203,7 @@
 	go func() { failed <- s.net.Serve(peers) }()
 	s.log.Info("host starts", "host", s.identity.Name, "zone", s.identity.Zone, "peers", s.identity.Peers)
 	go s.followConfig(life)
+	go s.store.Follow(life)
 	elected := make(chan struct{})
 	go func() {
 		s.election.Run(ctx)
--- a/internal/platform/store/gauge.go
+++ b/internal/platform/store/gauge.go
@@ -12,9 +12,19 @@
 	// gaugeFails is how many calls in a row fail before the store counts as
 	// down: one may be a connection that was reset.
 	gaugeFails = 2
-	// gaugeProbe is the time between two calls that are let through while the
-	// store counts as down.
-	gaugeProbe = 250 * time.Millisecond
+	// quietTime is how long a host does without a word from the store before it
+	// asks whether it is there: a store that does not answer is found out by that
+	// question, and not by the requests of clients.
+	quietTime = 900 * time.Millisecond
+	// downTime is the time between two such questions while the store counts as
+	// down: clients are refused for no longer.
+	downTime = 250 * time.Millisecond
+	// probeTime bounds such a question: three times what one takes on a store that
+	// is fifty times as slow as on an ordinary day.
+	probeTime = 700 * time.Millisecond
+	// usualWeight is the weight of the newest call in what calls usually take: a
+	// store that turns slow is known for it after a few calls.
+	usualWeight = 0.3
 )
 
 // Gauge passes calls on to a store and watches how they go, so that a host
@@ -22,16 +32,20 @@
 // clients wait for the same time-out.
 type Gauge struct {
 	Store
+	probe   Key // that is read to see whether the store answers
 	mu      sync.Mutex
-	fails   int       // calls that failed since one went well
-	probed  time.Time // when a call was let through last while down
+	fails   int           // calls that failed since one went well
+	served  time.Time     // when a call went well last
+	usual   time.Duration // what calls took lately that went well
+	lost    chan struct{} // holds a word that the store has just gone down
 	changed func(up bool, err error)
 }
 
-// NewGauge returns a gauge over a store that counts as up. changed is told when
-// it goes down or comes up; it must not block.
-func NewGauge(s Store, changed func(up bool, err error)) *Gauge {
-	return &Gauge{Store: s, changed: changed}
+// NewGauge returns a gauge over a store that counts as up. The key is read to see
+// whether the store answers. changed is told when it goes down or comes up; it must
+// not block.
+func NewGauge(s Store, probe Key, changed func(up bool, err error)) *Gauge {
+	return &Gauge{Store: s, probe: probe, lost: make(chan struct{}, 1), changed: changed}
 }
 
 // Up reports whether the store serves this host, as far as is known.
@@ -41,24 +55,63 @@
 	return g.fails < gaugeFails
 }
 
-// Try reports whether a call is worth making now: always while the store is up,
-// and now and then while it is down.
-func (g *Gauge) Try(now time.Time) bool {
+// Usual returns what calls took lately that went well; 0 if there was none.
+func (g *Gauge) Usual() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.fails < gaugeFails {
-		return true
+	return g.usual
+}
+
+// Follow asks the store whether it is there when nothing was heard of it for a
+// while, and at once when it seems to have gone down: of a store that only loses
+// answers that is not so. It ends with the context.
+func (g *Gauge) Follow(ctx context.Context) {
+	for wait := quietTime; ; wait = g.rest() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.lost:
+		case <-time.After(wait):
+		}
+		if g.due() {
+			g.ask(ctx)
+		}
 	}
-	if now.Sub(g.probed) < gaugeProbe {
-		return false
+}
+
+// ask asks once, and a second time at once if that fails.
+func (g *Gauge) ask(ctx context.Context) {
+	for range gaugeFails {
+		try, cancel := context.WithTimeout(ctx, probeTime)
+		_, err := Get(try, g, g.probe)
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+}
+
+// due reports whether the store was not heard of for long.
+func (g *Gauge) due() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.fails > 0 || time.Since(g.served) >= quietTime
+}
+
+// rest returns how long to wait until the next question may be due.
+func (g *Gauge) rest() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.fails > 0 {
+		return downTime
 	}
-	g.probed = now
-	return true
+	return max(quietTime-time.Since(g.served), downTime)
 }
 
 // note takes in how a call went. Conflicts and a lost history are answers; a
-// call that its own caller gave up on says nothing.
-func (g *Gauge) note(ctx context.Context, err error) {
+// call that its own caller gave up on says nothing. A call that waits for changes
+// has no beginning: how long it takes is not up to the store.
+func (g *Gauge) note(ctx context.Context, began time.Time, err error) {
 	failed := errors.Is(err, ErrUnavailable) || errors.Is(err, ErrUnknown)
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
@@ -68,10 +121,19 @@
 	if failed {
 		g.fails++
 	} else {
-		g.fails = 0
+		g.fails, g.served = 0, time.Now()
+		if !began.IsZero() {
+			g.usual += time.Duration(usualWeight * float64(time.Since(began)-g.usual))
+		}
 	}
 	up := g.fails < gaugeFails
 	g.mu.Unlock()
+	if was && !up {
+		select {
+		case g.lost <- struct{}{}:
+		default: // a word is there already
+		}
+	}
 	if up != was {
 		g.changed(up, err)
 	}
@@ -79,21 +141,23 @@
 
 // Commit implements Store.
 func (g *Gauge) Commit(ctx context.Context, tx Tx) (Result, error) {
+	began := time.Now()
 	res, err := g.Store.Commit(ctx, tx)
-	g.note(ctx, err)
+	g.note(ctx, began, err)
 	return res, err
 }
 
 // Read implements Store.
 func (g *Gauge) Read(ctx context.Context, r Range) (Page, error) {
+	began := time.Now()
 	page, err := g.Store.Read(ctx, r)
-	g.note(ctx, err)
+	g.note(ctx, began, err)
 	return page, err
 }
 
 // Changes implements Store.
 func (g *Gauge) Changes(ctx context.Context, table string, after int64, wait time.Duration) (Page, error) {
 	page, err := g.Store.Changes(ctx, table, after, wait)
-	g.note(ctx, err)
+	g.note(ctx, time.Time{}, err)
 	return page, err
 }
--- a/internal/standin/pool/orders.go
+++ b/internal/standin/pool/orders.go
@@ -74,6 +74,7 @@
 	p.judge(x, s.Checkpoint)
 	p.starts++
 	t.starts++
+	w.starts++
 	x.total = w.does.Work(s.Run.Task)
 	if step.DataRack != "" && t.Rack != step.DataRack {
 		x.total = time.Duration(float64(x.total) * p.bounds.Far)
--- a/internal/standin/pool/pool.go
+++ b/internal/standin/pool/pool.go
@@ -43,6 +43,7 @@
 	done      map[graph.TaskID]bool // ended as done, wherever
 	noted     map[graph.TaskID]bool // such an end was acknowledged
 	failures  map[graph.TaskID]int  // ends as failed that were acknowledged
+	starts    int                   // of its tasks, on all targets
 }
 
 // Breach is a start that breaks a promise.
@@ -167,6 +168,15 @@
 	return n
 }
 
+// StartsOf returns how many runs of a job were started, 0 for a job that is not
+// known.
+func (p *Pool) StartsOf(id graph.JobID) int {
+	if w := p.jobs[id]; w != nil {
+		return w.starts
+	}
+	return 0
+}
+
 // Done returns how many tasks of a job have ended as done.
 func (p *Pool) Done(id graph.JobID) int { return len(p.jobs[id].done) }
 
