--- a/internal/proof/soak/deployment_test.go
+++ b/internal/proof/soak/deployment_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/http"
 	"os"
 	"sync"
 	"testing"
@@ -105,7 +106,8 @@
 	d.faults = append(d.faults, fmt.Sprintf(format, args...))
 }
 
-// change makes the next configuration current, trying until it is known to be.
+// change makes the next configuration current, trying until it is known to be. As
+// an operator does who lost a race, it starts again from the version that won.
 func (d *deployment) change(until time.Time) {
 	d.mu.Lock()
 	d.changes++
@@ -123,6 +125,11 @@
 			d.mu.Unlock()
 			return
 		}
+		var told *client.Error
+		if errors.As(err, &told) && told.Status == http.StatusConflict {
+			base = told.Current
+			continue
+		}
 		time.Sleep(between)
 	}
 	d.fault("change %d of the configuration was not accepted", n)
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -253,12 +255,21 @@
 	t.Errorf("seed %d\n%s\nscript:\n%s", seed, strings.Join(faults, "\n"), strings.Join(lines, "\n"))
 }
 
+// found are seeds that once failed, with the cause.
+var found = map[uint64]string{
+	123: "two hosts were given the same port by this test",
+	242: "of two operators' changes with one base the loser was sent again and again with its old base",
+}
+
 // Faults of all kinds come in series and together. Whatever was accepted ends as it
 // must, nothing runs twice, what was told not run does not run, and the newest
 // configuration is in force on every host in the end.
 func TestFaults(t *testing.T) {
+	list := slices.Sorted(maps.Keys(found))
 	for i := range *seeds {
-		seed := *firstSeed + uint64(i)
+		list = append(list, *firstSeed+uint64(i))
+	}
+	for _, seed := range list {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			rnd := rand.New(rand.NewPCG(seed, 0))
 			var script []act
