dispatch: nothing is started by an old list of targets

The same could happen on a slow store, where a start is saved for a second before it is sent. Change: nothing is placed by a list older than 1.8 s, and a start that was saved is given up if its target leaves by now. Nothing is lost by it while the store is away: no start could be saved either. Its test fails without the guard (5 starts in place of 3). A second fault of that form, a loop without rest while the list was old, was found by the new tests, which did not end.

--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -25,6 +25,7 @@
 	tickEvery  = 100 * time.Millisecond // the finest bound that decisions keep is a retry after 200 ms
 	adviceTime = 5 * time.Second        // bounds a call for advice, which takes its time for each target that it names
 	listEvery  = time.Second            // half the time after which a draining target must get no work
+	listAge    = 1800 * time.Millisecond // that time, less what a start takes to arrive
 	scanEvery  = time.Second            // for jobs whose message was lost
 	storeTime  = 2 * time.Second        // bounds a call to the store
 	storePause = 150 * time.Millisecond // between two tries
@@ -79,7 +80,7 @@
 
 // New returns a dispatcher that does not lead yet.
 func New(s store.Store, l order.Line, r Roster, b dispatch.Bounds, log logr.Logger, opts ...Option) *Dispatcher {
-	b.Parts = Parts
+	b.Parts, b.ListAge = Parts, listAge
 	d := &Dispatcher{store: s, line: l, roster: r, bounds: b, clock: steady.Now, metrics: tally.NoopScope, settled: func(dispatch.Settled) {}, log: log}
 	for _, o := range opts {
 		o(d)
@@ -223,7 +224,7 @@
 			return errNewerTerm
 		}
 		var due <-chan time.Time
-		if at, more := o.machine.Due(); more {
+		if at, more := o.machine.Due(now); more {
 			due = time.After(max(at.Sub(now), 0))
 		}
 		select {
@@ -286,9 +287,10 @@
 // firstList waits for the list of targets.
 func (o *office) firstList() error {
 	for {
+		asOf := o.clock()
 		list, err := o.targets()
 		if err == nil {
-			o.machine.Listed(list, o.clock())
+			o.machine.Listed(list, asOf, o.clock())
 			return nil
 		}
 		if o.ctx.Err() != nil {
@@ -339,10 +341,11 @@
 }
 
 func (o *office) list() {
+	asOf := o.clock()
 	list, err := o.targets()
 	if err != nil {
 		o.log.V(1).Info("targets not listed", "error", err.Error())
 		return
 	}
-	o.post(func(now time.Time) { o.machine.Listed(list, now) })
+	o.post(func(now time.Time) { o.machine.Listed(list, asOf, now) })
 }
--- a/internal/work/dispatch/advice_test.go
+++ b/internal/work/dispatch/advice_test.go
@@ -23,7 +23,7 @@
 		name := fmt.Sprintf("t%d", i)
 		list = append(list, roster.Target{ID: name, Address: name, Service: "s", Capacity: graph.Resources{CPU: 64000, MemoryMB: 262144, Accelerators: 8}})
 	}
-	s.Listed(list, s.now)
+	s.Listed(list, s.now, s.now)
 	for _, l := range list {
 		s.Held(l.ID, Hold{Sent: s.now}, order.Report{Clock: 5000}, s.now)
 	}
--- a/internal/work/dispatch/bounds.go
+++ b/internal/work/dispatch/bounds.go
@@ -12,6 +12,7 @@
 	ReclaimTime time.Duration // within it, guaranteed work has begun
 	Retention   time.Duration // how long the state of an ended job is known
 	Parts       int           // parts over which jobs are spread
+	ListAge     time.Duration // nothing is placed by a list of targets that is older; 0: no limit
 }
 
 // DefaultBounds returns bounds for trials.
--- a/internal/work/dispatch/drive_test.go
+++ b/internal/work/dispatch/drive_test.go
@@ -30,10 +30,12 @@
 	version int64
 	lose    func(c Command) bool // commands that are lost without an answer; nil: none
 	log     []string
-	woken   bool                      // a decision is on the agenda
-	ended   map[graph.JobID]time.Time // when jobs were shown as ended
-	asked   map[graph.JobID]time.Time
-	nextID  int
+	woken   bool // a decision is on the agenda
+	// slowSaves is what a save takes if that is longer than saveTime.
+	slowSaves time.Duration
+	ended     map[graph.JobID]time.Time // when jobs were shown as ended
+	asked     map[graph.JobID]time.Time
+	nextID    int
 }
 
 type happening struct {
@@ -58,7 +60,7 @@
 		}
 	}
 	d.m = New(1, b, WithLog(d))
-	d.m.Listed(d.p.Roster(), d.now)
+	d.m.Listed(d.p.Roster(), d.now, d.now)
 	d.m.Begin(d.now, d.now)
 	d.decide()
 	d.run(100 * time.Millisecond)
@@ -108,7 +110,7 @@
 	for _, c := range d.m.Decide(d.now) {
 		d.carryOut(c)
 	}
-	if at, due := d.m.Due(); due && !d.woken {
+	if at, due := d.m.Due(d.now); due && !d.woken {
 		d.woken = true
 		d.after(max(at.Sub(d.now), 0), func() { d.woken = false })
 	}
@@ -139,7 +141,7 @@
 		}
 		d.after(oneWay, func() { d.hold(c, d.now.Add(c.Order.Wait)) })
 	case Save:
-		d.after(saveTime, func() {
+		d.after(max(saveTime, d.slowSaves), func() {
 			d.version++
 			d.m.Saved(c.Part, d.version, d.now)
 		})
--- /dev/null
+++ b/internal/work/dispatch/listing_test.go
@@ -0,0 +1,86 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const shortListAge = 1800 * time.Millisecond
+
+func aged() Bounds {
+	b := DefaultBounds()
+	b.ListAge = shortListAge
+	return b
+}
+
+// The store answers a leader slowly, or the leader is overloaded: it has not read
+// the list of targets for seconds. A target said that it leaves meanwhile. Nothing
+// is started by such a list, and all goes on with the next one.
+func TestNothingIsPlacedByAnOldList(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 2, aged())
+	d.run(3 * time.Second)
+	id := d.submit(2, 500*time.Millisecond, small(4))
+	d.run(time.Second)
+	is.Equal(d.p.Starts(), 0)
+	d.p.Drain("r0-0#1")
+	d.m.Listed(d.p.Roster(), d.now, d.now)
+	d.decide()
+	d.run(1500 * time.Millisecond)
+	is.Equal(d.p.StartsOn("r0-0#1"), 0)
+	is.Equal(d.p.StartsOn("r0-1#1"), 4)
+	is.True(d.took(id) > 0)
+	d.check()
+}
+
+// A start was decided and is being saved, which takes the slow store a second. Its
+// target begins to leave in that time: the start is not sent there, and the task
+// goes to another target.
+func TestTargetLeavesWhileAStartIsSaved(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 2, aged())
+	d.m.Listed(d.p.Roster(), d.now, d.now)
+	d.slowSaves = time.Second
+	id := d.submit(2, 500*time.Millisecond, small(4))
+	d.run(500 * time.Millisecond)
+	d.p.Drain("r0-0#1")
+	d.m.Listed(d.p.Roster(), d.now, d.now)
+	d.decide()
+	for range 5 {
+		d.run(time.Second)
+		d.m.Listed(d.p.Roster(), d.now, d.now)
+		d.decide()
+	}
+	is.Equal(d.p.StartsOn("r0-0#1"), 0)
+	is.Equal(d.p.StartsOn("r0-1#1"), 4)
+	is.True(d.took(id) > 0)
+	d.check()
+}
+
+// The same with a gang whose members are on several targets. One of these begins to
+// leave while the gang is being saved: none of the members starts, not even those
+// that come after the one in question, and the gang is started elsewhere as a whole.
+func TestTargetLeavesWhileAGangIsSaved(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 4, aged())
+	d.m.Listed(d.p.Roster(), d.now, d.now)
+	d.slowSaves = time.Second
+	gang := small(3)
+	gang.Gang, gang.Needs.Accelerators = true, 8
+	id := d.submit(2, 500*time.Millisecond, gang)
+	d.run(500 * time.Millisecond)
+	d.p.Drain("r0-0#1")
+	d.m.Listed(d.p.Roster(), d.now, d.now)
+	d.decide()
+	for range 8 {
+		d.run(time.Second)
+		d.m.Listed(d.p.Roster(), d.now, d.now)
+		d.decide()
+	}
+	is.Equal(d.p.StartsOn("r0-0#1"), 0)
+	is.Equal(d.p.Starts(), 3)
+	is.True(d.took(id) > 0)
+	d.check()
+}
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -26,6 +26,7 @@
 	out        []Command
 	begun      bool // placing is allowed
 	begunAt    time.Time
+	listAsOf   time.Time // when the list of targets was read that is known
 	touched    []*target // for which a hold is to be considered
 	fresh      []*step   // that came up since the last pass
 	passAt     time.Time // the next pass is not before
@@ -127,8 +128,9 @@
 	m.changed = true
 }
 
-// Listed takes in the targets that the platform's list has now, all of them.
-func (m *Machine) Listed(list []roster.Target, now time.Time) {
+// Listed takes in the targets that the platform's list had at a time, all of them.
+func (m *Machine) Listed(list []roster.Target, asOf, now time.Time) {
+	m.listAsOf = asOf
 	present := map[string]bool{}
 	for i := range list {
 		present[list[i].ID] = true
@@ -143,6 +145,13 @@
 	m.changed = true
 }
 
+// listFresh reports whether the list is young enough to place by. A leader that is
+// overloaded, or that reads the list slowly, would otherwise start work on a target
+// that said long ago that it leaves.
+func (m *Machine) listFresh(now time.Time) bool {
+	return m.bounds.ListAge == 0 || now.Sub(m.listAsOf) <= m.bounds.ListAge
+}
+
 func (m *Machine) listOne(l roster.Target, now time.Time) {
 	t := m.targets[l.ID]
 	if t == nil {
--- a/internal/work/dispatch/restore_test.go
+++ b/internal/work/dispatch/restore_test.go
@@ -27,7 +27,7 @@
 	s := &standing{Machine: New(7, DefaultBounds()), now: time.Unix(1000, 0)}
 	s.Listed([]roster.Target{{
 		ID: "t1", Address: "t1", Service: "s", Capacity: graph.Resources{CPU: 64000, MemoryMB: 262144, Accelerators: 8},
-	}}, s.now)
+	}}, s.now, s.now)
 	return s
 }
 
--- a/internal/work/dispatch/starting.go
+++ b/internal/work/dispatch/starting.go
@@ -42,10 +42,20 @@
 	}
 }
 
-// startNoted sends the starts of a job's runs that are saved by now.
+// startNoted sends the starts of a job's runs that are saved by now. Saving may
+// have taken long: a run whose target leaves by now, or may leave without our
+// knowing, is given up before it was sent.
 func (m *Machine) startNoted(j *job, now time.Time) {
 	for _, r := range j.sortedLive() {
-		if r.phase == noted && r.noteRev <= j.savedRev {
+		if r.phase != noted || r.noteRev > j.savedRev || !j.live[r] {
+			continue // the last: its gang was given up just now
+		}
+		switch {
+		case r.target.Draining || !m.listFresh(now):
+			m.log.Decided("run given up before it was sent", "target", r.target.ID, "task", r.Task, "run", r.Number, "drains", r.target.Draining, "listAgeMS", now.Sub(m.listAsOf).Milliseconds())
+			m.stop(r, "its target leaves or may leave", now)
+			m.stopGang(r, "a member's target leaves or may leave", now)
+		default:
 			r.phase = starting
 			r.resumedAt = r.task.checkpoint()
 			m.sendStart(r, now)
--- a/internal/work/dispatch/straggler_test.go
+++ b/internal/work/dispatch/straggler_test.go
@@ -109,7 +109,7 @@
 			list[i].Remains = 2000
 		}
 	}
-	d.m.Listed(list, d.now)
+	d.m.Listed(list, d.now, d.now)
 	d.run(3 * time.Second)
 	is.True(d.onlyTarget(string(id)) != old)
 	d.run(10 * time.Second)
