--- a/internal/host/exchange/relaying.go
+++ b/internal/host/exchange/relaying.go
@@ -40,11 +40,23 @@
 	case b.NoJob:
 		return entry.ErrNoJob
 	case b.NotAccepted:
-		return fmt.Errorf("%w: %s", entry.ErrNotAccepted, b.Why)
+		return relayed{entry.ErrNotAccepted, b.Why}
 	}
-	return fmt.Errorf("%w: %s", entry.ErrNotKnown, b.Why)
+	return relayed{entry.ErrNotKnown, b.Why}
 }
 
+// relayed is what a peer could not do, in its own words.
+type relayed struct {
+	kind error
+	why  string
+}
+
+// Error returns the peer's words.
+func (r relayed) Error() string { return r.why }
+
+// Unwrap returns the kind, one of package entry's errors.
+func (r relayed) Unwrap() error { return r.kind }
+
 // RelaySubmit implements entry.Relay.
 func (x *Exchange) RelaySubmit(ctx context.Context, j *graph.Job) error {
 	return x.relay(ctx, methodSubmit, j)
--- a/internal/operator/command/serve.go
+++ b/internal/operator/command/serve.go
@@ -62,7 +62,7 @@
 	Listen  string `long:"listen" default:"127.0.0.1:7000" description:"IP:port of the store; targets take free ports of the IP"`
 	Service string `long:"service" default:"refill" description:"service that the targets serve"`
 	Zones   string `long:"zones" default:"leon,celaya,irapuato" description:"availability zones, with commas between; racks are given to them in turn"`
-	Racks   int    `long:"racks" default:"3" description:"racks of all zones together"`
+	Racks   int    `long:"racks" default:"6" description:"racks of all zones together"`
 	PerRack int    `long:"per-rack" default:"8" description:"targets to a rack, with 8 accelerators each"`
 }
 
