--- /dev/null
+++ b/internal/host/dispatcher/guards_test.go
@@ -0,0 +1,106 @@
+package dispatcher
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/host/leader"
+	"guavaglade.example/guavaglade/internal/platform/store"
+	"guavaglade.example/guavaglade/internal/standin/rows"
+	"guavaglade.example/guavaglade/internal/work/dispatch"
+	"guavaglade.example/guavaglade/internal/work/graph"
+)
+
+const someJob = graph.JobID("00000000000000aa")
+
+// sends counts the orders that reach a line.
+type sends struct {
+	starts, stops, paces, holds int
+}
+
+func (s *sends) Start(context.Context, order.Address, order.Start) (int64, error) {
+	s.starts++
+	return 1, nil
+}
+
+func (s *sends) Stop(context.Context, order.Address, order.Run, int64) (int64, error) {
+	s.stops++
+	return 1, nil
+}
+
+func (s *sends) Hold(context.Context, order.Address, order.Hold) (order.Report, error) {
+	s.holds++
+	return order.Report{}, nil
+}
+
+func (s *sends) Pace(context.Context, order.Address, order.Run, int, int64) (int64, error) {
+	s.paces++
+	return 1, nil
+}
+
+// desk returns an office whose term was taken at the time given, at a time now.
+func desk(table store.Store, line order.Line, taken, now time.Time) *office {
+	d := New(table, line, nil, dispatch.DefaultBounds(), logr.Discard(), WithClock(func() time.Time { return now }))
+	return &office{Dispatcher: d, ctx: context.Background(), term: leader.NewTerm(7, taken), work: make(chan func(time.Time), 100)}
+}
+
+// A leader decides, and its process stands still before the order is sent. Another
+// host leads by the time it wakes. No order of the old one leaves: the fence of a
+// target that the new leader has not reached yet would let it through.
+func TestNoOrderAfterTheTerm(t *testing.T) {
+	is := is.New(t)
+	taken := time.Unix(1000, 0)
+	for _, c := range []struct {
+		after time.Duration
+		sent  int
+	}{{leader.Grace / 2, 1}, {leader.Grace, 0}} {
+		line := &sends{}
+		o := desk(rows.New(0), line, taken, taken.Add(c.after))
+		o.start(dispatch.Start{})
+		o.stop(dispatch.Stop{})
+		o.hold(dispatch.Hold{})
+		o.pace(dispatch.Pace{})
+		is.Equal(*line, sends{c.sent, c.sent, c.sent, c.sent})
+	}
+}
+
+// fenced returns a table with a fence row, and an office that knows its version.
+func fenced() (*rows.Table, *office, dispatch.Save) {
+	table := rows.New(0)
+	o := desk(table, &sends{}, time.Unix(1000, 0), time.Unix(1000, 0))
+	c := dispatch.Save{Part: partOf(), Rows: []dispatch.SaveRow{{Job: someJob, Value: []byte("{}"), Completes: true}}}
+	o.fences[c.Part] = table.Put(fenceKey(c.Part), []byte("7"))
+	return table, o, c
+}
+
+func partOf() int { return dispatch.PartOf(someJob, Parts) }
+
+// A leader was succeeded and does not know it. What it records after the successor
+// wrote its fence rows must not take effect: the successor has read the rows.
+func TestProgressIsWrittenUnderTheFence(t *testing.T) {
+	is := is.New(t)
+	table, o, c := fenced()
+	_, err := table.Commit(context.Background(), o.transaction(c))
+	is.NoErr(err)
+	table, o, c = fenced()
+	table.Put(fenceKey(c.Part), []byte("8"))
+	_, err = table.Commit(context.Background(), o.transaction(c))
+	is.True(err != nil)
+	is.Equal(table.Get(ProgressKey(c.Part, someJob)).Version, int64(0))
+}
+
+// A client cancels a job and is told so, while its last task ends. The job must not
+// be recorded as completed: the client would be told both.
+func TestCancelledJobIsNotCompleted(t *testing.T) {
+	is := is.New(t)
+	table, o, c := fenced()
+	table.Put(CancelKey(c.Part, someJob), []byte("{}"))
+	_, err := table.Commit(context.Background(), o.transaction(c))
+	is.True(err != nil)
+	is.Equal(table.Get(ProgressKey(c.Part, someJob)).Version, int64(0))
+}
--- a/internal/host/leader/succession.go
+++ b/internal/host/leader/succession.go
@@ -34,7 +34,7 @@
 		e.log.Info("leader row not taken", "term", next.Term, "error", err.Error())
 		return nil, Row{}, 0, err
 	}
-	t := &Term{number: next.Term, wrote: sent, over: make(chan struct{})}
+	t := NewTerm(next.Term, sent)
 	e.begin(next, version, t)
 	e.log.Info("leading", "term", next.Term, "before", before.Holder, "power", e.power)
 	return t, next, version, nil
--- a/internal/host/leader/term.go
+++ b/internal/host/leader/term.go
@@ -13,6 +13,12 @@
 	wrote  time.Time // when the last write that took effect was sent
 }
 
+// NewTerm returns a term that was begun by a write of the leader row that was sent
+// at a time.
+func NewTerm(number int64, sent time.Time) *Term {
+	return &Term{number: number, wrote: sent, over: make(chan struct{})}
+}
+
 // Number returns the term, the fencing token of its orders.
 func (t *Term) Number() int64 { return t.number }
 
--- a/internal/work/dispatch/drive_test.go
+++ b/internal/work/dispatch/drive_test.go
@@ -29,6 +29,7 @@
 	agenda  []happening
 	version int64
 	lose    func(c Command) bool // commands that are lost without an answer; nil: none
+	mute    func(c Command) bool // orders that are carried out without an answer; nil: none
 	log     []string
 	woken   bool // a decision is on the agenda
 	// slowSaves is what a save takes if that is longer than saveTime.
@@ -125,8 +126,13 @@
 
 func (d *drive) carryOut(c Command) {
 	lost := d.lose != nil && d.lose(c)
+	muted := d.mute != nil && d.mute(c)
 	switch c := c.(type) {
 	case Start:
+		if muted {
+			d.after(oneWay, func() { _, _ = d.p.Start(c.Target, c.Order, d.now) })
+			lost = true
+		}
 		d.give(lost, func() (int64, error) { return d.p.Start(c.Target, c.Order, d.now) }, func(clock int64, err error) {
 			d.m.StartAnswered(c.Target.ID, c.Order.Run, clock, err, d.now)
 		})
--- a/internal/work/dispatch/listing_test.go
+++ b/internal/work/dispatch/listing_test.go
@@ -84,3 +84,20 @@
 	is.True(d.took(id) > 0)
 	d.check()
 }
+
+// The leader loses power just after it sent a start. If the start was not recorded
+// by then, a successor that does not reach the target would not know what may exist
+// there, and start the task a second time.
+func TestStartIsSentWhenItIsSaved(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 2, DefaultBounds())
+	d.slowSaves = time.Second
+	id := d.submit(0, 300*time.Millisecond, small(3))
+	d.run(900 * time.Millisecond)
+	is.Equal(d.p.Starts(), 0)
+	d.run(400 * time.Millisecond)
+	is.Equal(d.p.Starts(), 3)
+	d.run(3 * time.Second)
+	is.True(d.took(id) > 0)
+	d.check()
+}
--- /dev/null
+++ b/internal/work/dispatch/orders_test.go
@@ -0,0 +1,60 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/work/graph"
+)
+
+// Stops are lost on their way for a while. A client cancelled its job and was told
+// so: the tasks must be gone soon after stops get through again, not when they end.
+func TestStopIsSentUntilAnswered(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 1, DefaultBounds())
+	id := d.submit(2, time.Minute, small(3))
+	d.run(time.Second)
+	is.Equal(d.p.BusyOf(id), 3)
+	d.lose = func(c Command) bool {
+		_, stop := c.(Stop)
+		return stop
+	}
+	d.m.Cancel(id, d.now)
+	d.decide()
+	d.run(2 * time.Second)
+	is.Equal(d.p.BusyOf(id), 3)
+	d.lose = nil
+	d.run(1500 * time.Millisecond)
+	is.Equal(d.p.BusyOf(id), 0)
+}
+
+// A target carries out starts and its answers are lost, and so are its reports.
+// What was started there may run: it must not be started elsewhere before all
+// leases that the target may hold have lapsed.
+func TestStartWithoutAnswerMayRun(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 2, DefaultBounds())
+	there := func(target string) bool { return target == "r0-0#1" }
+	d.mute = func(c Command) bool {
+		s, start := c.(Start)
+		return start && there(s.Target.ID)
+	}
+	d.lose = func(c Command) bool {
+		switch c := c.(type) {
+		case Hold:
+			return there(c.Target.ID)
+		case Stop:
+			return there(c.Target.ID)
+		}
+		return false
+	}
+	gang := graph.Step{Count: 1, Needs: graph.Resources{CPU: 5600, MemoryMB: 29000, Accelerators: 8}, Estimate: 3 * time.Second}
+	first := d.submit(2, 3*time.Second, gang)
+	second := d.submit(2, 3*time.Second, gang)
+	d.run(20 * time.Second)
+	is.True(d.took(first) > 0)
+	is.True(d.took(second) > 0)
+	d.check()
+}
