dispatch: tests of starts that wait for their own save, and of late refusals

Two guards were still not caught when taken out: that a start waits for the save that covers it, and that a refusal after a try without an answer ends nothing.

--- a/internal/work/dispatch/listing_test.go
+++ b/internal/work/dispatch/listing_test.go
@@ -101,3 +101,28 @@
 	is.True(d.took(id) > 0)
 	d.check()
 }
+
+// The same where another task of the job was recorded a moment ago: that the job was
+// saved then says nothing of a start that was decided since.
+func TestStartWaitsForItsOwnSave(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 1, DefaultBounds())
+	d.slowSaves = time.Second
+	whole := small(2)
+	whole.Needs.Accelerators = 8
+	d.submit(2, 10*time.Second, whole)
+	d.run(500 * time.Millisecond)
+	list := d.p.Roster()
+	more := list[0]
+	more.ID, more.Address = "r0-1#1", "r0-1"
+	d.p.Add(more, 1, d.now)
+	d.m.Listed(d.p.Roster(), d.now, d.now)
+	d.decide()
+	d.run(900 * time.Millisecond)
+	is.Equal(d.p.Starts(), 1)
+	is.Equal(d.p.StartsOn("r0-1#1"), 0)
+	d.run(1200 * time.Millisecond)
+	is.Equal(d.p.StartsOn("r0-1#1"), 1)
+	d.run(20 * time.Second)
+	d.check()
+}
--- a/internal/work/dispatch/orders_test.go
+++ b/internal/work/dispatch/orders_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"guavaglade.example/guavaglade/internal/fleet/order"
 	"guavaglade.example/guavaglade/internal/work/graph"
 )
 
@@ -58,3 +59,39 @@
 	is.True(d.took(second) > 0)
 	d.check()
 }
+
+// A target takes its time over a start: the try without an answer is on its way
+// when the second try is refused for want of room. The first may still arrive and
+// be carried out, so the refusal ends nothing: only a stop does.
+func TestRefusalAfterATryWithoutAnswer(t *testing.T) {
+	is := is.New(t)
+	s := newStanding()
+	id := graph.JobID("00000000000000ae")
+	s.Accept(one(id, 1), s.now)
+	s.Begin(s.now, s.now)
+	s.report(order.Report{})
+	s.now = s.now.Add(gatherTime)
+	is.Equal(len(s.saves()), 1)
+	var tries []Start
+	orders := func() (stops int) {
+		for _, c := range s.Decide(s.now) {
+			switch c := c.(type) {
+			case Start:
+				tries = append(tries, c)
+			case Stop:
+				stops++
+			}
+		}
+		return stops
+	}
+	is.Equal(orders(), 0)
+	is.Equal(len(tries), 1)
+	s.StartAnswered("t1", tries[0].Order.Run, 0, order.ErrUnanswered, s.now)
+	s.now = s.now.Add(retryOrder)
+	s.Tick(s.now)
+	is.Equal(orders(), 0)
+	is.Equal(len(tries), 2)
+	s.StartAnswered("t1", tries[1].Order.Run, 0, order.ErrNoRoom, s.now)
+	is.Equal(orders(), 1)
+	is.Equal(len(s.targets["t1"].runs), 1) // its room stays taken
+}
