text, api: no accessor that nobody asks; a check that was not made is logged

long is read for older texts and says nothing any more. When the leader cannot be asked for its targets, an operator's change goes on without the check of guarantees, and the log says so.

--- a/internal/config/text/config.go
+++ b/internal/config/text/config.go
@@ -144,7 +144,6 @@
 	name       string
 	shape      shape.Shape
 	repeatable bool
-	long       bool
 	urgent     bool
 	stoppable  bool
 	guaranteed bool
@@ -165,9 +164,6 @@
 // Repeatable reports whether a job of the kind may be started again.
 func (k Kind) Repeatable() bool { return k.repeatable }
 
-// Long reports whether jobs of the kind are durable.
-func (k Kind) Long() bool { return k.long }
-
 // Urgent reports whether jobs of the kind go before others.
 func (k Kind) Urgent() bool { return k.urgent }
 
--- a/internal/config/text/service.go
+++ b/internal/config/text/service.go
@@ -43,9 +43,10 @@
 }
 
 func (r *reader) job(full string, at *document.Section) {
+	repeatable := at.Bool("repeatable", true)
+	_ = at.Bool("long", false) // older texts say it; every job that was taken is stored now
 	k := Kind{
-		repeatable: at.Bool("repeatable", true),
-		long:       at.Bool("long", false),
+		repeatable: repeatable,
 		urgent:     at.Bool("urgent", false),
 		stoppable:  at.Bool("stoppable", false),
 		guaranteed: at.Bool("guaranteed", false),
--- a/internal/host/api/configuration.go
+++ b/internal/host/api/configuration.go
@@ -102,6 +102,7 @@
 	}
 	f, err := a.station.Views().Fleet(r.Context())
 	if err != nil {
+		a.station.Log().Info("guarantees not checked", "step", "targets", "error", err.Error())
 		return nil
 	}
 	var faults []string
--- a/internal/host/station/station.go
+++ b/internal/host/station/station.go
@@ -170,6 +170,9 @@
 // Catalog returns the configuration in force.
 func (s *Station) Catalog() *catalog.Keeper { return s.keeper }
 
+// Log returns where the station logs.
+func (s *Station) Log() logr.Logger { return s.log }
+
 // Metrics returns where the station counts.
 func (s *Station) Metrics() tally.Scope { return s.metrics }
 
