--- a/internal/host/entry/writing.go
+++ b/internal/host/entry/writing.go
@@ -11,7 +11,7 @@
 
 // Figures of writing a row that is written once.
 const (
-	// leastOverdue is after how long a call without an answer is made again at the
+	// leastOverdue is after how long a call without an answer counts as overdue at the
 	// least: ten times what one takes on an ordinary day.
 	leastOverdue = 120 * time.Millisecond
 	// overdueFactor is how many times what calls take lately that is.
@@ -23,7 +23,7 @@
 	slowStore = 60 * time.Millisecond
 )
 
-// overdue returns after how long a call is made again that has no answer.
+// overdue returns after how long a call without an answer counts as overdue.
 func (e *Entry) overdue() time.Duration {
 	return max(leastOverdue, overdueFactor*e.store.Usual())
 }
