--- a/internal/host/api/jobs.go
+++ b/internal/host/api/jobs.go
@@ -139,6 +139,15 @@
 	Problem{Status: http.StatusNotFound, Detail: fmt.Sprintf("no job %s", id)}.write(w, time.Now())
 }
 
+// notTold answers for a job that the entry could not serve.
+func notTold(w http.ResponseWriter, id graph.JobID, err error) {
+	if errors.Is(err, entry.ErrNoJob) {
+		notFound(w, id)
+		return
+	}
+	unavailable(w, err)
+}
+
 func (a *API) get(w http.ResponseWriter, r *http.Request, c caller) {
 	id := jobOf(r)
 	until, err := a.waitOf(r, time.Now())
@@ -147,14 +156,11 @@
 		return
 	}
 	told, err := a.await(r.Context(), id, c.entry(), until)
-	switch {
-	case errors.Is(err, entry.ErrNoJob):
-		notFound(w, id)
-	case err != nil:
-		unavailable(w, err)
-	default:
-		reply(w, http.StatusOK, JobView{ID: id, Job: told.Queue, State: told.State})
+	if err != nil {
+		notTold(w, id, err)
+		return
 	}
+	reply(w, http.StatusOK, JobView{ID: id, Job: told.Queue, State: told.State})
 }
 
 func (a *API) explain(w http.ResponseWriter, r *http.Request, c caller) {
@@ -163,17 +169,13 @@
 
 func (a *API) cancel(w http.ResponseWriter, r *http.Request, c caller) {
 	id := jobOf(r)
-	err := a.station.Entry().Cancel(r.Context(), id, c.entry())
-	switch {
-	case errors.Is(err, entry.ErrNoJob):
-		notFound(w, id)
-	case err != nil:
-		unavailable(w, err)
-	default:
-		reply(w, http.StatusAccepted, struct {
-			ID graph.JobID `json:"id"`
-		}{id})
+	if err := a.station.Entry().Cancel(r.Context(), id, c.entry()); err != nil {
+		notTold(w, id, err)
+		return
 	}
+	reply(w, http.StatusAccepted, struct {
+		ID graph.JobID `json:"id"`
+	}{id})
 }
 
 func (a *API) list(w http.ResponseWriter, r *http.Request, c caller) {
--- a/internal/host/api/views.go
+++ b/internal/host/api/views.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"errors"
 	"net/http"
 
 	"github.com/gorilla/mux"
@@ -67,15 +66,12 @@
 // not to be denied.
 func (v Views) storedStory(w http.ResponseWriter, r *http.Request, id graph.JobID, by entry.Caller) {
 	told, err := v.station.Entry().State(r.Context(), id, by)
-	switch {
-	case errors.Is(err, entry.ErrNoJob):
-		notFound(w, id)
-	case err != nil:
-		unavailable(w, err)
-	default:
-		job := view.Job{ID: id, Queue: told.Queue, Account: told.Account, State: told.State}
-		reply(w, http.StatusOK, view.Story{Job: job, Lines: []view.Line{}})
+	if err != nil {
+		notTold(w, id, err)
+		return
 	}
+	job := view.Job{ID: id, Queue: told.Queue, Account: told.Account, State: told.State}
+	reply(w, http.StatusOK, view.Story{Job: job, Lines: []view.Line{}})
 }
 
 func (v Views) inForce(w http.ResponseWriter, r *http.Request) {
