--- a/internal/platform/store/gauge_test.go
+++ b/internal/platform/store/gauge_test.go
@@ -34,6 +34,13 @@
 	return w
 }
 
+// follow has the gauge ask by itself until the function that it returns is called.
+func (w *watched) follow() (end func()) {
+	following, end := context.WithCancel(ctx)
+	go w.Follow(following)
+	return end
+}
+
 func (w *watched) read() error {
 	_, err := w.Read(ctx, full)
 	return err
@@ -87,9 +94,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWatched()
-		following, end := context.WithCancel(ctx)
-		defer end()
-		go w.Follow(following)
+		defer w.follow()()
 		time.Sleep(10 * time.Second)
 		is.True(w.Up())
 		is.True(w.link.Calls() <= 12) // about one a second
@@ -108,9 +113,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		w := newWatched()
-		following, end := context.WithCancel(ctx)
-		defer end()
-		go w.Follow(following)
+		defer w.follow()()
 		w.link.Set(rows.Trouble{Lose: 1})
 		for range 3 {
 			_, err := w.Commit(ctx, store.Tx{Put: []store.Put{{Key: key, Value: []byte("x")}}})
--- a/internal/work/dispatch/drive_test.go
+++ b/internal/work/dispatch/drive_test.go
@@ -61,13 +61,27 @@
 		}
 	}
 	d.m = New(1, b, WithLog(d))
-	d.m.Listed(d.p.Roster(), d.now, d.now)
+	d.list()
 	d.m.Begin(d.now, d.now)
 	d.decide()
 	d.run(100 * time.Millisecond)
 	return d
 }
 
+// list has the machine read the list of targets.
+func (d *drive) list() {
+	d.m.Listed(d.p.Roster(), d.now, d.now)
+	d.decide()
+}
+
+// runListing lets seconds pass, with a list at the end of each.
+func (d *drive) runListing(seconds int) {
+	for range seconds {
+		d.run(time.Second)
+		d.list()
+	}
+}
+
 // Decided implements Log.
 func (d *drive) Decided(what string, kv ...any) {
 	d.log = append(d.log, fmt.Sprintf("%7.3f %s %v", d.now.Sub(time.Unix(1000, 0)).Seconds(), what, kv))
--- a/internal/work/dispatch/listing_test.go
+++ b/internal/work/dispatch/listing_test.go
@@ -26,8 +26,7 @@
 	d.run(time.Second)
 	is.Equal(d.p.Starts(), 0)
 	d.p.Drain("r0-0#1")
-	d.m.Listed(d.p.Roster(), d.now, d.now)
-	d.decide()
+	d.list()
 	d.run(1500 * time.Millisecond)
 	is.Equal(d.p.StartsOn("r0-0#1"), 0)
 	is.Equal(d.p.StartsOn("r0-1#1"), 4)
@@ -41,18 +40,13 @@
 func TestTargetLeavesWhileAStartIsSaved(t *testing.T) {
 	is := is.New(t)
 	d := newDrive(t, 1, 2, aged())
-	d.m.Listed(d.p.Roster(), d.now, d.now)
+	d.list()
 	d.slowSaves = time.Second
 	id := d.submit(2, 500*time.Millisecond, small(4))
 	d.run(500 * time.Millisecond)
 	d.p.Drain("r0-0#1")
-	d.m.Listed(d.p.Roster(), d.now, d.now)
-	d.decide()
-	for range 5 {
-		d.run(time.Second)
-		d.m.Listed(d.p.Roster(), d.now, d.now)
-		d.decide()
-	}
+	d.list()
+	d.runListing(5)
 	is.Equal(d.p.StartsOn("r0-0#1"), 0)
 	is.Equal(d.p.StartsOn("r0-1#1"), 4)
 	is.True(d.took(id) > 0)
@@ -65,20 +59,15 @@
 func TestTargetLeavesWhileAGangIsSaved(t *testing.T) {
 	is := is.New(t)
 	d := newDrive(t, 1, 4, aged())
-	d.m.Listed(d.p.Roster(), d.now, d.now)
+	d.list()
 	d.slowSaves = time.Second
 	gang := small(3)
 	gang.Gang, gang.Needs.Accelerators = true, 8
 	id := d.submit(2, 500*time.Millisecond, gang)
 	d.run(500 * time.Millisecond)
 	d.p.Drain("r0-0#1")
-	d.m.Listed(d.p.Roster(), d.now, d.now)
-	d.decide()
-	for range 8 {
-		d.run(time.Second)
-		d.m.Listed(d.p.Roster(), d.now, d.now)
-		d.decide()
-	}
+	d.list()
+	d.runListing(8)
 	is.Equal(d.p.StartsOn("r0-0#1"), 0)
 	is.Equal(d.p.Starts(), 3)
 	is.True(d.took(id) > 0)
@@ -116,8 +105,7 @@
 	more := list[0]
 	more.ID, more.Address = "r0-1#1", "r0-1"
 	d.p.Add(more, 1, d.now)
-	d.m.Listed(d.p.Roster(), d.now, d.now)
-	d.decide()
+	d.list()
 	d.run(900 * time.Millisecond)
 	is.Equal(d.p.Starts(), 1)
 	is.Equal(d.p.StartsOn("r0-1#1"), 0)
