--- a/internal/host/credential/tls.go
+++ b/internal/host/credential/tls.go
@@ -78,9 +78,6 @@
 	return pool, nil
 }
 
-// Expires returns when the host's own certificate is no longer valid.
-func (m *Mutual) Expires() time.Time { return m.own.Expires() }
-
 // Server returns the configuration for connections that other hosts open. It
 // refuses a host without a certificate of one of the authorities.
 //
--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -90,9 +90,6 @@
 	return callers, peers, opts, nil
 }
 
-// Station returns the host's station.
-func (p *Process) Station() *station.Station { return p.station }
-
 // Run serves until the context ends, then stops as planned: leadership is given
 // up, the balancer is told, callers who wait get an answer, and nothing in
 // progress is cut.
--- a/internal/host/settings/settings.go
+++ b/internal/host/settings/settings.go
@@ -60,12 +60,6 @@
 	return s, nil
 }
 
-// WithTLS sets the TLS files.
-func WithTLS(t TLS) Option { return func(s *Settings) { s.tls = t } }
-
-// WithLimits replaces the limits.
-func WithLimits(l Limits) Option { return func(s *Settings) { s.limits = l } }
-
 // WithUnreadyTime sets how long a planned stop goes on taking requests.
 func WithUnreadyTime(d time.Duration) Option {
 	return func(s *Settings) { s.limits.UnreadyTime = d }
@@ -75,9 +69,6 @@
 // the first configuration.
 func WithOperatorKey(hash string) Option { return func(s *Settings) { s.operatorKey = hash } }
 
-// WithLogLevel sets the least level that is logged.
-func WithLogLevel(level string) Option { return func(s *Settings) { s.logLevel = level } }
-
 func defaults() Settings {
 	return Settings{
 		logLevel: "info",
--- a/internal/work/dispatch/starting.go
+++ b/internal/work/dispatch/starting.go
@@ -22,12 +22,6 @@
 	return r
 }
 
-// fits reports whether the room that the run waits for is free: what may exist
-// on the target leaves enough.
-func (r *run) fits() bool {
-	return r.charge.Within(r.target.Capacity.Minus(r.target.used))
-}
-
 // note takes the room of runs that waited for it and has them saved. A start is
 // sent only after its run was saved under this term's fence: a successor, which
 // may not reach the run's target, finds in the rows what may exist there, and a
