dispatch: the load benchmark shows how urgent work fares

stream.served was written for it and nobody called it. The benchmark reports now the share of urgent jobs that ended within three times their estimate, beside what a second costs.

--- a/internal/work/dispatch/load_test.go
+++ b/internal/work/dispatch/load_test.go
@@ -88,6 +88,7 @@
 			}
 			b.ReportMetric(float64(s.m.Counts().Runs), "runs")
 			b.ReportMetric(float64(s.m.Counts().Open), "waiting")
+			b.ReportMetric(s.served(0, 3, s.now.Add(-10*time.Second)), "urgentInTime")
 		})
 	}
 }
