peer: a listener's passing error does not end the host, one late answer not the connection

Change: Serve goes on after an accept that failed, with a pause, until the listener is closed. A call without an answer drops the connection only if the peer was not heard on it since the call was sent.

Tests fail without each change: TestTooManyOpenFilesDoNotEndTheService (the next dial is never accepted), TestOneLateAnswerDoesNotCostTheConnection (the other call: "connection is closed"). TestSilentConnectionIsDialledAnew holds the old purpose.

--- a/internal/host/peer/doc.go
+++ b/internal/host/peer/doc.go
@@ -2,5 +2,6 @@
 // TCP, over TLS if a configuration is given.
 //
 // A Net keeps one connection to each peer and makes it when it is first needed.
-// A call that fails drops the connection, so the next one dials again.
+// A call that fails drops the connection, so the next one dials again,
+// unless the peer was heard on it meanwhile.
 package peer
--- a/internal/host/peer/net.go
+++ b/internal/host/peer/net.go
@@ -18,6 +18,10 @@
 const (
 	DialTime      = 500 * time.Millisecond // on the side that dials
 	HandshakeTime = 2 * time.Second        // of TLS, on the other side
+	// AcceptPause is the pause after a connection that could not be accepted: a
+	// process that has too many files open gets some back when calls end, most of
+	// which take a few milliseconds.
+	AcceptPause = 50 * time.Millisecond
 )
 
 // ErrBadParams is wrapped by a handler that refuses what it was sent.
@@ -48,7 +52,7 @@
 	dialTCP Dial
 	tls     Client // of outgoing connections; nil for plain TCP
 	mu      sync.Mutex
-	conns   map[string]*jsonrpc2.Conn // by address
+	conns   map[string]*link // by address
 	closed  bool
 	served  map[*jsonrpc2.Conn]bool
 }
@@ -59,18 +63,29 @@
 	if dial == nil {
 		dial = (&net.Dialer{}).DialContext
 	}
-	return &Net{handler: h, log: log, dialTCP: dial, tls: client, conns: map[string]*jsonrpc2.Conn{}, served: map[*jsonrpc2.Conn]bool{}}
+	return &Net{handler: h, log: log, dialTCP: dial, tls: client, conns: map[string]*link{}, served: map[*jsonrpc2.Conn]bool{}}
 }
 
 // Serve answers the calls of peers that connect to the listener until it is
-// closed, and returns the listener's error then.
+// closed, and returns the listener's error then. A connection that cannot be
+// accepted for another reason is left out: a process that has as many files open
+// as it may would otherwise end, and with a leader all its reports and leases.
 func (n *Net) Serve(l net.Listener) error {
+	failed := 0 // since the last connection
 	for {
 		c, err := l.Accept()
-		if err != nil {
+		switch {
+		case err == nil:
+			failed = 0
+			go n.serve(c)
+		case errors.Is(err, net.ErrClosed):
 			return fmt.Errorf("accept peers on %s: %w", l.Addr(), err)
+		default:
+			if failed++; failed == 1 {
+				n.log.Info("peer", "step", "accept", "address", l.Addr().String(), "error", err.Error())
+			}
+			time.Sleep(AcceptPause)
 		}
-		go n.serve(c)
 	}
 }
 
@@ -103,8 +118,9 @@
 }
 
 // open begins JSON-RPC on a connection.
-func (n *Net) open(c net.Conn) *jsonrpc2.Conn {
-	return jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(c), n.incoming(), jsonrpc2.SetLogger(printer{n.log}))
+func (n *Net) open(c net.Conn, opts ...jsonrpc2.ConnOpt) *jsonrpc2.Conn {
+	opts = append(opts, jsonrpc2.SetLogger(printer{n.log}))
+	return jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(c), n.incoming(), opts...)
 }
 
 // printer logs what the library has to say as one key=value line.
@@ -147,6 +163,7 @@
 	if err != nil {
 		return fmt.Errorf("%s: peer %s: %w", method, address, err)
 	}
+	sent := time.Now()
 	err = conn.Call(ctx, method, params, result)
 	if err == nil {
 		return nil
@@ -158,7 +175,7 @@
 		}
 		return fmt.Errorf("%s: peer %s: %w", method, address, err)
 	}
-	if !errors.Is(err, context.Canceled) {
+	if !errors.Is(err, context.Canceled) && !conn.heardSince(sent) {
 		n.drop(address, conn)
 	}
 	return fmt.Errorf("%s: peer %s: %w", method, address, err)
@@ -185,7 +202,7 @@
 	return nil
 }
 
-func (n *Net) conn(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+func (n *Net) conn(ctx context.Context, address string) (*link, error) {
 	n.mu.Lock()
 	conn, ok := n.conns[address]
 	n.mu.Unlock()
@@ -199,14 +216,14 @@
 	return n.dial(ctx, address)
 }
 
-func (n *Net) dial(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
+func (n *Net) dial(ctx context.Context, address string) (*link, error) {
 	ctx, cancel := context.WithTimeout(ctx, DialTime)
 	defer cancel()
 	c, err := n.dialNet(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: dial: %w", ErrUnreached, err)
 	}
-	conn := n.open(c)
+	conn := n.newLink(c)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.closed {
@@ -243,7 +260,7 @@
 	return secured, nil
 }
 
-func (n *Net) drop(address string, conn *jsonrpc2.Conn) {
+func (n *Net) drop(address string, conn *link) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.conns[address] == conn {
