dispatcher: the list of targets is asked for a second after it was last asked for

Cause: the next reading began a second after the last one ended, so on a store that takes 0.4 s or more for a list the one in use passed its greatest age of 1.8 s for part of each round, and starts waited or were given up after being saved. Seen with 3,000 targets: "run given up before it was sent listAgeMS=2618".

Change: counted from the beginning of the last reading; a store may now take up to 0.9 s.

--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -205,13 +205,14 @@
 
 // run is the loop that owns the machine.
 func (o *office) run(heirEnd time.Time) error {
-	if err := o.firstList(); err != nil {
+	listed, err := o.firstList()
+	if err != nil {
 		return err
 	}
 	o.configure()
 	o.set(o)
-	o.every(listEvery, o.list)
-	o.every(scanEvery, o.scan)
+	o.every(listEvery, listed, o.list)
+	o.every(scanEvery, o.clock(), o.scan)
 	o.machine.Begin(heirEnd, o.clock())
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
@@ -284,17 +285,17 @@
 	}
 }
 
-// firstList waits for the list of targets.
-func (o *office) firstList() error {
+// firstList waits for the list of targets, and returns when it was asked for.
+func (o *office) firstList() (time.Time, error) {
 	for {
 		asOf := o.clock()
 		list, err := o.targets()
 		if err == nil {
 			o.machine.Listed(list, asOf, o.clock())
-			return nil
+			return asOf, nil
 		}
 		if o.ctx.Err() != nil {
-			return err
+			return asOf, err
 		}
 		o.log.Info("targets not listed", "error", err.Error())
 		pause(o.ctx, storePause)
@@ -315,10 +316,14 @@
 	return list, nil
 }
 
-func (o *office) every(d time.Duration, f func()) {
+// every runs f again and again, each time d after it began last, or at once if it
+// took longer. It began last at the time given.
+func (o *office) every(d time.Duration, last time.Time, f func()) {
+	next := last.Add(d)
 	o.spawn(func() {
 		for o.ctx.Err() == nil {
-			pause(o.ctx, d)
+			pause(o.ctx, next.Sub(o.clock()))
+			next = o.clock().Add(d)
 			f()
 		}
 	})
