--- a/internal/operator/command/command_test.go
+++ b/internal/operator/command/command_test.go
@@ -17,6 +17,10 @@
 	if err := os.WriteFile(broken, []byte("[service refill]\ncompletionWeight = much\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
+	brokenHost := filepath.Join(t.TempDir(), "host.ini")
+	if err := os.WriteFile(brokenHost, []byte("[host]\nzone = a b\ncallerAddress = localhost\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
 	cases := []struct {
 		name string
 		args []string
@@ -33,6 +37,11 @@
 		{"job without its service", []string{"submit", "labelCheck"}, command.Usage, "", "SERVICE.JOB"},
 		{"sound text", []string{"check", "../../../examples/spf.ini"}, command.Done, "no faults", ""},
 		{"broken text", []string{"check", broken}, command.Failed, "", "line 2"},
+		{"sound settings", []string{"check", "../../../examples/hosts/leon.ini"}, command.Done, "no faults, settings of a host in zone", ""},
+		{"broken settings", []string{"check", brokenHost}, command.Failed, "", "line 2"},
+		{"all faults of settings", []string{"check", brokenHost}, command.Failed, "", "line 3"},
+		{"one of two broken", []string{"check", broken, "../../../examples/spf.ini"}, command.Failed, "spf.ini: no faults", "line 2"},
+		{"faults as JSON", []string{"check", "--json", brokenHost}, command.Failed, `"kind":"settings","faults":[{`, "has faults"},
 		{"no such file", []string{"check", "nowhere.ini"}, command.Failed, "", "nowhere.ini"},
 		{"no host answers", []string{"show", "--host", "127.0.0.1:1", "--key", "k"}, command.Failed, "", "127.0.0.1:1"},
 		{"no settings", []string{"serve", "--settings", "nowhere.ini"}, command.Failed, "", "nowhere.ini"},
--- a/internal/operator/command/configuration.go
+++ b/internal/operator/command/configuration.go
@@ -1,55 +1,12 @@
 package command
 
 import (
-	"encoding/json"
-	"errors"
 	"fmt"
 	"text/tabwriter"
 
 	"github.com/google/uuid"
-
-	"guavaglade.example/guavaglade/internal/config/text"
 )
 
-type checkCommand struct {
-	streams
-	JSON bool `long:"json" description:"print JSON"`
-	Args struct {
-		File string `positional-arg-name:"FILE" required:"yes"`
-	} `positional-args:"yes"`
-}
-
-// errFaults says that a text has faults.
-var errFaults = errors.New("the text has faults; mend each line")
-
-// Execute checks a text and prints every fault.
-func (c *checkCommand) Execute([]string) error {
-	body, err := readFile(c.Args.File)
-	if err != nil {
-		return err
-	}
-	faults := text.Check(body)
-	if c.JSON {
-		err = json.NewEncoder(c.out).Encode(struct {
-			File   string      `json:"file"`
-			Faults text.Faults `json:"faults"`
-		}{c.Args.File, append(text.Faults{}, faults...)})
-		if err == nil && len(faults) > 0 {
-			err = fmt.Errorf("%s: %w", c.Args.File, errFaults)
-		}
-		return err
-	}
-	if len(faults) > 0 {
-		return fmt.Errorf("%s: %w:\n%w", c.Args.File, errFaults, faults)
-	}
-	config, err := text.Parse(body)
-	if err != nil {
-		return err
-	}
-	_, err = fmt.Fprintf(c.out, "%s: no faults, %d services, %d client accounts\n", c.Args.File, len(config.Services()), len(config.Accounts()))
-	return err
-}
-
 type applyCommand struct {
 	streams
 	target
--- a/internal/operator/command/root.go
+++ b/internal/operator/command/root.go
@@ -47,7 +47,7 @@
 		{"host", "run a host on the users' platform", "The platform names the settings file. Example: guavaglade host", &hostCommand{streams: s}},
 		{"standin", "run a stand-in platform with targets, for trials", "Example: guavaglade standin --listen 127.0.0.1:7000 --racks 6", &standinCommand{streams: s}},
 		{"demo", "run everything in one process and show it", "Example: guavaglade demo", &demoCommand{streams: s}},
-		{"check", "check a configuration text", "Example: guavaglade check examples/spf.ini", &checkCommand{streams: s}},
+		{"check", "check configuration texts and hosts' settings", "Example: guavaglade check examples/spf.ini examples/hosts/leon.ini", &checkCommand{streams: s}},
 		{"apply", "make a configuration text current", "Example: guavaglade apply --host 127.0.0.1:7301 --key KEY examples/spf.ini", &applyCommand{streams: s}},
 		{"show", "show what is in force on each host", "Example: guavaglade show --host 127.0.0.1:7301 --key KEY", &showCommand{streams: s}},
 		{"submit", "submit a job", "Example: guavaglade submit --host 127.0.0.1:7301 --key KEY --request r1 --wait 20s refill.planRoutes", &submitCommand{streams: s}},
