process: settings are read again on SIGHUP; certificates' last moment is a metric

Before, only hosts on the platform reloaded; one of the product's own interface had to be restarted to replace an operator's key that others had seen. logLevel, maxBody and the key's hash are taken over; for the rest the line reload names what needs a new process. A file with faults changes nothing.

The removed server showed when certificates expire; a gauge does so again.

--- a/internal/host/api/api.go
+++ b/internal/host/api/api.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -21,19 +22,28 @@
 // API serves clients and operators of one host.
 type API struct {
 	station  *station.Station
-	settings settings.Settings
+	settings atomic.Pointer[settings.Settings]
 	metrics  http.Handler // serves /metrics; nil for none
 	inForce  *parsed
 }
 
 // New returns the API of a station. If shown is nil, /metrics is not there.
 func New(st *station.Station, s settings.Settings, shown http.Handler) *API {
-	return &API{station: st, settings: s, metrics: shown, inForce: &parsed{}}
+	a := &API{station: st, metrics: shown, inForce: &parsed{}}
+	a.settings.Store(&s)
+	return a
 }
 
+// SetSettings has the requests that come from now on served by other settings.
+func (a *API) SetSettings(s settings.Settings) { a.settings.Store(&s) }
+
 // Handler returns the HTTP surface.
 func (a *API) Handler() http.Handler {
-	return http.MaxBytesHandler(a.router(), int64(a.settings.MaxBody()))
+	inner := a.router()
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		r.Body = http.MaxBytesReader(w, r.Body, int64(a.settings.Load().MaxBody()))
+		inner.ServeHTTP(w, r)
+	})
 }
 
 func (a *API) router() *mux.Router {
@@ -154,7 +164,7 @@
 	if found {
 		c.account, c.operator = account, account.Operator()
 	}
-	if config == nil && key.Matches(a.settings.OperatorKeyHash()) {
+	if config == nil && key.Matches(a.settings.Load().OperatorKeyHash()) {
 		c.operator, found = true, true
 	}
 	return c, found
@@ -166,7 +176,7 @@
 }
 
 func (a *API) health(w http.ResponseWriter, _ *http.Request) {
-	reply(w, http.StatusOK, hostBody{a.settings.PeerAddress()})
+	reply(w, http.StatusOK, hostBody{a.settings.Load().PeerAddress()})
 }
 
 func (a *API) ready(w http.ResponseWriter, _ *http.Request) {
@@ -174,7 +184,7 @@
 		Problem{Status: http.StatusServiceUnavailable, Detail: "stopping, without a configuration, or nothing can be stored"}.write(w, time.Now())
 		return
 	}
-	reply(w, http.StatusOK, hostBody{a.settings.PeerAddress()})
+	reply(w, http.StatusOK, hostBody{a.settings.Load().PeerAddress()})
 }
 
 func reply(w http.ResponseWriter, status int, v any) {
--- a/internal/host/api/jobs.go
+++ b/internal/host/api/jobs.go
@@ -40,7 +40,7 @@
 	if err != nil || d < 0 {
 		return time.Time{}, fmt.Errorf("wait=%s: want a duration such as 20s", q)
 	}
-	return now.Add(min(d, a.settings.MaxWait())), nil
+	return now.Add(min(d, a.settings.Load().MaxWait())), nil
 }
 
 func (a *API) submit(w http.ResponseWriter, r *http.Request, c caller) {
--- a/internal/host/credential/tls.go
+++ b/internal/host/credential/tls.go
@@ -70,6 +70,9 @@
 	return &Mutual{own, pool}, nil
 }
 
+// Expires returns when the host's own certificate is no longer valid.
+func (m *Mutual) Expires() time.Time { return m.own.Expires() }
+
 func parsePool(bodies [][]byte) (*x509.CertPool, error) {
 	pool := x509.NewCertPool()
 	if !pool.AppendCertsFromPEM(bodies[0]) {
--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -24,9 +24,13 @@
 // Process is one host that serves the product's own interface.
 type Process struct {
 	station *station.Station
+	api     *api.API
+	now     settings.Settings // in force
 	callers net.Listener
 	peers   net.Listener
 	http    *http.Server
+	expires map[string]func() time.Time // of the certificates in use, by whom they are shown to
+	metrics tally.Scope
 	log     logr.Logger
 }
 
@@ -47,47 +51,83 @@
 // New returns a process on listeners that are open already. The ports lead to the
 // platform; shown serves the metrics, nil for none.
 func New(s settings.Settings, callers, peers net.Listener, ports station.Ports, scope tally.Scope, shown http.Handler, log logr.Logger) (*Process, error) {
-	callers = netutil.LimitListener(callers, s.MaxConnections())
+	p := &Process{
+		now: s, callers: netutil.LimitListener(callers, s.MaxConnections()), peers: peers,
+		expires: map[string]func() time.Time{}, metrics: scope, log: log,
+	}
 	opts := []station.Option{
 		station.WithMetrics(scope), station.WithGrace(s.UnreadyTime() + s.StopGrace()), station.WithUnreadyTime(s.UnreadyTime()),
 	}
-	callers, peers, opts, err := secured(s, callers, peers, opts, log)
+	secured, err := p.secure(s.TLS())
 	if err != nil {
 		return nil, err
 	}
+	opts = append(opts, secured...)
 	id := station.Identity{
 		Name: s.PeerAddress(), Zone: s.Zone(), Peers: s.PeerAddress(), Power: float64(runtime.GOMAXPROCS(0)),
 	}
-	st := station.New(id, ports, station.Configuration{Key: version.Key, Decode: version.Catalog}, log, opts...)
-	p := &Process{station: st, callers: callers, peers: peers, log: log}
+	p.station = station.New(id, ports, station.Configuration{Key: version.Key, Decode: version.Catalog}, log, opts...)
+	p.api = api.New(p.station, s, shown)
 	p.http = &http.Server{
-		Handler: api.New(st, s, shown).Handler(), MaxHeaderBytes: s.MaxHeader(),
+		Handler: p.api.Handler(), MaxHeaderBytes: s.MaxHeader(),
 		ReadTimeout: s.RequestTimeout(), ReadHeaderTimeout: s.RequestTimeout(), WriteTimeout: s.MaxWait() + s.RequestTimeout(),
 	}
 	return p, nil
 }
 
-// secured puts TLS on the listeners and on connections to peers, as far as the
-// settings name files for it.
-func secured(s settings.Settings, callers, peers net.Listener, opts []station.Option, log logr.Logger) (net.Listener, net.Listener, []station.Option, error) {
-	report := func(err error) { log.Error(err, "tls", "step", "read") }
-	files := s.TLS()
+// secure puts TLS on the listeners, and returns how peers are reached over it, as
+// far as files are named for it.
+func (p *Process) secure(files settings.TLS) ([]station.Option, error) {
+	report := func(err error) { p.log.Error(err, "tls", "step", "read") }
 	if files.CallerCert != "" {
 		c, err := credential.NewCertificate(files.CallerCert, files.CallerKey, report)
 		if err != nil {
-			return nil, nil, nil, err
+			return nil, err
 		}
-		callers = tls.NewListener(callers, c.Server())
+		p.callers = tls.NewListener(p.callers, c.Server())
+		p.expires["callers"] = c.Expires
 	}
-	if files.PeerCert != "" {
-		m, err := credential.NewMutual(files.PeerCert, files.PeerKey, files.PeerCA, report)
-		if err != nil {
-			return nil, nil, nil, err
+	if files.PeerCert == "" {
+		return nil, nil
+	}
+	m, err := credential.NewMutual(files.PeerCert, files.PeerKey, files.PeerCA, report)
+	if err != nil {
+		return nil, err
+	}
+	p.peers = tls.NewListener(p.peers, m.Server())
+	p.expires["peers"] = m.Expires
+	return []station.Option{station.WithPeerTLS(m.Client)}, nil
+}
+
+// expiryEvery is the time between two looks at when certificates expire: they are
+// replaced days before.
+const expiryEvery = time.Minute
+
+// showExpiries shows when the certificates in use expire.
+func (p *Process) showExpiries() {
+	for to, at := range p.expires {
+		p.metrics.Tagged(map[string]string{"to": to}).Gauge("certificate_expiry_timestamp_seconds").Update(float64(at().Unix()))
+	}
+}
+
+// followExpiries goes on showing them until the context ends.
+func (p *Process) followExpiries(ctx context.Context) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(expiryEvery):
+			p.showExpiries()
 		}
-		peers = tls.NewListener(peers, m.Server())
-		opts = append(opts, station.WithPeerTLS(m.Client))
 	}
-	return callers, peers, opts, nil
+}
+
+// Reload takes over what a running host can of settings that were read again. It
+// must not be called by two goroutines at once.
+func (p *Process) Reload(next settings.Settings) {
+	now, done := p.now.Reload(next)
+	p.now = now
+	p.api.SetSettings(now)
+	p.log.Info("reload", "changed", fmt.Sprint(done.Changed), "needRestart", fmt.Sprint(done.Restart))
 }
 
 // Run serves until the context ends, then stops as planned: leadership is given
@@ -96,6 +136,8 @@
 func (p *Process) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	p.showExpiries()
+	go p.followExpiries(ctx)
 	go func() {
 		err := p.http.Serve(p.callers)
 		if !errors.Is(err, http.ErrServerClosed) {
--- a/internal/host/settings/field.go
+++ b/internal/host/settings/field.go
@@ -15,6 +15,7 @@
 	secret       bool // shown as set or not set only
 	read         func(d *document.Section, key string, s *Settings)
 	show         func(s *Settings) string // empty: not set
+	take         func(s, from *Settings)  // takes the key over while the host runs; nil: only a new process does
 }
 
 func (f field) name() string { return f.section + "." + f.key }
@@ -30,6 +31,7 @@
 			s.logLevel = d.Choice(key, s.logLevel, "debug", "info", "warn", "error")
 		},
 		show: func(s *Settings) string { return s.logLevel },
+		take: func(s, from *Settings) { s.logLevel = from.logLevel },
 	},
 	textField("platform", "address", "IP:port of the platform's store", true, checkReached, func(s *Settings) *string { return &s.platform }),
 	fileField("callerCert", "PEM file; not set: callers connect without TLS", func(s *Settings) *string { return &s.tls.CallerCert }),
@@ -38,7 +40,8 @@
 	fileField("peerKey", "PEM file", func(s *Settings) *string { return &s.tls.PeerKey }),
 	fileField("peerCA", "PEM file of the authorities of other hosts", func(s *Settings) *string { return &s.tls.PeerCA }),
 	operatorField(),
-	sizeField("maxBody", "bytes of a request's body", 1, 1<<30, func(s *Settings) *int { return &s.limits.MaxBody }),
+	taken(sizeField("maxBody", "bytes of a request's body", 1, 1<<30, func(s *Settings) *int { return &s.limits.MaxBody }),
+		func(s, from *Settings) { s.limits.MaxBody = from.limits.MaxBody }),
 	sizeField("maxHeader", "bytes of a request's headers", 1<<10, 1<<20, func(s *Settings) *int { return &s.limits.MaxHeader }),
 	sizeField("maxConnections", "callers' connections at once", 1, 1<<20, func(s *Settings) *int { return &s.limits.MaxConnections }),
 	timeField("requestTimeout", "duration to read a request, and to write an answer", 100*time.Millisecond, time.Hour, func(s *Settings) *time.Duration { return &s.limits.RequestTimeout }),
@@ -59,7 +62,13 @@
 		}
 		*at(s) = v
 	}
-	return field{section, key, unit, required, false, read, func(s *Settings) string { return *at(s) }}
+	return field{section: section, key: key, unit: unit, required: required, read: read, show: func(s *Settings) string { return *at(s) }}
+}
+
+// taken returns the field as one that is taken over while the host runs.
+func taken(f field, take func(s, from *Settings)) field {
+	f.take = take
+	return f
 }
 
 func fileField(key, unit string, at func(*Settings) *string) field {
@@ -70,19 +79,19 @@
 	at := func(s *Settings) *string { return &s.operatorKey }
 	f := textField("operator", "keyHash", "SHA-256 in hexadecimal of the key that may apply the first configuration", false, checkHash, at)
 	f.secret = true
-	return f
+	return taken(f, func(s, from *Settings) { s.operatorKey = from.operatorKey })
 }
 
 func sizeField(key, unit string, least, most int, at func(*Settings) *int) field {
 	read := func(d *document.Section, key string, s *Settings) {
 		*at(s) = d.Int(key, *at(s), least, most)
 	}
-	return field{"limits", key, unit, false, false, read, func(s *Settings) string { return strconv.Itoa(*at(s)) }}
+	return field{section: "limits", key: key, unit: unit, read: read, show: func(s *Settings) string { return strconv.Itoa(*at(s)) }}
 }
 
 func timeField(key, unit string, least, most time.Duration, at func(*Settings) *time.Duration) field {
 	read := func(d *document.Section, key string, s *Settings) {
 		*at(s) = d.Duration(key, *at(s), least, most)
 	}
-	return field{"limits", key, unit, false, false, read, func(s *Settings) string { return at(s).String() }}
+	return field{section: "limits", key: key, unit: unit, read: read, show: func(s *Settings) string { return at(s).String() }}
 }
--- a/internal/host/settings/settings_test.go
+++ b/internal/host/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"strings"
@@ -119,3 +120,33 @@
 	is.NoErr(err)
 	is.Equal(s.UnreadyTime(), time.Second)
 }
+
+// An operator changes a key of each kind and sends SIGHUP: what a running host can
+// take over is in force, and the other keys are named, so that nobody believes them
+// to be.
+func TestReloadSaysWhatNeedsANewProcess(t *testing.T) {
+	is := is.New(t)
+	s, err := settings.Parse("host.ini", []byte(whole))
+	is.NoErr(err)
+	next, err := settings.Parse("host.ini", []byte(strings.NewReplacer(
+		"bajio-1", "bajio-2", "90s", "91s\nmaxBody = 7", "[platform]", "logLevel = debug\n[platform]",
+	).Replace(whole)))
+	is.NoErr(err)
+	now, done := s.Reload(next)
+	is.Equal(done, settings.Reloaded{Changed: []string{"host.logLevel", "limits.maxBody"}, Restart: []string{"host.zone", "limits.maxWait"}})
+	is.Equal(now.LogLevel(), slog.LevelDebug)
+	is.Equal(now.MaxBody(), 7)
+	is.Equal(now.Zone(), "bajio-1")
+	is.Equal(now.MaxWait(), 90*time.Second)
+	is.Equal(s.MaxBody(), 1<<20) // the earlier settings are left as they were
+	_, done = now.Reload(now)
+	is.Equal(done, settings.Reloaded{})
+}
+
+func TestAreTellsSettingsFromConfiguration(t *testing.T) {
+	is := is.New(t)
+	is.True(settings.Are([]byte(whole)))
+	is.True(settings.Are([]byte("[host]\n")))
+	is.True(!settings.Are([]byte("[service refill]\n")))
+	is.True(!settings.Are(nil))
+}
--- a/internal/operator/command/serve.go
+++ b/internal/operator/command/serve.go
@@ -40,7 +40,9 @@
 	}
 	out := linelog.New(c.out)
 	defer out.Close()
-	log := logr.FromSlogHandler(slog.NewTextHandler(out, &slog.HandlerOptions{Level: s.LogLevel()}))
+	level := &slog.LevelVar{}
+	level.Set(s.LogLevel())
+	log := logr.FromSlogHandler(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level}))
 	scope, shown, closer := metrics.New()
 	defer func() { _ = closer.Close() }() // the process ends
 	p, err := process.New(s, callers, peers, platform.Ports(s.Platform(), log), scope, shown, log)
@@ -49,9 +51,34 @@
 	}
 	ctx, cancel := untilSignal()
 	defer cancel()
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	go follow(ctx, c.Settings, hangup, log, func(s settings.Settings) {
+		level.Set(s.LogLevel())
+		p.Reload(s)
+	})
 	return p.Run(ctx)
 }
 
+// follow reads the settings again at each signal, until the context ends. A file
+// with faults changes nothing.
+func follow(ctx context.Context, file string, signal <-chan os.Signal, log logr.Logger, take func(settings.Settings)) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-signal:
+		}
+		s, err := settings.Load(file)
+		if err != nil {
+			log.Error(err, "reload", "file", file, "outcome", "settings kept")
+			continue
+		}
+		take(s)
+	}
+}
+
 // untilSignal returns a context that ends with SIGTERM or SIGINT.
 func untilSignal() (context.Context, context.CancelFunc) {
 	return signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
