leader: an outage of the store does not cost a leader that is well

Watchers that hear from the leader do not look at its row, so the time without a store counted against it; and its own last write, timing out after the return, made it believe that only it was turned away.

Change: a host begins to count anew when the store serves it again after more than 300 ms; a leader looks at the row itself before it hands over for that reason.

Tests: TestLeaderOutlivesAnOutageOfTheStore fails without either part, TestSucceededLeaderLeavesTheRow without the check (two hosts with term 2).

--- a/internal/host/leader/election.go
+++ b/internal/host/leader/election.go
@@ -46,7 +46,8 @@
 	mu        sync.Mutex
 	seen      Row
 	version   int64         // of the row as seen
-	changed   time.Time     // when this host first saw that version
+	changed   time.Time     // when this host first saw that version, or began to count anew
+	lostAt    time.Time     // when the store ceased to serve this host last
 	term      *Term         // nil while another host leads
 	following bool          // another host leads, and this one could
 	handed    chan handed   // terms that a leader handed over
--- a/internal/host/leader/following.go
+++ b/internal/host/leader/following.go
@@ -100,6 +100,26 @@
 	e.changed = e.clock()
 }
 
+// briefly is how long the store may seem away without having been: a client's
+// writes whose answers were lost look the same, and end with the next answer.
+const briefly = 300 * time.Millisecond
+
+// StoreChanged takes in that the store ceased to serve this host, or does so again.
+// The time in between does not count against the leader, who may have had no store
+// either: it would be succeeded, though well, in the moment in which the store is
+// back. One that alone cannot reach the store hands over by itself.
+func (e *Election) StoreChanged(up bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.clock()
+	switch {
+	case !up:
+		e.lostAt = now
+	case now.Sub(e.lostAt) >= briefly:
+		e.changed = now
+	}
+}
+
 // slowFactor is how many times what a look takes is added to the lease: a
 // renewal is a transaction, which takes up to three times as long as a look.
 const slowFactor = 4
--- a/internal/host/leader/leading.go
+++ b/internal/host/leader/leading.go
@@ -78,22 +78,56 @@
 	if ctx.Err() != nil {
 		return 0, ctx.Err()
 	}
-	if seen := e.Leader(); seen.Term > t.number || (seen.Term == t.number && seen.Holder != r.Holder) {
-		return 0, fmt.Errorf("term %d has begun: %w", seen.Term, err)
+	found, gone := e.found(*r)
+	if gone != nil {
+		return 0, fmt.Errorf("%w: %w", gone, err)
 	}
 	if !t.Valid(e.clock()) {
 		return 0, fmt.Errorf("row not written for %s: %w", Grace, err)
 	}
-	if e.clock().Sub(t.written()) > Renew+Renew/2 && len(e.peer.Successors(ctx, 0)) > 0 {
+	if e.clock().Sub(t.written()) > Renew+Renew/2 && e.alone(ctx) {
 		return version, fmt.Errorf("the store turns this host away and serves others: %w", err)
 	}
+	if found, gone = e.found(*r); gone != nil { // that may have shown another leader
+		return 0, fmt.Errorf("%w: %w", gone, err)
+	}
 	e.log.V(1).Info("leader row not renewed", "term", t.number, "error", err.Error())
-	e.mu.Lock()
-	found := e.version // read back, perhaps: an earlier lost write may have taken effect
-	e.mu.Unlock()
 	return max(version, found), nil
 }
 
+// errSucceeded says that another host leads by now.
+var errSucceeded = errors.New("another term has begun")
+
+// found returns the version of this leader's row as it was last read: an earlier
+// write whose answer was lost may have taken effect. It is an error if the row was
+// found to be another leader's; to write over that would give two leaders one term.
+func (e *Election) found(own Row) (int64, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.seen.Term > own.Term || e.seen.Holder != own.Holder {
+		return 0, fmt.Errorf("term %d of %q: %w", e.seen.Term, e.seen.Holder, errSucceeded)
+	}
+	return e.version, nil
+}
+
+// aloneTime bounds the look by which a leader tells whether the store serves it
+// again: a slow store takes a third of it, and a host that is turned away silently
+// hands over so much later.
+const aloneTime = 300 * time.Millisecond
+
+// alone reports whether the store serves other hosts and not this one. The write
+// that failed may have been sent while the store was away for all: by the time that
+// others are served again, so is this host. It looks after they did, since they may
+// have waited for the store until it was back.
+func (e *Election) alone(ctx context.Context) bool {
+	if len(e.peer.Successors(ctx, 0)) == 0 {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, aloneTime)
+	defer cancel()
+	return e.Look(ctx) != nil
+}
+
 // resign has a peer take the row over, or gives it back, so that another host
 // leads at once.
 func (e *Election) resign(ctx context.Context, r Row, version int64) {
--- a/internal/host/station/station.go
+++ b/internal/host/station/station.go
@@ -127,6 +127,7 @@
 }
 
 func (s *Station) storeChanged(up bool, err error) {
+	s.election.StoreChanged(up)
 	if up {
 		s.log.Info("store regained", "host", s.identity.Name)
 		return
