exchange, leader: strong hosts come first after an outage, too; looking for one does not cost the row

A host with 0.19 cores took over (others have 0.8), restored in 1.4 s instead of 0.14, was succeeded by another such host 4 s later and that by a strong one 4 s after: hardly anything was placed for 8 s. During an outage the leader tells of no host that the store serves, so every host believed itself first; and the leader asked for a stronger host between two renewals, with 1.5 s for the answers, by which its row stood still.

Change: for the order of succession the last list counts that named any host; the question runs beside the renewals.

Tests: TestStrongerHostsComeFirstAlsoAfterAnOutage and TestLookForAPowerfulHostDoesNotKeepFromRenewing fail without the change.

--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -98,6 +98,7 @@
 	heard    time.Time          // when a peer answered last
 	seen     map[string]watcher // hosts that watch this one, by address
 	peers    []peerBody         // hosts that the store serves, as the leader last said
+	ranked   []peerBody         // the same, when there last were any
 	told     []peerBody         // what watchers are told, not changed once made; nil: nothing yet
 	toldAt   time.Time          // when that was made
 	counts   map[string]count   // of jobs that have not started, by queue
--- a/internal/host/exchange/exchange_test.go
+++ b/internal/host/exchange/exchange_test.go
@@ -172,6 +172,40 @@
 	})
 }
 
+// The store is away for all hosts, and the leader is lost meanwhile. The weakest host
+// was as quick as the others to take over when the store was back, since the leader
+// had last told of no host that the store serves: restoring took it ten times as
+// long, and it was succeeded at once by a stronger one.
+func TestStrongerHostsComeFirstAlsoAfterAnOutage(t *testing.T) {
+	among(t, 4, func(ctx context.Context, is *is.I, hosts []*host) {
+		watch := func() {
+			answers := make(chan error, len(hosts))
+			for _, h := range hosts[1:] {
+				go func() {
+					_, err := h.Watch(ctx, hosts[0].address, 1)
+					answers <- err
+				}()
+			}
+			for range hosts[1:] {
+				is.NoErr(<-answers)
+			}
+		}
+		watch()
+		watch()
+		for _, h := range hosts {
+			h.up = false
+		}
+		watch()
+		watch()
+		rank, outpowered := hosts[3].Rank(1.5)
+		is.Equal(rank, 2)
+		is.True(outpowered)
+		rank, outpowered = hosts[1].Rank(1.5)
+		is.Equal(rank, 0)
+		is.True(!outpowered)
+	})
+}
+
 // Clients ask each host again and again how many jobs wait, and each time the host
 // asked the leader. Between two leaders they were refused, though a count of a
 // second ago is what they accept.
--- a/internal/host/exchange/watching.go
+++ b/internal/host/exchange/watching.go
@@ -98,15 +98,16 @@
 }
 
 // Rank implements leader.Peer. A host that the leader's last list lacks comes after
-// all that are in it: the store may not have served it, or it had just begun.
+// all that are in it: the store may not have served it, or it had just begun. While
+// the store serves nobody the list is empty; what counts is the one before.
 func (x *Exchange) Rank(muchMore float64) (rank int, outpowered bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	rank = slices.IndexFunc(x.peers, func(p peerBody) bool { return p.Address == x.own })
+	rank = slices.IndexFunc(x.ranked, func(p peerBody) bool { return p.Address == x.own })
 	if rank < 0 {
-		rank = len(x.peers)
+		rank = len(x.ranked)
 	}
-	return rank, len(x.peers) > 0 && x.peers[0].Power >= x.power*muchMore
+	return rank, len(x.ranked) > 0 && x.ranked[0].Power >= x.power*muchMore
 }
 
 // Figures of what a watcher is told of other hosts.
@@ -144,6 +145,9 @@
 	}
 	x.mu.Lock()
 	x.peers, x.heard = out.Peers, time.Now()
+	if len(out.Peers) > 0 {
+		x.ranked = out.Peers
+	}
 	x.mu.Unlock()
 	if out.Version > x.keeper.Version() {
 		go x.fetch(context.WithoutCancel(ctx), address)
--- a/internal/host/leader/election_test.go
+++ b/internal/host/leader/election_test.go
@@ -111,7 +111,7 @@
 	}
 	draw := rand.New(rand.NewPCG(seed, 2)).Int64N
 	gauge := store.NewGauge(s.link, leader.RowKey, func(up bool, _ error) { s.StoreChanged(up) })
-	s.Election = leader.New(gauge, peers, lead, name+"#1", name, logr.Discard(), leader.WithClock(time.Now), leader.WithDraw(draw))
+	s.Election = leader.New(gauge, peers, lead, name+"#1", name, logr.Discard(), leader.WithClock(time.Now), leader.WithDraw(draw), leader.WithPower(1))
 	go gauge.Follow(ctx)
 	go func() {
 		s.Run(ctx)
@@ -306,6 +306,39 @@
 	}
 }
 
+// slowToAnswer takes its time to say whether a more powerful host could lead, and
+// there is none.
+type slowToAnswer struct{ nobody }
+
+// Successors implements leader.Peer.
+func (slowToAnswer) Successors(ctx context.Context, least float64) []string {
+	if least > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(1500 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+// A leader that has much to do looks every other second for a more powerful host,
+// and these are slow to answer. Its row was not renewed meanwhile: another weak host
+// took it over, and so on in turn.
+func TestLookForAPowerfulHostDoesNotKeepFromRenewing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := rows.New(cost)
+		a := sitAmong(slowToAnswer{}, table, "a", 1)
+		time.Sleep(time.Second)
+		b := sitAmong(slowToAnswer{}, table, "b", 2)
+		time.Sleep(20 * time.Second)
+		is.True(a.leads())
+		is.Equal(a.Leader().Term, int64(1))
+		a.leave()
+		b.leave()
+	})
+}
+
 // The store takes the write that makes a host leader and loses the answer. The host
 // reads the row back and leads; nobody else does.
 func TestAnswerLost(t *testing.T) {
--- a/internal/host/leader/leading.go
+++ b/internal/host/leader/leading.go
@@ -43,16 +43,13 @@
 func (e *Election) keep(ctx context.Context, t *Term, r *Row, version int64) (int64, error) {
 	tick := time.NewTicker(Renew)
 	defer tick.Stop()
-	yield := time.NewTicker(yieldEvery)
-	defer yield.Stop()
+	outpowered := e.findPowerful(ctx)
 	for {
 		select {
 		case <-ctx.Done():
 			return version, ctx.Err()
-		case <-yield.C:
-			if e.power > 0 && len(e.peer.Successors(ctx, e.power*muchMore)) > 0 {
-				return version, errYield
-			}
+		case <-outpowered:
+			return version, errYield
 		case <-tick.C:
 			now, err := e.renew(ctx, t, r, version)
 			if err != nil {
@@ -63,6 +60,31 @@
 	}
 }
 
+// findPowerful looks for a host that is much more powerful than this one until the
+// context ends, and closes the channel when there is one. It must not wait for the
+// answers between two renewals: hosts may be slow to answer when a leader is needed
+// most.
+func (e *Election) findPowerful(ctx context.Context) <-chan struct{} {
+	found := make(chan struct{})
+	if e.power <= 0 {
+		return found
+	}
+	go func() {
+		for ctx.Err() == nil {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(yieldEvery):
+			}
+			if len(e.peer.Successors(ctx, e.power*muchMore)) > 0 {
+				close(found)
+				return
+			}
+		}
+	}()
+	return found
+}
+
 // renew writes the row again. An error says that the term has ended.
 func (e *Election) renew(ctx context.Context, t *Term, r *Row, version int64) (int64, error) {
 	sent := e.clock()
