linelog: the rate that the page promises is kept

The package's page named a rate beyond which lines are left out; nothing bounded it but the memory, emptied ten times a second, that is 2.5 MB a second. Now 256 KB a second, in whole lines, with as much again waiting.

TestRateIsBounded fails without the change (the size after five seconds).

--- a/internal/report/linelog/writer.go
+++ b/internal/report/linelog/writer.go
@@ -1,6 +1,7 @@
 package linelog
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"sync"
@@ -9,9 +10,11 @@
 
 // Bounds of what is kept and written.
 const (
-	// Pending is how many bytes may wait for the output: a second of the
-	// highest rate.
-	Pending = 256 << 10
+	// Rate is how many bytes a second are written at most: the leader of 350 targets
+	// writes 100 KB in its worst seconds.
+	Rate = 256 << 10
+	// Pending is how many bytes may wait for the output: a second of Rate.
+	Pending = Rate
 	// Flush is the time between two writes to the output. One write for many
 	// lines costs a small part of a write for each.
 	Flush = 100 * time.Millisecond
@@ -21,9 +24,9 @@
 type Writer struct {
 	out     io.Writer
 	mu      sync.Mutex
-	buf     []byte
-	spare   []byte
-	dropped int64 // since the last line that said so
+	buf     []byte // lines that wait
+	chunk   []byte // what is being written; only the goroutine that writes uses it
+	dropped int64  // since the last line that said so
 	total   int64
 	stop    chan struct{}
 	done    chan struct{}
@@ -63,28 +66,40 @@
 	for {
 		select {
 		case <-tick.C:
-			w.flush()
+			w.flush(int(Rate * Flush / time.Second))
 		case <-w.stop:
-			w.flush()
+			w.flush(Pending)
 			return
 		}
 	}
 }
 
-func (w *Writer) flush() {
+// flush writes the lines that wait, about so many bytes of them at most.
+func (w *Writer) flush(most int) {
 	w.mu.Lock()
-	buf, dropped := w.buf, w.dropped
-	w.buf, w.dropped = w.spare[:0], 0
+	n := wholeLines(w.buf, most)
+	w.chunk = append(w.chunk[:0], w.buf[:n]...)
+	w.buf = append(w.buf[:0], w.buf[n:]...)
+	dropped := w.dropped
+	w.dropped = 0
 	w.mu.Unlock()
 	if dropped > 0 {
-		buf = fmt.Appendf(buf, "level=WARN msg=\"log lines left out\" lines=%d\n", dropped)
+		w.chunk = fmt.Appendf(w.chunk, "level=WARN msg=\"log lines left out\" lines=%d\n", dropped)
 	}
-	if len(buf) > 0 {
-		_, _ = w.out.Write(buf) // where logs cannot be written there is nobody to tell
+	if len(w.chunk) > 0 {
+		_, _ = w.out.Write(w.chunk) // where logs cannot be written there is nobody to tell
 	}
-	w.mu.Lock()
-	w.spare = buf
-	w.mu.Unlock()
+}
+
+// wholeLines returns the length of the lines that begin in the first most bytes.
+func wholeLines(lines []byte, most int) int {
+	if len(lines) <= most {
+		return len(lines)
+	}
+	if end := bytes.IndexByte(lines[most:], '\n'); end >= 0 {
+		return most + end + 1
+	}
+	return len(lines)
 }
 
 // Close writes what waits and ends the writer.
--- a/internal/report/linelog/writer_test.go
+++ b/internal/report/linelog/writer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"sync"
 	"testing"
@@ -51,6 +52,47 @@
 	})
 }
 
+// A program that logs without end would fill the disk of whoever collects the logs.
+// Each second holds Rate at the most, in whole lines; what does not fit is counted.
+func TestRateIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		out := &stuck{let: make(chan struct{})}
+		close(out.let) // it takes everything at once
+		w := linelog.New(out)
+		line := []byte(strings.Repeat("x", 99) + "\n")
+		const seconds = 5
+		written := 0
+		for range seconds * 1000 {
+			for range 20 { // 2 MB a second
+				_, _ = w.Write(line) // it never fails
+				written++
+			}
+			time.Sleep(time.Millisecond)
+		}
+		synctest.Wait()
+		out.mu.Lock()
+		told := strings.Split(strings.TrimSuffix(out.took.String(), "\n"), "\n")
+		size := out.took.Len()
+		out.mu.Unlock()
+		is.True(size <= seconds*linelog.Rate*11/10)
+		is.True(size >= seconds*linelog.Rate*8/10)
+		left := 0
+		for _, l := range told {
+			var n int
+			if _, err := fmt.Sscanf(l, "level=WARN msg=\"log lines left out\" lines=%d", &n); err == nil {
+				left += n
+				continue
+			}
+			is.Equal(len(l), 99) // whole
+		}
+		is.True(left > 0)
+		is.True(int64(left) <= w.Dropped())
+		w.Close()
+		is.True(written > len(told))
+	})
+}
+
 // What was written is there when the writer is closed, in its order.
 func TestCloseWritesWhatWaits(t *testing.T) {
 	is := is.New(t)
