station: tests of its own

It was tested only through whole sites. Now: not ready before a configuration is in force, an unreadable or older one changes nothing and a line says so, a planned stop gives the leader row back with its term, a lost listener ends the host with its cause.

--- /dev/null
+++ b/internal/host/station/station_test.go
@@ -0,0 +1,147 @@
+package station_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr/funcr"
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/config/catalog"
+	"guavaglade.example/guavaglade/internal/host/leader"
+	"guavaglade.example/guavaglade/internal/host/station"
+	"guavaglade.example/guavaglade/internal/platform/store"
+	"guavaglade.example/guavaglade/internal/standin/pool"
+	"guavaglade.example/guavaglade/internal/standin/rows"
+)
+
+var configKey = store.Key{Table: "config", Name: "text"}
+
+// decode reads a configuration that is its version and nothing else.
+func decode(stored []byte) (*catalog.Catalog, error) {
+	n, err := strconv.ParseInt(string(stored), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	return catalog.New(n, nil, nil, nil, catalog.Limits{}), nil
+}
+
+// running is a station of a test.
+type running struct {
+	*station.Station
+	table   *rows.Table
+	peers   net.Listener
+	stop    context.CancelFunc
+	ended   chan error
+	drained chan bool // what Stopping said when drain was called
+	mu      sync.Mutex
+	lines   []string
+}
+
+func start(t *testing.T) *running {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	rnd := rand.New(rand.NewPCG(1, 1))
+	shared := pool.Share(ctx, pool.New(pool.DefaultBounds()))
+	r := &running{table: rows.New(0), peers: l, stop: cancel, ended: make(chan error, 1), drained: make(chan bool, 1)}
+	log := funcr.New(func(_, line string) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.lines = append(r.lines, line)
+	}, funcr.Options{})
+	ports := station.Ports{Store: rows.NewLink(r.table, rnd), Line: pool.NewLine(shared, 0, rnd), Roster: shared}
+	id := station.Identity{Name: "leon-1", Zone: "leon", Peers: l.Addr().String()}
+	r.Station = station.New(id, ports, station.Configuration{Key: configKey, Decode: decode}, log, station.WithUnreadyTime(10*time.Millisecond))
+	go func() {
+		r.ended <- r.Run(ctx, l, func(context.Context) { r.drained <- r.Stopping() })
+	}()
+	return r
+}
+
+// until waits for something to come true, up to the test's own time-out.
+func (r *running) until(t *testing.T, what string, f func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	for !f() {
+		if ctx.Err() != nil {
+			t.Fatalf("not seen: %s", what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (r *running) logged(part string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return strings.Contains(strings.Join(r.lines, "\n"), part)
+}
+
+// A host starts before the first configuration was applied. It knows no queue and
+// would refuse every client, so the balancer must not send it any.
+func TestNotReadyBeforeAConfigurationIsInForce(t *testing.T) {
+	is := is.New(t)
+	r := start(t)
+	r.until(t, "a leader", func() bool { return r.logged("leading") })
+	is.True(!r.Ready())
+	r.table.Put(configKey, []byte("1"))
+	r.until(t, "readiness", r.Ready)
+	is.Equal(r.Catalog().Version(), int64(1))
+	r.stop()
+	is.NoErr(<-r.ended)
+}
+
+// Another writer leaves a row in the place of the configuration that cannot be read,
+// then one of an older version. The one in force stays, a line says why, and the next
+// good one is taken.
+func TestConfigurationThatCannotBeReadChangesNothing(t *testing.T) {
+	is := is.New(t)
+	r := start(t)
+	r.table.Put(configKey, []byte("5"))
+	r.until(t, "version 5", func() bool { return r.Catalog().Version() == 5 })
+	r.table.Put(configKey, []byte("{nonsense"))
+	r.until(t, "the line", func() bool { return r.logged("configuration ignored") })
+	is.Equal(r.Catalog().Version(), int64(5))
+	r.table.Put(configKey, []byte("4"))
+	r.table.Put(configKey, []byte("6"))
+	r.until(t, "version 6", func() bool { return r.Catalog().Version() == 6 })
+	r.stop()
+	is.NoErr(<-r.ended)
+}
+
+// A host is stopped as planned. It says that it is not ready before it finishes what
+// clients wait for, gives the leader row back, and ends without an error.
+func TestPlannedStopGivesLeadershipBack(t *testing.T) {
+	is := is.New(t)
+	r := start(t)
+	r.table.Put(configKey, []byte("1"))
+	r.until(t, "a leader", func() bool { return r.logged("leading") })
+	r.stop()
+	is.True(<-r.drained) // not ready any more by then
+	is.NoErr(<-r.ended)
+	is.True(!r.Ready())
+	row, err := leader.DecodeRow(r.table.Get(leader.RowKey).Value)
+	is.NoErr(err)
+	is.Equal(row.Holder, "")
+	is.Equal(row.Term, int64(1)) // for the next one to go on from
+}
+
+// The listener for peers is gone, by whatever cause. A host that no peer reaches must
+// not go on as if it were well: it ends, and says why.
+func TestLostListenerEndsTheHost(t *testing.T) {
+	is := is.New(t)
+	r := start(t)
+	is.NoErr(r.peers.Close())
+	err := <-r.ended
+	is.True(strings.Contains(err.Error(), "host leon-1: peers"))
+}
