exchange: a zone that is cut off with its leader does not take clients

Cause, found while reading what readiness rests on: a host that the store turns away called itself useful as long as it heard any leader, by which it might store. In a zone that is cut off with the leader in it, the leader cannot store either: all clients of the zone were refused until the cut was over, and the balancer, which sends them to other zones when no host of theirs is ready, had no reason to.

Change: the leader says whether the store serves it and from how many zones it is watched. Without a way to the store a host is ready only while all zones are in touch: then the store is away for all, and a quick refusal is the best that any host can give.

Test: TestZoneCutOffWithItsLeaderDoesNotServe.

--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -85,6 +85,7 @@
 type Exchange struct {
 	net      *peer.Net
 	own      string  // address for peers
+	zone     string  // availability zone of this host; empty: not known
 	power    float64 // cores that this host has
 	leading  Leading
 	storing  Storing
@@ -99,6 +100,8 @@
 	seen     map[string]watcher // hosts that watch this one, by address
 	peers    []peerBody         // hosts that the store serves, as the leader last said
 	ranked   []peerBody         // the same, when there last were any
+	reach    reachBody          // what the leader last said that it reaches
+	mostZone int                // the most zones that were in touch with a leader at once
 	told     []peerBody         // what watchers are told, not changed once made; nil: nothing yet
 	toldAt   time.Time          // when that was made
 	counts   map[string]count   // of jobs that have not started, by queue
@@ -110,6 +113,9 @@
 // WithPower sets the cores that the host has, by default not known.
 func WithPower(cores float64) Option { return func(x *Exchange) { x.power = cores } }
 
+// WithZone sets the availability zone of the host, by default not known.
+func WithZone(zone string) Option { return func(x *Exchange) { x.zone = zone } }
+
 // WithAdopted sets who is told of a configuration that a peer had.
 func WithAdopted(f func(version int64, from string)) Option {
 	return func(x *Exchange) { x.adopted = f }
--- a/internal/host/exchange/exchange_test.go
+++ b/internal/host/exchange/exchange_test.go
@@ -127,7 +127,7 @@
 		for i := range hosts {
 			h := &host{address: fmt.Sprintf("10.0.0.%d:1", i), up: true, calls: make(chan net.Conn)}
 			hosts[i] = h
-			h.Exchange = exchange.New(h.address, &h.desk, catalog.NewKeeper(nil), func() bool { return h.up }, exchange.WithPower(float64(n-i)))
+			h.Exchange = exchange.New(h.address, &h.desk, catalog.NewKeeper(nil), func() bool { return h.up }, exchange.WithPower(float64(n-i)), exchange.WithZone([]string{"leon", "celaya"}[i/2%2]))
 			node := peer.New(h.Handle, nil, dial, logr.Discard())
 			h.Bind(node, &h.elected, &h.rows)
 			h.elected.row.Address = "10.0.0.0:1"
@@ -297,6 +297,43 @@
 	})
 }
 
+// A zone is cut off, and the leader is in it. Its hosts heard their leader and took
+// themselves for useful, and all clients of the zone were refused until the cut was
+// over, while the hosts of the other zones could have served them.
+func TestZoneCutOffWithItsLeaderDoesNotServe(t *testing.T) {
+	among(t, 4, func(ctx context.Context, is *is.I, hosts []*host) {
+		watch := func(from ...*host) {
+			for range 4 { // the leader forgets a host after two seconds
+				answers := make(chan error, len(from))
+				for _, h := range from {
+					go func() {
+						_, err := h.Watch(ctx, hosts[0].address, 1)
+						answers <- err
+					}()
+				}
+				for range from {
+					is.NoErr(<-answers)
+				}
+			}
+		}
+		watch(hosts[1:]...)
+		for _, h := range hosts {
+			h.up = false
+		}
+		watch(hosts[1:]...)
+		for _, h := range hosts {
+			is.True(h.Serves()) // the store is away for all: refused quickly, and nowhere better
+		}
+		watch(hosts[1]) // 2 and 3, in the other zone, are not in touch any more
+		watch(hosts[1])
+		is.True(!hosts[0].Serves())
+		is.True(!hosts[1].Serves())
+		hosts[0].up = true
+		watch(hosts[1])
+		is.True(hosts[1].Serves()) // by the leader
+	})
+}
+
 // A host asks the leader, and itself if it leads; without a leader it says so at
 // once.
 func TestWhoIsAskedForAState(t *testing.T) {
--- a/internal/host/exchange/relaying.go
+++ b/internal/host/exchange/relaying.go
@@ -92,16 +92,34 @@
 	return err
 }
 
-// Serves reports whether a request can be stored now: by this host, or by a peer
-// that it was in touch with lately.
+// Serves reports whether clients do well to come here: a request can be stored by
+// this host or by a peer that it was in touch with lately, or else the store is away
+// for all, and a quick refusal is the best that any host can give. A zone that is cut
+// off with its leader must not pass for that: its clients are served elsewhere.
 func (x *Exchange) Serves() bool {
 	if x.up() {
 		return true
 	}
+	reach := x.lastReach()
 	x.mu.Lock()
-	heard := time.Since(x.heard) < watcherGone/2
-	x.mu.Unlock()
-	return heard && len(x.relays()) > 0
+	defer x.mu.Unlock()
+	switch {
+	case time.Since(x.heard) >= watcherGone/2:
+		return false
+	case len(x.servedPeers(0)) > 0 || len(x.peers) > 0 || reach.StoreUp:
+		return true
+	}
+	return reach.Zones >= x.mostZone
+}
+
+// lastReach returns what the leader reaches, as far as this host knows.
+func (x *Exchange) lastReach() reachBody {
+	if x.leading.Own() != nil {
+		return x.ownReach()
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.reach
 }
 
 // relayTries bounds how many hosts are asked for one request.
--- a/internal/host/exchange/watching.go
+++ b/internal/host/exchange/watching.go
@@ -18,6 +18,14 @@
 	StoreUp bool       `json:"storeUp"`         // the store serves the sender
 	Power   float64    `json:"power,omitempty"` // cores that the sender has
 	Peers   []peerBody `json:"peers,omitempty"` // hosts that the store serves, as the leader knows them, the most powerful first
+	Zone    string     `json:"zone,omitempty"`  // availability zone of the watcher
+	Reach   reachBody  `json:"reach,omitzero"`  // of the leader
+}
+
+// reachBody says what a leader reaches.
+type reachBody struct {
+	StoreUp bool `json:"storeUp"` // the store serves it
+	Zones   int  `json:"zones"`   // availability zones with a host that watches it, its own among them; 0: not known
 }
 
 // peerBody is a host as the leader knows it.
@@ -38,6 +46,7 @@
 	storeUp bool
 	power   float64
 	version int64 // of the configuration in force there
+	zone    string
 }
 
 // watched answers a watcher after a while, or at once when the term ends, and
@@ -57,14 +66,29 @@
 		return nil, dispatcher.ErrNotLeading
 	case <-time.After(watchWait):
 	}
-	return watchBody{Row: x.leading.Leader(), Version: x.keeper.Version(), Peers: x.listed()}, nil
+	return watchBody{Row: x.leading.Leader(), Version: x.keeper.Version(), Peers: x.listed(), Reach: x.ownReach()}, nil
 }
 
 func (x *Exchange) noteWatcher(in watchBody) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.heard = time.Now()
-	x.seen[in.From] = watcher{at: time.Now(), storeUp: in.StoreUp, power: in.Power, version: in.Version}
+	x.seen[in.From] = watcher{at: time.Now(), storeUp: in.StoreUp, power: in.Power, version: in.Version, zone: in.Zone}
+}
+
+// ownReach returns what this host reaches while it leads.
+func (x *Exchange) ownReach() reachBody {
+	up := x.up()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	zones := map[string]bool{x.zone: true}
+	for _, w := range x.seen {
+		if time.Since(w.at) <= watcherGone/2 { // each watches twice in this time, and one of a zone is enough
+			zones[w.zone] = true
+		}
+	}
+	x.mostZone = max(x.mostZone, len(zones))
+	return reachBody{StoreUp: up, Zones: len(zones)}
 }
 
 // served returns the hosts that watch this one and that the store serves, with at
@@ -139,12 +163,13 @@
 	ctx, cancel := context.WithTimeout(ctx, watchTime)
 	defer cancel()
 	var out watchBody
-	in := watchBody{Row: leader.Row{Term: term}, Version: x.keeper.Version(), From: x.own, StoreUp: x.up(), Power: x.power}
+	in := watchBody{Row: leader.Row{Term: term}, Version: x.keeper.Version(), From: x.own, StoreUp: x.up(), Power: x.power, Zone: x.zone}
 	if err := x.net.Call(ctx, address, methodWatch, in, &out); err != nil {
 		return leader.Row{}, err
 	}
 	x.mu.Lock()
-	x.peers, x.heard = out.Peers, time.Now()
+	x.peers, x.reach, x.heard = out.Peers, out.Reach, time.Now()
+	x.mostZone = max(x.mostZone, out.Reach.Zones)
 	if len(out.Peers) > 0 {
 		x.ranked = out.Peers
 	}
