--- a/internal/host/exchange/counting.go
+++ b/internal/host/exchange/counting.go
@@ -25,7 +25,7 @@
 // Pending returns how many jobs of a queue have not started, as the leader told it
 // at most countLast ago.
 func (x *Exchange) Pending(ctx context.Context, queue string) (int, error) {
-	known := x.counted(queue)
+	known := x.lastCount(queue)
 	if !known.at.IsZero() && time.Since(known.at) < countFor {
 		return known.jobs, nil
 	}
@@ -33,7 +33,7 @@
 	n, err := ask(ctx, x, methodPending, queue, func() (int, error) { return x.desk.Pending(ctx, queue) })
 	switch {
 	case err == nil:
-		x.count(queue, count{jobs: n, at: asked})
+		x.keepCount(queue, count{jobs: n, at: asked})
 		return n, nil
 	case !known.at.IsZero() && time.Since(known.at) < countLast:
 		x.log.V(1).Info("count told again", "queue", queue, "ageMS", time.Since(known.at).Milliseconds(), "error", err.Error())
@@ -42,13 +42,13 @@
 	return 0, err
 }
 
-func (x *Exchange) counted(queue string) count {
+func (x *Exchange) lastCount(queue string) count {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	return x.counts[queue]
 }
 
-func (x *Exchange) count(queue string, c count) {
+func (x *Exchange) keepCount(queue string, c count) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.counts[queue] = c
--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -83,28 +83,28 @@
 
 // Exchange answers peers and asks them.
 type Exchange struct {
-	net      *peer.Net
-	own      string  // address for peers
-	zone     string  // availability zone of this host; empty: not known
-	power    float64 // cores that this host has
-	leading  Leading
-	storing  Storing
-	up       func() bool // the store serves this host
-	desk     Desk
-	keeper   *catalog.Keeper
-	adopted  func(version int64, from string) // told of a configuration that a peer had
-	outcomes func() burn.Snapshot             // what this host counted of jobs that ended
-	log      logr.Logger
-	mu       sync.Mutex
-	heard    time.Time          // when a peer answered last
-	seen     map[string]watcher // hosts that watch this one, by address
-	peers    []peerBody         // hosts that the store serves, as the leader last said
-	ranked   []peerBody         // the same, when there last were any
-	reach    reachBody          // what the leader last said that it reaches
-	mostZone int                // the most zones that were in touch with a leader at once
-	told     []peerBody         // what watchers are told, not changed once made; nil: nothing yet
-	toldAt   time.Time          // when that was made
-	counts   map[string]count   // of jobs that have not started, by queue
+	net       *peer.Net
+	own       string  // address for peers
+	zone      string  // availability zone of this host; empty: not known
+	power     float64 // cores that this host has
+	leading   Leading
+	storing   Storing
+	up        func() bool // the store serves this host
+	desk      Desk
+	keeper    *catalog.Keeper
+	adopted   func(version int64, from string) // told of a configuration that a peer had
+	outcomes  func() burn.Snapshot             // what this host counted of jobs that ended
+	log       logr.Logger
+	mu        sync.Mutex
+	heard     time.Time          // when a peer answered last
+	seen      map[string]watcher // hosts that watch this one, by address
+	peers     []peerBody         // hosts that the store serves, as the leader last said
+	ranked    []peerBody         // the same, when there last were any
+	reach     reachBody          // what the leader last said that it reaches
+	mostZones int                // the most zones that were in touch with a leader at once
+	told      []peerBody         // what watchers are told, not changed once made; nil: nothing yet
+	toldAt    time.Time          // when that was made
+	counts    map[string]count   // of jobs that have not started, by queue
 }
 
 // Option sets one property of a new exchange.
--- a/internal/host/exchange/exchange_test.go
+++ b/internal/host/exchange/exchange_test.go
@@ -146,22 +146,27 @@
 	})
 }
 
+// watch has hosts watch the first one, all at once, so many times.
+func watch(ctx context.Context, is *is.I, times int, first *host, from ...*host) {
+	for range times {
+		answers := make(chan error, len(from))
+		for _, h := range from {
+			go func() {
+				_, err := h.Watch(ctx, first.address, 1)
+				answers <- err
+			}()
+		}
+		for range from {
+			is.NoErr(<-answers)
+		}
+	}
+}
+
 // The leader of a large site told each of 300 hosts of all 300, twice a second:
 // what it sent grew with the square of the hosts, and its processor was full.
 func TestWatchersAreToldOfTheMostPowerfulOnly(t *testing.T) {
 	among(t, 40, func(ctx context.Context, is *is.I, hosts []*host) {
-		for range 2 { // who watches is known from the first time
-			answers := make(chan error, len(hosts))
-			for _, h := range hosts[1:] {
-				go func() {
-					_, err := h.Watch(ctx, hosts[0].address, 1)
-					answers <- err
-				}()
-			}
-			for range hosts[1:] {
-				is.NoErr(<-answers)
-			}
-		}
+		watch(ctx, is, 2, hosts[0], hosts[1:]...) // who watches is known from the first time
 		rank := func(i int) int {
 			r, _ := hosts[i].Rank(1.5)
 			return r
@@ -178,25 +183,11 @@
 // long, and it was succeeded at once by a stronger one.
 func TestStrongerHostsComeFirstAlsoAfterAnOutage(t *testing.T) {
 	among(t, 4, func(ctx context.Context, is *is.I, hosts []*host) {
-		watch := func() {
-			answers := make(chan error, len(hosts))
-			for _, h := range hosts[1:] {
-				go func() {
-					_, err := h.Watch(ctx, hosts[0].address, 1)
-					answers <- err
-				}()
-			}
-			for range hosts[1:] {
-				is.NoErr(<-answers)
-			}
-		}
-		watch()
-		watch()
+		watch(ctx, is, 2, hosts[0], hosts[1:]...)
 		for _, h := range hosts {
 			h.up = false
 		}
-		watch()
-		watch()
+		watch(ctx, is, 2, hosts[0], hosts[1:]...)
 		rank, outpowered := hosts[3].Rank(1.5)
 		is.Equal(rank, 2)
 		is.True(outpowered)
@@ -302,34 +293,19 @@
 // over, while the hosts of the other zones could have served them.
 func TestZoneCutOffWithItsLeaderDoesNotServe(t *testing.T) {
 	among(t, 4, func(ctx context.Context, is *is.I, hosts []*host) {
-		watch := func(from ...*host) {
-			for range 4 { // the leader forgets a host after two seconds
-				answers := make(chan error, len(from))
-				for _, h := range from {
-					go func() {
-						_, err := h.Watch(ctx, hosts[0].address, 1)
-						answers <- err
-					}()
-				}
-				for range from {
-					is.NoErr(<-answers)
-				}
-			}
-		}
-		watch(hosts[1:]...)
+		watch(ctx, is, 4, hosts[0], hosts[1:]...)
 		for _, h := range hosts {
 			h.up = false
 		}
-		watch(hosts[1:]...)
+		watch(ctx, is, 4, hosts[0], hosts[1:]...)
 		for _, h := range hosts {
 			is.True(h.Serves()) // the store is away for all: refused quickly, and nowhere better
 		}
-		watch(hosts[1]) // 2 and 3, in the other zone, are not in touch any more
-		watch(hosts[1])
+		watch(ctx, is, 8, hosts[0], hosts[1]) // 2 and 3, in the other zone, are not in touch any more
 		is.True(!hosts[0].Serves())
 		is.True(!hosts[1].Serves())
 		hosts[0].up = true
-		watch(hosts[1])
+		watch(ctx, is, 4, hosts[0], hosts[1])
 		is.True(hosts[1].Serves()) // by the leader
 	})
 }
--- a/internal/host/exchange/relaying.go
+++ b/internal/host/exchange/relaying.go
@@ -109,7 +109,7 @@
 	case len(x.servedPeers(0)) > 0 || len(x.peers) > 0 || reach.StoreUp:
 		return true
 	}
-	return reach.Zones >= x.mostZone
+	return reach.Zones >= x.mostZones
 }
 
 // lastReach returns what the leader reaches, as far as this host knows.
--- a/internal/host/exchange/watching.go
+++ b/internal/host/exchange/watching.go
@@ -87,7 +87,7 @@
 			zones[w.zone] = true
 		}
 	}
-	x.mostZone = max(x.mostZone, len(zones))
+	x.mostZones = max(x.mostZones, len(zones))
 	return reachBody{StoreUp: up, Zones: len(zones)}
 }
 
@@ -169,7 +169,7 @@
 	}
 	x.mu.Lock()
 	x.peers, x.reach, x.heard = out.Peers, out.Reach, time.Now()
-	x.mostZone = max(x.mostZone, out.Reach.Zones)
+	x.mostZones = max(x.mostZones, out.Reach.Zones)
 	if len(out.Peers) > 0 {
 		x.ranked = out.Peers
 	}
