--- a/internal/host/leader/leading.go
+++ b/internal/host/leader/leading.go
@@ -100,8 +100,7 @@
 	if ctx.Err() != nil {
 		return 0, ctx.Err()
 	}
-	found, gone := e.found(*r)
-	if gone != nil {
+	if _, gone := e.found(*r); gone != nil {
 		return 0, fmt.Errorf("%w: %w", gone, err)
 	}
 	if !t.Valid(e.clock()) {
@@ -110,7 +109,8 @@
 	if e.clock().Sub(t.written()) > Renew+Renew/2 && e.alone(ctx) {
 		return version, fmt.Errorf("the store turns this host away and serves others: %w", err)
 	}
-	if found, gone = e.found(*r); gone != nil { // that may have shown another leader
+	found, gone := e.found(*r) // that may have shown another leader
+	if gone != nil {
 		return 0, fmt.Errorf("%w: %w", gone, err)
 	}
 	e.log.V(1).Info("leader row not renewed", "term", t.number, "error", err.Error())
--- a/internal/host/peer/net.go
+++ b/internal/host/peer/net.go
@@ -96,7 +96,7 @@
 		ctx, cancel := context.WithTimeout(context.Background(), HandshakeTime)
 		defer cancel()
 		if err := secured.HandshakeContext(ctx); err != nil {
-			n.log.Info("peer", "step", "handshake", "peer", c.RemoteAddr().String(), "error", err.Error())
+			n.log.V(1).Info("peer", "step", "handshake", "peer", c.RemoteAddr().String(), "error", err.Error())
 			_ = c.Close()
 			return
 		}
@@ -128,7 +128,7 @@
 
 // Printf implements the library's logger.
 func (p printer) Printf(format string, args ...any) {
-	p.log.Info("peer", "step", "rpc", "text", fmt.Sprintf(format, args...))
+	p.log.V(1).Info("peer", "step", "rpc", "text", fmt.Sprintf(format, args...))
 }
 
 func (n *Net) incoming() jsonrpc2.Handler {
--- a/internal/host/station/station.go
+++ b/internal/host/station/station.go
@@ -119,7 +119,7 @@
 		id.Peers, s.desk, s.keeper, s.store.Up, exchange.WithPower(id.Power), exchange.WithZone(id.Zone), exchange.WithLog(log),
 		exchange.WithAdopted(s.adopted), exchange.WithCounted(func() burn.Snapshot { return s.burn.Snapshot(time.Now()) }),
 	)
-	s.net = peer.New(s.exchange.Handle, set.peerTLS, nil, log.V(1))
+	s.net = peer.New(s.exchange.Handle, set.peerTLS, nil, log)
 	s.election = leader.New(s.store, s.exchange, s.desk.Lead, holder, id.Peers, log, leader.WithPower(id.Power))
 	s.entry = entry.New(s.store, s.exchange, s.exchange, log)
 	s.exchange.Bind(s.net, s.election, s.entry)
