station: a host that stood still learns what is in force before it serves

A host's process stands still for 3.4 s while a queue is added. Of two requests that wait in its sockets the later one is handled first, by the old configuration, and the earlier one 2 ms later by the new one.

Change: a station knows when the store last confirmed its configuration. If that is over 1.5 s ago and the store counts as up, a request waits for the next confirmation, 250 ms at the most.

--- a/internal/host/api/api.go
+++ b/internal/host/api/api.go
@@ -158,6 +158,7 @@
 	if !ok {
 		return caller{}, false
 	}
+	a.station.AwaitCatalog(r.Context())
 	config := a.inForce.config(a.station.Catalog())
 	c := caller{config: config}
 	account, found := key.Account(config)
--- a/internal/host/station/config.go
+++ b/internal/host/station/config.go
@@ -51,6 +51,7 @@
 	for _, r := range page.Rows {
 		s.offer(r)
 	}
+	s.currency.confirm()
 	return page.Version, nil
 }
 
@@ -66,6 +67,7 @@
 			s.offer(r)
 		}
 	}
+	s.currency.confirm()
 	return max(page.Version, after), nil
 }
 
--- a/internal/host/station/station.go
+++ b/internal/host/station/station.go
@@ -18,6 +18,7 @@
 	"guavaglade.example/guavaglade/internal/host/exchange"
 	"guavaglade.example/guavaglade/internal/host/leader"
 	"guavaglade.example/guavaglade/internal/host/peer"
+	"guavaglade.example/guavaglade/internal/host/steady"
 	"guavaglade.example/guavaglade/internal/platform/store"
 	"guavaglade.example/guavaglade/internal/report/burn"
 	"guavaglade.example/guavaglade/internal/work/dispatch"
@@ -56,6 +57,7 @@
 	metrics  tally.Scope
 	store    *store.Gauge
 	keeper   *catalog.Keeper
+	currency *currency // of what the keeper has
 	desk     *dispatcher.Dispatcher
 	exchange *exchange.Exchange
 	election *leader.Election
@@ -105,7 +107,7 @@
 	holder := id.Name + "#" + strconv.FormatInt(time.Now().UnixNano(), 36)
 	s := &Station{
 		identity: id, config: c, grace: set.grace, unready: set.unready, log: log, metrics: set.metrics,
-		keeper: catalog.NewKeeper(c.Decode), burn: burn.New(holder),
+		keeper: catalog.NewKeeper(c.Decode), currency: newCurrency(steady.Now), burn: burn.New(holder),
 	}
 	s.store = store.NewGauge(store.NewCounted(p.Store, set.metrics), leader.RowKey, s.storeChanged)
 	desk := []dispatcher.Option{
@@ -171,6 +173,15 @@
 // Catalog returns the configuration in force.
 func (s *Station) Catalog() *catalog.Keeper { return s.keeper }
 
+// AwaitCatalog waits a moment if the host cannot know whether its configuration is
+// the newest, as after its process stood still. While the store is away it does not
+// wait: the configuration in force is what there is.
+func (s *Station) AwaitCatalog(ctx context.Context) {
+	if s.store.Up() {
+		s.currency.await(ctx)
+	}
+}
+
 // Log returns where the station logs.
 func (s *Station) Log() logr.Logger { return s.log }
 
