--- a/internal/operator/command/command_test.go
+++ b/internal/operator/command/command_test.go
@@ -61,3 +61,24 @@
 		})
 	}
 }
+
+// A newcomer reads the help of a command and copies its example. Each command that
+// tells of something tells it as JSON, too, for scripts.
+func TestEachCommandHelpsWithAnExample(t *testing.T) {
+	is := is.New(t)
+	tells := map[string]bool{
+		"serve": false, "host": false, "standin": false, "demo": false, "check": true, "apply": true, "show": true,
+		"submit": true, "jobs": true, "explain": true, "cancel": true, "fleet": true, "report": true,
+	}
+	var all bytes.Buffer
+	is.Equal(command.Run([]string{"--help"}, &all, &bytes.Buffer{}), command.Done)
+	for name, json := range tells {
+		var out bytes.Buffer
+		is.Equal(command.Run([]string{name, "--help"}, &out, &bytes.Buffer{}), command.Done)
+		is.True(strings.Contains(out.String(), "Example: guavaglade "+name))
+		is.Equal(strings.Contains(out.String(), "--json"), json)
+		is.True(strings.Contains(all.String(), "\n  "+name+" "))
+	}
+	_, listed, _ := strings.Cut(all.String(), "Available commands:")
+	is.Equal(strings.Count(strings.TrimSpace(listed), "\n")+1, len(tells)) // none is left out here
+}
