--- a/internal/host/exchange/counting.go
+++ b/internal/host/exchange/counting.go
@@ -8,8 +8,8 @@
 // Figures of counts that are told again. Clients accept one that is two seconds
 // old.
 const (
-	// countFor is how long a count is told to all that ask. Clients of one host ask
-	// some twenty times a second; this spares the leader four of five of them.
+	// countFor is how long a count is told to all that ask: the leader is asked four
+	// times a second for a queue at the most, however many clients ask a host.
 	countFor = 250 * time.Millisecond
 	// countLast is how long a count is told while the leader does not answer: most
 	// leaders are succeeded within it.
--- a/internal/host/exchange/watching.go
+++ b/internal/host/exchange/watching.go
@@ -138,7 +138,7 @@
 const (
 	// listedPeers bounds the hosts that are told. A watcher needs two to relay by
 	// and its place among the first ten that may lead next. With all of them, what
-	// the leader sends would grow with the square of the hosts: at 300 it was four
+	// the leader sends would grow with the square of the hosts: at 300 it was three
 	// fifths of all its bytes.
 	listedPeers = 12
 	// listedFor is how long one list is told to all that ask: a quarter of the time
