dispatch: the line of a job tells its tasks and its objective

Change: two more values on the line 'job'; the count of tasks is a method. Conclusion: late and lost jobs can be listed from the leader's log.

--- a/internal/work/dispatch/arriving.go
+++ b/internal/work/dispatch/arriving.go
@@ -21,7 +21,7 @@
 	j := newJob(spec, PartOf(spec.ID, m.bounds.Parts), now)
 	m.jobs[spec.ID] = j
 	m.noteSize(spec)
-	m.log.Decided("job", "job", spec.ID, "queue", spec.Queue, "account", spec.Account, "priority", spec.Priority, "steps", len(spec.Steps), "accepted", spec.AcceptedAt)
+	m.log.Decided("job", "job", spec.ID, "queue", spec.Queue, "account", spec.Account, "priority", spec.Priority, "steps", len(spec.Steps), "tasks", spec.Tasks(), "objectiveMS", j.objective.Milliseconds(), "accepted", spec.AcceptedAt)
 	m.openJob(j, now)
 	m.changed = true
 }
--- a/internal/work/graph/job.go
+++ b/internal/work/graph/job.go
@@ -100,6 +100,15 @@
 // Occurrences returns how often the steps run.
 func (j *Job) Occurrences() int { return max(j.Repeat, 1) }
 
+// Tasks returns how many tasks the steps have together.
+func (j *Job) Tasks() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n
+}
+
 // Lasting reports whether a step of the job runs until the job is cancelled.
 func (j *Job) Lasting() bool {
 	for i := range j.Steps {
@@ -135,15 +144,13 @@
 	case j.Every < 0:
 		return fmt.Errorf("%w: negative interval", ErrInvalid)
 	}
-	tasks := 0
 	for i := range j.Steps {
 		if err := j.Steps[i].check(i); err != nil {
 			return fmt.Errorf("%w: step %d: %w", ErrInvalid, i, err)
 		}
-		tasks += j.Steps[i].Count
 	}
-	if tasks > MaxTasks {
-		return fmt.Errorf("%w: %d tasks, at most %d", ErrInvalid, tasks, MaxTasks)
+	if n := j.Tasks(); n > MaxTasks {
+		return fmt.Errorf("%w: %d tasks, at most %d", ErrInvalid, n, MaxTasks)
 	}
 	return nil
 }
