soundness, dispatch: targets that fail what they start are told by how soon, and tried with one run

One failure was only a doubt, what had begun before the trouble and ended well took it back, a task could go back to the target that had failed it, and after some seconds a target got eight tasks at once again. Change: a failure within a thirtieth of a run's expected time condemns its target at once; only what began since speaks for it, and a run that has worked for a tenth of its time does so, too; after that it gets one run at a time, and no gang, until one has gone well; a task keeps away for 15 s from a target that failed it; a last attempt goes to a target on which something began well in the last 4 s, if one has room; a step that failed on four targets speaks against none. Ruled out: the same with 'early' as a tenth of the time: sound targets were condemned on deployments with many failures of their own. Gangs still choose a rack without regard to doubt.

--- a/internal/fleet/soundness/record.go
+++ b/internal/fleet/soundness/record.go
@@ -15,11 +15,22 @@
 	ownFailures = 0.05
 	// unsoundFailures is the share of runs that fail on an unsound target.
 	unsoundFailures = 0.9
+	// A run that fails by its own fault does so at any moment of its work; an unsound
+	// target fails what it starts within some tens of milliseconds. So a failure is
+	// early before earlyShare of the time that the run was expected to take, and
+	// earlyTime for the way of the order and of the report. Of the failures by their
+	// own fault few are early, which makes an early one weigh so much more.
+	earlyShare = 0.03
+	earlyTime  = 50 * time.Millisecond
+	// soundShare is the share of its expected time after which a run that goes on
+	// tells that its target is sound.
+	soundShare = 0.1
 	// fades is the time in which evidence loses half its weight: troubles of
 	// targets last some seconds.
 	fades = 5 * time.Second
 	// doubted and condemned are the odds from which a target gets work only if
-	// no other has room, and none at all.
+	// no other has room, and none at all. One early failure condemns
+	// for 3.5 s.
 	doubted   = 0.2
 	condemned = 1.0
 	// standstill counts as so many failures: a task that makes no progress does
@@ -31,6 +42,9 @@
 type Record struct {
 	evidence float64   // logarithm of the odds against the prior's, at
 	at       time.Time // the time of the last sign
+	badAt    time.Time // of the last sign against it
+	provenAt time.Time // when the latest run began that was a sign for it
+	onTrial  bool      // it was condemned, and nothing has gone well that began since
 	speed    float64   // of its tasks against sound ones; 0: not known
 	speedAt  time.Time
 	slowAt   time.Time // since when it is slow; zero: it is not
@@ -38,17 +52,26 @@
 
 var (
 	failureWeight = math.Log(unsoundFailures / ownFailures)
+	earlyWeight   = math.Log(unsoundFailures / (ownFailures * earlyShare))
 	successWeight = math.Log((1 - unsoundFailures) / (1 - ownFailures))
 )
 
 // add takes a sign in. Evidence for a target does not pile up beyond what makes
 // up for one failure, so that one that turns bad is noticed at once; evidence
-// against it not beyond two, so that one that is well again is soon back.
+// against it not beyond an early and another failure, so that one that is well
+// again is soon back.
 func (r *Record) add(weight float64, now time.Time) {
-	r.evidence = min(max(r.faded(now)+weight, successWeight), 2*failureWeight)
+	r.evidence = min(max(r.faded(now)+weight, successWeight), earlyWeight+failureWeight)
 	r.at = now
 }
 
+// against takes in a sign against the target.
+func (r *Record) against(weight float64, now time.Time) {
+	r.add(weight, now)
+	r.badAt = now
+	r.onTrial = r.onTrial || r.Condemned(now)
+}
+
 func (r *Record) faded(now time.Time) float64 {
 	if r.at.IsZero() {
 		return 0
@@ -56,14 +79,56 @@
 	return r.evidence * math.Exp2(-float64(now.Sub(r.at))/float64(fades))
 }
 
-// Failed notes that a run failed there that had not failed elsewhere.
-func (r *Record) Failed(now time.Time) { r.add(failureWeight, now) }
+// Failed notes that a run failed there, that had not failed elsewhere, after it
+// had worked for some time of what it was expected to take.
+func (r *Record) Failed(worked, expected time.Duration, now time.Time) {
+	weight := failureWeight
+	if Early(worked, expected) {
+		weight = earlyWeight
+	}
+	r.against(weight, now)
+}
+
+// Early reports whether a run that failed had worked for so little of the time that
+// it was expected to take that this speaks against its target, not against itself.
+func Early(worked, expected time.Duration) bool {
+	return worked < earlyTime+time.Duration(earlyShare*float64(expected))
+}
 
 // StoodStill notes that a run made no progress there.
-func (r *Record) StoodStill(now time.Time) { r.add(standstill*failureWeight, now) }
+func (r *Record) StoodStill(now time.Time) { r.against(standstill*failureWeight, now) }
+
+// Succeeded notes that a run went well there. One that began before the last sign
+// against the target tells nothing: a target that fails all that it starts lets go
+// on what it had started before.
+func (r *Record) Succeeded(began, now time.Time) {
+	if began.Before(r.badAt) {
+		return
+	}
+	r.add(successWeight, now)
+	r.onTrial = false
+	if began.After(r.provenAt) {
+		r.provenAt = began
+	}
+}
+
+// Survived notes that a run works there that has worked for some time of what it
+// is expected to take. It reports whether that is long enough to tell that the
+// target is sound: then it is a sign as good as a success.
+func (r *Record) Survived(began time.Time, worked, expected time.Duration, now time.Time) bool {
+	if float64(worked) < soundShare*float64(expected) || Early(worked, expected) {
+		return false
+	}
+	r.Succeeded(began, now)
+	return true
+}
+
+// ProvenSince reports whether a run has gone well there that began after a time.
+func (r *Record) ProvenSince(at time.Time) bool { return r.provenAt.After(at) }
 
-// Succeeded notes that a run was done there.
-func (r *Record) Succeeded(now time.Time) { r.add(successWeight, now) }
+// OnTrial reports whether the target was condemned a short while ago and nothing
+// has gone well there that began since: it should get one run at a time.
+func (r *Record) OnTrial(now time.Time) bool { return r.onTrial && r.Doubted(now) }
 
 // odds returns the odds that the target is unsound.
 func (r *Record) odds(now time.Time) float64 { return priorOdds * math.Exp(r.faded(now)) }
--- a/internal/fleet/soundness/record_test.go
+++ b/internal/fleet/soundness/record_test.go
@@ -9,23 +9,29 @@
 
 var begin = time.Unix(1000, 0)
 
+// A run that fails after half of its expected time, as by its own fault.
+const (
+	expected = 2 * time.Second
+	late     = time.Second
+)
+
 // One failure is a doubt, two are a verdict; a run that is done between them
 // takes the first one back.
 func TestFailures(t *testing.T) {
 	is := is.New(t)
 	var r Record
 	is.True(!r.Doubted(begin))
-	r.Failed(begin)
+	r.Failed(late, expected, begin)
 	is.True(r.Doubted(begin))
 	is.True(!r.Condemned(begin))
-	r.Failed(begin.Add(time.Second))
+	r.Failed(late, expected, begin.Add(time.Second))
 	is.True(r.Condemned(begin.Add(time.Second)))
 
 	var sound Record
-	sound.Failed(begin)
-	sound.Succeeded(begin)
+	sound.Failed(late, expected, begin)
+	sound.Succeeded(begin, begin)
 	is.True(!sound.Doubted(begin))
-	sound.Failed(begin.Add(time.Second))
+	sound.Failed(late, expected, begin.Add(time.Second))
 	is.True(!sound.Condemned(begin.Add(time.Second)))
 }
 
@@ -35,11 +41,11 @@
 	is := is.New(t)
 	var r Record
 	for range 100 {
-		r.Succeeded(begin)
+		r.Succeeded(begin, begin)
 	}
-	r.Failed(begin)
-	r.Failed(begin)
-	r.Failed(begin)
+	r.Failed(late, expected, begin)
+	r.Failed(late, expected, begin)
+	r.Failed(late, expected, begin)
 	is.True(r.Condemned(begin))
 }
 
@@ -48,7 +54,7 @@
 	is := is.New(t)
 	var r Record
 	for range 3 {
-		r.Failed(begin)
+		r.Failed(late, expected, begin)
 	}
 	is.True(r.Condemned(begin.Add(2 * time.Second)))
 	is.True(!r.Condemned(begin.Add(12 * time.Second)))
--- a/internal/standin/pool/orders.go
+++ b/internal/standin/pool/orders.go
@@ -79,7 +79,8 @@
 	if step.DataRack != "" && t.Rack != step.DataRack {
 		x.total = time.Duration(float64(x.total) * p.bounds.Far)
 	}
-	x.willFail = t.fails || (w.does.Fails != nil && w.does.Fails(s.Run.Task, s.Run.Number))
+	x.willFail = w.does.Fails != nil && w.does.Fails(s.Run.Task, s.Run.Number)
+	x.failsAtOnce = t.fails
 	x.base = parseCheckpoint(s.Checkpoint)
 	x.saved = x.base
 	x.left = max(x.total-x.base, 0)
--- a/internal/standin/pool/pool.go
+++ b/internal/standin/pool/pool.go
@@ -30,9 +30,8 @@
 
 // Behaviour is what the tasks of a job do.
 type Behaviour struct {
-	Work     func(id graph.TaskID) time.Duration         // of one run from its beginning
-	Fails    func(id graph.TaskID, run int) bool         // through the task's own fault
-	FailTime func(id graph.TaskID, run int) (at float64) // share of the work after which it fails
+	Work  func(id graph.TaskID) time.Duration // of one run from its beginning
+	Fails func(id graph.TaskID, run int) bool // through the task's own fault, half way
 }
 
 // work is a job that was submitted.
--- a/internal/standin/pool/running.go
+++ b/internal/standin/pool/running.go
@@ -78,7 +78,7 @@
 	if x.step.Lasting {
 		x.left = max(x.left, 1)
 	}
-	if x.willFail && x.left <= x.total/2 {
+	if x.failsAtOnce || (x.willFail && x.left <= x.total/2) {
 		x.target.end(x, order.Failed)
 		p.breakGang(x)
 		return
--- a/internal/standin/pool/target.go
+++ b/internal/standin/pool/target.go
@@ -33,17 +33,18 @@
 // exec is a run on a target.
 type exec struct {
 	order.Run
-	target   *target
-	def      *work
-	step     *graph.Step
-	startAt  time.Time
-	works    bool          // false while it waits for its gang
-	total    time.Duration // of work on this target
-	left     time.Duration // of work
-	base     time.Duration // of work that its checkpoint covered
-	saved    time.Duration // of work that is saved
-	stopAt   time.Time     // when a stop takes effect; zero: none is wanted
-	willFail bool
+	target      *target
+	def         *work
+	step        *graph.Step
+	startAt     time.Time
+	works       bool          // false while it waits for its gang
+	total       time.Duration // of work on this target
+	left        time.Duration // of work
+	base        time.Duration // of work that its checkpoint covered
+	saved       time.Duration // of work that is saved
+	stopAt      time.Time     // when a stop takes effect; zero: none is wanted
+	willFail    bool          // by its own fault, half way
+	failsAtOnce bool
 }
 
 func (t *target) clock(now time.Time) int64 {
--- a/internal/work/dispatch/bounds.go
+++ b/internal/work/dispatch/bounds.go
@@ -8,6 +8,7 @@
 	Lease       time.Duration // longest lease that a target grants
 	StopTime    time.Duration // a target takes at most so long to stop a run
 	GangTimeout time.Duration // members wait so long for the others
+	RestoreTime time.Duration // a run that resumes from a checkpoint works from then on
 	FarFactor   float64       // a task away from its data, or a gang on several racks, takes so many times as long
 	ReclaimTime time.Duration // within it, guaranteed work has begun
 	Retention   time.Duration // how long the state of an ended job is known
@@ -18,7 +19,8 @@
 // DefaultBounds returns bounds for trials.
 func DefaultBounds() Bounds {
 	return Bounds{
-		Lease: 6 * time.Second, StopTime: 400 * time.Millisecond, GangTimeout: 3 * time.Second, FarFactor: 3,
+		Lease: 6 * time.Second, StopTime: 400 * time.Millisecond, GangTimeout: 3 * time.Second,
+		RestoreTime: 100 * time.Millisecond, FarFactor: 3,
 		ReclaimTime: 2900 * time.Millisecond, Retention: 120 * time.Second, Parts: 4,
 	}
 }
--- a/internal/work/dispatch/ending.go
+++ b/internal/work/dispatch/ending.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/fleet/soundness"
 	"guavaglade.example/guavaglade/internal/work/progress"
 )
 
@@ -75,7 +76,7 @@
 	if x := j.find(e.Run.Task); x != nil {
 		x.highest = max(x.highest, e.Run.Number)
 		x.step.gangRun = max(x.step.gangRun, e.Run.Number)
-		if m.takeEnd(x, t, e, now) {
+		if m.takeEnd(x, t, r, e, now) {
 			m.touch(j)
 		}
 	}
@@ -89,20 +90,23 @@
 }
 
 // takeEnd applies an end to its task and reports whether the job's progress has
-// changed. Ends of a job that is over change nothing.
-func (m *Machine) takeEnd(x *task, t *target, e order.Ended, now time.Time) bool {
+// changed. Ends of a job that is over change nothing; but what they tell of the
+// target counts. r is nil for a run that was not known.
+func (m *Machine) takeEnd(x *task, t *target, r *run, e order.Ended, now time.Time) bool {
 	s := x.step
 	if s.job.over() || x.done {
 		return false
 	}
 	if e.How == order.Done && !s.spec.Lasting {
-		t.health.Succeeded(now)
+		if r != nil {
+			t.health.Succeeded(r.beganAt, now)
+		}
 		m.done(x, now)
 		return true
 	}
 	saved := x.keep(e.Checkpoint)
 	if e.How == order.Failed && !s.spec.Lasting {
-		m.failure(x, t, e.Run.Number, now)
+		m.failure(x, t, r, e.Run.Number, now)
 		return true
 	}
 	if e.How == order.Failed {
@@ -204,41 +208,30 @@
 // run counts once: its end is listed again to a new leader if the earlier one
 // saved it and could not acknowledge it any more, and a gang's run may fail in
 // several members.
-func (m *Machine) failure(x *task, t *target, run int, now time.Time) {
+func (m *Machine) failure(x *task, t *target, r *run, number int, now time.Time) {
 	s := x.step
 	failures := &x.failures
 	if s.spec.Gang {
 		failures = &s.failures
 	}
-	if slices.Contains(*failures, run) {
+	if slices.Contains(*failures, number) {
 		return
 	}
-	*failures = append(*failures, run)
-	if len(*failures) == 1 { // one that failed elsewhere, too, is itself at fault
-		t.health.Failed(now)
+	*failures = append(*failures, number)
+	x.failedOn(t, now)
+	worked := m.worked(r, now)
+	first := len(*failures) == 1 // one that failed before is perhaps itself at fault
+	if s.blames() && (first || soundness.Early(worked, s.spec.Estimate)) {
+		was := t.health.Condemned(now)
+		t.health.Failed(worked, s.spec.Estimate, now)
+		m.suspect(t, was, "a run failed there after "+worked.String(), x.id(), now)
 	}
-	x.shun(t)
 	if len(*failures) >= s.job.spec.MaxAttempts {
 		m.log.Decided("job failed", "job", s.job.spec.ID, "task", x.id(), "failures", len(*failures), "target", t.ID)
 		m.end(s.job, progress.Failed, now)
 	}
 }
 
-// shun has a task, or its whole gang, rather not run on a target again.
-func (x *task) shun(t *target) {
-	avoid := &x.avoid
-	if x.step.spec.Gang {
-		avoid = &x.step.avoid
-	}
-	if *avoid == nil {
-		*avoid = map[string]bool{}
-	}
-	(*avoid)[t.ID] = true
-}
-
-// shuns reports whether a task would rather not run on a target.
-func (x *task) shuns(t *target) bool { return x.avoid[t.ID] || x.step.avoid[t.ID] }
-
 // seenRunning takes in a run that a target has.
 func (m *Machine) seenRunning(t *target, seen order.Running, now time.Time) {
 	r := t.runs[seen.Run]
--- a/internal/work/dispatch/fit.go
+++ b/internal/work/dispatch/fit.go
@@ -14,7 +14,7 @@
 
 // couldSuit reports the same, whether or not there is leave to run the step there.
 func (s *step) couldSuit(t *target, now time.Time) bool {
-	return t.open(now) && t.Service == s.job.spec.Service && t.Has(s.spec.Label)
+	return t.open(now) && t.Service == s.job.spec.Service && t.Has(s.spec.Label) && !t.barredByTrial(s, now)
 }
 
 // spread returns how many more tasks of the step the limit per target allows.
@@ -39,7 +39,7 @@
 	var bestFit fit
 	m.considered += len(m.byID)
 	for _, t := range m.byID {
-		if !s.suits(t, now) || m.heldFor(t, s) || !charge.Within(t.room()) || s.spread(t) <= 0 {
+		if !s.suits(t, now) || x.barred(t, now) || m.heldFor(t, s) || !charge.Within(t.room()) || s.spread(t) <= 0 {
 			continue
 		}
 		if f := m.fitOf(x, t, t.room(), now); best == nil || f.compare(bestFit) < 0 {
@@ -52,7 +52,7 @@
 // fit says how well a task fits a target; lower is better, the first difference
 // decides.
 type fit struct {
-	doubt    int // 1 if it failed there before, or the target is doubted or slow
+	doubt    int // 1 if the target is not known to be sound and this is the last attempt, 2 if it is doubted or slow, or the task shuns it
 	far      int // 1 if its data is on another rack
 	crowded  int // tasks there that it would disturb, or that would disturb it
 	stranded int // accelerators that nobody could use beside it and could before
@@ -73,7 +73,10 @@
 	charge := x.step.spec.Charge()
 	after := room.Minus(charge)
 	f := fit{crowded: t.crowds(x.step), left: after.Accelerators, cpu: after.CPU, stranded: m.stranded(after) - m.stranded(room)}
-	if x.shuns(t) || t.health.Doubted(now) || t.health.Slow(now) {
+	switch {
+	case x.shuns(t) || t.health.Doubted(now) || t.health.Slow(now):
+		f.doubt = 2
+	case x.lastAttempt() && !t.health.ProvenSince(now.Add(-provenFor)):
 		f.doubt = 1
 	}
 	if rack := x.step.spec.DataRack; rack != "" && t.Rack != rack {
--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -48,7 +48,7 @@
 	var racks []string
 	var all []*target
 	for _, t := range m.byID {
-		if !s.suits(t, now) {
+		if !s.suits(t, now) || s.tasks[0].barred(t, now) {
 			continue
 		}
 		if byRack[t.Rack] == nil {
--- a/internal/work/dispatch/job.go
+++ b/internal/work/dispatch/job.go
@@ -47,7 +47,8 @@
 	failures   []int // numbers of its runs that failed
 	saved      string
 	permits    permits
-	avoid      map[string]bool // targets on which it failed
+	avoid      aversions       // of a gang
+	failedAt   map[string]bool // targets on which a task failed
 	pausedTo   time.Time
 	rank       int64         // order among the open steps in this pass
 	tail       time.Duration // estimated work from this step on, along the longest chain
@@ -64,7 +65,7 @@
 	saved    string // checkpoint to resume from
 	runs     []*run // that may exist; at most one unless the step allows copies
 	pausedTo time.Time
-	avoid    map[string]bool // targets on which it failed
+	avoid    aversions
 }
 
 func (t *task) id() graph.TaskID { return t.step.id.Task(t.index) }
--- a/internal/work/dispatch/run.go
+++ b/internal/work/dispatch/run.go
@@ -46,4 +46,5 @@
 	firstAt      time.Time // when the first progress was reported; zero: none yet
 	firstPercent int
 	beganAt      time.Time // first seen on the target
+	vouched      bool      // it has worked long enough to speak for its target
 }
--- a/internal/work/dispatch/straggler.go
+++ b/internal/work/dispatch/straggler.go
@@ -33,6 +33,7 @@
 		if r.phase != running || r.task.step.spec.Lasting || r.task.step.job.spec.Once || r.share < 100 || r.task.step.job.over() {
 			continue
 		}
+		m.vouch(r, now)
 		switch {
 		case r.standsStill(now):
 			m.stuck(r, now)
@@ -47,7 +48,9 @@
 // stuck takes in that a run stands still.
 func (m *Machine) stuck(r *run, now time.Time) {
 	since := now.Sub(r.movedAt)
+	was := r.target.health.Condemned(now)
 	r.target.health.StoodStill(now)
+	m.suspect(r.target, was, "a run stands still there", r.Task, now)
 	if !r.stuck {
 		r.stuck = true
 		m.log.Decided("run stands still", "target", r.target.ID, "task", r.Task, "run", r.Number, "percent", r.percent, "sinceMS", since.Milliseconds())
--- /dev/null
+++ b/internal/work/dispatch/trust_test.go
@@ -0,0 +1,184 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/work/graph"
+	"guavaglade.example/guavaglade/internal/work/progress"
+)
+
+// fastFailers has every sixth target fail all that it starts from now on, or end it.
+func (d *drive) fastFailers(on bool) {
+	for i, t := range d.m.byID {
+		if i%6 == 0 {
+			d.p.FailAll(t.ID, on)
+		}
+	}
+}
+
+// completed returns how many of the jobs were completed.
+func (d *drive) completed(ids []graph.JobID) int {
+	n := 0
+	for _, id := range ids {
+		if d.state(id) == progress.Completed {
+			n++
+		}
+	}
+	return n
+}
+
+// Some targets fail all that they start within some tens of milliseconds, so they are
+// free again at once and attract what waits. Wide steps come whose tasks have two
+// attempts: a task loses one there and must not spend the other in the same way. Users
+// would see jobs end as failed a tenth of a second after they were handed in.
+func TestFastFailersEndNoWideJob(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 3, 6, DefaultBounds())
+	d.submit(2, 6*time.Second, small(60)) // the other targets are half full
+	d.run(2 * time.Second)
+	d.fastFailers(true)
+	var ids []graph.JobID
+	for range 8 {
+		ids = append(ids, d.submit(2, 3*time.Second, small(20)))
+		d.m.jobs[ids[len(ids)-1]].spec.MaxAttempts = 2
+		d.run(800 * time.Millisecond)
+	}
+	d.fastFailers(false)
+	d.run(40 * time.Second)
+	is.Equal(d.completed(ids), len(ids))
+	d.check()
+}
+
+// The same targets are met by urgent gangs, of which one member there ends the whole
+// run. The next attempt must not go back to the target that failed the last.
+func TestFastFailersEndNoGang(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 3, 6, DefaultBounds())
+	d.run(time.Second)
+	d.fastFailers(true)
+	var ids []graph.JobID
+	for range 20 {
+		ids = append(ids, d.submit(0, 2500*time.Millisecond, urgent(4, 4)))
+		d.run(300 * time.Millisecond)
+	}
+	d.fastFailers(false)
+	d.run(30 * time.Second)
+	is.Equal(d.completed(ids), len(ids))
+	d.check()
+}
+
+// A target fails all that it starts, but goes on with what it had started before. What
+// ends well there meanwhile must not make it look sound.
+func TestOldRunsDoNotVouchForATarget(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 2, DefaultBounds())
+	for i := range 4 {
+		d.submit(2, time.Duration(2000+200*i)*time.Millisecond, small(1))
+	}
+	d.run(1500 * time.Millisecond)
+	bad := d.m.byID[0]
+	is.Equal(len(bad.runs), 4)
+	d.p.FailAll(bad.ID, true)
+	d.submit(2, 5*time.Second, small(12)) // four fail there
+	d.run(1200 * time.Millisecond)        // the old runs end
+	is.Equal(d.p.StartsOn(bad.ID), 8)
+	d.submit(2, time.Second, small(8))
+	d.run(500 * time.Millisecond)
+	is.Equal(d.p.StartsOn(bad.ID), 8)
+	d.p.FailAll(bad.ID, false)
+	d.run(20 * time.Second)
+	d.check()
+}
+
+// A target that was condemned is well again. It gets one run at a time until one has
+// gone well, and then as many as it has room for.
+func TestTargetIsTriedWithOneRun(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 1, DefaultBounds())
+	only := d.m.byID[0]
+	d.p.FailAll(only.ID, true)
+	d.submit(2, 2*time.Second, small(1))
+	d.run(200 * time.Millisecond)
+	is.True(only.health.Condemned(d.now))
+	d.p.FailAll(only.ID, false)
+	d.submit(2, 2*time.Second, small(6))
+	d.run(4 * time.Second)
+	is.True(!only.health.Condemned(d.now))
+	is.Equal(len(only.runs), 1)
+	d.run(2 * time.Second)
+	is.Equal(len(only.runs), 6)
+	d.run(30 * time.Second)
+	d.check()
+}
+
+// A job that can never be done fails at once wherever it runs. It is itself at fault
+// then, and does not have one target condemned after the other.
+func TestHopelessJobDoesNotCondemnTheFleet(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 2, 6, DefaultBounds())
+	id := d.submit(2, 10*time.Millisecond, small(40))
+	d.m.jobs[id].spec.MaxAttempts = 9
+	for _, x := range d.m.byID {
+		d.p.FailAll(x.ID, true)
+	}
+	d.run(2 * time.Second)
+	condemned := 0
+	for _, x := range d.m.byID {
+		if x.health.Condemned(d.now) {
+			condemned++
+		}
+	}
+	is.True(condemned > 0)
+	is.True(condemned <= blameMost)
+}
+
+// The only other target is full for long, and the one that failed a task is no longer
+// condemned. The task has one attempt left: it waits, and does not go back.
+func TestTaskDoesNotGoBack(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 2, DefaultBounds())
+	bad := d.m.byID[0]
+	d.submit(2, 8*time.Second, small(8))
+	d.run(500 * time.Millisecond)
+	for _, x := range d.m.byID {
+		if len(x.runs) == 0 {
+			bad = x
+		}
+	}
+	d.p.FailAll(bad.ID, true)
+	id := d.submit(2, time.Second, small(1))
+	d.m.jobs[id].spec.MaxAttempts = 2
+	d.run(6 * time.Second)
+	is.True(!bad.health.Condemned(d.now))
+	is.Equal(d.p.StartsOn(bad.ID), 1)
+	d.run(10 * time.Second)
+	is.Equal(d.state(id), progress.Completed)
+	d.check()
+}
+
+// A task has failed once and has one attempt left. It goes to a target on which work
+// that began a moment ago goes well, though another fits it better of which nothing is
+// known: that one may fail all that it starts, too.
+func TestLastAttemptGoesToAProvenTarget(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 3, DefaultBounds())
+	d.submit(2, 9*time.Second, small(5)) // long ago, on the target that fits best
+	d.run(5 * time.Second)
+	old := d.m.byID[0]
+	is.Equal(len(old.runs), 5)
+	d.p.FailAll(old.ID, true)
+	proven := d.m.byID[2]
+	proven.health.Succeeded(d.now.Add(-time.Second), d.now)
+	id := d.submit(2, time.Second, small(1))
+	x := d.m.jobs[id].steps[0].tasks[0]
+	is.Equal(len(x.runs), 1) // it went to the target that fits best
+	d.m.jobs[id].spec.MaxAttempts = 2
+	d.run(100 * time.Millisecond)
+	is.Equal(len(x.failures), 1)
+	is.Equal(x.runs[0].target, proven)
+	d.run(15 * time.Second)
+	d.check()
+}
