--- a/internal/work/dispatch/clearing.go
+++ b/internal/work/dispatch/clearing.go
@@ -51,30 +51,22 @@
 	}
 }
 
-// clearForGang makes room for a gang on one of the sets, with as few doubted targets
-// as can be and at the least cost, and returns a target for each of its tasks; nil if
-// none can be cleared, or only at a cost that is not allowed yet. Where the gang has a
-// place already, though a doubtful one, only sets without doubt are cleared.
-func (m *Machine) clearForGang(s *step, sets []set, placed bool, now time.Time) []*target {
+// clearForGang makes room for a gang on one of the sets, at the least cost, and
+// returns a target for each of its tasks; nil if none can be cleared, or only at
+// a cost that is not allowed yet.
+func (m *Machine) clearForGang(s *step, sets []set, now time.Time) []*target {
 	var best *clearing
-	bestDoubts := 0
 	for _, set := range sets {
 		c := m.newClearing(s, now)
-		if !c.fillSet(set.targets) {
-			continue
-		}
-		doubts := s.doubts(c.plan, now)
-		if best == nil || doubts < bestDoubts || (doubts == bestDoubts && c.cost < best.cost) {
-			best, bestDoubts = c, doubts
+		if c.fillSet(set.targets) && (best == nil || c.cost < best.cost) {
+			best = c
 		}
 	}
-	if best == nil || (placed && bestDoubts > 0) {
+	if best == nil {
 		return nil
 	}
 	if best.cost > m.allowedLoss(s, len(s.tasks), now) {
-		if !placed {
-			m.holdBack(s, best.plan)
-		}
+		m.holdBack(s, best.plan)
 		return nil
 	}
 	m.stopVictims(best, now)
@@ -116,15 +108,11 @@
 	for i, t := range set {
 		offers[i] = c.offer(t)
 	}
-	for _, x := range c.step.tasks {
-		best, bestDoubt := -1, false
+	for range c.step.tasks {
+		best := -1
 		for i := range offers {
-			if !offers[i].ok {
-				continue
-			}
-			doubt := x.doubts(set[i], c.now)
-			if best < 0 || (bestDoubt && !doubt) || (doubt == bestDoubt && offers[i].cost < offers[best].cost) {
-				best, bestDoubt = i, doubt
+			if offers[i].ok && (best < 0 || offers[i].cost < offers[best].cost) {
+				best = i
 			}
 		}
 		if best < 0 {
--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -134,50 +134,22 @@
 	return nil
 }
 
-// planOn plans a gang on one of the sets: on the one with the fewest doubted targets,
-// since one of them ends or slows the whole gang, and of these on the one that is left
-// with the least room. If none without doubt has room, one is cleared at the least
-// cost. A plan with doubted targets is the last resort: of urgent gangs if nothing can
-// be cleared, of others once their objective cannot be met any more by waiting.
+// planOn plans a gang on one of the sets: the one that is left with the least
+// room or, if none has room, the one that is cleared at the least cost.
 func (m *Machine) planOn(s *step, sets []set, now time.Time) []*target {
 	var best []*target
-	bestLeft, bestDoubts := 0, 0
+	bestLeft := 0
 	for _, c := range sets {
-		plan, left := m.fill(s, c.targets, now)
-		if plan == nil {
-			continue
-		}
-		doubts := s.doubts(plan, now)
-		if best == nil || doubts < bestDoubts || (doubts == bestDoubts && left < bestLeft) {
-			best, bestLeft, bestDoubts = plan, left, doubts
-		}
-	}
-	if best != nil && bestDoubts == 0 {
-		return best
-	}
-	if s.job.spec.Priority == 0 {
-		if cleared := m.clearForGang(s, sets, best != nil, now); cleared != nil {
-			return cleared
+		if plan, left := m.fill(s, c.targets, now); plan != nil && (best == nil || left < bestLeft) {
+			best, bestLeft = plan, left
 		}
-		return best
 	}
-	if m.wallMS(now) <= s.latestStart() {
-		return nil
+	if best == nil && s.job.spec.Priority == 0 {
+		return m.clearForGang(s, sets, now)
 	}
 	return best
 }
 
-// doubts returns how many tasks of a plan would run on doubted targets.
-func (s *step) doubts(plan []*target, now time.Time) int {
-	n := 0
-	for i, t := range plan {
-		if s.tasks[i].doubts(t, now) {
-			n++
-		}
-	}
-	return n
-}
-
 // fill puts a gang's tasks on the targets of a set, each where it fits best, and
 // returns how many accelerators of the set are left free then.
 func (m *Machine) fill(s *step, targets []*target, now time.Time) (plan []*target, left int) {
--- a/internal/work/dispatch/trust.go
+++ b/internal/work/dispatch/trust.go
@@ -100,11 +100,6 @@
 	}
 }
 
-// doubts reports whether a task should run on a target only if no other has room.
-func (x *task) doubts(t *target, now time.Time) bool {
-	return x.shuns(t) || t.health.Doubted(now) || t.health.Slow(now)
-}
-
 // shuns reports whether a task would rather not run on a target.
 func (x *task) shuns(t *target) bool {
 	_, ok := (*x.averse())[t.ID]
