dispatch: a last attempt waits for a target that was proven since the failure

Cause: of the jobs still lost to targets that fail what they start, most spend two attempts within 0.1 s: when several targets turn bad at one moment, nothing is known yet of the second when a task that failed on the first comes there. Change: after an early failure a last attempt goes only to targets on which something has gone well that began since, for 2.2 s at most (a report takes two seconds at most). What became of the runs of a task or gang is one type now, attempts, in place of fields that stood in both.

--- a/internal/work/dispatch/arriving.go
+++ b/internal/work/dispatch/arriving.go
@@ -90,11 +90,11 @@
 
 func (m *Machine) resumeStep(s *step, k *progress.Step, now time.Time) {
 	if s.spec.Gang {
-		s.failures, s.saved = k.Failures[0], k.Saved[0]
+		s.tried.failed, s.saved = k.Failures[0], k.Saved[0]
 	}
 	for _, x := range s.tasks {
 		if !s.spec.Gang {
-			x.failures, x.saved = k.Failures[x.index], k.Saved[x.index]
+			x.own.failed, x.saved = k.Failures[x.index], k.Saved[x.index]
 		}
 		x.highest = k.Runs[x.index]
 		s.gangRun = max(s.gangRun, x.highest)
--- a/internal/work/dispatch/clearing.go
+++ b/internal/work/dispatch/clearing.go
@@ -18,7 +18,7 @@
 	var bestOffer offer
 	m.considered += len(m.byID)
 	for _, t := range m.byID {
-		if !s.suits(t, now) || m.heldFor(t, s) || x.shuns(t) {
+		if !s.suits(t, now) || m.heldFor(t, s) || x.tried().shuns(t) {
 			continue
 		}
 		if o := c.offer(t); o.ok && (best == nil || o.cost < bestOffer.cost) {
--- a/internal/work/dispatch/ending.go
+++ b/internal/work/dispatch/ending.go
@@ -205,29 +205,26 @@
 }
 
 // failure counts a failed run against its task, or its gang, and the target. A
-// run counts once: its end is listed again to a new leader if the earlier one
-// saved it and could not acknowledge it any more, and a gang's run may fail in
-// several members.
+// run counts once. r is nil for a run that was not known.
 func (m *Machine) failure(x *task, t *target, r *run, number int, now time.Time) {
-	s := x.step
-	failures := &x.failures
-	if s.spec.Gang {
-		failures = &s.failures
-	}
-	if slices.Contains(*failures, number) {
+	s, a := x.step, x.tried()
+	if !a.fail(number, t, now) {
 		return
 	}
-	*failures = append(*failures, number)
-	x.failedOn(t, now)
+	s.failedOn(t)
 	worked := m.worked(r, now)
-	first := len(*failures) == 1 // one that failed before is perhaps itself at fault
-	if s.blames() && (first || soundness.Early(worked, s.spec.Estimate)) {
+	early := soundness.Early(worked, s.spec.Estimate)
+	if early {
+		a.earlyAt = now
+	}
+	first := len(a.failed) == 1 // one that failed before is perhaps itself at fault
+	if s.blames() && (first || early) {
 		was := t.health.Condemned(now)
 		t.health.Failed(worked, s.spec.Estimate, now)
 		m.suspect(t, was, "a run failed there after "+worked.String(), x.id(), now)
 	}
-	if len(*failures) >= s.job.spec.MaxAttempts {
-		m.log.Decided("job failed", "job", s.job.spec.ID, "task", x.id(), "failures", len(*failures), "target", t.ID)
+	if len(a.failed) >= s.job.spec.MaxAttempts {
+		m.log.Decided("job failed", "job", s.job.spec.ID, "task", x.id(), "failures", len(a.failed), "target", t.ID)
 		m.end(s.job, progress.Failed, now)
 	}
 }
--- a/internal/work/dispatch/fit.go
+++ b/internal/work/dispatch/fit.go
@@ -74,7 +74,7 @@
 	after := room.Minus(charge)
 	f := fit{crowded: t.crowds(x.step), left: after.Accelerators, cpu: after.CPU, stranded: m.stranded(after) - m.stranded(room)}
 	switch {
-	case x.shuns(t) || t.health.Doubted(now) || t.health.Slow(now):
+	case x.tried().shuns(t) || t.health.Doubted(now) || t.health.Slow(now):
 		f.doubt = 2
 	case x.lastAttempt() && !t.health.ProvenSince(now.Add(-provenFor)):
 		f.doubt = 1
--- a/internal/work/dispatch/job.go
+++ b/internal/work/dispatch/job.go
@@ -44,10 +44,9 @@
 	dueAt   int64 // milliseconds since 1970 from which it may start; 0: at once
 	// Of a gang.
 	gangRun    int
-	failures   []int // numbers of its runs that failed
 	saved      string
 	permits    permits
-	avoid      aversions       // of a gang
+	tried      attempts        // of a gang
 	failedAt   map[string]bool // targets on which a task failed
 	pausedTo   time.Time
 	rank       int64         // order among the open steps in this pass
@@ -61,11 +60,10 @@
 	index    int
 	done     bool
 	highest  int    // highest run number that may have been used
-	failures []int  // numbers of its runs that failed
 	saved    string // checkpoint to resume from
 	runs     []*run // that may exist; at most one unless the step allows copies
 	pausedTo time.Time
-	avoid    aversions
+	own      attempts // of one that is in no gang
 }
 
 func (t *task) id() graph.TaskID { return t.step.id.Task(t.index) }
--- a/internal/work/dispatch/save.go
+++ b/internal/work/dispatch/save.go
@@ -75,9 +75,9 @@
 // kept returns what must be kept of the step, or nil for nothing.
 func (s *step) kept() *progress.Step {
 	k := &progress.Step{}
-	empty := len(s.failures) == 0 && s.saved == ""
-	if len(s.failures) > 0 {
-		k.Failures = map[int][]int{0: s.failures}
+	empty := len(s.tried.failed) == 0 && s.saved == ""
+	if len(s.tried.failed) > 0 {
+		k.Failures = map[int][]int{0: s.tried.failed}
 	}
 	if s.saved != "" {
 		k.Saved = map[int]string{0: s.saved}
@@ -91,8 +91,8 @@
 			k.Done.SetBit(k.Done, t.index, 1)
 			empty = false
 			continue
-		case len(t.failures) > 0:
-			k.Failures = put(k.Failures, t.index, t.failures)
+		case len(t.own.failed) > 0:
+			k.Failures = put(k.Failures, t.index, t.own.failed)
 			empty = false
 		}
 		if t.highest > 0 {
--- a/internal/work/dispatch/schedule.go
+++ b/internal/work/dispatch/schedule.go
@@ -206,7 +206,7 @@
 		}
 		if t == nil {
 			left = true
-			full = len(x.avoid) == 0 // the other tasks are alike
+			full = len(x.tried().avoid) == 0 // the other tasks are alike
 			continue
 		}
 		m.startIfFits([]*run{m.place(x, t, x.highest+1, now)})
--- a/internal/work/dispatch/straggler.go
+++ b/internal/work/dispatch/straggler.go
@@ -203,7 +203,7 @@
 		m.moveGang(r, why, now)
 		return
 	}
-	x.shun(r.target)
+	x.tried().shun(r.target)
 	t := m.choose(x, now)
 	if t == nil || t == r.target {
 		return
--- a/internal/work/dispatch/trust_test.go
+++ b/internal/work/dispatch/trust_test.go
@@ -159,26 +159,52 @@
 	d.check()
 }
 
-// A task has failed once and has one attempt left. It goes to a target on which work
-// that began a moment ago goes well, though another fits it better of which nothing is
-// known: that one may fail all that it starts, too.
+// A task has failed once and has one attempt left. It waits for a while for a target on
+// which something goes well that began since, and goes then to one on which that was so
+// a moment ago, though another fits it better of which nothing is known.
 func TestLastAttemptGoesToAProvenTarget(t *testing.T) {
+	is := is.New(t)
+	d, x := newLastAttempt(t)
+	proven := d.m.byID[2]
+	proven.health.Succeeded(d.now.Add(-time.Second), d.now)
+	d.run(time.Second)
+	is.Equal(len(x.runs), 0)
+	d.run(1500 * time.Millisecond)
+	is.Equal(len(x.runs), 1)
+	is.Equal(x.runs[0].target, proven)
+	d.run(15 * time.Second)
+	d.check()
+}
+
+// The same, and meanwhile work that began after the failure goes well on a target: the
+// task need not wait any longer.
+func TestLastAttemptFollowsFreshProof(t *testing.T) {
+	is := is.New(t)
+	d, x := newLastAttempt(t)
+	d.run(500 * time.Millisecond)
+	proven := d.m.byID[2]
+	proven.health.Succeeded(d.now.Add(-300*time.Millisecond), d.now)
+	d.run(200 * time.Millisecond)
+	is.Equal(len(x.runs), 1)
+	is.Equal(x.runs[0].target, proven)
+	d.run(15 * time.Second)
+	d.check()
+}
+
+// newLastAttempt returns a drive with three targets, of which the first has failed
+// early the first of two attempts of a task.
+func newLastAttempt(t *testing.T) (*drive, *task) {
 	is := is.New(t)
 	d := newDrive(t, 1, 3, DefaultBounds())
-	d.submit(2, 9*time.Second, small(5)) // long ago, on the target that fits best
+	d.submit(2, 9*time.Second, small(5)) // on the target that fits best from then on
 	d.run(5 * time.Second)
 	old := d.m.byID[0]
 	is.Equal(len(old.runs), 5)
 	d.p.FailAll(old.ID, true)
-	proven := d.m.byID[2]
-	proven.health.Succeeded(d.now.Add(-time.Second), d.now)
 	id := d.submit(2, time.Second, small(1))
-	x := d.m.jobs[id].steps[0].tasks[0]
-	is.Equal(len(x.runs), 1) // it went to the target that fits best
 	d.m.jobs[id].spec.MaxAttempts = 2
 	d.run(100 * time.Millisecond)
-	is.Equal(len(x.failures), 1)
-	is.Equal(x.runs[0].target, proven)
-	d.run(15 * time.Second)
-	d.check()
+	x := d.m.jobs[id].steps[0].tasks[0]
+	is.Equal(len(x.own.failed), 1)
+	return d, x
 }
