dispatch: a gang does not wait for the lease of a member that must have ended

Change: if all members of a gang's run but one ended since another had, that one is the other; on a silent target it is given up at once. With two members not heard of nothing is concluded. Ruled out: the store's list (a target that is cut off leaves it, too, and works on).

--- a/internal/work/dispatch/ending.go
+++ b/internal/work/dispatch/ending.go
@@ -82,6 +82,9 @@
 	}
 	if r != nil {
 		m.endOnce(r, now)
+		if e.How == order.Broken {
+			m.memberBroken(r, now)
+		}
 	}
 	// Also an end that changes nothing waits for what is not saved yet: another
 	// member's end may have ended the whole gang a moment ago, and must not be
--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -251,3 +251,40 @@
 	slices.SortStableFunc(groups, func(a, b []*run) int { return a[0].placedAt.Compare(b[0].placedAt) })
 	return groups
 }
+
+// brokenRun is what is known of the end of a gang's run.
+type brokenRun struct {
+	number  int          // of the run
+	members map[int]bool // tasks that ended since another member had ended
+}
+
+// memberBroken notes that a gang's member ended since another one had.
+func (m *Machine) memberBroken(r *run, now time.Time) {
+	s := r.task.step
+	if !s.spec.Gang {
+		return
+	}
+	if s.broken.number != r.Number {
+		s.broken = brokenRun{number: r.Number, members: map[int]bool{}}
+	}
+	s.broken.members[r.task.index] = true
+	for _, x := range s.tasks {
+		for _, o := range slices.Clone(x.runs) {
+			m.releaseCause(o, now)
+		}
+	}
+}
+
+// releaseCause gives up a gang's member on a silent target if it must be the one that
+// ended first: all others ended since another had. Without this the gang would wait
+// until the leases have lapsed on a target that lost power, ten seconds and more.
+func (m *Machine) releaseCause(r *run, now time.Time) {
+	s := r.task.step
+	ended := s.broken.number == r.Number && len(s.broken.members) == len(s.tasks)-1 && !s.broken.members[r.task.index]
+	if !s.spec.Gang || !ended || r.target.reach == held {
+		return
+	}
+	m.log.Decided("run must have ended", "target", r.target.ID, "task", r.Task, "run", r.Number, "members", len(s.tasks))
+	m.release(r, now)
+	m.endOnce(r, now)
+}
--- a/internal/work/dispatch/hold.go
+++ b/internal/work/dispatch/hold.go
@@ -219,6 +219,9 @@
 	if t.reach == held {
 		t.reach, t.silentAt = silent, now
 		m.log.Decided("target silent", "target", t.ID, "runs", len(t.runs), "error", err.Error())
+		for _, r := range t.sortedRuns() {
+			m.releaseCause(r, now)
+		}
 	}
 }
 
--- a/internal/work/dispatch/job.go
+++ b/internal/work/dispatch/job.go
@@ -47,6 +47,7 @@
 	saved      string
 	permits    permits
 	tried      attempts        // of a gang
+	broken     brokenRun       // of a gang
 	failedAt   map[string]bool // targets on which a task failed
 	pausedTo   time.Time
 	rank       int64         // order among the open steps in this pass
