dispatch: a target that misses an order gets no work until it answers, and a zone that seems cut off neither

Change: an order without an answer closes its target until it answers anything, and a look beside the hold asks it at once; with two such targets in a zone, and nothing heard from the zone since, its others are closed, asked, and opened as they answer. A run that was noted and not sent yet is given up then.

--- a/internal/work/dispatch/hold.go
+++ b/internal/work/dispatch/hold.go
@@ -44,14 +44,14 @@
 )
 
 // lookIfDue asks for a report beside the hold that is outstanding, if that may
-// have been lost: its time is over, or a stop was answered and its end is not
-// listed. Without it a lost hold blinds the leader until its time-out, and room
+// have been lost: its time is over, another order was not answered, or a stop was
+// answered and its end is not listed. Without it a lost hold blinds the leader until its time-out, and room
 // that was cleared for urgent work goes unused for as long.
 func (m *Machine) lookIfDue(t *target, now time.Time) {
 	if !t.holding || t.looking || t.reach != held || now.Sub(t.lookedAt) < lookEvery {
 		return
 	}
-	if now.Sub(t.heldAt) < holdWait+overdue && !t.missesEnd(now) {
+	if now.Sub(t.heldAt) < holdWait+overdue && t.inTouch() && !t.missesEnd(now) {
 		return
 	}
 	t.looking, t.lookedAt = true, now
@@ -81,7 +81,7 @@
 		m.hold(t, 0, now)
 	case t.reach == silent && (t.listed || len(t.runs) > 0):
 		m.hold(t, 0, now)
-	case t.reach == held && t.clockMS == 0:
+	case t.reach == held && (t.clockMS == 0 || !t.inTouch()):
 		m.hold(t, 0, now)
 	case t.reach == held && t.ordered():
 		m.hold(t, t.wait(), now)
@@ -129,6 +129,7 @@
 	t.answered(h)
 	m.touchTarget(t)
 	t.heardAt = now
+	m.answers(t, now)
 	t.heardClock(rep.Clock, now)
 	t.sentAck = max(t.sentAck, h.Order.Acked)
 	if t.reach != held {
@@ -208,6 +209,7 @@
 	case t.heardAt.After(h.Sent):
 		// It answered another one since: only this one was lost.
 	default:
+		m.misses(t, h.Sent)
 		m.quiet(t, err, now)
 	}
 	m.changed = true
--- a/internal/work/dispatch/starting.go
+++ b/internal/work/dispatch/starting.go
@@ -45,10 +45,10 @@
 			continue // the last: its gang was given up just now
 		}
 		switch {
-		case r.target.Draining || !m.listFresh(now):
-			m.log.Decided("run given up before it was sent", "target", r.target.ID, "task", r.Task, "run", r.Number, "drains", r.target.Draining, "listAgeMS", now.Sub(m.listAsOf).Milliseconds())
-			m.stop(r, "its target leaves or may leave", now)
-			m.stopGang(r, "a member's target leaves or may leave", now)
+		case r.target.Draining || !r.target.inTouch() || !m.listFresh(now):
+			m.log.Decided("run given up before it was sent", "target", r.target.ID, "task", r.Task, "run", r.Number, "drains", r.target.Draining, "inTouch", r.target.inTouch(), "listAgeMS", now.Sub(m.listAsOf).Milliseconds())
+			m.stop(r, "its target leaves or does not answer", now)
+			m.stopGang(r, "a member's target leaves or does not answer", now)
 		default:
 			r.phase = starting
 			r.resumedAt = r.task.checkpoint()
@@ -81,6 +81,9 @@
 		m.fenced(t, "start")
 		return
 	}
+	if answered(err) {
+		m.answers(t, now)
+	}
 	r := t.runs[what]
 	if r == nil {
 		return
@@ -97,14 +100,20 @@
 		m.lifeOver(t, now)
 	case errors.Is(err, order.ErrUnanswered):
 		r.unanswered = true
+		m.misses(t, r.sentAt)
 	case errors.Is(err, order.ErrUnreached):
-		// It is sent again by tickRun.
+		m.misses(t, r.sentAt) // it is sent again by tickRun
 	default:
 		m.startRefused(r, err, now)
 	}
 	m.changed = true
 }
 
+// answered reports whether an order was answered, whatever the answer was.
+func answered(err error) bool {
+	return !errors.Is(err, order.ErrUnanswered) && !errors.Is(err, order.ErrUnreached)
+}
+
 // began takes in that a run is on its target.
 func (m *Machine) began(r *run, now time.Time) {
 	r.phase = running
@@ -202,10 +211,16 @@
 		m.lifeOver(t, now)
 		return
 	}
+	if answered(err) {
+		m.answers(t, now)
+	}
 	if r := t.runs[what]; r != nil {
 		r.pending = false
-		if err == nil {
+		switch {
+		case err == nil:
 			r.settledAt = now
+		case !answered(err):
+			m.misses(t, r.sentAt)
 		}
 	}
 }
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -37,6 +37,9 @@
 	looking    bool               // a look is outstanding
 	lookedAt   time.Time          // when the last look was sent
 	heardAt    time.Time          // when it last reported
+	answeredAt time.Time          // when it last answered anything
+	missedAt   time.Time          // when the first order was sent that it has not answered, nor any since; zero: none
+	cutOff     bool               // its zone seems to be, and it has not answered since
 	holdAgain  time.Time          // not before
 	reported   bool               // a first report came in this term
 	seen       int64              // highest end number that was taken in
@@ -64,7 +67,7 @@
 
 // open reports whether new work may be given to the target.
 func (t *target) open(now time.Time) bool {
-	return t.listed && t.reach == held && t.clockMS != 0 && !t.Draining && !now.Before(t.shunned) && !t.health.Condemned(now)
+	return t.listed && t.reach == held && t.inTouch() && t.clockMS != 0 && !t.Draining && !now.Before(t.shunned) && !t.health.Condemned(now)
 }
 
 // forgotten reports whether nothing need be known of the target any more: it has
--- /dev/null
+++ b/internal/work/dispatch/touch_test.go
@@ -0,0 +1,104 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/work/graph"
+)
+
+// cutZone loses what is sent to a zone's targets from now on.
+func (d *drive) cutZone(zone string) {
+	away := map[string]bool{}
+	for _, t := range d.m.byID {
+		away[t.ID] = t.Zone == zone
+	}
+	d.lose = func(c Command) bool { return away[targetOf(c)] }
+}
+
+// A zone is cut off while some of its targets are idle: no hold is outstanding there
+// that could time out. Urgent gangs come one after another. Users would see each of
+// them take an idle rack of that zone and wait until the cut is over, since an order
+// without an answer may have been carried out. Once two targets have missed an order
+// the zone gets nothing more, and when it is back it gets work again.
+func TestNothingGoesToAZoneThatIsCutOff(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 3, 4, DefaultBounds())
+	zone := d.m.byID[0].Zone // its rack is tried first
+	d.cutZone(zone)
+	first := d.submit(0, 2*time.Second, urgent(2, 8))
+	d.run(500 * time.Millisecond)
+	var ids []graph.JobID
+	for range 4 {
+		ids = append(ids, d.submit(0, 2*time.Second, urgent(2, 8)))
+		d.run(300 * time.Millisecond)
+	}
+	d.run(3 * time.Second)
+	for _, id := range ids {
+		is.True(d.took(id) > 0 && d.took(id) < 3*time.Second)
+	}
+	is.Equal(d.took(first), time.Duration(0)) // it may run there
+	d.lose = nil
+	d.run(8 * time.Second)
+	is.True(d.took(first) > 0)
+	for _, x := range d.m.byID {
+		is.True(x.inTouch())
+	}
+	d.check()
+}
+
+// One target of a zone crashes, and the others there are idle. They are not taken for
+// cut off: a job that needs the whole zone's rack, less the one, starts at once.
+func TestOneSilentTargetIsNotAZone(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 4, DefaultBounds())
+	bad := d.m.byID[0].ID
+	d.lose = func(c Command) bool { return targetOf(c) == bad }
+	d.submit(2, time.Second, small(1))
+	d.run(500 * time.Millisecond)
+	is.True(!d.m.byID[0].inTouch())
+	id := d.submit(0, 2*time.Second, urgent(3, 8))
+	d.run(3 * time.Second)
+	is.True(d.took(id) > 0)
+	d.lose = nil
+	d.run(12 * time.Second)
+	d.check()
+}
+
+// Two targets of a zone crash at once while the others there are idle. The zone seems to
+// be cut off; its other targets are asked, and get work as soon as they have answered.
+func TestIdleTargetsAreAskedWhenTheirZoneSeemsCutOff(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 5, DefaultBounds())
+	bad := map[string]bool{d.m.byID[0].ID: true, d.m.byID[1].ID: true}
+	d.lose = func(c Command) bool { return bad[targetOf(c)] }
+	d.submit(2, 6*time.Second, small(9)) // on both
+	d.run(500 * time.Millisecond)
+	is.True(!d.m.byID[1].inTouch())
+	id := d.submit(0, 2*time.Second, urgent(3, 8))
+	d.run(3 * time.Second)
+	is.True(d.took(id) > 0)
+	d.lose = nil
+	d.run(20 * time.Second)
+	d.check()
+}
+
+// The answer to one start is lost. The target gets nothing more until it has answered
+// something, which a look beside the hold asks for at once.
+func TestTargetIsLookedAtAfterALostAnswer(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 1, DefaultBounds())
+	d.submit(2, 6*time.Second, small(1))
+	d.run(2500 * time.Millisecond)
+	d.mute = func(c Command) bool { _, ok := c.(Start); return ok }
+	d.submit(2, 6*time.Second, small(1))
+	d.run(370 * time.Millisecond)
+	is.True(!d.m.byID[0].inTouch())
+	d.run(150 * time.Millisecond) // before the start is sent again
+	is.True(d.m.byID[0].inTouch())
+	d.mute = nil
+	d.run(8 * time.Second)
+	d.check()
+}
