dispatch: an end of which the kind is not known counts as an attempt

Change: such an end counts as a failure until the target's leases have lapsed; one that may have been the last attempt is not given up, so a successor finds it noted, too.

--- a/internal/work/dispatch/attempts.go
+++ b/internal/work/dispatch/attempts.go
@@ -10,6 +10,7 @@
 type attempts struct {
 	failed  []int                // numbers of the runs that failed
 	avoid   map[string]time.Time // targets on which it had better not run: when it failed there; zero: it only stood still or was slow
+	unsure  map[int]time.Time    // runs that ended in a way that is not known: until when their targets may still tell
 	earlyAt time.Time            // when a run failed last so early that it speaks against its target; zero: none did
 }
 
@@ -33,6 +34,26 @@
 	return true
 }
 
+// doubt notes that a run has ended, and that it may turn out until a time that it failed.
+func (a *attempts) doubt(run int, until time.Time) {
+	if a.unsure == nil {
+		a.unsure = map[int]time.Time{}
+	}
+	a.unsure[run] = until
+}
+
+// mostFailed returns how many runs may have failed: a start after the last attempt
+// failed would be one too many, also if that end is listed only later.
+func (a *attempts) mostFailed(now time.Time) int {
+	n := len(a.failed)
+	for run, until := range a.unsure {
+		if now.Before(until) && !slices.Contains(a.failed, run) {
+			n++
+		}
+	}
+	return n
+}
+
 // shun notes that it had better not run on a target again.
 func (a *attempts) shun(t *target) {
 	if a.avoid == nil {
--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -16,7 +16,7 @@
 			return true
 		}
 	}
-	if now.Before(s.pausedTo) {
+	if now.Before(s.pausedTo) || s.mayBeSpent(0, now) {
 		return true
 	}
 	plan := m.planGang(s, now)
@@ -277,14 +277,23 @@
 
 // releaseCause gives up a gang's member on a silent target if it must be the one that
 // ended first: all others ended since another had. Without this the gang would wait
-// until the leases have lapsed on a target that lost power, ten seconds and more.
+// until the leases have lapsed on a target that lost power, ten seconds and more. It
+// may have failed, which the target tells when it answers again: that counts as an
+// attempt until its leases have lapsed. One that may have been the last attempt is not
+// given up, and stays noted for the next leader.
 func (m *Machine) releaseCause(r *run, now time.Time) {
 	s := r.task.step
 	ended := s.broken.number == r.Number && len(s.broken.members) == len(s.tasks)-1 && !s.broken.members[r.task.index]
-	if !s.spec.Gang || !ended || r.target.reach == held {
+	if !s.spec.Gang || !ended || r.target.reach == held || s.mayBeSpent(1, now) {
 		return
 	}
 	m.log.Decided("run must have ended", "target", r.target.ID, "task", r.Task, "run", r.Number, "members", len(s.tasks))
+	s.tried.doubt(r.Number, r.target.leaseEnd)
 	m.release(r, now)
 	m.endOnce(r, now)
 }
+
+// mayBeSpent reports whether a gang may have no attempt left if so many more failed.
+func (s *step) mayBeSpent(more int, now time.Time) bool {
+	return s.tried.mostFailed(now)+more >= max(s.job.spec.MaxAttempts, 1)
+}
--- a/internal/work/dispatch/gang_test.go
+++ b/internal/work/dispatch/gang_test.go
@@ -5,6 +5,10 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/standin/pool"
+	"guavaglade.example/guavaglade/internal/work/graph"
+	"guavaglade.example/guavaglade/internal/work/progress"
 )
 
 // targetOf returns the target of an order, or "".
@@ -56,3 +60,50 @@
 	d.run(15 * time.Second)
 	d.check()
 }
+
+// A gang has one attempt left. A member fails on a target that has just been cut off, and
+// the others list that they ended since another had. A start now would be one too many:
+// the target lists the failure when it is back. Operators would see a job start again
+// after its last attempt failed.
+func TestGangWaitsForTheEndOfItsLastAttempt(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 6, DefaultBounds())
+	id := d.submit(0, 8*time.Second, urgent(3, 8))
+	spec := d.m.jobs[id].spec
+	spec.MaxAttempts = 2
+	d.p.Submit(spec, pool.Behaviour{
+		Work:  func(graph.TaskID) time.Duration { return 8 * time.Second },
+		Fails: func(x graph.TaskID, _ int) bool { return x.Index == 1 },
+	})
+	d.run(5 * time.Second) // the first attempt has failed half way, after 4 s
+	s := d.m.jobs[id].steps[0]
+	is.Equal(s.gangRun, 2)
+	cut := s.tasks[1].runs[0].target
+	d.lose = func(c Command) bool { return targetOf(c) == cut.ID }
+	d.run(4500 * time.Millisecond) // the second fails, and the target is known to be silent
+	is.Equal(cut.reach, silent)
+	is.Equal(len(s.broken.members), 2)
+	is.Equal(s.gangRun, 2)
+	is.Equal(len(s.tasks[1].runs), 1) // still noted, for a successor
+	d.lose = nil
+	d.run(10 * time.Second)
+	is.Equal(d.state(id), progress.Failed)
+	is.Equal(s.gangRun, 2)
+	d.check()
+}
+
+// The same with an attempt left. The next run fails, too, while nothing is known of the
+// one before it: no other may follow until it is.
+func TestUnknownEndCountsAsAnAttempt(t *testing.T) {
+	is := is.New(t)
+	var a attempts
+	now := time.Unix(1000, 0)
+	a.doubt(1, now.Add(5*time.Second))
+	is.Equal(a.mostFailed(now), 1)
+	is.True(a.fail(2, &target{}, now))
+	is.Equal(a.mostFailed(now), 2)
+	is.True(a.fail(1, &target{}, now)) // it is told
+	is.Equal(a.mostFailed(now), 2)
+	a.doubt(3, now.Add(5*time.Second))
+	is.Equal(a.mostFailed(now.Add(6*time.Second)), 2) // its leases have lapsed
+}
