dispatch: accelerators are kept for urgent work from work that can wait (failed try)

If it leaves as many accelerators free as urgent work used lately (mean and a standard deviation, half-life 15 s), less is cleared. What is free is not free on one rack, and in bursts the reserve is used up at once.

--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -19,6 +19,9 @@
 	if now.Before(s.pausedTo) || s.mayBeSpent(0, now) {
 		return true
 	}
+	if m.mustWait(s, len(s.tasks), now) {
+		return true
+	}
 	plan := m.planGang(s, now)
 	if plan == nil {
 		return true
@@ -28,6 +31,7 @@
 	runs := make([]*run, len(s.tasks))
 	for i, x := range s.tasks {
 		runs[i] = m.place(x, plan[i], number, now)
+		m.reserve.take(s)
 	}
 	m.startIfFits(runs)
 	return true
