--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -19,9 +19,6 @@
 	if now.Before(s.pausedTo) || s.mayBeSpent(0, now) {
 		return true
 	}
-	if m.mustWait(s, len(s.tasks), now) {
-		return true
-	}
 	plan := m.planGang(s, now)
 	if plan == nil {
 		return true
@@ -31,7 +28,6 @@
 	runs := make([]*run, len(s.tasks))
 	for i, x := range s.tasks {
 		runs[i] = m.place(x, plan[i], number, now)
-		m.reserve.take(s)
 	}
 	m.startIfFits(runs)
 	return true
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -38,7 +38,6 @@
 	adviseAt   time.Time                  // no call for advice before
 	smallest   graph.Resources            // needs of the smallest task with one accelerator
 	guaranteed map[string]int             // accelerators for jobs of priority 0, by account
-	reserve    reserve                    // accelerators for urgent work
 	changed    bool                       // something may be startable that was not
 	deposed    bool
 }
@@ -126,7 +125,6 @@
 		m.touchTarget(t)
 	}
 	m.forgetEnded(now)
-	m.measureReserve(now, true)
 	m.changed = true
 }
 
--- a/internal/work/dispatch/schedule.go
+++ b/internal/work/dispatch/schedule.go
@@ -91,7 +91,6 @@
 // schedule gives the open steps targets, the most urgent first.
 func (m *Machine) schedule(now time.Time) {
 	m.newPass()
-	m.measureReserve(now, false)
 	m.fresh = nil
 	wall := m.wallMS(now)
 	for _, s := range m.open {
@@ -201,10 +200,6 @@
 			left = true
 			continue
 		}
-		if m.mustWait(s, 1, now) {
-			left, full = true, true
-			continue
-		}
 		t := m.choose(x, now)
 		if t == nil && s.job.spec.Priority == 0 {
 			t = m.clearFor(x, now)
@@ -214,7 +209,6 @@
 			full = len(x.tried().avoid) == 0 // the other tasks are alike
 			continue
 		}
-		m.reserve.take(s)
 		m.startIfFits([]*run{m.place(x, t, x.highest+1, now)})
 	}
 	return left
