entry: a slow store is waited for, by the one call that is on its way

Change: while calls take 60 ms and more a request has 85 % of its client's time for one call (40 % and 0.8 s before), and no peer is asked where the outcome is not known. A refusal is still passed to a peer, and a store that is down is still refused at once.

--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -36,6 +36,10 @@
 	// settleShare is the share of a client's time that an entry spends on it at most:
 	// with the rest, the client can ask another host.
 	settleShare = 0.4
+	// slowShare is the same while the store is slow. Another host has the same store,
+	// and each write that is made again waits in the same line as the first: a request
+	// is best left to the one call that is on its way.
+	slowShare = 0.85
 	tellTime    = time.Second // bounds telling the leader; it scans the store, too
 	// readBack is how long an answer to a cancelling waits until the leader knows of
 	// it, so that whoever reads the job next, at any host, finds it cancelled. It is
@@ -78,12 +82,17 @@
 	if err := j.Check(); err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(ctx, patience(ctx))
+	slow := e.storeSlow()
+	ctx, cancel := context.WithTimeout(ctx, patience(ctx, slow))
 	defer cancel()
 	err := e.SubmitHere(ctx, j)
 	if err == nil {
 		return nil
 	}
+	if slow && errors.Is(err, ErrNotKnown) {
+		e.log.Info("job not stored", "job", j.ID, "queue", j.Queue, "account", j.Account, "storeSlow", true, "error", err.Error())
+		return err
+	}
 	other := e.relay.RelaySubmit(ctx, j)
 	if other == nil {
 		e.log.Info("job stored by a peer", "job", j.ID, "queue", j.Queue, "account", j.Account, "here", err.Error())
@@ -94,15 +103,22 @@
 	return err
 }
 
-// patience returns how long a request may take to settle.
-func patience(ctx context.Context) time.Duration {
+// patience returns how long a request may take to settle, by the time that its client
+// gives it and whether the store is slow.
+func patience(ctx context.Context, slow bool) time.Duration {
 	until, limited := ctx.Deadline()
-	if !limited {
+	switch {
+	case !limited:
 		return settleTime
+	case slow:
+		return time.Duration(slowShare * float64(time.Until(until)))
 	}
 	return min(settleTime, time.Duration(settleShare*float64(time.Until(until))))
 }
 
+// storeSlow reports whether calls to the store take so long that one more does harm.
+func (e *Entry) storeSlow() bool { return e.store.Usual() >= slowStore }
+
 // either joins what two hosts could not do: nothing was stored only if both say
 // so.
 func either(here, there error) error {
@@ -156,7 +172,7 @@
 // Cancel stores that a job is cancelled, and tells the leader. The error wraps
 // ErrNoJob, also for a job that is not the caller's, or ErrNoAnswer.
 func (e *Entry) Cancel(ctx context.Context, id graph.JobID, by Caller) error {
-	ctx, cancel := context.WithTimeout(ctx, patience(ctx))
+	ctx, cancel := context.WithTimeout(ctx, patience(ctx, e.storeSlow()))
 	defer cancel()
 	err := e.CancelHere(ctx, id, by)
 	if err == nil || errors.Is(err, ErrNoJob) {
--- a/internal/host/entry/entry_test.go
+++ b/internal/host/entry/entry_test.go
@@ -192,6 +192,32 @@
 	})
 }
 
+// The store has become two hundred times slower, and each part takes one write at a
+// time. A call that is given up on is made again by another host, and by the client, and
+// each of these waits in the same line: users would see every second request answered
+// with "not known", and no end of it. So the one call that is on its way is waited for.
+func TestSlowStoreIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(errors.New("a peer was asked"))
+		r.link.Set(rows.Trouble{Slow: time.Second})
+		_, _ = r.entry.store.Read(ctx, store.Range{Table: "any"}) // so that the host knows
+		patient, cancel := context.WithTimeout(ctx, 3*time.Second)
+		defer cancel()
+		began := time.Now()
+		is.NoErr(r.entry.Submit(patient, job(one, "kiosks")))
+		is.True(time.Since(began) < 1500*time.Millisecond)
+		r.link.Set(rows.Trouble{Slow: 5 * time.Second})
+		impatient, cancel := context.WithTimeout(ctx, 3*time.Second)
+		defer cancel()
+		began = time.Now()
+		err := r.entry.Submit(impatient, job("00000000000000ab", "kiosks"))
+		is.True(errors.Is(err, ErrNotKnown))
+		is.True(time.Since(began) < 2700*time.Millisecond) // in time for the client
+		time.Sleep(10 * time.Second)
+	})
+}
+
 // The store does not answer at all. The host finds that out by itself, and refuses
 // requests at once then; it takes them soon after the store is back.
 func TestSilentStoreIsFoundOut(t *testing.T) {
--- a/internal/host/entry/writing.go
+++ b/internal/host/entry/writing.go
@@ -49,8 +49,11 @@
 	if !e.store.Up() {
 		return false, fmt.Errorf("%w: %w", ErrNotAccepted, errDown)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
+	if !e.storeSlow() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, callTime)
+		defer cancel()
+	}
 	w := &writing{entry: e, tx: tx, answers: make(chan error)}
 	w.call(ctx)
 	next := time.After(e.overdue())
@@ -93,7 +96,7 @@
 		switch {
 		case err == nil && row.Version > 0:
 			err = store.ErrConflict
-		case err == nil && w.entry.store.Usual() < slowStore:
+		case err == nil && !w.entry.storeSlow():
 			_, err = w.entry.store.Commit(ctx, w.tx)
 		case err == nil:
 			err = fmt.Errorf("%w: overdue, and not there yet", store.ErrUnknown)
