entry: an error about a job's state names what the leader said

Cause: where the leader answers that it does not know a job and the store is away, the line read "(leader: %!w(<nil>))". Change: the words say that the leader does not know the job; entry.go formatted. TestStateErrorNamesBothWays fails without it.

--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -40,7 +40,7 @@
 	// and each write that is made again waits in the same line as the first: a request
 	// is best left to the one call that is on its way.
 	slowShare = 0.85
-	tellTime    = time.Second // bounds telling the leader; it scans the store, too
+	tellTime  = time.Second // bounds telling the leader; it scans the store, too
 	// readBack is how long an answer to a cancelling waits until the leader knows of
 	// it, so that whoever reads the job next, at any host, finds it cancelled. It is
 	// many times a round trip between hosts; a leader that is lost costs no more.
@@ -257,6 +257,9 @@
 	if leaderErr == nil && known {
 		return told, nil
 	}
+	if leaderErr == nil {
+		leaderErr = errUnknownThere
+	}
 	if !e.store.Up() {
 		return view.Told{}, fmt.Errorf("%w: %w (leader: %w)", ErrNoAnswer, errDown, leaderErr)
 	}
@@ -267,6 +270,9 @@
 	return told, err
 }
 
+// errUnknownThere says that the leader answered, and does not know the job.
+var errUnknownThere = errors.New("it does not know the job")
+
 // stored returns what the rows of a job say.
 func (e *Entry) stored(ctx context.Context, id graph.JobID) (view.Told, error) {
 	row, cancelled, err := e.read(ctx, id)
--- a/internal/host/entry/entry_test.go
+++ b/internal/host/entry/entry_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -160,6 +161,20 @@
 	})
 }
 
+// The leader answers that it does not know a job, and the store is away. The error that
+// operators read says both.
+func TestStateErrorNamesBothWays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(ErrNotAccepted)
+		r.link.Set(rows.Trouble{Refuse: true})
+		_, err := r.entry.State(ctx, one, kiosk)
+		is.True(errors.Is(err, ErrNoAnswer))
+		is.True(strings.Contains(err.Error(), errUnknownThere.Error()))
+		is.True(!strings.Contains(err.Error(), "%!"))
+	})
+}
+
 // The store takes each write and loses most of the answers. A client is not told to
 // wait for a time-out or that nothing is known: the write is made again at once, and
 // the conflict says that it took effect.
