dispatch: breaking into an empty target no longer counts by itself

The rule that a task rather not breaks into a target without work stands beside the rule that the target with the least accelerators left comes first, which says the same wherever accelerators bind. Change: the rule is taken out; TestWholeTargetsAreKept stays and passes.

--- a/internal/work/dispatch/fit.go
+++ b/internal/work/dispatch/fit.go
@@ -56,7 +56,6 @@
 	far      int // 1 if its data is on another rack
 	crowded  int // tasks there that it would disturb, or that would disturb it
 	stranded int // accelerators that nobody could use beside it and could before
-	whole    int // 1 if a target without any work is broken into
 	left     int // accelerators left free
 	cpu      int // processor time left free
 }
@@ -64,7 +63,7 @@
 func (f fit) compare(o fit) int {
 	return cmp.Or(
 		cmp.Compare(f.doubt, o.doubt), cmp.Compare(f.far, o.far), cmp.Compare(f.crowded, o.crowded), cmp.Compare(f.stranded, o.stranded),
-		cmp.Compare(f.whole, o.whole), cmp.Compare(f.left, o.left), cmp.Compare(f.cpu, o.cpu),
+		cmp.Compare(f.left, o.left), cmp.Compare(f.cpu, o.cpu),
 	)
 }
 
@@ -82,9 +81,6 @@
 	if rack := x.step.spec.DataRack; rack != "" && t.Rack != rack {
 		f.far = 1
 	}
-	if room.Accelerators == t.Capacity.Accelerators && after.Accelerators > 0 {
-		f.whole = 1
-	}
 	return f
 }
 
