--- a/internal/work/dispatch/hold.go
+++ b/internal/work/dispatch/hold.go
@@ -45,8 +45,8 @@
 
 // lookIfDue asks for a report beside the hold that is outstanding, if that may
 // have been lost: its time is over, another order was not answered, or a stop was
-// answered and its end is not listed. Without it a lost hold blinds the leader until its time-out, and room
-// that was cleared for urgent work goes unused for as long.
+// answered and its end is not listed. Without it a lost hold blinds the leader until
+// its time-out, and room that was cleared for urgent work goes unused for as long.
 func (m *Machine) lookIfDue(t *target, now time.Time) {
 	if !t.holding || t.looking || t.reach != held || now.Sub(t.lookedAt) < lookEvery {
 		return
