limiter, dispatcher, dispatch: orders wait in the leader, as many in flight as answers allow

Cause: on the small twin of the large site (2 Mbit/s, 0.12 cores) every order of a burst was sent at once. The large site does the same in its bursts. Change: a gate before the line to the targets. Orders in flight are bounded by the delay of answers (LEDBAT), the time-out counts from when an order is sent and follows RFC 6298, stops go first, targets that do not answer last and one order at a time, no class starves. Nothing more is placed while as many starts are on their way as the host carries in 0.3 s. Events of one batch share one reading of the clock.

--- a/internal/host/dispatcher/carry.go
+++ b/internal/host/dispatcher/carry.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"guavaglade.example/guavaglade/internal/fleet/limiter"
 	"guavaglade.example/guavaglade/internal/fleet/order"
 	"guavaglade.example/guavaglade/internal/platform/store"
 	"guavaglade.example/guavaglade/internal/work/dispatch"
@@ -21,11 +22,11 @@
 func (o *office) carryOut(c dispatch.Command, _ time.Time) {
 	switch c := c.(type) {
 	case dispatch.Start:
-		o.spawn(func() { o.start(c) })
+		o.order(func() { o.start(c) })
 	case dispatch.Stop:
-		o.spawn(func() { o.stop(c) })
+		o.order(func() { o.stop(c) })
 	case dispatch.Hold:
-		o.spawn(func() { o.hold(c) })
+		o.order(func() { o.hold(c) })
 	case dispatch.Save:
 		o.spawn(func() { o.save(c) })
 	case dispatch.Settled:
@@ -33,7 +34,7 @@
 	case dispatch.Forget:
 		o.spawn(func() { o.forget(c) })
 	case dispatch.Pace:
-		o.spawn(func() { o.pace(c) })
+		o.order(func() { o.pace(c) })
 	case dispatch.Advise:
 		o.spawn(func() { o.advise(c) })
 	}
@@ -45,33 +46,45 @@
 func (o *office) may() bool { return o.term.Valid(o.clock()) }
 
 func (o *office) start(c dispatch.Start) {
-	ctx, cancel := context.WithTimeout(o.ctx, orderTime)
-	defer cancel()
-	clock, err := int64(0), errTermOver
-	if o.may() {
-		clock, err = o.line.Start(ctx, c.Target, c.Order)
-	}
+	clock, err := o.give(c.Class, func(ctx context.Context) (int64, error) { return o.line.Start(ctx, c.Target, c.Order) })
 	o.post(func(now time.Time) { o.machine.StartAnswered(c.Target.ID, c.Order.Run, clock, err, now) })
 }
 
 func (o *office) stop(c dispatch.Stop) {
-	ctx, cancel := context.WithTimeout(o.ctx, orderTime)
-	defer cancel()
-	clock, err := int64(0), errTermOver
-	if o.may() {
-		clock, err = o.line.Stop(ctx, c.Target, c.Run, o.term.Number())
-	}
+	clock, err := o.give(c.Class, func(ctx context.Context) (int64, error) {
+		return o.line.Stop(ctx, c.Target, c.Run, o.term.Number())
+	})
 	o.post(func(now time.Time) { o.machine.StopAnswered(c.Target.ID, c.Run, clock, err, now) })
 }
 
 func (o *office) pace(c dispatch.Pace) {
-	ctx, cancel := context.WithTimeout(o.ctx, orderTime)
+	clock, err := o.give(limiter.Start, func(ctx context.Context) (int64, error) {
+		return o.line.Pace(ctx, c.Target, c.Run, c.Percent, o.term.Number())
+	})
+	o.post(func(now time.Time) { o.machine.PaceAnswered(c.Target.ID, c.Run, clock, err, now) })
+}
+
+// give gives an order when its turn has come. The time that its answer may take
+// counts from then: the time spent waiting in this host says nothing of the target.
+func (o *office) give(c limiter.Class, order func(ctx context.Context) (int64, error)) (int64, error) {
+	pass, err := o.gate.Enter(o.ctx, c)
+	if err != nil {
+		return 0, errTermOver
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, o.gate.Patience())
 	defer cancel()
-	clock, err := int64(0), errTermOver
-	if o.may() {
-		clock, err = o.line.Pace(ctx, c.Target, c.Run, c.Percent, o.term.Number())
+	if !o.may() {
+		pass.Done(false)
+		return 0, errTermOver
 	}
-	o.post(func(now time.Time) { o.machine.PaceAnswered(c.Target.ID, c.Run, clock, err, now) })
+	clock, err := order(ctx)
+	pass.Done(isAnswer(err))
+	return clock, err
+}
+
+// isAnswer reports whether a target answered an order, whatever it said.
+func isAnswer(err error) bool {
+	return !errors.Is(err, order.ErrUnanswered) && !errors.Is(err, order.ErrUnreached)
 }
 
 // errNoAdviser says that a queue wants advice and the deployment has no service
@@ -92,13 +105,7 @@
 }
 
 func (o *office) hold(c dispatch.Hold) {
-	ctx, cancel := context.WithTimeout(o.ctx, c.Order.Wait+holdExtra)
-	defer cancel()
-	var rep order.Report
-	err := errTermOver
-	if o.may() {
-		rep, err = o.line.Hold(ctx, c.Target, c.Order)
-	}
+	rep, err := o.report(c)
 	o.post(func(now time.Time) {
 		if err != nil {
 			o.machine.HoldFailed(c.Target.ID, c, err, now)
@@ -108,6 +115,24 @@
 	})
 }
 
+// report asks for a report. One that waits for an end at its target is no load
+// meanwhile, and takes no place among the orders in flight.
+func (o *office) report(c dispatch.Hold) (rep order.Report, err error) {
+	if c.Order.Wait == 0 {
+		_, err = o.give(c.Class, func(ctx context.Context) (int64, error) {
+			rep, err = o.line.Hold(ctx, c.Target, c.Order)
+			return 0, err
+		})
+		return rep, err
+	}
+	ctx, cancel := context.WithTimeout(o.ctx, c.Order.Wait+max(holdExtra, o.gate.Patience()))
+	defer cancel()
+	if !o.may() {
+		return rep, errTermOver
+	}
+	return o.line.Hold(ctx, c.Target, c.Order)
+}
+
 // save makes a transaction. One whose answer was lost is made again: its
 // conditions keep it from taking effect twice, and the refusal then shows what
 // is there.
--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"guavaglade.example/guavaglade/internal/config/catalog"
+	"guavaglade.example/guavaglade/internal/fleet/limiter"
 	"guavaglade.example/guavaglade/internal/fleet/order"
 	"guavaglade.example/guavaglade/internal/fleet/roster"
 	"guavaglade.example/guavaglade/internal/host/leader"
@@ -22,16 +23,14 @@
 
 // Figures of the shell.
 const (
-	tickEvery  = 100 * time.Millisecond  // the finest bound that decisions keep is a retry after 200 ms
-	adviceTime = 5 * time.Second         // bounds a call for advice, which takes its time for each target that it names
-	listEvery  = time.Second             // half the time after which a draining target must get no work
-	listAge    = 1800 * time.Millisecond // that time, less what a start takes to arrive
-	scanEvery  = time.Second             // for jobs whose message was lost
-	storeTime  = 2 * time.Second         // bounds a call to the store
-	storePause = 150 * time.Millisecond  // between two tries
-	orderTime  = 350 * time.Millisecond  // bounds a start or stop: a tenth of the time that gangs wait
-	holdExtra  = 600 * time.Millisecond  // bounds a report beyond the time that it waits
-	backlog    = 4096                    // events that wait for the loop
+	tickEvery  = 100 * time.Millisecond // the finest bound that decisions keep is a retry after 200 ms
+	adviceTime = 5 * time.Second        // bounds a call for advice, which takes its time for each target that it names
+	startSpare = 200 * time.Millisecond // what a start takes to arrive, of the time in which a draining target may get work
+	scanEvery  = time.Second            // for jobs whose message was lost
+	storeTime  = 2 * time.Second        // bounds a call to the store
+	storePause = 150 * time.Millisecond // between two tries
+	holdExtra  = 600 * time.Millisecond // bounds a report beyond the time that it waits
+	backlog    = 4096                   // events that wait for the loop
 )
 
 // Roster lists the targets that are registered.
@@ -80,7 +79,7 @@
 
 // New returns a dispatcher that does not lead yet.
 func New(s store.Store, l order.Line, r Roster, b dispatch.Bounds, log logr.Logger, opts ...Option) *Dispatcher {
-	b.Parts, b.ListAge = Parts, listAge
+	b.Parts, b.ListAge = Parts, max(b.DrainTime-startSpare, 3*b.DrainTime/4)
 	d := &Dispatcher{store: s, line: l, roster: r, bounds: b, clock: steady.Now, metrics: tally.NoopScope, settled: func(dispatch.Settled) {}, log: log}
 	for _, o := range opts {
 		o(d)
@@ -95,11 +94,14 @@
 	term       *leader.Term
 	machine    *dispatch.Machine
 	stories    *stories // what the machine decided
+	gate       *limiter.Gate
 	work       chan func(now time.Time)
 	fences     [Parts]int64
 	configured int64 // version of the configuration that the machine was told
 	scanned    int64 // version up to which the jobs table was scanned
-	wg         sync.WaitGroup
+	// toldWaiting is when a line last told that orders wait.
+	toldWaiting time.Time
+	wg          sync.WaitGroup
 }
 
 // Lead carries out a term until the context ends or a newer term is found.
@@ -108,6 +110,7 @@
 	defer cancel()
 	o := &office{
 		Dispatcher: d, ctx: ctx, term: t, work: make(chan func(time.Time), backlog), stories: newStories(d.log),
+		gate: limiter.NewGate(time.Now),
 	}
 	o.machine = dispatch.New(t.Number(), d.bounds, dispatch.WithLog(o.stories))
 	began := o.clock()
@@ -211,13 +214,14 @@
 	}
 	o.configure()
 	o.set(o)
-	o.every(listEvery, listed, o.list)
+	o.every(o.bounds.DrainTime/2, listed, o.list) // the list is most of what an idle leader reads
 	o.every(scanEvery, o.clock(), o.scan)
 	o.machine.Begin(heirEnd, o.clock())
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	for {
 		now := o.clock()
+		o.machine.SetAhead(o.gate.Ahead())
 		for _, c := range o.machine.Decide(now) {
 			o.carryOut(c, now)
 		}
@@ -253,6 +257,16 @@
 		o.metrics.Gauge(name).Update(float64(n))
 	}
 	o.metrics.Gauge("term").Update(float64(o.term.Number()))
+	l := o.gate.Load()
+	if now := o.clock(); l.Waiting > 0 && now.Sub(o.toldWaiting) >= time.Second {
+		o.toldWaiting = now
+		o.log.Info("orders wait", "waiting", l.Waiting, "oldestMS", l.Oldest.Milliseconds(), "limit", l.Limit, "perSecond", int(l.Rate), "delayMS", l.Delay.Milliseconds(), "stepsWaiting", c.Open)
+	}
+	o.metrics.Gauge("orders_limit").Update(float64(l.Limit))
+	o.metrics.Gauge("orders_waiting").Update(float64(l.Waiting))
+	o.metrics.Gauge("orders_rate").Update(l.Rate)
+	o.metrics.Gauge("order_wait_seconds").Update(l.Oldest.Seconds())
+	o.metrics.Gauge("order_delay_seconds").Update(l.Delay.Seconds())
 }
 
 // configure tells the machine of a newer configuration.
@@ -275,10 +289,11 @@
 
 // drain takes in all events that wait, so that one decision covers them.
 func (o *office) drain() {
-	for {
+	now := o.clock()
+	for range backlog {
 		select {
 		case f := <-o.work:
-			f(o.clock())
+			f(now)
 		default:
 			return
 		}
@@ -337,6 +352,11 @@
 	}()
 }
 
+// order runs f, which talks to a target, beside the loop. The end of the term does
+// not wait for it: it sends nothing more by then, and a call to a target that does not
+// answer would hold up the next leader.
+func (o *office) order(f func()) { go f() }
+
 // post gives the loop an event, unless the term ends first.
 func (o *office) post(f func(now time.Time)) {
 	select {
--- a/internal/host/dispatcher/guards_test.go
+++ b/internal/host/dispatcher/guards_test.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
+	"guavaglade.example/guavaglade/internal/fleet/limiter"
 	"guavaglade.example/guavaglade/internal/fleet/order"
 	"guavaglade.example/guavaglade/internal/host/leader"
 	"guavaglade.example/guavaglade/internal/platform/store"
@@ -46,7 +47,7 @@
 // desk returns an office whose term was taken at the time given, at a time now.
 func desk(table store.Store, line order.Line, taken, now time.Time) *office {
 	d := New(table, line, nil, dispatch.DefaultBounds(), logr.Discard(), WithClock(func() time.Time { return now }))
-	return &office{Dispatcher: d, ctx: context.Background(), term: leader.NewTerm(7, taken), work: make(chan func(time.Time), 100)}
+	return &office{Dispatcher: d, gate: limiter.NewGate(time.Now), ctx: context.Background(), term: leader.NewTerm(7, taken), work: make(chan func(time.Time), 100)}
 }
 
 // A leader decides, and its process stands still before the order is sent. Another
--- /dev/null
+++ b/internal/host/dispatcher/shortage_test.go
@@ -0,0 +1,169 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/fleet/roster"
+	"guavaglade.example/guavaglade/internal/host/leader"
+	"guavaglade.example/guavaglade/internal/platform/store"
+	"guavaglade.example/guavaglade/internal/standin/pool"
+	"guavaglade.example/guavaglade/internal/standin/rows"
+	"guavaglade.example/guavaglade/internal/work/dispatch"
+	"guavaglade.example/guavaglade/internal/work/graph"
+)
+
+// headers is what an order takes on a link beside its spec, in bytes.
+const headers = 400
+
+// narrowLink is a line over a host's link that carries so many bytes a second. What
+// is sent waits there for its turn, and goes out also after its sender has given it
+// up, as bytes do that a socket has taken.
+type narrowLink struct {
+	order.Line
+	perSecond float64
+	mu        sync.Mutex
+	freeAt    time.Time
+}
+
+// carry sends so many bytes, and calls f when they are through. It returns earlier if
+// the context ends.
+func (l *narrowLink) carry(ctx context.Context, bytes int, f func()) error {
+	l.mu.Lock()
+	if now := time.Now(); l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	l.freeAt = l.freeAt.Add(time.Duration(float64(bytes) / l.perSecond * float64(time.Second)))
+	at := l.freeAt
+	l.mu.Unlock()
+	through := make(chan struct{})
+	go func() {
+		time.Sleep(time.Until(at))
+		f()
+		close(through)
+	}()
+	select {
+	case <-through:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("narrow link: %w: %w", order.ErrUnanswered, ctx.Err())
+	}
+}
+
+// Start implements order.Line.
+func (l *narrowLink) Start(ctx context.Context, to order.Address, s order.Start) (clock int64, err error) {
+	lost := l.carry(ctx, headers+len(s.Spec), func() { clock, err = l.Line.Start(context.WithoutCancel(ctx), to, s) })
+	if lost != nil {
+		return 0, lost
+	}
+	return clock, err
+}
+
+// Stop implements order.Line.
+func (l *narrowLink) Stop(ctx context.Context, to order.Address, r order.Run, term int64) (clock int64, err error) {
+	lost := l.carry(ctx, headers, func() { clock, err = l.Line.Stop(context.WithoutCancel(ctx), to, r, term) })
+	if lost != nil {
+		return 0, lost
+	}
+	return clock, err
+}
+
+// Hold implements order.Line.
+func (l *narrowLink) Hold(ctx context.Context, to order.Address, h order.Hold) (rep order.Report, err error) {
+	lost := l.carry(ctx, headers, func() { rep, err = l.Line.Hold(ctx, to, h) })
+	if lost != nil {
+		return order.Report{}, lost
+	}
+	return rep, err
+}
+
+// shortage is a leader on a host with a narrow link, over racks of eight targets.
+type shortage struct {
+	d     *Dispatcher
+	pool  *pool.Shared
+	rows  *rows.Table
+	over  chan error
+	tasks int
+}
+
+func lead(ctx context.Context, racks int, perSecond float64) *shortage {
+	s := &shortage{pool: pool.Share(ctx, pool.New(pool.DefaultBounds())), rows: rows.New(8 * time.Millisecond), over: make(chan error, 1)}
+	s.pool.Do(func(p *pool.Pool, now time.Time) {
+		for i := range racks * 8 {
+			name := fmt.Sprintf("t%d", i)
+			p.Add(roster.Target{
+				ID: name + "#1", Address: name, Zone: fmt.Sprintf("z%d", i/8%3), Service: "s", Rack: fmt.Sprintf("r1-%d", i/8),
+				Capacity: graph.Resources{CPU: 64000, MemoryMB: 262144, Accelerators: 8},
+			}, 1, now)
+		}
+	})
+	line := &narrowLink{Line: pool.NewLine(s.pool, time.Millisecond, rand.New(rand.NewPCG(1, 1))), perSecond: perSecond}
+	s.d = New(s.rows, line, s.pool, dispatch.DefaultBounds(), logr.Discard(), WithClock(time.Now))
+	term := leader.NewTerm(1, time.Now().Add(time.Hour)) // the row is written all the while
+	go func() { s.over <- s.d.Lead(ctx, term, true) }()
+	time.Sleep(time.Second)
+	return s
+}
+
+// submit hands in a gang with a spec of so many bytes.
+func (s *shortage) submit(t *testing.T, n, members, spec int) {
+	j := &graph.Job{
+		ID: graph.JobID(fmt.Sprintf("%016x", n+1)), Queue: "q", Service: "s", Account: "a", Priority: n % 2, MaxAttempts: 2, Slack: 3,
+		Allowance: time.Second, Spec: strings.Repeat("x", spec), AcceptedAt: time.Now().UnixMilli(),
+		Steps: []graph.Step{{Count: members, Gang: true, Estimate: 2500 * time.Millisecond, Needs: graph.Resources{CPU: 7500, MemoryMB: 31000, Accelerators: 1}}},
+	}
+	s.pool.Do(func(p *pool.Pool, _ time.Time) {
+		p.Submit(j, pool.Behaviour{Work: func(graph.TaskID) time.Duration { return j.Steps[0].Estimate }})
+	})
+	value, err := EncodeJob(j)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = s.rows.Commit(t.Context(), store.Tx{Put: []store.Put{{Key: JobKey(dispatch.PartOf(j.ID, Parts), j.ID), Value: value}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.d.Submitted(t.Context(), j); err != nil {
+		t.Fatal(err)
+	}
+	s.tasks += members
+}
+
+// Twelve gangs of 26 come at once to a leader whose link carries 2 Mbit/s: their starts
+// are five seconds of it. The leader sent all of them, and what waited longer than an
+// order may take timed out, was sent again, then stopped: gangs began in part, were
+// broken off and begun anew, reports were late, sound targets seemed silent, and it
+// went on so long after the burst. Now each start waits in the leader until its turn.
+func TestBurstOverANarrowLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		ctx, cancel := context.WithCancel(t.Context())
+		s := lead(ctx, 12, 250_000)
+		defer func() {
+			cancel()
+			<-s.over
+		}()
+		const gangs, members = 12, 26
+		for n := range gangs {
+			s.submit(t, n, members, 4000)
+		}
+		time.Sleep(20 * time.Second)
+		s.pool.Do(func(p *pool.Pool, _ time.Time) {
+			is.Equal(p.Breaches(), nil)
+			is.Equal(p.Starts(), s.tasks) // nothing was begun twice
+			for n := range gangs {
+				is.Equal(p.Done(graph.JobID(fmt.Sprintf("%016x", n+1))), members)
+			}
+		})
+	})
+}
--- a/internal/host/dispatcher/stories.go
+++ b/internal/host/dispatcher/stories.go
@@ -24,12 +24,20 @@
 type stories struct {
 	log   logr.Logger
 	mu    sync.Mutex
-	byJob map[graph.JobID][]view.Line
+	byJob map[graph.JobID][]told
 	order []graph.JobID // in which the jobs came
 }
 
+// told is a decision as it was told. It is put into words only when somebody asks:
+// few stories are ever read.
+type told struct {
+	at   time.Time
+	what string
+	with []any // keys and values in turn, that nobody changes
+}
+
 func newStories(log logr.Logger) *stories {
-	return &stories{log: log, byJob: map[graph.JobID][]view.Line{}}
+	return &stories{log: log, byJob: map[graph.JobID][]told{}}
 }
 
 // Decided implements dispatch.Log.
@@ -49,7 +57,7 @@
 	if len(lines) == storyLines { // the first lines say how it came in: the second half goes on
 		lines = append(lines[:storyLines/2], lines[storyLines/2+1:]...)
 	}
-	s.byJob[id] = append(lines, view.Line{At: time.Now().UTC(), What: what, With: join(kv)})
+	s.byJob[id] = append(lines, told{at: time.Now(), what: what, with: kv})
 }
 
 func (s *stories) makeRoom() {
@@ -91,5 +99,9 @@
 func (s *stories) of(id graph.JobID) []view.Line {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]view.Line{}, s.byJob[id]...)
+	lines := make([]view.Line, 0, len(s.byJob[id]))
+	for _, l := range s.byJob[id] {
+		lines = append(lines, view.Line{At: l.at.UTC(), What: l.what, With: join(l.with)})
+	}
+	return lines
 }
--- a/internal/work/dispatch/arriving.go
+++ b/internal/work/dispatch/arriving.go
@@ -92,17 +92,26 @@
 	if s.spec.Gang {
 		s.tried.failed, s.saved = k.Failures[0], k.Saved[0]
 	}
+	placed := map[int][]progress.Place{}
+	for _, p := range k.Placed {
+		placed[p.Task] = append(placed[p.Task], p)
+	}
 	for _, x := range s.tasks {
 		if !s.spec.Gang {
 			x.own.failed, x.saved = k.Failures[x.index], k.Saved[x.index]
 		}
 		x.highest = k.Runs[x.index]
+		for _, p := range placed[x.index] {
+			x.highest = max(x.highest, p.Run)
+		}
 		s.gangRun = max(s.gangRun, x.highest)
 		if k.Done != nil && k.Done.Bit(x.index) == 1 {
-			m.done(x, now)
+			m.done(x, 0, now)
 		}
-		if p, ok := k.Placed[x.index]; ok && !x.done {
-			m.inherit(x, p, now)
+		if !x.done {
+			for _, p := range placed[x.index] {
+				m.inherit(x, p, now)
+			}
 		}
 	}
 }
--- a/internal/work/dispatch/bounds.go
+++ b/internal/work/dispatch/bounds.go
@@ -12,6 +12,7 @@
 	FarFactor   float64       // a task away from its data, or a gang on several racks, takes so many times as long
 	ReclaimTime time.Duration // within it, guaranteed work has begun
 	Retention   time.Duration // how long the state of an ended job is known
+	DrainTime   time.Duration // a target that leaves gets no work after it
 	Parts       int           // parts over which jobs are spread
 	ListAge     time.Duration // nothing is placed by a list of targets that is older; 0: no limit
 }
@@ -21,7 +22,7 @@
 	return Bounds{
 		Lease: 6 * time.Second, StopTime: 400 * time.Millisecond, GangTimeout: 3 * time.Second,
 		RestoreTime: 100 * time.Millisecond, FarFactor: 3,
-		ReclaimTime: 2900 * time.Millisecond, Retention: 120 * time.Second, Parts: 4,
+		ReclaimTime: 2900 * time.Millisecond, DrainTime: 2 * time.Second, Retention: 120 * time.Second, Parts: 4,
 	}
 }
 
--- a/internal/work/dispatch/command.go
+++ b/internal/work/dispatch/command.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"guavaglade.example/guavaglade/internal/fleet/limiter"
 	"guavaglade.example/guavaglade/internal/fleet/order"
 	"guavaglade.example/guavaglade/internal/work/graph"
 	"guavaglade.example/guavaglade/internal/work/progress"
@@ -16,6 +17,7 @@
 type Start struct {
 	Target order.Address
 	Order  order.Start
+	Class  limiter.Class // in which it waits for its turn
 }
 
 // Stop asks for a stop of a run on a target. The answer goes to
@@ -23,6 +25,7 @@
 type Stop struct {
 	Target order.Address
 	Run    order.Run
+	Class  limiter.Class // in which it waits for its turn
 }
 
 // Hold asks for a report of a target. The answer goes to Machine.Held or
@@ -31,8 +34,9 @@
 type Hold struct {
 	Target order.Address
 	Order  order.Hold
-	Look   bool      // beside a hold that may have been lost
-	Sent   time.Time // when the machine asked for it
+	Class  limiter.Class // in which it waits for its turn, unless it waits for an end
+	Look   bool          // beside a hold that may have been lost
+	Sent   time.Time     // when the machine asked for it
 }
 
 // Save asks for a transaction that writes the progress of jobs of one part. The
--- a/internal/work/dispatch/ending.go
+++ b/internal/work/dispatch/ending.go
@@ -39,6 +39,7 @@
 	}
 	delete(t.runs, r.Run)
 	if r.phase == waiting {
+		m.waits--
 		t.promised = t.promised.Minus(r.charge)
 	} else {
 		t.used = t.used.Minus(r.charge)
@@ -104,7 +105,7 @@
 		if r != nil {
 			t.health.Succeeded(r.beganAt, now)
 		}
-		m.done(x, now)
+		m.done(x, e.Run.Number, now)
 		return true
 	}
 	saved := x.keep(e.Checkpoint)
@@ -142,9 +143,11 @@
 	return true
 }
 
-// done takes in that a task is done; of a gang, all its tasks are.
-func (m *Machine) done(x *task, now time.Time) {
+// done takes in that a run of a task is done; of a gang, all its tasks are. The
+// number is 0 where it is not known.
+func (m *Machine) done(x *task, run int, now time.Time) {
 	s := x.step
+	s.doneRun, s.doneAt = run, now
 	if !s.spec.Gang {
 		m.doneOne(x, now)
 	} else {
@@ -192,11 +195,22 @@
 	j.state, j.endedAt = s, m.wallMS(now)
 	m.touch(j)
 	for _, r := range j.sortedLive() {
-		m.stop(r, "its job has ended", now)
+		if !r.endedWithGang(s) {
+			m.stop(r, "its job has ended", now)
+		}
 	}
 	m.open = slices.DeleteFunc(m.open, func(s *step) bool { return s.job == j })
 }
 
+// endedWithGang reports whether a run of a job in a final state has ended on its
+// target, though that is not listed yet: the members of a gang end done together. A
+// stop for each would be a third of all orders, and be answered with that end.
+// seenRunning stops one that goes on all the same.
+func (r *run) endedWithGang(s progress.State) bool {
+	step := r.task.step
+	return s == progress.Completed && step.spec.Gang && r.phase == running && r.Number == step.doneRun
+}
+
 // sortedLive returns the job's runs that may exist, in a fixed order.
 func (j *job) sortedLive() []*run {
 	runs := make([]*run, 0, len(j.live))
@@ -233,7 +247,7 @@
 }
 
 // seenRunning takes in a run that a target has.
-func (m *Machine) seenRunning(t *target, seen order.Running, now time.Time) {
+func (m *Machine) seenRunning(t *target, seen order.Running, asked, now time.Time) {
 	r := t.runs[seen.Run]
 	if r == nil {
 		r = m.adopt(t, seen, now)
@@ -244,6 +258,9 @@
 			m.stop(r, "its job has ended", now)
 		}
 	}
+	if s := r.task.step; r.phase == running && s.spec.Gang && r.task.done && asked.After(s.doneAt) {
+		m.stop(r, "its gang has ended", now)
+	}
 	if r.phase == running && seen.Checkpoint != "" {
 		r.checkpoint = seen.Checkpoint
 		r.task.keep(seen.Checkpoint)
--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -213,6 +213,9 @@
 // startWaiting notes runs whose room has become free, and gives up those whose
 // target takes no work any more.
 func (m *Machine) startWaiting(now time.Time) {
+	if m.waits == 0 {
+		return
+	}
 	for _, group := range m.waitingGroups() {
 		lost := slices.ContainsFunc(group, func(r *run) bool { return !r.target.open(now) })
 		switch {
--- a/internal/work/dispatch/hold.go
+++ b/internal/work/dispatch/hold.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"guavaglade.example/guavaglade/internal/fleet/limiter"
 	"guavaglade.example/guavaglade/internal/fleet/order"
 )
 
@@ -55,7 +56,7 @@
 		return
 	}
 	t.looking, t.lookedAt = true, now
-	m.out = append(m.out, Hold{Target: t.address(), Order: order.Hold{Term: m.term, Acked: t.acked}, Look: true, Sent: now})
+	m.out = append(m.out, Hold{Target: t.address(), Order: order.Hold{Term: m.term, Acked: t.acked}, Class: t.class(limiter.Report), Look: true, Sent: now})
 }
 
 // missesEnd reports whether a stop was answered long ago and its end was not
@@ -117,7 +118,7 @@
 		}
 	}
 	t.holding, t.heldAt = true, now
-	m.out = append(m.out, Hold{Target: t.address(), Order: h, Sent: now})
+	m.out = append(m.out, Hold{Target: t.address(), Order: h, Class: t.class(limiter.Report), Sent: now})
 }
 
 // Held takes in a target's report.
@@ -146,7 +147,7 @@
 	}
 	for _, r := range rep.Running {
 		there[r.Run] = true
-		m.seenRunning(t, r, now)
+		m.seenRunning(t, r, h.Sent, now)
 	}
 	m.watch(t, now)
 	m.pace(t, now)
--- a/internal/work/dispatch/job.go
+++ b/internal/work/dispatch/job.go
@@ -44,6 +44,8 @@
 	dueAt   int64 // milliseconds since 1970 from which it may start; 0: at once
 	// Of a gang.
 	gangRun    int
+	doneRun    int       // run that ended done, of a gang's members or the last task; 0: none or not known
+	doneAt     time.Time // when that was taken in
 	saved      string
 	permits    permits
 	tried      attempts        // of a gang
--- a/internal/work/dispatch/load_test.go
+++ b/internal/work/dispatch/load_test.go
@@ -77,7 +77,7 @@
 		racks, perRack int
 		rate, wide     float64
 	}{
-		{"48", 6, 8, 4, 1}, {"48full", 6, 8, 9, 1}, {"350", 18, 20, 12, 2}, {"350full", 18, 20, 28, 2}, {"920", 46, 20, 30, 2},
+		{"48", 6, 8, 4, 1}, {"48full", 6, 8, 9, 1}, {"350", 18, 20, 12, 2}, {"350full", 18, 20, 28, 2}, {"920", 46, 20, 30, 2}, {"1100", 138, 8, 33, 4},
 	} {
 		b.Run(x.name, func(b *testing.B) {
 			s := &stream{drive: newDrive(b, x.racks, x.perRack, DefaultBounds()), rnd: rand.New(rand.NewPCG(1, 2)), rate: x.rate, wide: x.wide}
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -31,6 +31,8 @@
 	fresh      []*step   // that came up since the last pass
 	passAt     time.Time // the next pass is not before
 	pass       pass
+	backlog    backlog
+	waits      int                        // runs that wait for room
 	considered int                        // targets considered in this pass, over all steps
 	heldBack   map[*target]map[*step]bool // targets kept for urgent steps, in this pass
 	advising   bool                       // a call for advice is outstanding
--- a/internal/work/dispatch/save.go
+++ b/internal/work/dispatch/save.go
@@ -95,15 +95,17 @@
 			k.Failures = put(k.Failures, t.index, t.own.failed)
 			empty = false
 		}
-		if t.highest > 0 {
-			k.Runs = put(k.Runs, t.index, t.highest)
-			empty = false
-		}
+		noted := false // the highest run is among those that may exist
 		for _, r := range t.runs {
 			if r.phase != waiting {
-				k.Placed = put(k.Placed, t.index, progress.Place{Target: r.target.ID, Run: r.Number})
+				k.Placed = append(k.Placed, progress.Place{Task: t.index, Target: r.target.ID, Run: r.Number})
+				noted = noted || r.Number == t.highest
 			}
 		}
+		if t.highest > 0 && !noted {
+			k.Runs = put(k.Runs, t.index, t.highest)
+		}
+		empty = empty && t.highest == 0
 		if t.saved != "" {
 			k.Saved = put(k.Saved, t.index, t.saved)
 			empty = false
--- a/internal/work/dispatch/schedule.go
+++ b/internal/work/dispatch/schedule.go
@@ -67,9 +67,10 @@
 }
 
 // newPass begins a pass.
-func (m *Machine) newPass() {
+func (m *Machine) newPass(now time.Time) {
 	m.pass = pass{victims: map[*target][]victim{}, losses: map[*step]float64{}}
 	m.considered = 0
+	m.countBacklog(now)
 }
 
 // placeFresh places steps that came up since the last pass, so that urgent work
@@ -80,9 +81,9 @@
 	if len(fresh) == 0 {
 		return
 	}
-	m.newPass()
+	m.newPass(now)
 	for _, s := range fresh {
-		if s.listedOpen && !s.done && !s.job.over() && s.job.spec.Priority == 0 && m.placeStep(s, now) {
+		if s.listedOpen && !s.done && !s.job.over() && s.job.spec.Priority == 0 && !m.backlog.full(s.job) && m.placeStep(s, now) {
 			m.seekAdvice(s, now)
 		}
 	}
@@ -90,7 +91,7 @@
 
 // schedule gives the open steps targets, the most urgent first.
 func (m *Machine) schedule(now time.Time) {
-	m.newPass()
+	m.newPass(now)
 	m.fresh = nil
 	wall := m.wallMS(now)
 	for _, s := range m.open {
@@ -100,6 +101,7 @@
 		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.anchor(), b.anchor()))
 	})
 	m.heldBack = nil
+	waits := false // for starts that are on their way
 	kept := m.open[:0]
 	for _, s := range m.open {
 		if s.done || s.job.over() {
@@ -110,8 +112,10 @@
 			s.listedOpen = false
 			continue
 		}
-		more := m.placeStep(s, now)
-		if more {
+		more := true
+		if m.backlog.full(s.job) {
+			waits = true
+		} else if more = m.placeStep(s, now); more {
 			m.seekAdvice(s, now)
 		}
 		if more {
@@ -123,6 +127,10 @@
 	clear(m.open[len(kept):])
 	m.open = kept
 	m.passAt = now.Add(time.Duration(m.considered) * passRest)
+	if waits {
+		m.changed = true
+		m.passAt = now.Add(max(aheadRest, time.Duration(m.considered)*passRest))
+	}
 }
 
 // giveUp ends a job that was to have started by now and has not.
@@ -196,6 +204,7 @@
 		if x.done || len(x.runs) > 0 {
 			continue
 		}
+		full = full || m.backlog.full(s.job)
 		if full || now.Before(x.pausedTo) {
 			left = true
 			continue
--- a/internal/work/dispatch/starting.go
+++ b/internal/work/dispatch/starting.go
@@ -4,6 +4,7 @@
 	"errors"
 	"time"
 
+	"guavaglade.example/guavaglade/internal/fleet/limiter"
 	"guavaglade.example/guavaglade/internal/fleet/order"
 )
 
@@ -19,6 +20,7 @@
 	x.step.job.live[r] = true
 	t.runs[r.Run] = r
 	t.promised = t.promised.Plus(r.charge)
+	m.waits++
 	return r
 }
 
@@ -30,9 +32,11 @@
 	for _, r := range runs {
 		t := r.target
 		r.phase = noted
+		m.waits--
 		t.promised = t.promised.Minus(r.charge)
 		t.used = t.used.Plus(r.charge)
 		r.noteRev = m.touch(r.task.step.job)
+		m.backlog.add(r)
 	}
 }
 
@@ -57,6 +61,16 @@
 	}
 }
 
+// pending reports whether an order about one of the target's runs is outstanding.
+func (t *target) pending() bool {
+	for _, r := range t.runs {
+		if r.pending {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *Machine) sendStart(r *run, now time.Time) {
 	t := r.target
 	r.tries++
@@ -65,7 +79,7 @@
 	m.out = append(m.out, Start{Target: t.address(), Order: order.Start{
 		Run: r.Run, Spec: r.task.step.job.spec.Spec, Deadline: t.grant(now, m.bounds.Lease),
 		Term: m.term, Checkpoint: r.resumedAt, Ticket: r.ticket,
-	}})
+	}, Class: t.class(limiter.Start)})
 	m.log.Decided("start run", "target", t.ID, "task", r.Task, "run", r.Number, "try", r.tries, "checkpoint", r.resumedAt)
 }
 
@@ -193,7 +207,16 @@
 
 func (m *Machine) sendStop(r *run, now time.Time) {
 	r.sentAt, r.pending = now, true
-	m.out = append(m.out, Stop{Target: r.target.address(), Run: r.Run})
+	m.out = append(m.out, Stop{Target: r.target.address(), Run: r.Run, Class: r.target.class(limiter.Stop)})
+}
+
+// class returns the class in which an order to the target waits for its turn, which
+// is the usual one if it answers.
+func (t *target) class(usual limiter.Class) limiter.Class {
+	if t.inTouch() && t.reach != silent {
+		return usual
+	}
+	return limiter.Probe
 }
 
 // StopAnswered takes in what became of a stop.
@@ -225,9 +248,10 @@
 	}
 }
 
-// tickRun sends an order again that got no answer.
+// tickRun sends an order again that got no answer. To a target that does not answer
+// one order at a time is sent: the others would only keep the host busy.
 func (m *Machine) tickRun(r *run, now time.Time) {
-	if r.pending || now.Sub(r.sentAt) < retryOrder {
+	if r.pending || now.Sub(r.sentAt) < retryOrder || (!r.target.inTouch() && r.target.pending()) {
 		return
 	}
 	switch {
--- a/internal/work/progress/progress.go
+++ b/internal/work/progress/progress.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"math/big"
 )
 
 // State is what a client is shown of a job.
@@ -22,21 +21,6 @@
 // Final reports whether the state never changes again.
 func (s State) Final() bool { return s == Completed || s == Failed || s == Cancelled || s == NotRun }
 
-// Step is what is known of a step of one occurrence.
-type Step struct {
-	Done     *big.Int       `json:"done,omitempty"`     // bit i: task i is done
-	Failures map[int][]int  `json:"failures,omitempty"` // numbers of the runs that failed, by task; of a gang under 0
-	Saved    map[int]string `json:"saved,omitempty"`    // checkpoint by task; of a gang under 0
-	Runs     map[int]int    `json:"runs,omitempty"`     // highest number of a run, by task that is not done; of a gang under 0
-	Placed   map[int]Place  `json:"placed,omitempty"`   // runs that may exist, by task
-}
-
-// Place is where a run may exist.
-type Place struct {
-	Target string `json:"target"` // incarnation
-	Run    int    `json:"run"`
-}
-
 // Job is the durable progress of a job.
 type Job struct {
 	State   State            `json:"state"`
--- a/internal/work/progress/progress_test.go
+++ b/internal/work/progress/progress_test.go
@@ -1,6 +1,7 @@
 package progress_test
 
 import (
+	"fmt"
 	"math/big"
 	"reflect"
 	"testing"
@@ -16,7 +17,7 @@
 	j := &progress.Job{State: progress.Running, Started: true, Steps: map[string]*progress.Step{
 		"0.1": {
 			Done: big.NewInt(0b1011), Failures: map[int][]int{2: {1, 4}}, Saved: map[int]string{2: "c"}, Runs: map[int]int{2: 5},
-			Placed: map[int]progress.Place{2: {Target: "t#1", Run: 5}},
+			Placed: []progress.Place{{Task: 2, Target: "t#1", Run: 5}, {Task: 2, Target: "t#2", Run: 6}, {Task: 4, Target: "t#1", Run: 1}},
 		},
 	}}
 	b, err := j.Encode()
@@ -26,11 +27,35 @@
 	is.True(reflect.DeepEqual(back, j))
 }
 
+// A leader takes over from one of an earlier version, whose rows name each task's
+// place by itself. Overlooked, the runs would be started a second time.
+func TestEarlierRows(t *testing.T) {
+	is := is.New(t)
+	j, err := progress.Decode([]byte(`{"state":"running","steps":{"0.0":{"runs":{"0":2,"3":1},"placed":{"3":{"target":"t#9","run":1},"0":{"target":"t#1","run":2}}}}}`))
+	is.NoErr(err)
+	is.Equal(j.Steps["0.0"].Placed, []progress.Place{{Task: 0, Target: "t#1", Run: 2}, {Task: 3, Target: "t#9", Run: 1}})
+}
+
+// The row of a step of 78 tasks that run on 20 targets is sent with each end: it must
+// stay under ten bytes a task beside the names of the targets.
+func TestWideStepIsShort(t *testing.T) {
+	is := is.New(t)
+	const tasks, targets, nameBytes = 78, 20, 20
+	s := &progress.Step{}
+	for i := range tasks {
+		s.Placed = append(s.Placed, progress.Place{Task: i, Target: fmt.Sprintf("i-%010x", i%targets), Run: 1})
+	}
+	j := &progress.Job{State: progress.Running, Started: true, Steps: map[string]*progress.Step{"0.0": s}}
+	b, err := j.Encode()
+	is.NoErr(err)
+	is.True(len(b) < 100+10*tasks+nameBytes*targets)
+}
+
 // A row of another writer names no state of ours: it is refused, not taken for a
 // job that has not begun.
 func TestDecodeRefuses(t *testing.T) {
 	is := is.New(t)
-	for _, text := range []string{"", "{}", `{"state":"resting"}`, `{"state":7}`, `[1]`, `{"state":"running","steps":{"0.0":{"done":"x"}}}`} {
+	for _, text := range []string{"", "{}", `{"state":"resting"}`, `{"state":7}`, `[1]`, `{"state":"running","steps":{"0.0":{"done":"x"}}}`, `{"state":"running","steps":{"0.0":{"on":{"t":[1]}}}}`} {
 		_, err := progress.Decode([]byte(text))
 		is.True(err != nil)
 	}
