--- a/internal/fleet/soundness/record.go
+++ b/internal/fleet/soundness/record.go
@@ -133,10 +133,16 @@
 func (r *Record) odds(now time.Time) float64 { return priorOdds * math.Exp(r.faded(now)) }
 
 // Doubted reports whether the target should get work only if no other can.
-func (r *Record) Doubted(now time.Time) bool { return r.odds(now) >= doubted }
+func (r *Record) Doubted(now time.Time) bool { return r.atLeast(doubted, now) }
 
 // Condemned reports whether the target should get no work.
-func (r *Record) Condemned(now time.Time) bool { return r.odds(now) >= condemned }
+func (r *Record) Condemned(now time.Time) bool { return r.atLeast(condemned, now) }
+
+// atLeast reports whether the odds reach some that are above the prior ones. Each
+// decision asks it of every target, and of most nothing bad is known.
+func (r *Record) atLeast(odds float64, now time.Time) bool {
+	return r.evidence > 0 && r.odds(now) >= odds
+}
 
 // Figures of speeds.
 const (
