--- a/internal/work/dispatch/backlog.go
+++ b/internal/work/dispatch/backlog.go
@@ -70,3 +70,9 @@
 	}
 	return b.all >= b.most
 }
+
+// mustWait reports whether a step waits for starts that are on their way. One that must
+// begin now, since that is guaranteed to its account, waits for nothing.
+func (m *Machine) mustWait(s *step, now time.Time) bool {
+	return m.backlog.full(s.job) && !m.mustBegin(s, now)
+}
--- /dev/null
+++ b/internal/work/dispatch/backlog_test.go
@@ -0,0 +1,113 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/standin/pool"
+	"guavaglade.example/guavaglade/internal/work/graph"
+)
+
+// jobOf returns a job of one step, accepted now.
+func (d *drive) jobOf(n, priority int, step graph.Step) *graph.Job {
+	step.Estimate = 5 * time.Second
+	j := &graph.Job{
+		ID: graph.JobID(fmt.Sprintf("%016x", n)), Queue: "q", Service: "s", Account: "a", Priority: priority, MaxAttempts: 3,
+		Slack: 3, Allowance: time.Second, AcceptedAt: d.now.UnixMilli(), Steps: []graph.Step{step},
+	}
+	d.p.Submit(j, pool.Behaviour{Work: func(graph.TaskID) time.Duration { return 5 * time.Second }})
+	return j
+}
+
+// ordered returns the starts that a decision asks for once its notes are saved.
+func ordered(d *drive) (starts []Start) {
+	for _, c := range d.m.Decide(d.now) {
+		switch c := c.(type) {
+		case Start:
+			starts = append(starts, c)
+		case Save:
+			d.version++
+			d.m.Saved(c.Part, d.version, d.now)
+			starts = append(starts, ordered(d)...)
+		}
+	}
+	return starts
+}
+
+// A step of 200 tasks comes to a host that can order 40 starts in a short time. It
+// placed and sent them all: what came next, however urgent, waited behind them. Now the
+// rest is placed as answers come, and urgent work goes between.
+func TestNoMoreThanTheHostCanOrder(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 6, 8, DefaultBounds())
+	d.m.SetAhead(40)
+	wide := small(200)
+	d.m.Accept(d.jobOf(1, 2, wide), d.now)
+	first := ordered(d)
+	is.Equal(len(first), 40)
+	d.now = d.now.Add(aheadRest)
+	is.Equal(len(ordered(d)), 0) // none was answered
+	d.m.Accept(d.jobOf(2, 0, urgent(4, 1)), d.now)
+	is.Equal(len(ordered(d)), 4)
+	for _, c := range first {
+		d.m.StartAnswered(c.Target.ID, c.Order.Run, 1, nil, d.now)
+	}
+	d.now = d.now.Add(aheadRest)
+	is.Equal(len(ordered(d)), 36) // beside the four urgent ones
+}
+
+// Starts that a target does not answer are not the host's: they hold up nothing once
+// their first try is over.
+func TestSilentTargetIsNoBacklog(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 6, 8, DefaultBounds())
+	d.m.SetAhead(40)
+	d.m.Accept(d.jobOf(1, 2, small(60)), d.now)
+	first := ordered(d)
+	is.Equal(len(first), 40)
+	for _, c := range first {
+		d.m.StartAnswered(c.Target.ID, c.Order.Run, 0, order.ErrUnanswered, d.now)
+	}
+	d.now = d.now.Add(aheadRest)
+	is.Equal(len(ordered(d)), 20)
+}
+
+// What an account is guaranteed must begin in time, however much else is on its way.
+func TestGuaranteeWaitsForNoBacklog(t *testing.T) {
+	is := is.New(t)
+	b := DefaultBounds()
+	d := newDrive(t, 6, 8, b)
+	d.m.SetGuarantees(map[string]int{"a": 100})
+	d.m.SetAhead(4)
+	d.m.Accept(d.jobOf(1, 0, urgent(4, 1)), d.now)
+	is.Equal(len(ordered(d)), 4)
+	d.m.Accept(d.jobOf(2, 0, urgent(4, 1)), d.now)
+	is.Equal(len(ordered(d)), 0)
+	d.now = d.now.Add(b.ReclaimTime - b.StopTime - reclaimMargin + 10*time.Millisecond)
+	d.m.Listed(d.p.Roster(), d.now, d.now)
+	is.Equal(len(ordered(d)), 4)
+}
+
+// A gang of 16 ends. Each of its other members was told to stop, though it had ended
+// with the one that was listed first: a third of all orders of a leader were such.
+func TestEndedGangIsNotStopped(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 2, 8, DefaultBounds())
+	stops := 0
+	d.lose = func(c Command) bool {
+		if _, ok := c.(Stop); ok {
+			stops++
+		}
+		return false
+	}
+	id := d.submit(1, time.Second, urgent(16, 4))
+	d.run(3 * time.Second)
+	is.True(d.took(id) > 0)
+	is.Equal(stops, 0)
+	is.Equal(d.m.Counts().Runs, 0)
+	d.check()
+}
--- a/internal/work/dispatch/schedule.go
+++ b/internal/work/dispatch/schedule.go
@@ -83,7 +83,7 @@
 	}
 	m.newPass(now)
 	for _, s := range fresh {
-		if s.listedOpen && !s.done && !s.job.over() && s.job.spec.Priority == 0 && !m.backlog.full(s.job) && m.placeStep(s, now) {
+		if s.listedOpen && !s.done && !s.job.over() && s.job.spec.Priority == 0 && !m.mustWait(s, now) && m.placeStep(s, now) {
 			m.seekAdvice(s, now)
 		}
 	}
@@ -113,7 +113,7 @@
 			continue
 		}
 		more := true
-		if m.backlog.full(s.job) {
+		if m.mustWait(s, now) {
 			waits = true
 		} else if more = m.placeStep(s, now); more {
 			m.seekAdvice(s, now)
@@ -204,7 +204,7 @@
 		if x.done || len(x.runs) > 0 {
 			continue
 		}
-		full = full || m.backlog.full(s.job)
+		full = full || m.mustWait(s, now)
 		if full || now.Before(x.pausedTo) {
 			left = true
 			continue
