dispatch: a report is looked at without a look at all its step's tasks

Cause: each report of a run compared its speed with all tasks of its step, and for a gang on one rack each of these comparisons asked all tasks for their racks: with 160 members 25,000 steps a report. Each event looked for waiting runs on all targets, each tick and report put all runs of a target in order three times. Change: what is known of a step's tasks together is kept for 100 ms; waiting runs are kept in a list and looked at when room came free; runs are put in order only if one needs something; whether a run waits for its gang is asked last. Tests: those of stragglers, gangs and orders hold as they are; the decisions are the same but for speeds up to 100 ms old.

--- a/internal/work/dispatch/ending.go
+++ b/internal/work/dispatch/ending.go
@@ -11,10 +11,16 @@
 )
 
 // sortedRuns returns the target's runs in a fixed order.
-func (t *target) sortedRuns() []*run {
-	runs := make([]*run, 0, len(t.runs))
+func (t *target) sortedRuns() []*run { return t.runsThat(func(*run) bool { return true }) }
+
+// runsThat returns those of the target's runs that a condition holds for, in a fixed
+// order.
+func (t *target) runsThat(holds func(*run) bool) []*run {
+	var runs []*run
 	for _, r := range t.runs {
-		runs = append(runs, r)
+		if holds(r) {
+			runs = append(runs, r)
+		}
 	}
 	slices.SortFunc(runs, compareRuns)
 	return runs
@@ -39,14 +45,13 @@
 	}
 	delete(t.runs, r.Run)
 	if r.phase == waiting {
-		m.waits--
 		t.promised = t.promised.Minus(r.charge)
 	} else {
 		t.used = t.used.Minus(r.charge)
 	}
 	r.task.runs = without(r.task.runs, r)
 	delete(r.task.step.job.live, r)
-	m.changed = true
+	m.changed, m.recheck = true, true
 	m.wake(r.task.step, now)
 }
 
--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -213,9 +213,10 @@
 // startWaiting notes runs whose room has become free, and gives up those whose
 // target takes no work any more.
 func (m *Machine) startWaiting(now time.Time) {
-	if m.waits == 0 {
+	if !m.recheck {
 		return
 	}
+	m.recheck = false
 	for _, group := range m.waitingGroups() {
 		lost := slices.ContainsFunc(group, func(r *run) bool { return !r.target.open(now) })
 		switch {
@@ -229,28 +230,23 @@
 	}
 }
 
+// waits reports whether a run still waits for room.
+func (r *run) waits() bool { return r.phase == waiting && r.target.runs[r.Run] == r }
+
 // waitingGroups returns the runs that wait for room: gangs together, others
 // alone, in the order in which they were placed.
 func (m *Machine) waitingGroups() [][]*run {
+	m.waiting = slices.DeleteFunc(m.waiting, func(r *run) bool { return !r.waits() })
 	var groups [][]*run
 	gangs := map[*step]int{}
-	for _, t := range m.byID {
-		if t.promised == (graph.Resources{}) {
+	for _, r := range m.waiting {
+		s := r.task.step
+		if at, ok := gangs[s]; ok && s.spec.Gang {
+			groups[at] = append(groups[at], r)
 			continue
 		}
-		for _, r := range t.sortedRuns() {
-			if r.phase != waiting {
-				continue
-			}
-			s := r.task.step
-			if at, ok := gangs[s]; ok && s.spec.Gang {
-				groups[at] = append(groups[at], r)
-				continue
-			}
-			gangs[s] = len(groups)
-			groups = append(groups, []*run{r})
-		}
+		gangs[s] = len(groups)
+		groups = append(groups, []*run{r})
 	}
-	slices.SortStableFunc(groups, func(a, b []*run) int { return a[0].placedAt.Compare(b[0].placedAt) })
 	return groups
 }
--- a/internal/work/dispatch/hold.go
+++ b/internal/work/dispatch/hold.go
@@ -26,7 +26,7 @@
 		m.log.Decided("target silent until its leases lapsed", "target", t.ID, "runs", len(t.runs), "silentMS", now.Sub(t.silentAt).Milliseconds())
 		m.loseAll(t, now)
 	}
-	for _, r := range t.sortedRuns() {
+	for _, r := range t.runsThat((*run).awaitsAnswer) {
 		m.tickRun(r, now)
 	}
 	m.holdIfDue(t, now)
@@ -182,10 +182,8 @@
 // start or the stop was answered before the report was asked for, and it lists
 // neither the run nor its end.
 func (m *Machine) missing(t *target, there map[order.Run]bool, asked, now time.Time) {
-	for _, r := range t.sortedRuns() {
-		if there[r.Run] || r.settledAt.IsZero() || !r.settledAt.Before(asked) {
-			continue
-		}
+	gone := t.runsThat(func(r *run) bool { return !there[r.Run] && !r.settledAt.IsZero() && r.settledAt.Before(asked) })
+	for _, r := range gone {
 		m.log.Decided("run not on its target", "target", t.ID, "task", r.Task, "run", r.Number, "phase", int(r.phase))
 		m.release(r, now)
 		m.endOnce(r, now)
--- a/internal/work/dispatch/job.go
+++ b/internal/work/dispatch/job.go
@@ -51,6 +51,7 @@
 	tried      attempts        // of a gang
 	broken     brokenRun       // of a gang
 	failedAt   map[string]bool // targets on which a task failed
+	peers      peers           // its tasks together, as last looked at
 	pausedTo   time.Time
 	rank       int64         // order among the open steps in this pass
 	tail       time.Duration // estimated work from this step on, along the longest chain
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -32,7 +32,8 @@
 	passAt     time.Time // the next pass is not before
 	pass       pass
 	backlog    backlog
-	waits      int                        // runs that wait for room
+	waiting    []*run                     // that wait for room, in the order in which they were placed; some may have ceased to
+	recheck    bool                       // room came free, or more waits for it
 	considered int                        // targets considered in this pass, over all steps
 	heldBack   map[*target]map[*step]bool // targets kept for urgent steps, in this pass
 	advising   bool                       // a call for advice is outstanding
@@ -127,7 +128,7 @@
 		m.touchTarget(t)
 	}
 	m.forgetEnded(now)
-	m.changed = true
+	m.changed, m.recheck = true, true
 }
 
 // Listed takes in the targets that the platform's list had at a time, all of them.
--- a/internal/work/dispatch/starting.go
+++ b/internal/work/dispatch/starting.go
@@ -20,7 +20,8 @@
 	x.step.job.live[r] = true
 	t.runs[r.Run] = r
 	t.promised = t.promised.Plus(r.charge)
-	m.waits++
+	m.waiting = append(m.waiting, r)
+	m.recheck = true
 	return r
 }
 
@@ -32,7 +33,6 @@
 	for _, r := range runs {
 		t := r.target
 		r.phase = noted
-		m.waits--
 		t.promised = t.promised.Minus(r.charge)
 		t.used = t.used.Plus(r.charge)
 		r.noteRev = m.touch(r.task.step.job)
@@ -248,6 +248,9 @@
 	}
 }
 
+// awaitsAnswer reports whether an order about the run may have to be sent again.
+func (r *run) awaitsAnswer() bool { return r.phase == starting || r.phase == stopping }
+
 // tickRun sends an order again that got no answer. To a target that does not answer
 // one order at a time is sent: the others would only keep the host busy.
 func (m *Machine) tickRun(r *run, now time.Time) {
--- a/internal/work/dispatch/straggler.go
+++ b/internal/work/dispatch/straggler.go
@@ -73,11 +73,11 @@
 
 // standsStill reports whether a run that had begun to work does not go on.
 func (r *run) standsStill(now time.Time) bool {
-	if r.percent >= 100 || r.movedAt.IsZero() || !r.works() {
+	if r.percent >= 100 || r.movedAt.IsZero() {
 		return false
 	}
 	limit := max(standTime, time.Duration(standShare*float64(r.task.step.spec.Estimate)))
-	return now.Sub(r.movedAt) >= limit
+	return now.Sub(r.movedAt) >= limit && r.works()
 }
 
 // works reports whether the run is not waiting for other members of its gang.
@@ -105,13 +105,13 @@
 }
 
 // farFactor returns how many times longer a run takes where it is.
-func (m *Machine) farFactor(r *run) float64 {
+func (m *Machine) farFactor(r *run, severalRacks bool) float64 {
 	far := 1.0
 	s := r.task.step.spec
 	if s.DataRack != "" && r.target.Rack != s.DataRack {
 		far *= m.bounds.FarFactor
 	}
-	if s.SameRack && r.task.step.onSeveralRacks() {
+	if s.SameRack && severalRacks {
 		far *= m.bounds.FarFactor
 	}
 	return far
@@ -136,34 +136,71 @@
 // it was more than what they gained (worth 0.598 against 0.630 on days on which a
 // fifth of the targets run six times slower for seven seconds).
 func (m *Machine) crawls(r *run, now time.Time) bool {
-	speed := r.speed(m.farFactor(r))
+	peers := m.peersOf(r.task.step, now)
+	far := m.farFactor(r, peers.severalRacks)
+	speed := r.speed(far)
 	if speed == 0 {
 		return false
 	}
-	usual := m.usualSpeed(r)
+	usual := peers.usualFor(r.target)
 	r.target.health.Ran(speed/usual, now)
 	if !r.target.health.Slow(now) || !r.task.step.spec.Checkpointing {
 		return false
 	}
 	estimate := r.task.step.spec.Estimate.Seconds()
 	left := 1 - float64(r.percent)/100
-	here := left * estimate * m.farFactor(r) / speed
+	here := left * estimate * far / speed
 	// Slowness passes, too: it is expected to last as long again.
 	here = min(here, r.target.health.SlowFor(now).Seconds()+left*estimate/usual)
 	return here > moveGain*left*estimate/usual+moveCost.Seconds()
 }
 
-// usualSpeed returns the speed of the step's fastest task on another target, or 1
-// if none is known.
-func (m *Machine) usualSpeed(r *run) float64 {
-	usual := 0.0
-	for _, x := range r.task.step.tasks {
-		for _, o := range x.runs {
-			if o.target != r.target && o.phase == running {
-				usual = max(usual, o.speed(m.farFactor(o)))
+// peersFor is how long what is known of a step's tasks together is used: a wide step
+// runs on hundreds of targets, and each of their reports would look at all its tasks.
+const peersFor = 100 * time.Millisecond
+
+// peers is what is known of a step's tasks together.
+type peers struct {
+	asOf             time.Time
+	severalRacks     bool
+	target           *target // of the fastest task; nil: none is known
+	speed, elsewhere float64 // of the fastest task, and of the fastest on other targets; 0: not known
+}
+
+// peersOf returns what is known of a step's tasks together, as of a moment ago.
+func (m *Machine) peersOf(s *step, now time.Time) *peers {
+	if now.Sub(s.peers.asOf) < peersFor {
+		return &s.peers
+	}
+	s.peers = peers{asOf: now, severalRacks: s.spec.SameRack && s.onSeveralRacks()}
+	for _, x := range s.tasks {
+		for _, r := range x.runs {
+			if r.phase == running {
+				s.peers.add(r.target, r.speed(m.farFactor(r, s.peers.severalRacks)))
 			}
 		}
 	}
+	return &s.peers
+}
+
+func (p *peers) add(t *target, speed float64) {
+	switch {
+	case t == p.target:
+		p.speed = max(p.speed, speed)
+	case speed > p.speed:
+		p.target, p.speed, p.elsewhere = t, speed, p.speed
+	default:
+		p.elsewhere = max(p.elsewhere, speed)
+	}
+}
+
+// usualFor returns the speed of the fastest task on another target than the one given,
+// or 1 if none is known.
+func (p *peers) usualFor(t *target) float64 {
+	usual := p.speed
+	if p.target == t {
+		usual = p.elsewhere
+	}
 	if usual == 0 {
 		return 1
 	}
