--- a/internal/work/dispatch/backlog_test.go
+++ b/internal/work/dispatch/backlog_test.go
@@ -38,6 +38,13 @@
 	return starts
 }
 
+// begin has the machine start what it would, and has all starts answered.
+func (d *drive) begin() {
+	for _, c := range ordered(d) {
+		d.m.StartAnswered(c.Target.ID, c.Order.Run, 1, nil, d.now)
+	}
+}
+
 // A step of 200 tasks comes to a host that can order 40 starts in a short time. It
 // placed and sent them all: what came next, however urgent, waited behind them. Now the
 // rest is placed as answers come, and urgent work goes between.
--- a/internal/work/dispatch/clearing.go
+++ b/internal/work/dispatch/clearing.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -58,14 +59,19 @@
 	var best *clearing
 	for _, set := range sets {
 		c := m.newClearing(s, now)
-		if c.fillSet(set.targets) && (best == nil || c.cost < best.cost) {
+		if best != nil {
+			c.most = best.cost
+		}
+		if c.fillSet(set.targets) {
 			best = c
 		}
 	}
+	s.wanted = nil
 	if best == nil {
 		return nil
 	}
 	if best.cost > m.allowedLoss(s, len(s.tasks), now) {
+		s.wanted = best.plan
 		m.holdBack(s, best.plan)
 		return nil
 	}
@@ -90,16 +96,15 @@
 	victims map[*run]bool
 	plan    []*target
 	cost    float64 // of all victims
+	most    float64 // a plan is of no use whose cost reaches it
 }
 
 func (m *Machine) newClearing(s *step, now time.Time) *clearing {
-	return &clearing{
-		m: m, step: s, now: now, charge: s.spec.Charge(), room: map[*target]graph.Resources{},
-		planned: map[*target]int{}, victims: map[*run]bool{},
-	}
+	return &clearing{m: m, step: s, now: now, charge: s.spec.Charge(), most: math.Inf(1)}
 }
 
-// fillSet plans all tasks of the step on a set, each where it costs least.
+// fillSet plans all tasks of the step on a set, each where it costs least. It gives up
+// as soon as that costs too much: most sets are no better than the best so far.
 func (c *clearing) fillSet(set []*target) bool {
 	if !c.couldHold(set) {
 		return false
@@ -118,6 +123,9 @@
 		if best < 0 {
 			return false
 		}
+		if c.cost+offers[best].cost >= c.most {
+			return false
+		}
 		gangs := c.take(set[best], offers[best])
 		for i, t := range set {
 			if i == best || gangs {
@@ -132,22 +140,31 @@
 func (c *clearing) couldHold(set []*target) bool {
 	n := 0
 	for _, t := range set {
-		room := c.free(t)
-		for _, v := range c.m.victimsOn(t, c.now) {
-			room = room.Plus(v.run.charge)
+		n += min(fitting(c.charge, c.m.clearable(t, c.now)), max(c.step.spread(t), 0))
+		if n >= len(c.step.tasks) {
+			break
 		}
-		n += min(fitting(c.charge, room), max(c.step.spread(t), 0))
 	}
 	c.m.considered += len(set)
 	return n >= len(c.step.tasks)
 }
 
-// free returns the room on a target under the plan, once the runs that are
-// being stopped there have ended.
-func (c *clearing) free(t *target) graph.Resources {
-	if r, ok := c.room[t]; ok {
-		return r
+// clearable returns the room on a target if all that may be stopped there is.
+func (m *Machine) clearable(t *target, now time.Time) graph.Resources {
+	if room, ok := m.pass.clearable[t]; ok {
+		return room
 	}
+	room := t.roomAfterStops()
+	for _, v := range m.victimsOn(t, now) {
+		room = room.Plus(v.run.charge)
+	}
+	m.pass.clearable[t] = room
+	return room
+}
+
+// roomAfterStops returns the room on a target once the runs that are being stopped
+// there have ended.
+func (t *target) roomAfterStops() graph.Resources {
 	room := t.room()
 	for _, r := range t.runs {
 		if r.phase == stopping {
@@ -157,6 +174,15 @@
 	return room
 }
 
+// free returns the room on a target under the plan, once the runs that are
+// being stopped there have ended.
+func (c *clearing) free(t *target) graph.Resources {
+	if r, ok := c.room[t]; ok {
+		return r
+	}
+	return t.roomAfterStops()
+}
+
 // offer is what one more task on a target would cost.
 type offer struct {
 	victims []victim // to stop
@@ -224,6 +250,9 @@
 // take plans one more task on a target. It reports whether a gang is stopped for
 // it, which makes room elsewhere, too.
 func (c *clearing) take(t *target, o offer) (gangs bool) {
+	if c.room == nil { // most plans end before anything is taken
+		c.room, c.planned, c.victims = map[*target]graph.Resources{}, map[*target]int{}, map[*run]bool{}
+	}
 	free := c.free(t)
 	for _, v := range o.victims {
 		c.victims[v.run] = true
@@ -269,7 +298,7 @@
 	m.log.Decided("room cleared", "step", c.step.id, "runs", len(list), "lossCoreS", int(c.cost), "gainCoreS", int(size), "waitedMS", m.wallMS(now)-c.step.anchor())
 	for _, r := range list {
 		m.stop(r, "room for "+c.step.id.String(), now)
-		delete(m.pass.victims, r.target) // it cannot be stopped again in this pass
+		m.pass.changed(r.target) // it cannot be stopped again in this pass
 	}
 }
 
--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 	"time"
 
 	"guavaglade.example/guavaglade/internal/work/graph"
@@ -44,33 +45,26 @@
 // may run over several, and one whose data is on a rack on another, only slower.
 func (m *Machine) sets(s *step, now time.Time) []set {
 	m.considered += len(m.byID)
-	byRack := map[string][]*target{}
-	var racks []string
 	var all []*target
-	for _, t := range m.byID {
-		if !s.suits(t, now) || s.tasks[0].barred(t, now) {
-			continue
-		}
-		if byRack[t.Rack] == nil {
-			racks = append(racks, t.Rack)
-		}
-		byRack[t.Rack] = append(byRack[t.Rack], t)
-		all = append(all, t)
-	}
-	if !s.spec.SameRack && s.spec.DataRack == "" {
-		return []set{{targets: all}}
-	}
-	slices.Sort(racks)
 	var list []set
-	for _, r := range racks {
-		c := set{targets: byRack[r]}
-		if s.spec.DataRack != "" && r != s.spec.DataRack {
+	for _, rack := range m.racksInOrder() {
+		c := set{}
+		if s.spec.DataRack != "" && rack[0].Rack != s.spec.DataRack {
 			c.far++
 		}
+		for _, t := range rack {
+			if s.suits(t, now) && !s.tasks[0].barred(t, now) {
+				c.targets = append(c.targets, t)
+			}
+		}
+		all = append(all, c.targets...)
 		if s.holds(c.targets) {
 			list = append(list, c)
 		}
 	}
+	if !s.spec.SameRack && s.spec.DataRack == "" {
+		return []set{{targets: all}}
+	}
 	everywhere := set{targets: all}
 	if s.spec.DataRack != "" {
 		everywhere.far++
@@ -83,6 +77,22 @@
 	return list
 }
 
+// racksInOrder returns the targets by rack. Those of no rack are one.
+func (m *Machine) racksInOrder() [][]*target {
+	if m.racks != nil {
+		return m.racks
+	}
+	inOrder := slices.Clone(m.byID)
+	slices.SortStableFunc(inOrder, func(a, b *target) int { return strings.Compare(a.Rack, b.Rack) })
+	for first, i := 0, 1; i <= len(inOrder); i++ {
+		if i == len(inOrder) || inOrder[i].Rack != inOrder[first].Rack {
+			m.racks = append(m.racks, inOrder[first:i])
+			first = i
+		}
+	}
+	return m.racks
+}
+
 // holds reports whether empty targets could hold the gang.
 func (s *step) holds(targets []*target) bool {
 	charge, n := s.spec.Charge(), 0
@@ -117,39 +127,92 @@
 // longer, which costs others more than its own wait: so it takes one only if it
 // must begin now, or if nothing can be earned any more by waiting.
 func (m *Machine) planGang(s *step, now time.Time) []*target {
+	slower := m.mustBegin(s, now) || m.wallMS(now) > s.lastStart()
+	full, may := m.pass.noRoomFor(s, slower), m.mayClear(s, now)
+	if full && !may {
+		m.holdBack(s, s.wanted)
+		return nil
+	}
 	sets := m.sets(s, now)
 	for first := 0; first < len(sets); {
 		last := first
 		for last < len(sets) && sets[last].far == sets[first].far {
 			last++
 		}
-		if plan := m.planOn(s, sets[first:last], now); plan != nil {
+		if plan := m.planOn(s, sets[first:last], full, may, now); plan != nil {
 			return plan
 		}
-		if !m.mustBegin(s, now) && m.wallMS(now) <= s.lastStart() {
-			return nil
+		if !slower {
+			break
 		}
 		first = last
 	}
+	m.pass.noteNoRoom(s, slower)
+	if may {
+		s.clearAt = now.Add(clearEvery)
+	} else {
+		m.holdBack(s, s.wanted)
+	}
 	return nil
 }
 
 // planOn plans a gang on one of the sets: the one that is left with the least
-// room or, if none has room, the one that is cleared at the least cost.
-func (m *Machine) planOn(s *step, sets []set, now time.Time) []*target {
+// room or, if none has room and some may be cleared, the one that is cleared at the
+// least cost. full tells that none has room.
+func (m *Machine) planOn(s *step, sets []set, full, may bool, now time.Time) []*target {
 	var best []*target
 	bestLeft := 0
 	for _, c := range sets {
+		if full {
+			break
+		}
 		if plan, left := m.fill(s, c.targets, now); plan != nil && (best == nil || left < bestLeft) {
 			best, bestLeft = plan, left
 		}
 	}
-	if best == nil && s.job.spec.Priority == 0 {
+	if best == nil && may {
 		return m.clearForGang(s, sets, now)
 	}
 	return best
 }
 
+// clearEvery is the time between two looks for room to clear for a step: a burst of
+// urgent gangs would otherwise take the whole processor, and what runs changes little
+// in it.
+const clearEvery = 200 * time.Millisecond
+
+// mayClear reports whether room may be cleared for a step now.
+func (m *Machine) mayClear(s *step, now time.Time) bool {
+	return s.job.spec.Priority == 0 && (!now.Before(s.clearAt) || m.mustBegin(s, now))
+}
+
+// noRoom is a gang that found no room in this pass, nor will one that asks for more.
+type noRoom struct {
+	step   *step
+	slower bool // sets were tried on which it runs slower
+}
+
+// noteNoRoom notes that a gang found no room, unless it was kept from targets that
+// others may use.
+func (p *pass) noteNoRoom(s *step, slower bool) {
+	if len(s.tried.avoid) == 0 && s.spec.PerTarget == 0 {
+		p.full = append(p.full, noRoom{s, slower})
+	}
+}
+
+// noRoomFor reports whether a gang that asks for no more than this one found no room
+// in this pass. Room only shrinks within one: what is stopped ends later.
+func (p *pass) noRoomFor(s *step, slower bool) bool {
+	for _, n := range p.full {
+		o := n.step
+		alike := o.job.spec.Service == s.job.spec.Service && o.spec.Label == s.spec.Label && o.spec.DataRack == s.spec.DataRack && o.spec.SameRack == s.spec.SameRack
+		if alike && (n.slower || !slower) && len(o.tasks) <= len(s.tasks) && o.spec.Charge().Within(s.spec.Charge()) {
+			return true
+		}
+	}
+	return false
+}
+
 // fill puts a gang's tasks on the targets of a set, each where it fits best, and
 // returns how many accelerators of the set are left free then.
 func (m *Machine) fill(s *step, targets []*target, now time.Time) (plan []*target, left int) {
--- /dev/null
+++ b/internal/work/dispatch/gang_test.go
@@ -0,0 +1,65 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"guavaglade.example/guavaglade/internal/proof/seeded"
+)
+
+// A gang is not tried in a pass in which one that asks for no more found no room. Tried
+// all the same, it finds none either: whatever runs, and whatever else is placed.
+func TestNoRoomIsForAllThatAskForMore(t *testing.T) {
+	seeded.Check(t, func(rt *rapid.T) {
+		d := newDrive(t, rapid.IntRange(1, 3).Draw(rt, "racks"), 8, DefaultBounds())
+		for n := range rapid.IntRange(0, 6).Draw(rt, "wide steps") {
+			d.m.Accept(d.jobOf(n+1, 2, small(rapid.IntRange(1, 40).Draw(rt, "tasks"))), d.now)
+			ordered(d)
+		}
+		d.m.newPass(d.now)
+		for n := range rapid.IntRange(2, 12).Draw(rt, "gangs") {
+			g := large(rapid.IntRange(1, 20).Draw(rt, "members"), rapid.SampledFrom([]int{1, 2, 4, 8}).Draw(rt, "accelerators"))
+			g.SameRack = rapid.Bool().Draw(rt, "same rack")
+			d.m.Accept(d.jobOf(100+n, 1, g), d.now)
+			s := d.m.open[len(d.m.open)-1]
+			slower := d.m.wallMS(d.now) > s.lastStart()
+			if !d.m.pass.noRoomFor(s, slower) {
+				d.m.placeGang(s, d.now)
+				continue
+			}
+			for _, c := range d.m.sets(s, d.now) {
+				if plan, _ := d.m.fill(s, c.targets, d.now); plan != nil && (c.far == 0 || slower) {
+					rt.Fatalf("%d members of %d accelerators fit", len(s.tasks), s.spec.Needs.Accelerators)
+				}
+			}
+		}
+	})
+}
+
+// Urgent gangs wait, and nothing may be stopped for them yet. The leader looks for room
+// to clear a few times a second, not each time that anything happens.
+func TestRoomToClearIsLookedForNowAndThen(t *testing.T) {
+	d := newDrive(t, 2, 8, DefaultBounds())
+	d.m.Accept(d.jobOf(1, 2, small(128)), d.now)
+	d.begin()
+	d.now = d.now.Add(30 * time.Second)
+	d.m.Accept(d.jobOf(2, 0, urgent(8, 8)), d.now)
+	s := d.m.open[len(d.m.open)-1]
+	looks, last := 0, s.clearAt
+	for range 100 {
+		d.m.changed, d.m.passAt = true, time.Time{}
+		d.m.Decide(d.now)
+		if s.clearAt != last {
+			looks, last = looks+1, s.clearAt
+		}
+		d.now = d.now.Add(10 * time.Millisecond)
+	}
+	if looks < 4 || looks > 6 {
+		t.Errorf("%d looks in a second", looks)
+	}
+	if len(s.wanted) == 0 || !d.m.heldFor(s.wanted[0], &step{}) {
+		t.Error("targets are not held back between two looks")
+	}
+}
--- a/internal/work/dispatch/hold.go
+++ b/internal/work/dispatch/hold.go
@@ -242,6 +242,7 @@
 	t.listed = false
 	delete(m.targets, t.ID)
 	m.byID = without(m.byID, t)
+	m.racks = nil
 }
 
 // loseAll releases all runs of a target.
--- a/internal/work/dispatch/job.go
+++ b/internal/work/dispatch/job.go
@@ -53,6 +53,8 @@
 	failedAt   map[string]bool // targets on which a task failed
 	peers      peers           // its tasks together, as last looked at
 	pausedTo   time.Time
+	clearAt    time.Time     // no room is cleared for it before
+	wanted     []*target     // that are held back for it until then
 	rank       int64         // order among the open steps in this pass
 	tail       time.Duration // estimated work from this step on, along the longest chain
 	listedOpen bool          // it is among the machine's open steps
--- a/internal/work/dispatch/load_test.go
+++ b/internal/work/dispatch/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 )
@@ -92,3 +93,27 @@
 		})
 	}
 }
+
+// BenchmarkCrowdedPass sweeps sizes and measures one pass over 300 urgent gangs that
+// wait on targets full of work that is too dear to stop.
+func BenchmarkCrowdedPass(b *testing.B) {
+	for _, racks := range []int{6, 44, 138} {
+		b.Run(strconv.Itoa(racks*8), func(b *testing.B) {
+			d := newDrive(b, racks, 8, DefaultBounds())
+			for n := range racks {
+				d.m.Accept(d.jobOf(n+1, 2, small(64)), d.now)
+				d.begin()
+			}
+			d.now = d.now.Add(30 * time.Second)
+			for n := range 300 {
+				d.m.Accept(d.jobOf(1000+n, 0, urgent(1+n%16, []int{1, 2, 4, 8, 8}[n%5])), d.now)
+			}
+			d.m.Decide(d.now)
+			for b.Loop() {
+				d.now = d.now.Add(20 * time.Millisecond)
+				d.m.changed, d.m.passAt = true, time.Time{}
+				d.m.Decide(d.now)
+			}
+		})
+	}
+}
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -18,7 +18,8 @@
 	log        Log
 	wall       time.Duration // time of day minus the steady time that is passed in
 	targets    map[string]*target
-	byID       []*target // by id, so that decisions do not depend on map order
+	byID       []*target   // by id, so that decisions do not depend on map order
+	racks      [][]*target // the same by rack; nil: to be put together anew
 	jobs       map[graph.JobID]*job
 	recurring  []*job  // in the order in which they came
 	open       []*step // steps that have tasks to start, in the order in which they came
@@ -122,6 +123,7 @@
 		if t.forgotten() {
 			delete(m.targets, t.ID)
 			m.byID = without(m.byID, t)
+			m.racks = nil
 		}
 	}
 	for _, t := range m.byID {
@@ -167,6 +169,9 @@
 	if l.Remains != t.Remains {
 		t.remainsAt = now
 	}
+	if t.Rack != l.Rack {
+		m.racks = nil
+	}
 	t.Target, t.listed = l, true
 	m.touchTarget(t)
 }
@@ -176,5 +181,6 @@
 	m.targets[l.ID] = t
 	at, _ := slices.BinarySearchFunc(m.byID, t, func(a, b *target) int { return strings.Compare(a.ID, b.ID) })
 	m.byID = slices.Insert(m.byID, at, t)
+	m.racks = nil
 	return t
 }
--- a/internal/work/dispatch/schedule.go
+++ b/internal/work/dispatch/schedule.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"guavaglade.example/guavaglade/internal/work/graph"
 	"guavaglade.example/guavaglade/internal/work/progress"
 )
 
@@ -64,11 +65,20 @@
 	victims map[*target][]victim // that may be stopped for work of priority 0
 	losses  map[*step]float64    // of gangs
 	wanted  map[string]int       // accelerators that accounts want for priority 0
+	// clearable is the room of targets if all that may be stopped there is.
+	clearable map[*target]graph.Resources
+	full      []noRoom // gangs that found no room as it is
+}
+
+// changed forgets what was worked out of a target.
+func (p *pass) changed(t *target) {
+	delete(p.victims, t)
+	delete(p.clearable, t)
 }
 
 // newPass begins a pass.
 func (m *Machine) newPass(now time.Time) {
-	m.pass = pass{victims: map[*target][]victim{}, losses: map[*step]float64{}}
+	m.pass = pass{victims: map[*target][]victim{}, losses: map[*step]float64{}, clearable: map[*target]graph.Resources{}}
 	m.considered = 0
 	m.countBacklog(now)
 }
--- a/internal/work/dispatch/starting.go
+++ b/internal/work/dispatch/starting.go
@@ -20,6 +20,7 @@
 	x.step.job.live[r] = true
 	t.runs[r.Run] = r
 	t.promised = t.promised.Plus(r.charge)
+	delete(m.pass.clearable, t)
 	m.waiting = append(m.waiting, r)
 	m.recheck = true
 	return r
