dispatch: small deployments look for room to clear as often as before

Change: the wait follows what the look cost, up to 200 ms; four orders at a time go to a target that does not answer.

--- a/internal/work/dispatch/backlog_test.go
+++ b/internal/work/dispatch/backlog_test.go
@@ -40,6 +40,7 @@
 
 // begin has the machine start what it would, and has all starts answered.
 func (d *drive) begin() {
+	d.m.passAt = time.Time{} // no pause since the last pass
 	for _, c := range ordered(d) {
 		d.m.StartAnswered(c.Target.ID, c.Order.Run, 1, nil, d.now)
 	}
--- a/internal/work/dispatch/clearing.go
+++ b/internal/work/dispatch/clearing.go
@@ -193,6 +193,7 @@
 // offer returns the runs to stop on a target so that one more task fits: the
 // cheapest first, without those that turn out not to be needed.
 func (c *clearing) offer(t *target) offer {
+	c.m.considered++
 	if c.step.spread(t)-c.planned[t] <= 0 {
 		return offer{}
 	}
--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -133,6 +133,7 @@
 		m.holdBack(s, s.wanted)
 		return nil
 	}
+	before := m.considered
 	sets := m.sets(s, now)
 	for first := 0; first < len(sets); {
 		last := first
@@ -149,7 +150,7 @@
 	}
 	m.pass.noteNoRoom(s, slower)
 	if may {
-		s.clearAt = now.Add(clearEvery)
+		s.clearAt = now.Add(min(time.Duration(m.considered-before)*clearRest, clearEvery))
 	} else {
 		m.holdBack(s, s.wanted)
 	}
@@ -176,10 +177,12 @@
 	return best
 }
 
-// clearEvery is the time between two looks for room to clear for a step: a burst of
-// urgent gangs would otherwise take the whole processor, and what runs changes little
-// in it.
-const clearEvery = 200 * time.Millisecond
+// Times between two looks for room to clear for a step: a burst of urgent gangs would
+// otherwise take the whole processor of a host with many targets.
+const (
+	clearRest  = 50 * time.Microsecond  // for each target that was considered
+	clearEvery = 200 * time.Millisecond // at most, in which what runs changes little
+)
 
 // mayClear reports whether room may be cleared for a step now.
 func (m *Machine) mayClear(s *step, now time.Time) bool {
--- a/internal/work/dispatch/gang_test.go
+++ b/internal/work/dispatch/gang_test.go
@@ -41,9 +41,11 @@
 // Urgent gangs wait, and nothing may be stopped for them yet. The leader looks for room
 // to clear a few times a second, not each time that anything happens.
 func TestRoomToClearIsLookedForNowAndThen(t *testing.T) {
-	d := newDrive(t, 2, 8, DefaultBounds())
-	d.m.Accept(d.jobOf(1, 2, small(128)), d.now)
-	d.begin()
+	d := newDrive(t, 100, 8, DefaultBounds())
+	for n := range 100 {
+		d.m.Accept(d.jobOf(100+n, 2, small(64)), d.now)
+		d.begin()
+	}
 	d.now = d.now.Add(30 * time.Second)
 	d.m.Accept(d.jobOf(2, 0, urgent(8, 8)), d.now)
 	s := d.m.open[len(d.m.open)-1]
--- a/internal/work/dispatch/starting.go
+++ b/internal/work/dispatch/starting.go
@@ -62,14 +62,15 @@
 	}
 }
 
-// pending reports whether an order about one of the target's runs is outstanding.
-func (t *target) pending() bool {
+// pending returns how many orders about the target's runs are outstanding.
+func (t *target) pending() int {
+	n := 0
 	for _, r := range t.runs {
 		if r.pending {
-			return true
+			n++
 		}
 	}
-	return false
+	return n
 }
 
 func (m *Machine) sendStart(r *run, now time.Time) {
@@ -252,10 +253,13 @@
 // awaitsAnswer reports whether an order about the run may have to be sent again.
 func (r *run) awaitsAnswer() bool { return r.phase == starting || r.phase == stopping }
 
-// tickRun sends an order again that got no answer. To a target that does not answer
-// one order at a time is sent: the others would only keep the host busy.
+// probes is how many orders are on their way at once to a target that does not answer:
+// more would only keep the host busy.
+const probes = 4
+
+// tickRun sends an order again that got no answer.
 func (m *Machine) tickRun(r *run, now time.Time) {
-	if r.pending || now.Sub(r.sentAt) < retryOrder || (!r.target.inTouch() && r.target.pending()) {
+	if r.pending || now.Sub(r.sentAt) < retryOrder || (!r.target.inTouch() && r.target.pending() >= probes) {
 		return
 	}
 	switch {
