dispatch, limiter: guaranteed work begins in time also where orders are slow

Room is cleared for guaranteed work at a fixed time, and the stop and the start then wait for a full link. Change: the time is earlier by what two orders take, their wait in the gate counted in; starts that must come in time go before others. Tests: TestGuaranteeOverASlowHost.

--- a/internal/fleet/limiter/gate.go
+++ b/internal/fleet/limiter/gate.go
@@ -13,6 +13,7 @@
 // members have begun must not wait for other work.
 const (
 	Stop   Class = iota // frees room, and ends what must not go on
+	Due                 // starts that must come in time, since that is guaranteed
 	Report              // first reports and acknowledgements
 	Start               //
 	Probe               // orders to targets that do not answer
@@ -42,6 +43,7 @@
 	mu      sync.Mutex
 	limit   limit
 	delays  delays
+	spent   delays // from when orders came to when they were answered
 	rate    rate
 	busy    int // places in use, at most the limit but for what it lost since
 	waiting [classes][]*waiter
@@ -67,7 +69,7 @@
 	if g.busy < int(g.limit.size) && g.queued(c) == 0 {
 		defer g.mu.Unlock()
 		g.busy++
-		return g.newPass(), nil
+		return g.newPass(g.clock()), nil
 	}
 	w := &waiter{since: g.clock(), ready: make(chan struct{})}
 	g.waiting[c] = append(g.waiting[c], w)
@@ -76,7 +78,7 @@
 	case <-w.ready:
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		return g.newPass(), nil
+		return g.newPass(w.since), nil
 	case <-ctx.Done():
 		g.leave(c, w)
 		return nil, ctx.Err()
@@ -149,8 +151,15 @@
 	return g.delays.patience()
 }
 
-// Ahead returns how many starts of a class may be on their way or wait, so that the
-// last of them waits no longer than it should.
+// Spent returns how long an order usually takes, its wait in the gate counted in.
+func (g *Gate) Spent() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.spent.mean
+}
+
+// Ahead returns how many starts may be on their way or wait, so that the last of them
+// waits no longer than it should.
 func (g *Gate) Ahead() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -183,14 +192,15 @@
 // Pass is an order's place among those in flight.
 type Pass struct {
 	gate  *Gate
-	began time.Time
+	came  time.Time // when the order came to the gate
+	began time.Time // when it was sent
 	timer *time.Timer
 	freed bool
 }
 
-// newPass returns a pass for an order that is sent now.
-func (g *Gate) newPass() *Pass {
-	p := &Pass{gate: g, began: g.clock()}
+// newPass returns a pass for an order that came at a time and is sent now.
+func (g *Gate) newPass(came time.Time) *Pass {
+	p := &Pass{gate: g, came: came, began: g.clock()}
 	p.timer = time.AfterFunc(max(slotDelays*g.delays.mean, leastSlot), p.expire)
 	return p
 }
@@ -222,6 +232,7 @@
 		now := g.clock()
 		waiting := g.queued(classes-1) > 0
 		g.delays.note(now.Sub(p.began))
+		g.spent.note(now.Sub(p.came))
 		g.limit.answered(now.Sub(p.began), waiting || g.busy >= int(g.limit.size), now)
 		g.rate.note(waiting, now)
 	}
--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -222,6 +222,7 @@
 	for {
 		now := o.clock()
 		o.machine.SetAhead(o.gate.Ahead())
+		o.machine.SetOrderTime(o.gate.Spent())
 		for _, c := range o.machine.Decide(now) {
 			o.carryOut(c, now)
 		}
--- a/internal/work/dispatch/backlog.go
+++ b/internal/work/dispatch/backlog.go
@@ -37,6 +37,9 @@
 	return false
 }
 
+// SetOrderTime tells how long an order usually takes, its wait in the host counted in.
+func (m *Machine) SetOrderTime(d time.Duration) { m.orderTime = d }
+
 // countBacklog counts the starts that are on their way.
 func (m *Machine) countBacklog(now time.Time) {
 	m.backlog.urgent, m.backlog.all = 0, 0
--- a/internal/work/dispatch/backlog_test.go
+++ b/internal/work/dispatch/backlog_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/matryer/is"
 
+	"guavaglade.example/guavaglade/internal/fleet/limiter"
 	"guavaglade.example/guavaglade/internal/fleet/order"
 	"guavaglade.example/guavaglade/internal/standin/pool"
 	"guavaglade.example/guavaglade/internal/work/graph"
@@ -100,6 +101,28 @@
 	is.Equal(len(ordered(d)), 4)
 }
 
+// A leader whose orders take a second clears room for guaranteed work so much earlier,
+// and its starts go before others. Cleared at the usual time, the work began a second
+// after it had to.
+func TestGuaranteeOverASlowHost(t *testing.T) {
+	is := is.New(t)
+	b := DefaultBounds()
+	d := newDrive(t, 1, 8, b)
+	d.m.SetGuarantees(map[string]int{"a": 100})
+	d.m.Accept(d.jobOf(1, 2, small(64)), d.now)
+	d.begin()
+	d.now = d.now.Add(30 * time.Second) // all that runs is too dear to stop for less
+	const slow = 500 * time.Millisecond
+	d.m.SetOrderTime(slow)
+	d.m.Accept(d.jobOf(2, 0, urgent(4, 8)), d.now)
+	s := d.m.open[len(d.m.open)-1]
+	usual := b.ReclaimTime - b.StopTime - reclaimMargin
+	is.True(!d.m.mustBegin(s, d.now.Add(usual-2*slow-10*time.Millisecond)))
+	is.True(d.m.mustBegin(s, d.now.Add(usual-2*slow+10*time.Millisecond)))
+	is.Equal(d.m.startClass(s, d.now.Add(usual)), limiter.Due)
+	is.Equal(d.m.startClass(s, d.now), limiter.Start)
+}
+
 // A gang of 16 ends. Each of its other members was told to stop, though it had ended
 // with the one that was listed first: a third of all orders of a leader were such.
 func TestEndedGangIsNotStopped(t *testing.T) {
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -33,6 +33,7 @@
 	passAt     time.Time // the next pass is not before
 	pass       pass
 	backlog    backlog
+	orderTime  time.Duration              // that an order usually takes
 	waiting    []*run                     // that wait for room, in the order in which they were placed; some may have ceased to
 	recheck    bool                       // room came free, or more waits for it
 	considered int                        // targets considered in this pass, over all steps
--- a/internal/work/dispatch/starting.go
+++ b/internal/work/dispatch/starting.go
@@ -81,7 +81,7 @@
 	m.out = append(m.out, Start{Target: t.address(), Order: order.Start{
 		Run: r.Run, Spec: r.task.step.job.spec.Spec, Deadline: t.grant(now, m.bounds.Lease),
 		Term: m.term, Checkpoint: r.resumedAt, Ticket: r.ticket,
-	}, Class: t.class(limiter.Start)})
+	}, Class: t.class(m.startClass(r.task.step, now))})
 	m.log.Decided("start run", "target", t.ID, "task", r.Task, "run", r.Number, "try", r.tries, "checkpoint", r.resumedAt)
 }
 
@@ -212,6 +212,15 @@
 	m.out = append(m.out, Stop{Target: r.target.address(), Run: r.Run, Class: r.target.class(limiter.Stop)})
 }
 
+// startClass returns the class in which the starts of a step wait for their turn, if
+// their targets answer.
+func (m *Machine) startClass(s *step, now time.Time) limiter.Class {
+	if m.mustBegin(s, now) {
+		return limiter.Due
+	}
+	return limiter.Start
+}
+
 // class returns the class in which an order to the target waits for its turn, which
 // is the usual one if it answers.
 func (t *target) class(usual limiter.Class) limiter.Class {
--- a/internal/work/dispatch/urgency.go
+++ b/internal/work/dispatch/urgency.go
@@ -44,7 +44,9 @@
 	if j.spec.Priority != 0 || len(s.spec.After) > 0 || !m.withinGuarantee(j.spec.Account) {
 		return false
 	}
-	due := s.anchor() + (m.bounds.ReclaimTime - m.bounds.StopTime - reclaimMargin).Milliseconds()
+	// A stop and a start follow each other. On a host that orders slowly, room that is
+	// cleared at the usual time comes too late.
+	due := s.anchor() + (m.bounds.ReclaimTime - m.bounds.StopTime - reclaimMargin - 2*m.orderTime).Milliseconds()
 	return m.wallMS(now) >= due
 }
 
