--- a/internal/host/dispatcher/carry.go
+++ b/internal/host/dispatcher/carry.go
@@ -46,19 +46,19 @@
 func (o *office) may() bool { return o.term.Valid(o.clock()) }
 
 func (o *office) start(c dispatch.Start) {
-	clock, err := o.give(c.Class, func(ctx context.Context) (int64, error) { return o.line.Start(ctx, c.Target, c.Order) })
+	clock, err := o.give(c.Class, 0, func(ctx context.Context) (int64, error) { return o.line.Start(ctx, c.Target, c.Order) })
 	o.post(func(now time.Time) { o.machine.StartAnswered(c.Target.ID, c.Order.Run, clock, err, now) })
 }
 
 func (o *office) stop(c dispatch.Stop) {
-	clock, err := o.give(c.Class, func(ctx context.Context) (int64, error) {
+	clock, err := o.give(c.Class, 0, func(ctx context.Context) (int64, error) {
 		return o.line.Stop(ctx, c.Target, c.Run, o.term.Number())
 	})
 	o.post(func(now time.Time) { o.machine.StopAnswered(c.Target.ID, c.Run, clock, err, now) })
 }
 
 func (o *office) pace(c dispatch.Pace) {
-	clock, err := o.give(limiter.Start, func(ctx context.Context) (int64, error) {
+	clock, err := o.give(limiter.Start, 0, func(ctx context.Context) (int64, error) {
 		return o.line.Pace(ctx, c.Target, c.Run, c.Percent, o.term.Number())
 	})
 	o.post(func(now time.Time) { o.machine.PaceAnswered(c.Target.ID, c.Run, clock, err, now) })
@@ -66,12 +66,13 @@
 
 // give gives an order when its turn has come. The time that its answer may take
 // counts from then: the time spent waiting in this host says nothing of the target.
-func (o *office) give(c limiter.Class, order func(ctx context.Context) (int64, error)) (int64, error) {
+// It is the usual one, and least in any case.
+func (o *office) give(c limiter.Class, least time.Duration, order func(ctx context.Context) (int64, error)) (int64, error) {
 	pass, err := o.gate.Enter(o.ctx, c)
 	if err != nil {
 		return 0, errTermOver
 	}
-	ctx, cancel := context.WithTimeout(o.ctx, o.gate.Patience())
+	ctx, cancel := context.WithTimeout(o.ctx, max(least, o.gate.Patience()))
 	defer cancel()
 	if !o.may() {
 		pass.Done(false)
@@ -119,7 +120,7 @@
 // meanwhile, and takes no place among the orders in flight.
 func (o *office) report(c dispatch.Hold) (rep order.Report, err error) {
 	if c.Order.Wait == 0 {
-		_, err = o.give(c.Class, func(ctx context.Context) (int64, error) {
+		_, err = o.give(c.Class, holdExtra, func(ctx context.Context) (int64, error) {
 			rep, err = o.line.Hold(ctx, c.Target, c.Order)
 			return 0, err
 		})
--- a/internal/host/dispatcher/guards_test.go
+++ b/internal/host/dispatcher/guards_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -105,3 +106,27 @@
 	is.True(err != nil)
 	is.Equal(table.Get(ProgressKey(c.Part, someJob)).Version, int64(0))
 }
+
+// slowReports is a line whose targets take half a second for a report.
+type slowReports struct{ sends }
+
+func (s *slowReports) Hold(ctx context.Context, _ order.Address, _ order.Hold) (order.Report, error) {
+	select {
+	case <-time.After(500 * time.Millisecond):
+		return order.Report{Clock: 1}, nil
+	case <-ctx.Done():
+		return order.Report{}, order.ErrUnanswered
+	}
+}
+
+// A target takes half a second for a report that waits for nothing, longer than a start
+// may take: a lost packet is sent again after a fifth of a second, and once more after
+// two. It is not taken for silent.
+func TestSlowReportIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := desk(rows.New(0), &slowReports{}, time.Now(), time.Now())
+		_, err := o.report(dispatch.Hold{})
+		is.NoErr(err)
+	})
+}
