dispatcher: the narrow link of the tests hands answers over by a channel

The fault is the stand-in's; the product's own code has no part in it. Change: answers go over a channel that nobody reads by then.

--- a/internal/host/dispatcher/shortage_test.go
+++ b/internal/host/dispatcher/shortage_test.go
@@ -36,9 +36,16 @@
 	freeAt    time.Time
 }
 
-// carry sends so many bytes, and calls f when they are through. It returns earlier if
-// the context ends.
-func (l *narrowLink) carry(ctx context.Context, bytes int, f func()) error {
+// answer is what a target answers.
+type answer struct {
+	clock  int64
+	report order.Report
+	err    error
+}
+
+// carry sends so many bytes and has f carried out when they are through. It returns
+// earlier if the context ends; f is carried out all the same.
+func (l *narrowLink) carry(ctx context.Context, bytes int, f func(ctx context.Context) answer) answer {
 	l.mu.Lock()
 	if now := time.Now(); l.freeAt.Before(now) {
 		l.freeAt = now
@@ -46,45 +53,44 @@
 	l.freeAt = l.freeAt.Add(time.Duration(float64(bytes) / l.perSecond * float64(time.Second)))
 	at := l.freeAt
 	l.mu.Unlock()
-	through := make(chan struct{})
+	answers := make(chan answer, 1)
 	go func() {
 		time.Sleep(time.Until(at))
-		f()
-		close(through)
+		answers <- f(context.WithoutCancel(ctx))
 	}()
 	select {
-	case <-through:
-		return nil
+	case a := <-answers:
+		return a
 	case <-ctx.Done():
-		return fmt.Errorf("narrow link: %w: %w", order.ErrUnanswered, ctx.Err())
+		return answer{err: fmt.Errorf("narrow link: %w: %w", order.ErrUnanswered, ctx.Err())}
 	}
 }
 
 // Start implements order.Line.
-func (l *narrowLink) Start(ctx context.Context, to order.Address, s order.Start) (clock int64, err error) {
-	lost := l.carry(ctx, headers+len(s.Spec), func() { clock, err = l.Line.Start(context.WithoutCancel(ctx), to, s) })
-	if lost != nil {
-		return 0, lost
-	}
-	return clock, err
+func (l *narrowLink) Start(ctx context.Context, to order.Address, s order.Start) (int64, error) {
+	a := l.carry(ctx, headers+len(s.Spec), func(ctx context.Context) answer {
+		clock, err := l.Line.Start(ctx, to, s)
+		return answer{clock: clock, err: err}
+	})
+	return a.clock, a.err
 }
 
 // Stop implements order.Line.
-func (l *narrowLink) Stop(ctx context.Context, to order.Address, r order.Run, term int64) (clock int64, err error) {
-	lost := l.carry(ctx, headers, func() { clock, err = l.Line.Stop(context.WithoutCancel(ctx), to, r, term) })
-	if lost != nil {
-		return 0, lost
-	}
-	return clock, err
+func (l *narrowLink) Stop(ctx context.Context, to order.Address, r order.Run, term int64) (int64, error) {
+	a := l.carry(ctx, headers, func(ctx context.Context) answer {
+		clock, err := l.Line.Stop(ctx, to, r, term)
+		return answer{clock: clock, err: err}
+	})
+	return a.clock, a.err
 }
 
 // Hold implements order.Line.
-func (l *narrowLink) Hold(ctx context.Context, to order.Address, h order.Hold) (rep order.Report, err error) {
-	lost := l.carry(ctx, headers, func() { rep, err = l.Line.Hold(ctx, to, h) })
-	if lost != nil {
-		return order.Report{}, lost
-	}
-	return rep, err
+func (l *narrowLink) Hold(ctx context.Context, to order.Address, h order.Hold) (order.Report, error) {
+	a := l.carry(ctx, headers, func(ctx context.Context) answer {
+		rep, err := l.Line.Hold(ctx, to, h)
+		return answer{report: rep, err: err}
+	})
+	return a.report, a.err
 }
 
 // shortage is a leader on a host with a narrow link, over racks of eight targets.
