evacuation, dispatch, station: nothing starts in an evacuated zone

Change: a register of evacuated zones (package fleet/evacuation) is kept by the feed that brings the configuration, so it costs no call. The leader marks the targets: nothing is placed there, starts that are being saved are given up with their gangs, those that wait for their turn are withheld, those without an answer are stopped and not repeated. By knowledge older than the bound nothing starts anywhere. What runs may end. The fleet view has zones, and says whether the guarantees fit in the room that may be used; lines at each change.

--- a/internal/config/catalog/catalog.go
+++ b/internal/config/catalog/catalog.go
@@ -65,6 +65,8 @@
 	byHost   map[string][]int  // positions in queues, by virtual host
 	byKey    map[string]string // account names, by key
 	leaving  map[string]bool   // ids of targets that an operator takes out
+	// evacuated are the availability zones that an operator evacuates.
+	evacuated []string
 }
 
 // Option sets one property of a new catalog.
@@ -79,6 +81,12 @@
 	}
 }
 
+// WithEvacuated names the availability zones that an operator evacuates: nothing is
+// started there.
+func WithEvacuated(zones ...string) Option {
+	return func(c *Catalog) { c.evacuated = append(c.evacuated, zones...) }
+}
+
 // New returns a catalog.
 func New(version int64, queues []Queue, accounts []Account, services []Service, l Limits, opts ...Option) *Catalog {
 	c := &Catalog{
@@ -119,6 +127,15 @@
 // Leaving reports whether an operator takes the target out.
 func (c *Catalog) Leaving(id string) bool { return c != nil && c.leaving[id] }
 
+// Evacuated returns the availability zones that an operator evacuates. The caller must
+// not change them.
+func (c *Catalog) Evacuated() []string {
+	if c == nil {
+		return nil
+	}
+	return c.evacuated
+}
+
 // Service returns a service by name.
 func (c *Catalog) Service(name string) (Service, bool) {
 	s, ok := c.services[name]
--- a/internal/fleet/order/order.go
+++ b/internal/fleet/order/order.go
@@ -20,6 +20,7 @@
 	ErrUnhealthy  = errors.New("the target takes no work now")
 	ErrOtherLife  = errors.New("another incarnation runs at the address")
 	ErrUnreached  = errors.New("the target was not reached")
+	ErrWithheld   = errors.New("not sent: the target's zone is evacuated, or may be")
 	ErrUnanswered = errors.New("no answer; the order may have been carried out")
 )
 
--- a/internal/host/dispatcher/carry.go
+++ b/internal/host/dispatcher/carry.go
@@ -45,8 +45,25 @@
 // order, and counts the time of the freeze.
 func (o *office) may() bool { return o.term.Valid(o.clock()) }
 
+// mayStartIn reports whether work may start in a zone at this moment. A start may have
+// waited for its turn since it was decided, while the zone was evacuated.
+func (o *office) mayStartIn(zone string) bool {
+	if o.evacuations == nil {
+		return true
+	}
+	known := o.evacuations()
+	age := o.clock().Sub(known.AsOf)
+	return !known.Has(zone) && (o.bounds.EvacuationAge == 0 || age <= o.bounds.EvacuationAge)
+}
+
 func (o *office) start(c dispatch.Start) {
-	clock, err := o.give(c.Class, 0, func(ctx context.Context) (int64, error) { return o.line.Start(ctx, c.Target, c.Order) })
+	clock, err := o.give(c.Class, 0, func(ctx context.Context) (int64, error) {
+		if !o.mayStartIn(c.Zone) {
+			o.metrics.Counter("starts_withheld").Inc(1)
+			return 0, fmt.Errorf("start on %s in zone %s: %w", c.Target.ID, c.Zone, order.ErrWithheld)
+		}
+		return o.line.Start(ctx, c.Target, c.Order)
+	})
 	o.post(func(now time.Time) { o.machine.StartAnswered(c.Target.ID, c.Order.Run, clock, err, now) })
 }
 
@@ -85,7 +102,7 @@
 
 // isAnswer reports whether a target answered an order, whatever it said.
 func isAnswer(err error) bool {
-	return !errors.Is(err, order.ErrUnanswered) && !errors.Is(err, order.ErrUnreached)
+	return !errors.Is(err, order.ErrUnanswered) && !errors.Is(err, order.ErrUnreached) && !errors.Is(err, order.ErrWithheld)
 }
 
 // errNoAdviser says that a queue wants advice and the deployment has no service
--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"guavaglade.example/guavaglade/internal/config/catalog"
+	"guavaglade.example/guavaglade/internal/fleet/evacuation"
 	"guavaglade.example/guavaglade/internal/fleet/limiter"
 	"guavaglade.example/guavaglade/internal/fleet/order"
 	"guavaglade.example/guavaglade/internal/fleet/roster"
@@ -52,9 +53,11 @@
 	metrics tally.Scope
 	keeper  *catalog.Keeper // nil: no configuration
 	settled func(dispatch.Settled)
-	log     logr.Logger
-	mu      sync.Mutex
-	now     *office // nil while another host leads
+	// evacuations tells which zones are evacuated; nil: none ever is.
+	evacuations func() evacuation.Status
+	log         logr.Logger
+	mu          sync.Mutex
+	now         *office // nil while another host leads
 }
 
 // Option sets one property of a new dispatcher.
@@ -77,6 +80,12 @@
 // account has a guarantee.
 func WithCatalog(k *catalog.Keeper) Option { return func(d *Dispatcher) { d.keeper = k } }
 
+// WithEvacuations sets where the evacuated zones are asked for. Without it no zone is
+// ever evacuated.
+func WithEvacuations(f func() evacuation.Status) Option {
+	return func(d *Dispatcher) { d.evacuations = f }
+}
+
 // New returns a dispatcher that does not lead yet.
 func New(s store.Store, l order.Line, r Roster, b dispatch.Bounds, log logr.Logger, opts ...Option) *Dispatcher {
 	b.Parts, b.ListAge = Parts, max(b.DrainTime-startSpare, 3*b.DrainTime/4)
@@ -84,6 +93,9 @@
 	for _, o := range opts {
 		o(d)
 	}
+	if d.evacuations != nil && b.EvacuateTime > 0 {
+		d.bounds.EvacuationAge = max(b.EvacuateTime-startSpare, 3*b.EvacuateTime/4)
+	}
 	return d
 }
 
@@ -221,6 +233,9 @@
 	defer tick.Stop()
 	for {
 		now := o.clock()
+		if o.evacuations != nil {
+			o.machine.SetEvacuated(o.evacuations(), now)
+		}
 		o.machine.SetAhead(o.gate.Ahead())
 		o.machine.SetOrderTime(o.gate.Spent())
 		for _, c := range o.machine.Decide(now) {
--- a/internal/host/station/config.go
+++ b/internal/host/station/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"guavaglade.example/guavaglade/internal/fleet/evacuation"
 	"guavaglade.example/guavaglade/internal/platform/store"
 )
 
@@ -44,12 +45,25 @@
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	k := s.config.Key
-	page, err := s.store.Read(ctx, store.Range{Table: k.Table, Part: k.Part, From: k.Name, To: k.Name + "\x00"})
+	rows := store.Range{Table: k.Table, Part: k.Part, From: k.Name, To: k.Name + "\x00"}
+	if s.config.Evacuated != nil {
+		rows.From, rows.To = "", "" // the evacuated zones stand beside it
+	}
+	asked := s.currency.clock()
+	page, err := store.ReadAll(ctx, s.store, rows)
 	if err != nil {
 		return -1, err
 	}
+	var zones []string
 	for _, r := range page.Rows {
-		s.offer(r)
+		if zone, ok := s.evacuatedBy(r.Key); ok {
+			zones = append(zones, zone)
+		} else if r.Key == k {
+			s.offer(r)
+		}
+	}
+	if s.zones.Replace(zones, asked) {
+		s.tellZones()
 	}
 	s.currency.confirm()
 	return page.Version, nil
@@ -58,19 +72,44 @@
 func (s *Station) awaitConfig(ctx context.Context, after int64) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, feedWait+feedExtra)
 	defer cancel()
+	asked := s.currency.clock()
 	page, err := s.store.Changes(ctx, s.config.Key.Table, after, feedWait)
 	if err != nil {
 		return -1, err
 	}
+	var changes []evacuation.Change
 	for _, r := range page.Rows {
-		if r.Key == s.config.Key && !r.Removed {
+		if zone, ok := s.evacuatedBy(r.Key); ok {
+			changes = append(changes, evacuation.Change{Zone: zone, Evacuated: !r.Removed})
+		} else if r.Key == s.config.Key && !r.Removed {
 			s.offer(r)
 		}
 	}
+	if s.zones.Apply(changes, asked) {
+		s.tellZones()
+	}
 	s.currency.confirm()
 	return max(page.Version, after), nil
 }
 
+// evacuatedBy returns the zone that a row evacuates, if it is such a row.
+func (s *Station) evacuatedBy(k store.Key) (zone string, ok bool) {
+	if s.config.Evacuated == nil {
+		return "", false
+	}
+	return s.config.Evacuated(k)
+}
+
+func (s *Station) tellZones() {
+	s.log.Info("evacuations in force", "host", s.identity.Name, "zones", s.Evacuations().Zones)
+}
+
+// Evacuations returns the zones that operators evacuate, by the configuration or by
+// rows of their own.
+func (s *Station) Evacuations() evacuation.Status {
+	return s.zones.Now().With(s.keeper.Now().Evacuated()...)
+}
+
 // offer takes a stored configuration; one that cannot be read is passed over, and
 // the one in force stays.
 func (s *Station) offer(r store.Row) {
--- /dev/null
+++ b/internal/host/station/evacuation_test.go
@@ -0,0 +1,65 @@
+package station_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/host/steady"
+	"guavaglade.example/guavaglade/internal/platform/store"
+)
+
+func evacuationKey(zone string) store.Key { return store.Key{Table: configKey.Table, Name: "away/" + zone} }
+
+// zoneOf reads the key of a row that evacuates a zone.
+func zoneOf(k store.Key) (zone string, ok bool) { return strings.CutPrefix(k.Name, "away/") }
+
+func (r *running) evacuated(zones ...string) func() bool {
+	return func() bool { return slices.Equal(r.Evacuations().Zones, zones) }
+}
+
+// Operators evacuate zones by rows beside the configuration, take one back and set it
+// again, while the configuration changes and the store forgets its history. The host has
+// what the rows say each time, and never loses a zone by a change of something else.
+func TestEvacuationsAreFollowed(t *testing.T) {
+	is := is.New(t)
+	r := start(t)
+	r.table.Put(evacuationKey("leon"), []byte("{}"))
+	r.table.Put(configKey, []byte("1"))
+	r.until(t, "leon", r.evacuated("leon"))
+	r.table.Put(evacuationKey("celaya"), nil) // what the row holds does not matter
+	r.until(t, "both", r.evacuated("celaya", "leon"))
+	r.table.Put(configKey, []byte("2"))
+	r.table.Remove(evacuationKey("leon"))
+	r.until(t, "celaya alone", r.evacuated("celaya"))
+	is.Equal(r.Catalog().Version(), int64(2))
+	r.table.Forget()
+	r.table.Put(evacuationKey("leon"), []byte("{}"))
+	r.until(t, "both again", r.evacuated("celaya", "leon"))
+	r.table.Remove(evacuationKey("celaya"))
+	r.table.Remove(evacuationKey("leon"))
+	r.until(t, "none", r.evacuated())
+	r.stop()
+	is.NoErr(<-r.ended)
+}
+
+// The store turns a host away for a while, and a zone is evacuated meanwhile. The host
+// must not count as informed by what it read before; it is as soon as it is served again.
+func TestEvacuationsOfAHostThatTheStoreTurnsAway(t *testing.T) {
+	is := is.New(t)
+	r := start(t)
+	r.table.Put(configKey, []byte("1"))
+	r.until(t, "a first reading", func() bool { return !r.Evacuations().AsOf.IsZero() })
+	r.refuse(true)
+	r.until(t, "the store lost", func() bool { return r.logged("store lost") })
+	turnedAway := steady.Now()
+	r.table.Put(evacuationKey("leon"), []byte("{}"))
+	is.True(!r.Evacuations().AsOf.After(turnedAway))
+	r.refuse(false)
+	r.until(t, "leon", r.evacuated("leon"))
+	r.until(t, "a later reading", func() bool { return r.Evacuations().AsOf.After(turnedAway) })
+	r.stop()
+	is.NoErr(<-r.ended)
+}
--- a/internal/host/station/station.go
+++ b/internal/host/station/station.go
@@ -12,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"guavaglade.example/guavaglade/internal/config/catalog"
+	"guavaglade.example/guavaglade/internal/fleet/evacuation"
 	"guavaglade.example/guavaglade/internal/fleet/order"
 	"guavaglade.example/guavaglade/internal/host/dispatcher"
 	"guavaglade.example/guavaglade/internal/host/entry"
@@ -45,6 +46,9 @@
 type Configuration struct {
 	Key    store.Key
 	Decode catalog.Decode
+	// Evacuated returns the availability zone that a row of the same table and part
+	// evacuates while it is there; nil: rows do not.
+	Evacuated func(store.Key) (zone string, ok bool)
 }
 
 // Station is one process of the system.
@@ -57,7 +61,8 @@
 	metrics  tally.Scope
 	store    *store.Gauge
 	keeper   *catalog.Keeper
-	currency *currency // of what the keeper has
+	zones    *evacuation.Register // of the rows that evacuate zones
+	currency *currency            // of what the keeper has
 	desk     *dispatcher.Dispatcher
 	exchange *exchange.Exchange
 	election *leader.Election
@@ -107,11 +112,12 @@
 	holder := id.Name + "#" + strconv.FormatInt(time.Now().UnixNano(), 36)
 	s := &Station{
 		identity: id, config: c, grace: set.grace, unready: set.unready, log: log, metrics: set.metrics,
-		keeper: catalog.NewKeeper(c.Decode), currency: newCurrency(steady.Now), burn: burn.New(holder),
+		keeper: catalog.NewKeeper(c.Decode), zones: evacuation.NewRegister(), currency: newCurrency(steady.Now), burn: burn.New(holder),
 	}
 	s.store = store.NewGauge(store.NewCounted(p.Store, set.metrics), leader.RowKey, s.storeChanged)
 	desk := []dispatcher.Option{
 		dispatcher.WithCatalog(s.keeper), dispatcher.WithMetrics(set.metrics), dispatcher.WithOutcomes(s.recordOutcome),
+		dispatcher.WithEvacuations(s.Evacuations),
 	}
 	if p.Adviser != nil {
 		desk = append(desk, dispatcher.WithAdviser(p.Adviser))
--- a/internal/host/station/station_test.go
+++ b/internal/host/station/station_test.go
@@ -36,6 +36,7 @@
 type running struct {
 	*station.Station
 	table   *rows.Table
+	link    *rows.Link
 	peers   net.Listener
 	stop    context.CancelFunc
 	ended   chan error
@@ -59,15 +60,19 @@
 		defer r.mu.Unlock()
 		r.lines = append(r.lines, line)
 	}, funcr.Options{})
-	ports := station.Ports{Store: rows.NewLink(r.table, rnd), Line: pool.NewLine(shared, 0, rnd), Roster: shared}
+	r.link = rows.NewLink(r.table, rnd)
+	ports := station.Ports{Store: r.link, Line: pool.NewLine(shared, 0, rnd), Roster: shared}
 	id := station.Identity{Name: "leon-1", Zone: "leon", Peers: l.Addr().String()}
-	r.Station = station.New(id, ports, station.Configuration{Key: configKey, Decode: decode}, log, station.WithUnreadyTime(10*time.Millisecond))
+	r.Station = station.New(id, ports, station.Configuration{Key: configKey, Decode: decode, Evacuated: zoneOf}, log, station.WithUnreadyTime(10*time.Millisecond))
 	go func() {
 		r.ended <- r.Run(ctx, l, func(context.Context) { r.drained <- r.Stopping() })
 	}()
 	return r
 }
 
+// refuse has the store turn the host away, or serve it again.
+func (r *running) refuse(on bool) { r.link.Set(rows.Trouble{Refuse: on}) }
+
 // until waits for something to come true, up to the test's own time-out.
 func (r *running) until(t *testing.T, what string, f func() bool) {
 	t.Helper()
--- a/internal/report/view/view.go
+++ b/internal/report/view/view.go
@@ -56,7 +56,17 @@
 	MemoryMB     int    `json:"memoryMB"`
 	Free         int    `json:"free"` // accelerators
 	Runs         int    `json:"runs"`
-	State        string `json:"state"` // ready, unheld, silent, draining, doubted, unlisted
+	State        string `json:"state"` // ready, unheld, silent, draining, evacuated, doubted, unlisted
+}
+
+// Zone is an availability zone as the leader sees it.
+type Zone struct {
+	Name         string `json:"name"`
+	Evacuated    bool   `json:"evacuated"`
+	Targets      int    `json:"targets"`
+	Accelerators int    `json:"accelerators"`
+	Free         int    `json:"free"` // accelerators
+	Runs         int    `json:"runs"`
 }
 
 // Account is a client account with its guarantee.
@@ -71,8 +81,13 @@
 	Leader   string    `json:"leader"` // address for peers
 	Term     int64     `json:"term"`
 	Waiting  int       `json:"waiting"` // steps with tasks to start
+	Zones    []Zone    `json:"zones"`   // by name
 	Targets  []Target  `json:"targets"`
 	Accounts []Account `json:"accounts"`
+	// Guaranteed and Usable are accelerators: guaranteed to all accounts together, and
+	// on targets that may get work. Guarantees can be met if the first is not larger.
+	Guaranteed int `json:"guaranteed"`
+	Usable     int `json:"usable"`
 }
 
 // InForce is what a host has in force.
--- a/internal/work/dispatch/bounds.go
+++ b/internal/work/dispatch/bounds.go
@@ -15,6 +15,10 @@
 	DrainTime   time.Duration // a target that leaves gets no work after it
 	Parts       int           // parts over which jobs are spread
 	ListAge     time.Duration // nothing is placed by a list of targets that is older; 0: no limit
+	// EvacuateTime is how long after a zone was evacuated work may still start there; 0: not bounded.
+	EvacuateTime time.Duration
+	// EvacuationAge bounds the age of what is known of evacuations when work starts; 0: no limit.
+	EvacuationAge time.Duration
 }
 
 // DefaultBounds returns bounds for trials.
@@ -22,7 +26,7 @@
 	return Bounds{
 		Lease: 6 * time.Second, StopTime: 400 * time.Millisecond, GangTimeout: 3 * time.Second,
 		RestoreTime: 100 * time.Millisecond, FarFactor: 3,
-		ReclaimTime: 2900 * time.Millisecond, DrainTime: 2 * time.Second, Retention: 120 * time.Second, Parts: 4,
+		ReclaimTime: 2900 * time.Millisecond, DrainTime: 2 * time.Second, EvacuateTime: 5 * time.Second, Retention: 120 * time.Second, Parts: 4,
 	}
 }
 
--- a/internal/work/dispatch/command.go
+++ b/internal/work/dispatch/command.go
@@ -16,6 +16,7 @@
 // Machine.StartAnswered.
 type Start struct {
 	Target order.Address
+	Zone   string // the target's
 	Order  order.Start
 	Class  limiter.Class // in which it waits for its turn
 }
--- /dev/null
+++ b/internal/work/dispatch/evacuating_test.go
@@ -0,0 +1,194 @@
+package dispatch
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/fleet/evacuation"
+	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/fleet/roster"
+	"guavaglade.example/guavaglade/internal/work/graph"
+)
+
+// evacuate has the machine learn that just these zones are evacuated.
+func (d *drive) evacuate(zones ...string) {
+	d.m.SetEvacuated(evacuation.Status{AsOf: d.now}.With(zones...), d.now)
+	d.decide()
+}
+
+// startsIn returns how many runs were started in a zone.
+func (d *drive) startsIn(zone string) (n int) {
+	for _, t := range d.p.Roster() {
+		if t.Zone == zone {
+			n += d.p.StartsOn(t.ID)
+		}
+	}
+	return n
+}
+
+// logged returns how many decisions had such a line.
+func (d *drive) logged(what string) (n int) {
+	for _, l := range d.log {
+		if strings.Contains(l, what) {
+			n++
+		}
+	}
+	return n
+}
+
+// A zone is evacuated, restored and evacuated again while work comes: nothing starts
+// there meanwhile, and what runs there ends by itself.
+func TestNothingStartsInAnEvacuatedZone(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 3, 2, DefaultBounds())
+	first := d.submit(2, 4*time.Second, small(40)) // in all zones
+	d.run(500 * time.Millisecond)
+	before := d.startsIn("z0")
+	is.True(before > 0)
+	d.evacuate("z0")
+	d.submit(2, time.Second, small(20))
+	d.run(3 * time.Second)
+	is.Equal(d.startsIn("z0"), before)
+	is.Equal(d.p.StartsOf(first), 40) // nothing was stopped there
+	d.evacuate()
+	d.submit(2, time.Second, small(40))
+	d.run(3 * time.Second)
+	again := d.startsIn("z0")
+	is.True(again > before)
+	d.evacuate("z0", "z1")
+	d.submit(2, time.Second, small(10))
+	d.run(10 * time.Second)
+	is.Equal(d.startsIn("z0"), again)
+	d.check()
+}
+
+// A zone is evacuated while starts there are being saved on a slow store: they are given
+// up at once and placed elsewhere, and not only once the store has answered.
+func TestZoneIsEvacuatedWhileStartsAreSaved(t *testing.T) {
+	for name, step := range map[string]graph.Step{"tasks": small(12), "gang": urgent(3, 8)} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newDrive(t, 3, 3, DefaultBounds())
+			d.slowSaves = 2 * time.Second
+			d.evacuate("z1", "z2")
+			id := d.submit(0, time.Second, step)
+			d.run(500 * time.Millisecond)
+			d.evacuate("z0")
+			d.run(100 * time.Millisecond)
+			is.True(d.logged("run given up before it was sent") > 0)
+			d.slowSaves = 0
+			d.evacuate("z0", "z2")
+			d.run(8 * time.Second)
+			is.Equal(d.startsIn("z0"), 0)
+			is.Equal(d.startsIn("z1"), step.Count)
+			is.True(d.took(id) > 0)
+			d.check()
+		})
+	}
+}
+
+// A start waited for its turn in the host until its zone was evacuated, and was not
+// sent: the task goes elsewhere at once, and the target does not count as silent.
+func TestWithheldStartIsPlacedElsewhere(t *testing.T) {
+	is := is.New(t)
+	s := &standing{Machine: New(7, DefaultBounds()), now: time.Unix(1000, 0)}
+	var list []roster.Target
+	for i := range 2 {
+		name := fmt.Sprintf("t%d", i)
+		list = append(list, roster.Target{ID: name, Address: name, Zone: "z" + name, Service: "s", Capacity: graph.Resources{CPU: 64000, MemoryMB: 262144, Accelerators: 8}})
+	}
+	s.Listed(list, s.now, s.now)
+	for _, l := range list {
+		s.Held(l.ID, Hold{Sent: s.now}, order.Report{Clock: 5000}, s.now)
+	}
+	s.Begin(s.now, s.now)
+	s.Accept(one("00000000000000ba", 1), s.now)
+	first := commands[Start](s)
+	is.Equal(len(first), 1)
+	s.SetEvacuated(evacuation.Status{AsOf: s.now}.With(first[0].Zone), s.now)
+	s.StartAnswered(first[0].Target.ID, first[0].Order.Run, 0, fmt.Errorf("start: %w", order.ErrWithheld), s.now)
+	is.True(s.targets[first[0].Target.ID].inTouch())
+	second := commands[Start](s)
+	is.Equal(len(second), 1)
+	is.True(second[0].Zone != first[0].Zone)
+}
+
+// A start has no answer, and its zone is evacuated before it would be sent again: it may
+// have been carried out, so the run is stopped, and the start is not repeated.
+func TestStartIsNotRepeatedInAnEvacuatedZone(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 2, 1, DefaultBounds())
+	d.evacuate("z1")
+	starts := 0
+	d.lose = func(c Command) bool {
+		if s, ok := c.(Start); ok && s.Zone == "z0" {
+			starts++
+			return true
+		}
+		return false
+	}
+	id := d.submit(2, time.Second, small(1))
+	d.run(200 * time.Millisecond)
+	is.Equal(starts, 1)
+	d.evacuate("z0")
+	d.run(5 * time.Second)
+	is.Equal(starts, 1)
+	is.Equal(d.startsIn("z1"), 1)
+	is.True(d.took(id) > 0)
+	d.check()
+}
+
+// A leader has not heard of operators for as long as an evacuation may take to be in
+// force, and a zone may have been evacuated meanwhile: it starts nothing until it hears.
+func TestNothingStartsByOldKnowledgeOfEvacuations(t *testing.T) {
+	is := is.New(t)
+	b := DefaultBounds()
+	b.EvacuationAge = 4 * time.Second
+	d := newDrive(t, 2, 1, b)
+	d.evacuate()
+	d.run(5 * time.Second)
+	id := d.submit(0, time.Second, small(2))
+	d.run(2 * time.Second)
+	is.Equal(d.p.Starts(), 0)
+	d.evacuate("z0")
+	d.run(2 * time.Second)
+	is.Equal(d.startsIn("z0"), 0)
+	is.Equal(d.p.Starts(), 2)
+	is.True(d.took(id) > 0)
+	d.check()
+}
+
+// A target registers in a zone that is evacuated, and a new leader learns of the
+// evacuation before it has listed any target: neither starts anything there.
+func TestTargetsThatAppearInAnEvacuatedZoneGetNothing(t *testing.T) {
+	is := is.New(t)
+	m := New(1, DefaultBounds())
+	now := time.Unix(1000, 0)
+	m.SetEvacuated(evacuation.Status{AsOf: now}.With("z0"), now)
+	m.Listed([]roster.Target{{ID: "a", Zone: "z0"}, {ID: "b", Zone: "z1"}}, now, now)
+	is.True(!m.targets["a"].takesStarts())
+	is.True(m.targets["b"].takesStarts())
+	is.Equal(m.targets["a"].describe(now), "unheld")
+}
+
+// So much is evacuated that the guarantees do not fit in the rest: that is told once, and
+// again when they fit.
+func TestGuaranteesThatCannotBeMetAreTold(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 3, 2, DefaultBounds()) // 16 accelerators in each zone
+	d.m.SetGuarantees(map[string]int{"a": 20, "b": 10})
+	d.evacuate("z0")
+	is.Equal(d.logged("guarantees exceed"), 0)
+	d.evacuate("z0", "z1")
+	d.list()
+	is.Equal(d.logged("guarantees exceed"), 1)
+	f := d.m.Fleet(d.now)
+	is.Equal(f.Guaranteed, 30)
+	is.Equal(f.Usable, 16)
+	d.evacuate("z1")
+	is.Equal(d.logged("guarantees fit again"), 1)
+}
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"guavaglade.example/guavaglade/internal/fleet/evacuation"
 	"guavaglade.example/guavaglade/internal/fleet/order"
 	"guavaglade.example/guavaglade/internal/fleet/roster"
 	"guavaglade.example/guavaglade/internal/work/graph"
@@ -43,6 +44,8 @@
 	adviseAt   time.Time                  // no call for advice before
 	smallest   graph.Resources            // needs of the smallest task with one accelerator
 	guaranteed map[string]int             // accelerators for jobs of priority 0, by account
+	short      bool                       // the guarantees do not fit in the room that may be used
+	evacuated  evacuation.Status          // the zones that operators evacuate
 	changed    bool                       // something may be startable that was not
 	deposed    bool
 }
@@ -95,7 +98,10 @@
 
 // SetGuarantees tells how many accelerators each client account is guaranteed for
 // its jobs of priority 0.
-func (m *Machine) SetGuarantees(byAccount map[string]int) { m.guaranteed = byAccount }
+func (m *Machine) SetGuarantees(byAccount map[string]int) {
+	m.guaranteed = byAccount
+	m.judgeGuarantees()
+}
 
 // SetWall tells the time of day minus the steady time that the other methods
 // are given.
@@ -149,6 +155,7 @@
 		}
 	}
 	m.changed = true
+	m.judgeGuarantees()
 }
 
 // listFresh reports whether the list is young enough to place by. A leader that is
@@ -173,7 +180,7 @@
 	if t.Rack != l.Rack {
 		m.racks = nil
 	}
-	t.Target, t.listed = l, true
+	t.Target, t.listed, t.evacuated = l, true, m.evacuated.Has(l.Zone)
 	m.touchTarget(t)
 }
 
--- a/internal/work/dispatch/query.go
+++ b/internal/work/dispatch/query.go
@@ -88,7 +88,10 @@
 
 // Fleet returns what the machine holds of targets and accounts.
 func (m *Machine) Fleet(now time.Time) view.Fleet {
-	f := view.Fleet{Term: m.term, Waiting: len(m.open), Targets: []view.Target{}, Accounts: []view.Account{}}
+	f := view.Fleet{
+		Term: m.term, Waiting: len(m.open), Zones: m.zones(), Targets: []view.Target{}, Accounts: []view.Account{},
+		Guaranteed: m.guaranteedInAll(), Usable: m.usable(),
+	}
 	for _, t := range m.byID {
 		f.Targets = append(f.Targets, view.Target{
 			ID: t.ID, Zone: t.Zone, Rack: t.Rack, Service: t.Service, Accelerators: t.Capacity.Accelerators,
@@ -104,6 +107,36 @@
 	return f
 }
 
+// zones returns the availability zones that have targets or are evacuated, by name.
+func (m *Machine) zones() []view.Zone {
+	byName := map[string]*view.Zone{}
+	at := func(name string) *view.Zone {
+		if byName[name] == nil {
+			byName[name] = &view.Zone{Name: name, Evacuated: m.evacuated.Has(name)}
+		}
+		return byName[name]
+	}
+	for _, name := range m.evacuated.Zones {
+		at(name)
+	}
+	for _, t := range m.byID {
+		if !t.listed {
+			continue
+		}
+		z := at(t.Zone)
+		z.Targets++
+		z.Accelerators += t.Capacity.Accelerators
+		z.Free += t.room().Accelerators
+		z.Runs += len(t.runs)
+	}
+	list := make([]view.Zone, 0, len(byName))
+	for _, z := range byName {
+		list = append(list, *z)
+	}
+	slices.SortFunc(list, func(a, b view.Zone) int { return cmp.Compare(a.Name, b.Name) })
+	return list
+}
+
 // describe says in a word whether a target gets work.
 func (t *target) describe(now time.Time) string {
 	switch {
@@ -115,6 +148,8 @@
 		return "silent"
 	case t.Draining:
 		return "draining"
+	case t.evacuated:
+		return "evacuated"
 	case t.health.Condemned(now) || t.health.Doubted(now):
 		return "doubted"
 	}
--- a/internal/work/dispatch/schedule.go
+++ b/internal/work/dispatch/schedule.go
@@ -13,7 +13,7 @@
 // Decide returns the commands that follow from what the machine was told since
 // the last call: starts, stops, reports to ask for and progress to save.
 func (m *Machine) Decide(now time.Time) []Command {
-	if m.begun && m.changed && !m.deposed && !m.gathers(now) && m.listFresh(now) {
+	if m.begun && m.changed && !m.deposed && !m.gathers(now) && m.informed(now) {
 		m.startWaiting(now)
 		if now.Before(m.passAt) {
 			m.placeFresh(now)
@@ -37,13 +37,13 @@
 }
 
 // Due returns when Decide has something to do though nothing more happens, and
-// whether it has. By a list that is too old it has nothing to do.
+// whether it has. It has not while what it knows of targets or zones is too old.
 func (m *Machine) Due(now time.Time) (time.Time, bool) {
 	at := m.passAt
 	if ready := m.begunAt.Add(gatherTime); at.Before(ready) {
 		at = ready
 	}
-	return at, m.begun && m.changed && !m.deposed && m.listFresh(now)
+	return at, m.begun && m.changed && !m.deposed && m.informed(now)
 }
 
 // touchTarget has a hold considered for a target of which something has changed.
--- a/internal/work/dispatch/starting.go
+++ b/internal/work/dispatch/starting.go
@@ -50,8 +50,8 @@
 			continue // the last: its gang was given up just now
 		}
 		switch {
-		case r.target.Draining || !r.target.inTouch() || !m.listFresh(now):
-			m.log.Decided("run given up before it was sent", "target", r.target.ID, "task", r.Task, "run", r.Number, "drains", r.target.Draining, "inTouch", r.target.inTouch(), "listAgeMS", now.Sub(m.listAsOf).Milliseconds())
+		case !r.target.takesStarts() || !r.target.inTouch() || !m.informed(now):
+			m.log.Decided("run given up before it was sent", "target", r.target.ID, "task", r.Task, "run", r.Number, "drains", r.target.Draining, "evacuated", r.target.evacuated, "inTouch", r.target.inTouch(), "listAgeMS", now.Sub(m.listAsOf).Milliseconds(), "zonesAgeMS", now.Sub(m.evacuated.AsOf).Milliseconds())
 			m.stop(r, "its target leaves or does not answer", now)
 			m.stopGang(r, "a member's target leaves or does not answer", now)
 		default:
@@ -78,7 +78,7 @@
 	r.tries++
 	r.sentAt, r.pending = now, true
 	m.touchTarget(t)
-	m.out = append(m.out, Start{Target: t.address(), Order: order.Start{
+	m.out = append(m.out, Start{Target: t.address(), Zone: t.Zone, Order: order.Start{
 		Run: r.Run, Spec: r.task.step.job.spec.Spec, Deadline: t.grant(now, m.bounds.Lease),
 		Term: m.term, Checkpoint: r.resumedAt, Ticket: r.ticket,
 	}, Class: t.class(m.startClass(r.task.step, now))})
@@ -127,7 +127,7 @@
 
 // answered reports whether an order was answered, whatever the answer was.
 func answered(err error) bool {
-	return !errors.Is(err, order.ErrUnanswered) && !errors.Is(err, order.ErrUnreached)
+	return !errors.Is(err, order.ErrUnanswered) && !errors.Is(err, order.ErrUnreached) && !errors.Is(err, order.ErrWithheld)
 }
 
 // began takes in that a run is on its target.
@@ -274,7 +274,7 @@
 	switch {
 	case r.phase == stopping && r.settledAt.IsZero():
 		m.sendStop(r, now)
-	case r.phase == starting && r.tries < startTries:
+	case r.phase == starting && r.tries < startTries && r.target.takesStarts():
 		m.sendStart(r, now)
 	case r.phase == starting && r.unanswered:
 		m.stop(r, "start not answered", now)
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -22,6 +22,7 @@
 type target struct {
 	roster.Target
 	listed     bool // the platform's list has it
+	evacuated  bool // its zone is
 	drainingAt time.Time
 	reach      reach
 	silentAt   time.Time          // when it ceased to answer
@@ -67,7 +68,7 @@
 
 // open reports whether new work may be given to the target.
 func (t *target) open(now time.Time) bool {
-	return t.listed && t.reach == held && t.inTouch() && t.clockMS != 0 && !t.Draining && !now.Before(t.shunned) && !t.health.Condemned(now)
+	return t.listed && t.reach == held && t.inTouch() && t.clockMS != 0 && t.takesStarts() && !now.Before(t.shunned) && !t.health.Condemned(now)
 }
 
 // forgotten reports whether nothing need be known of the target any more: it has
