operator, text, demo: evacuate and restore a zone by command, text and demo

Cause: nothing starts in an evacuated zone, but operators of the product's own interface had no word for it, and nobody could see it.

--- a/internal/config/text/config.go
+++ b/internal/config/text/config.go
@@ -13,6 +13,7 @@
 	accounts   map[string]Account
 	guarantees map[string][]shape.Guarantee // by zone
 	leaving    map[string]bool              // workers that an operator takes out
+	evacuated  map[string]bool              // zones in which nothing is started
 }
 
 // Service returns a service by name; ok is false if there is none.
@@ -88,6 +89,14 @@
 	return ids
 }
 
+// Evacuated returns the availability zones that an operator evacuates, sorted.
+func (c *Config) Evacuated() []string {
+	if c == nil {
+		return nil
+	}
+	return sortedKeys(c.evacuated)
+}
+
 // Service is what a service wants.
 type Service struct {
 	name          string
--- a/internal/config/text/parse.go
+++ b/internal/config/text/parse.go
@@ -63,6 +63,7 @@
 			accounts:   map[string]Account{},
 			guarantees: map[string][]shape.Guarantee{},
 			leaving:    map[string]bool{},
+			evacuated:  map[string]bool{},
 		},
 		zones: map[string]*zone{},
 	}
@@ -85,6 +86,7 @@
 		{"account", r.account},
 		{"guarantee", r.guarantee},
 		{"target", r.target},
+		{evacuationKind, r.evacuation},
 	}
 	known := map[*document.Section]bool{}
 	for _, k := range kinds {
@@ -100,7 +102,7 @@
 	}
 	for _, at := range r.doc.Sections() {
 		if !known[at] {
-			at.Fault("", "unknown kind of section; known are zone, service, job, account, guarantee, target")
+			at.Fault("", "unknown kind of section; known are zone, service, job, account, guarantee, target, evacuation")
 		}
 	}
 	if len(r.doc.Sections()) == 0 && len(r.doc.Faults()) == 0 {
--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -267,8 +267,10 @@
 // count shows what the machine holds.
 func (o *office) count() {
 	c := o.machine.Counts()
+	sure, usable := o.machine.Guarantees()
 	for name, n := range map[string]int{
 		"jobs": c.Jobs, "targets": c.Targets, "targets_held": c.Held, "runs": c.Runs, "steps_waiting": c.Open,
+		"zones_evacuated": c.Evacuated, "accelerators_usable": usable, "accelerators_guaranteed": sure,
 	} {
 		o.metrics.Gauge(name).Update(float64(n))
 	}
--- a/internal/host/station/evacuation_test.go
+++ b/internal/host/station/evacuation_test.go
@@ -11,7 +11,9 @@
 	"guavaglade.example/guavaglade/internal/platform/store"
 )
 
-func evacuationKey(zone string) store.Key { return store.Key{Table: configKey.Table, Name: "away/" + zone} }
+func evacuationKey(zone string) store.Key {
+	return store.Key{Table: configKey.Table, Name: "away/" + zone}
+}
 
 // zoneOf reads the key of a row that evacuates a zone.
 func zoneOf(k store.Key) (zone string, ok bool) { return strings.CutPrefix(k.Name, "away/") }
--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -11,6 +12,9 @@
 	"strings"
 	"time"
 
+	"github.com/google/uuid"
+
+	"guavaglade.example/guavaglade/internal/config/text"
 	"guavaglade.example/guavaglade/internal/host/api"
 	"guavaglade.example/guavaglade/internal/report/burn"
 	"guavaglade.example/guavaglade/internal/report/view"
@@ -108,6 +112,29 @@
 	return v, err
 }
 
+// changeTries bounds how often a change is made again that another one was faster than.
+const changeTries = 5
+
+// SetEvacuated has the configuration text say that a zone is evacuated, or not any more.
+// It returns the version that says so; unchanged tells that the one in force did already.
+func (c *Client) SetEvacuated(ctx context.Context, zone string, on bool) (v api.ConfigurationView, unchanged bool, err error) {
+	for range changeTries {
+		if v, err = c.Configuration(ctx); err != nil {
+			return v, false, err
+		}
+		body, changed := text.SetEvacuated([]byte(v.Text), zone, on)
+		if !changed {
+			return v, true, nil
+		}
+		v, err = c.Apply(ctx, v.Version, uuid.NewString(), string(body))
+		var problem *Error
+		if !errors.As(err, &problem) || problem.Status != http.StatusConflict {
+			return v, false, err
+		}
+	}
+	return v, false, err
+}
+
 // InForce returns what each host has in force.
 func (c *Client) InForce(ctx context.Context) ([]view.InForce, error) {
 	var rows []view.InForce
--- a/internal/operator/command/command_test.go
+++ b/internal/operator/command/command_test.go
@@ -46,6 +46,8 @@
 		{"no host answers", []string{"show", "--host", "127.0.0.1:1", "--key", "k"}, command.Failed, "", "127.0.0.1:1"},
 		{"no settings", []string{"serve", "--settings", "nowhere.ini"}, command.Failed, "", "nowhere.ini"},
 		{"settings in force", []string{"serve", "--settings", "../../../examples/hosts/leon.ini", "--print-settings"}, command.Done, "stopGrace = 20s", ""},
+		{"no zone named", []string{"evacuate", "--key", "k"}, command.Usage, "", "ZONE"},
+		{"no host to restore at", []string{"restore", "--host", "127.0.0.1:1", "--key", "k", "leon"}, command.Failed, "", "zone leon"},
 		{"no such authority", []string{"show", "--ca", "nowhere.pem"}, command.Failed, "", "nowhere.pem"},
 	}
 	for _, c := range cases {
@@ -68,7 +70,7 @@
 	is := is.New(t)
 	tells := map[string]bool{
 		"serve": false, "host": false, "standin": false, "demo": false, "check": true, "apply": true, "show": true,
-		"submit": true, "jobs": true, "explain": true, "cancel": true, "fleet": true, "report": true,
+		"evacuate": true, "restore": true, "submit": true, "jobs": true, "explain": true, "cancel": true, "fleet": true, "report": true,
 	}
 	var all bytes.Buffer
 	is.Equal(command.Run([]string{"--help"}, &all, &bytes.Buffer{}), command.Done)
--- a/internal/operator/command/reading.go
+++ b/internal/operator/command/reading.go
@@ -26,6 +26,14 @@
 	}
 	return c.print(c.streams, f, func(w *tabwriter.Writer) {
 		_, _ = fmt.Fprintf(w, "leader %s\tterm %d\twaiting %d\n", f.Leader, f.Term, f.Waiting)
+		_, _ = fmt.Fprintf(w, "guaranteed %d accelerators\tusable %d\n", f.Guaranteed, f.Usable)
+		if f.Guaranteed > f.Usable {
+			_, _ = fmt.Fprintln(w, "the guarantees cannot all be met now")
+		}
+		_, _ = fmt.Fprintln(w, "ZONE\tTARGETS\tFREE\tRUNS\tEVACUATED")
+		for _, z := range f.Zones {
+			_, _ = fmt.Fprintf(w, "%s\t%d\t%d of %d\t%d\t%t\n", z.Name, z.Targets, z.Free, z.Accelerators, z.Runs, z.Evacuated)
+		}
 		_, _ = fmt.Fprintln(w, "TARGET\tSERVICE\tZONE\tRACK\tFREE\tRUNS\tSTATE")
 		for _, t := range f.Targets {
 			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d of %d\t%d\t%s\n", t.ID, t.Service, t.Zone, t.Rack, t.Free, t.Accelerators, t.Runs, t.State)
--- a/internal/operator/command/root.go
+++ b/internal/operator/command/root.go
@@ -50,6 +50,8 @@
 		{"check", "check configuration texts and hosts' settings", "Example: guavaglade check examples/spf.ini examples/hosts/leon.ini", &checkCommand{streams: s}},
 		{"apply", "make a configuration text current", "Example: guavaglade apply --host 127.0.0.1:7301 --key KEY examples/spf.ini", &applyCommand{streams: s}},
 		{"show", "show what is in force on each host", "Example: guavaglade show --host 127.0.0.1:7301 --key KEY", &showCommand{streams: s}},
+		{"evacuate", "start nothing more in an availability zone", "What runs there may end. Example: guavaglade evacuate --host 127.0.0.1:7301 --key KEY leon", &evacuateCommand{streams: s}},
+		{"restore", "let work start again in an evacuated zone", "Example: guavaglade restore --host 127.0.0.1:7301 --key KEY leon", &restoreCommand{streams: s}},
 		{"submit", "submit a job", "Example: guavaglade submit --host 127.0.0.1:7301 --key KEY --request r1 --wait 20s refill.planRoutes", &submitCommand{streams: s}},
 		{"jobs", "list jobs", "Example: guavaglade jobs --host 127.0.0.1:7301 --key KEY", &jobsCommand{streams: s}},
 		{"explain", "tell a job's whole story", "Example: guavaglade explain --host 127.0.0.1:7301 --key KEY JOB", &explainCommand{streams: s}},
--- a/internal/operator/demo/demo.go
+++ b/internal/operator/demo/demo.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"text/tabwriter"
@@ -17,6 +18,7 @@
 	"guavaglade.example/guavaglade/internal/host/credential"
 	"guavaglade.example/guavaglade/internal/operator/client"
 	"guavaglade.example/guavaglade/internal/report/view"
+	"guavaglade.example/guavaglade/internal/standin/pool"
 	"guavaglade.example/guavaglade/internal/standin/site"
 	"guavaglade.example/guavaglade/internal/work/progress"
 	"guavaglade.example/guavaglade/internal/work/request"
@@ -93,6 +95,7 @@
 		one(ctx, b, 2, "can never run", accountKey, "refill.huge", "huge", quick, progress.NotRun),
 	)
 	rows = append(rows, reclaim(ctx, b)...)
+	rows = append(rows, evacuation(ctx, b, out)...)
 	return append(rows, plannedStop(ctx, b)...), nil
 }
 
@@ -109,6 +112,60 @@
 	return append(<-lent, urgent)
 }
 
+// evacuation evacuates a zone, runs jobs that all start in the others, and restores it.
+func evacuation(ctx context.Context, b *deployment, out io.Writer) []row {
+	zone := site.Zones[0]
+	if err := evacuate(ctx, b, out, zone, true); err != nil {
+		return []row{{part: "evacuation", err: err, want: progress.Completed}}
+	}
+	before := startsIn(b, zone)
+	rows := gather(2*targetsPerRack, func(i int) row {
+		return one(ctx, b, i, "while "+zone+" is evacuated", accountKey, "refill.label", fmt.Sprintf("evacuated-%d", i), quick, progress.Completed)
+	})
+	if n := startsIn(b, zone) - before; n > 0 {
+		rows = append(rows, row{part: "evacuation", err: fmt.Errorf("%d starts in zone %s: %w", n, zone, errUnexpected), want: progress.Completed})
+	}
+	if err := evacuate(ctx, b, out, zone, false); err != nil {
+		rows = append(rows, row{part: "restoration", err: err, want: progress.Completed})
+	}
+	return rows
+}
+
+// evacuate evacuates or restores a zone, and waits until the leader has that in force.
+func evacuate(ctx context.Context, b *deployment, out io.Writer, zone string, on bool) error {
+	c := client.New(b.hosts.Callers(0), operatorKey, nil)
+	v, _, err := c.SetEvacuated(ctx, zone, on)
+	if err != nil {
+		return err
+	}
+	begun := time.Now()
+	for {
+		f, err := c.Fleet(ctx)
+		if err == nil && slices.ContainsFunc(f.Zones, func(z view.Zone) bool { return z.Name == zone && z.Evacuated == on }) {
+			_, err = fmt.Fprintf(out, "version %d: zone %s evacuated %t, in force after %s; usable %d of %d accelerators\n",
+				v.Version, zone, on, time.Since(begun).Round(time.Millisecond), f.Usable, targetsPerRack*acceleratorsPerTarget*len(site.Zones))
+			return err
+		}
+		select {
+		case <-time.After(pollEvery):
+		case <-ctx.Done():
+			return fmt.Errorf("zone %s: wait for version %d in force: %w", zone, v.Version, ctx.Err())
+		}
+	}
+}
+
+// startsIn returns how many runs were started in a zone.
+func startsIn(b *deployment, zone string) (n int) {
+	b.platform.Shared.Do(func(p *pool.Pool, _ time.Time) {
+		for _, t := range p.Roster() {
+			if t.Zone == zone {
+				n += p.StartsOn(t.ID)
+			}
+		}
+	})
+	return n
+}
+
 // running waits until so many jobs of the first host run.
 func running(ctx context.Context, b *deployment, want int) bool {
 	c := client.New(b.hosts.Callers(0), operatorKey, nil)
--- a/internal/operator/demo/deployment.go
+++ b/internal/operator/demo/deployment.go
@@ -11,8 +11,11 @@
 	"guavaglade.example/guavaglade/platform/standin"
 )
 
-// targetsPerRack is how many targets each zone has, with 8 accelerators each.
-const targetsPerRack = 4
+// Size of the deployment.
+const (
+	targetsPerRack        = 4 // each zone has one rack
+	acceleratorsPerTarget = 8
+)
 
 // deployment is hosts on a stand-in platform.
 type deployment struct {
--- a/internal/work/dispatch/evacuating.go
+++ b/internal/work/dispatch/evacuating.go
@@ -103,6 +103,10 @@
 	return n
 }
 
+// Guarantees returns the accelerators that are guaranteed to all accounts together, and
+// those of the targets that may get work.
+func (m *Machine) Guarantees() (guaranteed, usable int) { return m.guaranteedInAll(), m.usable() }
+
 // judgeGuarantees tells when the guarantees cease to fit in the room that may be used,
 // and when they fit again.
 func (m *Machine) judgeGuarantees() {
--- a/internal/work/dispatch/query.go
+++ b/internal/work/dispatch/query.go
@@ -158,12 +158,12 @@
 
 // Counts is what a machine holds.
 type Counts struct {
-	Jobs, Targets, Held, Runs, Open int
+	Jobs, Targets, Held, Runs, Open, Evacuated int
 }
 
 // Counts returns what the machine holds now.
 func (m *Machine) Counts() Counts {
-	c := Counts{Jobs: len(m.jobs), Targets: len(m.targets), Open: len(m.open)}
+	c := Counts{Jobs: len(m.jobs), Targets: len(m.targets), Open: len(m.open), Evacuated: len(m.evacuated.Zones)}
 	for _, t := range m.byID {
 		if t.reach == held {
 			c.Held++
