dispatch: cold targets are filled as they warm up

Cause: targets of a zone that is restored, or that come back after a power loss, may declare that they are slow for a while; they were filled at once, with warm targets beside them. Change: a cold target may be filled to the share of its declared time that has passed, one thing in any case, and warm targets go before it. Tests: TestColdTargetsAreFilledAsTheyWarmUp, TestWarmTargetsComeFirst, red without it.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -17,6 +17,7 @@
 	Rack     string   // the label that names its rack; empty if none does
 	Draining bool
 	Remains  int64 // while it drains: milliseconds that are left at least, as it last said
+	Cold     int64 // milliseconds for which it is still slow after its start, as it last said
 }
 
 // Has reports whether the target carries the label; every target carries the
--- a/internal/work/dispatch/fit.go
+++ b/internal/work/dispatch/fit.go
@@ -53,6 +53,7 @@
 // decides.
 type fit struct {
 	doubt    int // 1 if the target is not known to be sound and this is the last attempt, 2 if it is doubted or slow, or the task shuns it
+	cold     int // 1 if the target is still slow after its start
 	far      int // 1 if its data is on another rack
 	crowded  int // tasks there that it would disturb, or that would disturb it
 	stranded int // accelerators that nobody could use beside it and could before
@@ -62,7 +63,7 @@
 
 func (f fit) compare(o fit) int {
 	return cmp.Or(
-		cmp.Compare(f.doubt, o.doubt), cmp.Compare(f.far, o.far), cmp.Compare(f.crowded, o.crowded), cmp.Compare(f.stranded, o.stranded),
+		cmp.Compare(f.doubt, o.doubt), cmp.Compare(f.cold, o.cold), cmp.Compare(f.far, o.far), cmp.Compare(f.crowded, o.crowded), cmp.Compare(f.stranded, o.stranded),
 		cmp.Compare(f.left, o.left), cmp.Compare(f.cpu, o.cpu),
 	)
 }
@@ -78,6 +79,9 @@
 	case x.lastAttempt() && !t.health.ProvenSince(now.Add(-provenFor)):
 		f.doubt = 1
 	}
+	if t.cold() {
+		f.cold = 1
+	}
 	if rack := x.step.spec.DataRack; rack != "" && t.Rack != rack {
 		f.far = 1
 	}
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -126,6 +126,7 @@
 func (m *Machine) Tick(now time.Time) {
 	m.openDue(now)
 	for _, t := range slices.Clone(m.byID) {
+		t.warmUp(now)
 		m.tickTarget(t, now)
 		if t.forgotten() {
 			delete(m.targets, t.ID)
@@ -177,6 +178,9 @@
 	if l.Remains != t.Remains {
 		t.remainsAt = now
 	}
+	if l.Cold != t.Cold {
+		t.noteCold(l.Cold, now)
+	}
 	if t.Rack != l.Rack {
 		m.racks = nil
 	}
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -21,8 +21,11 @@
 // target is one incarnation of a target.
 type target struct {
 	roster.Target
-	listed     bool // the platform's list has it
-	evacuated  bool // its zone is
+	listed     bool          // the platform's list has it
+	evacuated  bool          // its zone is
+	warmAt     time.Time     // it is slow until then
+	coldSpan   time.Duration // that it has declared to be slow; 0: it is not
+	coldShare  float64       // of that, what is left: above 0 while it is slow
 	drainingAt time.Time
 	reach      reach
 	silentAt   time.Time          // when it ceased to answer
@@ -78,7 +81,7 @@
 }
 
 // room returns what is free, counting what waits for room as taken.
-func (t *target) room() graph.Resources { return t.Capacity.Minus(t.used).Minus(t.promised) }
+func (t *target) room() graph.Resources { return t.capacity().Minus(t.used).Minus(t.promised) }
 
 // clock estimates the target's clock.
 func (t *target) clock(now time.Time) int64 {
--- /dev/null
+++ b/internal/work/dispatch/warming.go
@@ -0,0 +1,43 @@
+package dispatch
+
+import (
+	"time"
+
+	"guavaglade.example/guavaglade/internal/work/graph"
+)
+
+// A target that has just started is slow for a time that it declares. Whole zones come
+// back so after an evacuation or a power loss; filled at once, they would hold all work
+// up that sound targets could do. So such a target gets a share of its capacity that
+// grows to the whole while it warms up, and work goes to warm targets first.
+
+// noteCold takes in how long a target says that it is still slow.
+func (t *target) noteCold(cold int64, now time.Time) {
+	span := time.Duration(cold) * time.Millisecond
+	t.warmAt = now.Add(span)
+	t.coldSpan = max(t.coldSpan, span)
+	t.warmUp(now)
+}
+
+// warmUp brings the share of the target's capacity up to date that may be used.
+func (t *target) warmUp(now time.Time) {
+	left := t.warmAt.Sub(now)
+	if t.coldSpan <= 0 || left <= 0 {
+		t.coldSpan, t.coldShare = 0, 0
+		return
+	}
+	t.coldShare = float64(left) / float64(t.coldSpan)
+}
+
+// cold reports whether the target is still slow after its start.
+func (t *target) cold() bool { return t.coldShare > 0 }
+
+// capacity returns what of the target's capacity may be used. One that has nothing to do
+// may always be given something.
+func (t *target) capacity() graph.Resources {
+	if !t.cold() || len(t.runs) == 0 {
+		return t.Capacity
+	}
+	warm := func(n int) int { return int(float64(n) * (1 - t.coldShare)) }
+	return graph.Resources{CPU: warm(t.Capacity.CPU), MemoryMB: warm(t.Capacity.MemoryMB), Accelerators: warm(t.Capacity.Accelerators)}
+}
--- /dev/null
+++ b/internal/work/dispatch/warming_test.go
@@ -0,0 +1,50 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// restart has a rack's targets start anew, slow for a while.
+func (d *drive) restart(rack string, cold time.Duration) {
+	list := d.p.Roster()
+	for i := range list {
+		if list[i].Rack == rack {
+			list[i].Cold = cold.Milliseconds()
+		}
+	}
+	d.m.Listed(list, d.now, d.now)
+	d.decide()
+}
+
+// A zone's targets come back cold and are the only ones. Filled at once, they would slow
+// all that waits; they get more as they warm up, and the whole when they are warm.
+func TestColdTargetsAreFilledAsTheyWarmUp(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 2, DefaultBounds())
+	d.restart("r1-0", 4*time.Second)
+	d.submit(2, 20*time.Second, small(16))
+	d.run(time.Second)
+	after1 := d.p.Starts()
+	is.True(after1 >= 2 && after1 <= 6) // of 16 accelerators
+	d.run(2 * time.Second)
+	after3 := d.p.Starts()
+	is.True(after3 > after1 && after3 <= 13)
+	d.run(1500 * time.Millisecond)
+	is.Equal(d.p.Starts(), 16)
+}
+
+// Warm targets have room: cold ones get nothing.
+func TestWarmTargetsComeFirst(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 2, 2, DefaultBounds())
+	d.restart("r1-0", 10*time.Second)
+	d.submit(2, time.Second, small(16))
+	d.run(500 * time.Millisecond)
+	is.Equal(d.p.StartsOn("r0-0#1")+d.p.StartsOn("r0-1#1"), 0)
+	is.Equal(d.p.Starts(), 16)
+	d.run(3 * time.Second)
+	d.check()
+}
