--- a/internal/host/exchange/exchange.go
+++ b/internal/host/exchange/exchange.go
@@ -53,6 +53,10 @@
 	relayTime = 1100 * time.Millisecond
 	// watcherGone is how long after its last watch a host counts as alive.
 	watcherGone = 2 * time.Second
+	// inTouchFor is how long after its last word a host, or the store, counts as reached:
+	// on a calm day each is heard of within 600 ms. Clients of a zone that is cut off are
+	// refused meanwhile; the balancer needs more than one such answer to turn away.
+	inTouchFor = 800 * time.Millisecond
 )
 
 // Leading is the part of an election that peers ask about.
@@ -89,14 +93,15 @@
 	power     float64 // cores that this host has
 	leading   Leading
 	storing   Storing
-	up        func() bool // the store serves this host
+	up        func() bool      // the store serves this host
+	answered  func() time.Time // when the store answered last
 	desk      Desk
 	keeper    *catalog.Keeper
 	adopted   func(version int64, from string) // told of a configuration that a peer had
 	outcomes  func() burn.Snapshot             // what this host counted of jobs that ended
 	log       logr.Logger
 	mu        sync.Mutex
-	heard     time.Time          // when a peer answered last
+	heard     time.Time          // when the leader last told what it reaches
 	seen      map[string]watcher // hosts that watch this one, by address
 	peers     []peerBody         // hosts that the store serves, as the leader last said
 	ranked    []peerBody         // the same, when there last were any
@@ -125,6 +130,10 @@
 // default nowhere.
 func WithCounted(f func() burn.Snapshot) Option { return func(x *Exchange) { x.outcomes = f } }
 
+// WithStoreAnswered sets where the host knows when the store answered it last, by
+// default a moment ago.
+func WithStoreAnswered(f func() time.Time) Option { return func(x *Exchange) { x.answered = f } }
+
 // WithLog sets the log.
 func WithLog(log logr.Logger) Option { return func(x *Exchange) { x.log = log } }
 
@@ -132,7 +141,7 @@
 // whether the store serves it. Bind must be called before the exchange is used.
 func New(own string, desk Desk, k *catalog.Keeper, up func() bool, opts ...Option) *Exchange {
 	x := &Exchange{
-		own: own, desk: desk, keeper: k, up: up, seen: map[string]watcher{}, counts: map[string]count{}, log: logr.Discard(),
+		own: own, desk: desk, keeper: k, up: up, seen: map[string]watcher{}, counts: map[string]count{}, log: logr.Discard(), answered: time.Now,
 		adopted: func(int64, string) {}, outcomes: func() burn.Snapshot { return burn.Snapshot{} },
 	}
 	for _, o := range opts {
--- a/internal/host/exchange/exchange_test.go
+++ b/internal/host/exchange/exchange_test.go
@@ -87,6 +87,7 @@
 	elected election
 	rows    rows
 	up      bool
+	quiet   time.Duration // of the store
 	calls   chan net.Conn // connections that others make
 	away    bool          // nobody reaches it
 }
@@ -127,7 +128,8 @@
 		for i := range hosts {
 			h := &host{address: fmt.Sprintf("10.0.0.%d:1", i), up: true, calls: make(chan net.Conn)}
 			hosts[i] = h
-			h.Exchange = exchange.New(h.address, &h.desk, catalog.NewKeeper(nil), func() bool { return h.up }, exchange.WithPower(float64(n-i)), exchange.WithZone([]string{"leon", "celaya"}[i/2%2]))
+			h.Exchange = exchange.New(h.address, &h.desk, catalog.NewKeeper(nil), func() bool { return h.up }, exchange.WithPower(float64(n-i)), exchange.WithZone([]string{"leon", "celaya"}[i/2%2]),
+				exchange.WithStoreAnswered(func() time.Time { return time.Now().Add(-h.quiet) }))
 			node := peer.New(h.Handle, nil, dial, logr.Discard())
 			h.Bind(node, &h.elected, &h.rows)
 			h.elected.row.Address = "10.0.0.0:1"
@@ -310,6 +312,56 @@
 	})
 }
 
+// A zone is cut off. One of its hosts led until then, and the others of the zone go on
+// asking it. What it was told before it led says that all is well, and being asked is no
+// sign of it: as long as one host of the zone says that it serves, the balancer keeps all
+// clients of the zone there.
+func TestFormerLeaderInACutZoneDoesNotServe(t *testing.T) {
+	among(t, 4, func(ctx context.Context, is *is.I, hosts []*host) {
+		watch(ctx, is, 2, hosts[0], hosts[1], hosts[2])
+		hosts[0].elected.term, hosts[0].desk.leads = nil, false
+		hosts[1].elected.term = leader.NewTerm(2, time.Now())
+		watch(ctx, is, 2, hosts[1], hosts[0], hosts[2])
+		hosts[0].up, hosts[1].up = false, false
+		hosts[1].elected.term = nil
+		for range 6 {
+			time.Sleep(500 * time.Millisecond)
+			_, err := hosts[0].Watch(ctx, hosts[1].address, 2)
+			is.True(err != nil)
+		}
+		is.True(!hosts[1].Serves())
+		is.True(!hosts[0].Serves())
+	})
+}
+
+// A zone is cut off silently: no connection breaks, and the store counts as lost a second
+// later at the earliest. A host that has heard neither of it nor of the leader for longer
+// than either is ever silent says at once that it does not serve.
+func TestSilenceOfAllOutsideIsACut(t *testing.T) {
+	among(t, 2, func(ctx context.Context, is *is.I, hosts []*host) {
+		watch(ctx, is, 1, hosts[0], hosts[1])
+		hosts[1].quiet = 900 * time.Millisecond
+		is.True(hosts[1].Serves()) // the leader was heard of: the store may be slow
+		time.Sleep(900 * time.Millisecond)
+		is.True(!hosts[1].Serves())
+		hosts[1].quiet = 0
+		is.True(hosts[1].Serves())
+	})
+}
+
+// A zone is cut off with resets: the leader cannot be reached, and the store is lost. What
+// the leader told a moment ago holds no more.
+func TestLeaderThatIsNotReachedVouchesForNothing(t *testing.T) {
+	among(t, 2, func(ctx context.Context, is *is.I, hosts []*host) {
+		watch(ctx, is, 1, hosts[0], hosts[1])
+		hosts[1].up = false
+		is.True(hosts[1].Serves())                     // by the leader
+		_, err := hosts[1].Watch(ctx, "10.9.9.9:1", 1) // refused
+		is.True(err != nil)
+		is.True(!hosts[1].Serves())
+	})
+}
+
 // A host asks the leader, and itself if it leads; without a leader it says so at
 // once.
 func TestWhoIsAskedForAState(t *testing.T) {
--- a/internal/host/exchange/relaying.go
+++ b/internal/host/exchange/relaying.go
@@ -95,31 +95,24 @@
 // Serves reports whether clients do well to come here: a request can be stored by
 // this host or by a peer that it was in touch with lately, or else the store is away
 // for all, and a quick refusal is the best that any host can give. A zone that is cut
-// off with its leader must not pass for that: its clients are served elsewhere.
+// off with its leader must not pass for that: its clients are served elsewhere. It shows
+// first by the silence of all outside, before the store counts as lost.
 func (x *Exchange) Serves() bool {
-	if x.up() {
+	if x.up() && time.Since(x.answered()) < inTouchFor {
 		return true
 	}
-	reach := x.lastReach()
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	switch {
-	case time.Since(x.heard) >= watcherGone/2:
-		return false
-	case len(x.servedPeers(0)) > 0 || len(x.peers) > 0 || reach.StoreUp:
-		return true
-	}
-	return reach.Zones >= x.mostZones
-}
-
-// lastReach returns what the leader reaches, as far as this host knows.
-func (x *Exchange) lastReach() reachBody {
 	if x.leading.Own() != nil {
-		return x.ownReach()
+		reach := x.ownReach()
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		return len(x.servedPeers(0)) > 0 || reach.Zones >= x.mostZones
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.reach
+	if time.Since(x.heard) >= inTouchFor {
+		return false
+	}
+	return len(x.peers) > 0 || x.reach.StoreUp || x.reach.Zones >= x.mostZones
 }
 
 // relayTries bounds how many hosts are asked for one request.
--- a/internal/host/exchange/watching.go
+++ b/internal/host/exchange/watching.go
@@ -8,6 +8,7 @@
 
 	"guavaglade.example/guavaglade/internal/host/dispatcher"
 	"guavaglade.example/guavaglade/internal/host/leader"
+	"guavaglade.example/guavaglade/internal/host/peer"
 )
 
 // watchBody is both sides of a watch.
@@ -72,7 +73,6 @@
 func (x *Exchange) noteWatcher(in watchBody) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.heard = time.Now()
 	x.seen[in.From] = watcher{at: time.Now(), storeUp: in.StoreUp, power: in.Power, version: in.Version, zone: in.Zone}
 }
 
@@ -83,7 +83,7 @@
 	defer x.mu.Unlock()
 	zones := map[string]bool{x.zone: true}
 	for _, w := range x.seen {
-		if time.Since(w.at) <= watcherGone/2 { // each watches twice in this time, and one of a zone is enough
+		if time.Since(w.at) <= inTouchFor { // one of a zone is enough
 			zones[w.zone] = true
 		}
 	}
@@ -111,7 +111,7 @@
 		switch {
 		case time.Since(w.at) > watcherGone:
 			delete(x.seen, address)
-		case w.storeUp && w.power >= least:
+		case w.storeUp && w.power >= least && time.Since(w.at) <= inTouchFor:
 			list = append(list, peerBody{Address: address, Power: w.power})
 		}
 	}
@@ -165,6 +165,9 @@
 	var out watchBody
 	in := watchBody{Row: leader.Row{Term: term}, Version: x.keeper.Version(), From: x.own, StoreUp: x.up(), Power: x.power, Zone: x.zone}
 	if err := x.net.Call(ctx, address, methodWatch, in, &out); err != nil {
+		if !peer.Answered(err) {
+			x.lose()
+		}
 		return leader.Row{}, err
 	}
 	x.mu.Lock()
@@ -180,6 +183,13 @@
 	return out.Row, nil
 }
 
+// lose notes that the leader is not reached: what it told last does not hold any more.
+func (x *Exchange) lose() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.heard = time.Time{}
+}
+
 // askedSuccessors bounds how many hosts are asked whether they could succeed.
 const askedSuccessors = 3
 
--- a/internal/host/station/station.go
+++ b/internal/host/station/station.go
@@ -125,6 +125,7 @@
 	s.desk = dispatcher.New(s.store, order.NewCounted(p.Line, set.metrics), p.Roster, set.bounds, log, desk...)
 	s.exchange = exchange.New(
 		id.Peers, s.desk, s.keeper, s.store.Up, exchange.WithPower(id.Power), exchange.WithZone(id.Zone), exchange.WithLog(log),
+		exchange.WithStoreAnswered(s.store.Answered),
 		exchange.WithAdopted(s.adopted), exchange.WithCounted(func() burn.Snapshot { return s.burn.Snapshot(time.Now()) }),
 	)
 	s.net = peer.New(s.exchange.Handle, set.peerTLS, nil, log)
@@ -173,6 +174,9 @@
 // Store returns the store as the station reaches it.
 func (s *Station) Store() store.Store { return s.store }
 
+// StoreUp reports whether the store serves this host, as far as is known.
+func (s *Station) StoreUp() bool { return s.store.Up() }
+
 // Entry returns what serves requests.
 func (s *Station) Entry() *entry.Entry { return s.entry }
 
--- a/internal/platform/store/gauge.go
+++ b/internal/platform/store/gauge.go
@@ -55,6 +55,13 @@
 	return g.fails < gaugeFails
 }
 
+// Answered returns when a call went well last.
+func (g *Gauge) Answered() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.served
+}
+
 // Usual returns what calls took lately that went well; 0 if there was none.
 func (g *Gauge) Usual() time.Duration {
 	g.mu.Lock()
