dispatcher, station, store: what an outage held up is asked for anew when the store is back

In a silent outage a call that was on its way hangs for up to 2 s more; so do saves, without which nothing starts and no end is told, and readings of the configuration. Change: the gauge of the store has a channel that is closed when the store is back; the list, the scan, saves and the configuration are then asked for at once, and what hangs is cut short. A list that fails is asked for again soon, and waited for as long as lists take, not for the longest time of a call.

--- a/internal/host/dispatcher/carry.go
+++ b/internal/host/dispatcher/carry.go
@@ -157,10 +157,10 @@
 func (o *office) save(c dispatch.Save) {
 	tx := o.transaction(c)
 	for tries := 0; ; tries++ {
-		ctx, cancel := context.WithTimeout(o.ctx, storeTime)
-		res, err := o.store.Commit(ctx, tx)
-		cancel()
+		res, cut, err := o.commit(tx)
 		switch {
+		case cut:
+			continue
 		case err == nil:
 			o.post(func(now time.Time) { o.machine.Saved(c.Part, res.Version, now) })
 			return
@@ -179,6 +179,19 @@
 	}
 }
 
+// commit makes a transaction. cut tells that the store was regained meanwhile, and the
+// outcome is not known.
+func (o *office) commit(tx store.Tx) (res store.Result, cut bool, err error) {
+	cut, err = store.UntilRegained(o.ctx, o.regained(), func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, storeTime)
+		defer cancel()
+		var err error
+		res, err = o.store.Commit(ctx, tx)
+		return err
+	})
+	return res, cut, err
+}
+
 func (o *office) transaction(c dispatch.Save) store.Tx {
 	tx := store.Tx{Expect: []store.Expect{{Key: fenceKey(c.Part), Version: o.fences[c.Part]}}}
 	for _, r := range c.Rows {
@@ -236,29 +249,30 @@
 }
 
 // scan looks for jobs and cancellings whose message did not come.
-func (o *office) scan() {
-	ctx, cancel := context.WithTimeout(o.ctx, storeTime)
+func (o *office) scan(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTime)
 	defer cancel()
 	page, err := o.store.Changes(ctx, jobsTable, o.scanned, 0)
 	switch {
 	case errors.Is(err, store.ErrHistory):
-		o.rescan()
+		return o.rescan(ctx)
 	case err != nil:
 		o.log.V(1).Info("jobs not scanned", "after", o.scanned, "error", err.Error())
-	default:
-		o.takeIn(page.Rows)
-		o.scanned = max(o.scanned, page.Version)
+		return err
 	}
+	o.takeIn(page.Rows)
+	o.scanned = max(o.scanned, page.Version)
+	return nil
 }
 
 // rescan reads all rows, after the feed's history was lost.
-func (o *office) rescan() {
+func (o *office) rescan(ctx context.Context) error {
 	version := int64(0)
 	for p := range Parts {
-		page, err := store.ReadAll(o.ctx, o.store, store.Range{Table: jobsTable, Part: fmt.Sprint(p)})
+		page, err := store.ReadAll(ctx, o.store, store.Range{Table: jobsTable, Part: fmt.Sprint(p)})
 		if err != nil {
 			o.log.V(1).Info("jobs not scanned", "part", p, "error", err.Error())
-			return
+			return err
 		}
 		o.takeIn(page.Rows)
 		if version == 0 || page.Version < version {
@@ -267,6 +281,7 @@
 	}
 	o.log.Info("history lost, jobs read anew", "version", version)
 	o.scanned = version
+	return nil
 }
 
 func (o *office) takeIn(rows []store.Row) {
--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -32,6 +32,10 @@
 	storePause = 150 * time.Millisecond // between two tries
 	holdExtra  = 600 * time.Millisecond // bounds a report beyond the time that it waits
 	backlog    = 4096                   // events that wait for the loop
+	// leastListing and listFactor: how long a list of targets is waited for at least, and
+	// as a multiple of what the last one took.
+	leastListing = 500 * time.Millisecond
+	listFactor   = 4
 )
 
 // Roster lists the targets that are registered.
@@ -55,9 +59,11 @@
 	settled func(dispatch.Settled)
 	// evacuations tells which zones are evacuated; nil: none ever is.
 	evacuations func() evacuation.Status
-	log         logr.Logger
-	mu          sync.Mutex
-	now         *office // nil while another host leads
+	// regained returns a channel that is closed when the store serves this host again.
+	regained func() <-chan struct{}
+	log      logr.Logger
+	mu       sync.Mutex
+	now      *office // nil while another host leads
 }
 
 // Option sets one property of a new dispatcher.
@@ -86,10 +92,17 @@
 	return func(d *Dispatcher) { d.evacuations = f }
 }
 
+// WithRegained sets where a channel is found that is closed when the store serves this
+// host again after an outage; without it what an outage held up is asked for at its usual
+// time.
+func WithRegained(f func() <-chan struct{}) Option {
+	return func(d *Dispatcher) { d.regained = f }
+}
+
 // New returns a dispatcher that does not lead yet.
 func New(s store.Store, l order.Line, r Roster, b dispatch.Bounds, log logr.Logger, opts ...Option) *Dispatcher {
 	b.Parts, b.ListAge = Parts, max(b.DrainTime-startSpare, 3*b.DrainTime/4)
-	d := &Dispatcher{store: s, line: l, roster: r, bounds: b, clock: steady.Now, metrics: tally.NoopScope, settled: func(dispatch.Settled) {}, log: log}
+	d := &Dispatcher{store: s, line: l, roster: r, bounds: b, clock: steady.Now, metrics: tally.NoopScope, settled: func(dispatch.Settled) {}, regained: func() <-chan struct{} { return nil }, log: log}
 	for _, o := range opts {
 		o(d)
 	}
@@ -109,8 +122,9 @@
 	gate       *limiter.Gate
 	work       chan func(now time.Time)
 	fences     [Parts]int64
-	configured int64 // version of the configuration that the machine was told
-	scanned    int64 // version up to which the jobs table was scanned
+	configured int64         // version of the configuration that the machine was told
+	scanned    int64         // version up to which the jobs table was scanned
+	listing    time.Duration // how long the next list of targets is waited for
 	// toldWaiting is when a line last told that orders wait.
 	toldWaiting time.Time
 	wg          sync.WaitGroup
@@ -224,6 +238,7 @@
 	if err != nil {
 		return err
 	}
+	o.listing = listPatience(o.clock().Sub(listed))
 	o.configure()
 	o.set(o)
 	o.every(o.bounds.DrainTime/2, listed, o.list) // the list is most of what an idle leader reads
@@ -322,7 +337,7 @@
 func (o *office) firstList() (time.Time, error) {
 	for {
 		asOf := o.clock()
-		list, err := o.targets()
+		list, err := o.targets(o.ctx, storeTime)
 		if err == nil {
 			o.machine.Listed(list, asOf, o.clock())
 			return asOf, nil
@@ -335,8 +350,8 @@
 	}
 }
 
-func (o *office) targets() ([]roster.Target, error) {
-	ctx, cancel := context.WithTimeout(o.ctx, storeTime)
+func (o *office) targets(ctx context.Context, patience time.Duration) ([]roster.Target, error) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	list, err := o.roster.Targets(ctx)
 	if err != nil || o.keeper == nil {
@@ -350,14 +365,27 @@
 }
 
 // every runs f again and again, each time d after it began last, or at once if it
-// took longer. It began last at the time given.
-func (o *office) every(d time.Duration, last time.Time, f func()) {
+// took longer. It began last at the time given. When the store is regained, f is cut
+// short and runs anew: by then its call may be lost, and much waits for it. One that
+// failed runs again after a pause.
+func (o *office) every(d time.Duration, last time.Time, f func(ctx context.Context) error) {
 	next := last.Add(d)
 	o.spawn(func() {
 		for o.ctx.Err() == nil {
-			pause(o.ctx, next.Sub(o.clock()))
+			select {
+			case <-o.ctx.Done():
+				return
+			case <-o.regained():
+			case <-time.After(max(next.Sub(o.clock()), 0)):
+			}
 			next = o.clock().Add(d)
-			f()
+			cut, err := store.UntilRegained(o.ctx, o.regained(), f)
+			switch {
+			case cut:
+				next = o.clock()
+			case err != nil:
+				next = o.clock().Add(storePause)
+			}
 		}
 	})
 }
@@ -383,12 +411,22 @@
 	}
 }
 
-func (o *office) list() {
+// list reads the list of targets.
+func (o *office) list(ctx context.Context) error {
 	asOf := o.clock()
-	list, err := o.targets()
+	list, err := o.targets(ctx, o.listing)
 	if err != nil {
+		o.listing = min(2*o.listing, storeTime)
 		o.log.V(1).Info("targets not listed", "error", err.Error())
-		return
+		return err
 	}
+	o.listing = listPatience(o.clock().Sub(asOf))
 	o.post(func(now time.Time) { o.machine.Listed(list, asOf, now) })
+	return nil
+}
+
+// listPatience returns how long the next list is waited for if one took so long: an
+// answer that was lost must not hold placing up until the usual time-out.
+func listPatience(took time.Duration) time.Duration {
+	return min(max(leastListing, listFactor*took), storeTime)
 }
--- a/internal/host/station/config.go
+++ b/internal/host/station/config.go
@@ -26,13 +26,23 @@
 	version := int64(-1) // of the store; below 0: read the row
 	patience := readTime
 	for ctx.Err() == nil {
-		var err error
-		if version < 0 {
-			version, err = s.readConfig(ctx, patience)
+		known := version
+		cut, err := store.UntilRegained(ctx, s.store.Regained(), func(ctx context.Context) (err error) {
+			if known < 0 {
+				version, err = s.readConfig(ctx, patience)
+			} else {
+				version, err = s.awaitConfig(ctx, known)
+			}
+			return err
+		})
+		switch {
+		case cut:
+			version = -1
+			continue
+		case known < 0:
 			patience = min(2*patience, longRead) // a host that is short of processor time needs longer
-		} else {
+		default:
 			patience = readTime
-			version, err = s.awaitConfig(ctx, version)
 		}
 		if err != nil && ctx.Err() == nil {
 			s.log.V(1).Info("configuration not read", "error", err.Error())
--- a/internal/host/station/station.go
+++ b/internal/host/station/station.go
@@ -117,7 +117,7 @@
 	s.store = store.NewGauge(store.NewCounted(p.Store, set.metrics), leader.RowKey, s.storeChanged)
 	desk := []dispatcher.Option{
 		dispatcher.WithCatalog(s.keeper), dispatcher.WithMetrics(set.metrics), dispatcher.WithOutcomes(s.recordOutcome),
-		dispatcher.WithEvacuations(s.Evacuations),
+		dispatcher.WithEvacuations(s.Evacuations), dispatcher.WithRegained(s.store.Regained),
 	}
 	if p.Adviser != nil {
 		desk = append(desk, dispatcher.WithAdviser(p.Adviser))
--- a/internal/platform/store/gauge.go
+++ b/internal/platform/store/gauge.go
@@ -38,6 +38,7 @@
 	served  time.Time     // when a call went well last
 	usual   time.Duration // what calls took lately that went well
 	lost    chan struct{} // holds a word that the store has just gone down
+	back    chan struct{} // closed when the store comes up next
 	changed func(up bool, err error)
 }
 
@@ -45,7 +46,7 @@
 // whether the store answers. changed is told when it goes down or comes up; it must
 // not block.
 func NewGauge(s Store, probe Key, changed func(up bool, err error)) *Gauge {
-	return &Gauge{Store: s, probe: probe, lost: make(chan struct{}, 1), changed: changed}
+	return &Gauge{Store: s, probe: probe, lost: make(chan struct{}, 1), back: make(chan struct{}), changed: changed}
 }
 
 // Up reports whether the store serves this host, as far as is known.
@@ -62,6 +63,15 @@
 	return g.served
 }
 
+// Regained returns a channel that is closed when the store comes up next. A call that
+// was on its way through an outage may hang until its time-out; what waits for it does
+// well to ask anew.
+func (g *Gauge) Regained() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.back
+}
+
 // Usual returns what calls took lately that went well; 0 if there was none.
 func (g *Gauge) Usual() time.Duration {
 	g.mu.Lock()
@@ -134,6 +144,10 @@
 		}
 	}
 	up := g.fails < gaugeFails
+	if up && !was {
+		close(g.back)
+		g.back = make(chan struct{})
+	}
 	g.mu.Unlock()
 	if was && !up {
 		select {
