exchange, leader: hosts that the store turns away find the next leader

It handed over within a second; the other thirteen could not read the leader row, asked the old leader all the time, which only said that it does not lead, and refused their clients until the store served them again: 23 jobs, and states and counts besides. Change: a host that is asked and does not lead names the leader that it knows, if its term is later; one that handed over knows its successor. If the old leader is gone, hosts that it named are asked whom they watch. Only whom to ask depends on it: terms are still taken by a conditional write. Tests: TestHostsThatTheStoreTurnsAwayFindTheNextLeader, TestHostsThatAreTurnedAwayFollowTheNextLeader, red without it.

--- a/internal/host/exchange/exchange_test.go
+++ b/internal/host/exchange/exchange_test.go
@@ -362,6 +362,36 @@
 	})
 }
 
+// The store turns the leader away, and other hosts with it. The leader hands over; the
+// others cannot read who leads now, and asked the old leader until the store served them
+// again: all their clients were refused for seconds. It names its successor, and so do
+// hosts that watch it if the old leader is gone.
+func TestHostsThatTheStoreTurnsAwayFindTheNextLeader(t *testing.T) {
+	among(t, 4, func(ctx context.Context, is *is.I, hosts []*host) {
+		watch(ctx, is, 2, hosts[0], hosts[1:]...)
+		next := leader.Row{Term: 2, Holder: "host2", Address: hosts[2].address}
+		hosts[0].elected, hosts[0].desk.leads = election{row: next}, false
+		hosts[2].elected, hosts[2].desk.leads = election{row: next, term: leader.NewTerm(2, time.Now())}, true
+		hosts[3].elected.row = next
+		hosts[0].up, hosts[1].up = false, false
+
+		row, err := hosts[1].Watch(ctx, hosts[0].address, 1)
+		is.NoErr(err)
+		is.Equal(row, next)
+		row, err = hosts[1].Watch(ctx, row.Address, row.Term)
+		is.NoErr(err)
+		is.Equal(row, next)
+		is.True(hosts[1].Serves()) // by it
+
+		row, err = hosts[1].Watch(ctx, "10.9.9.9:1", 1) // the old leader is gone
+		is.NoErr(err)
+		is.Equal(row, next)
+		hosts[1].up = true
+		_, err = hosts[1].Watch(ctx, "10.9.9.9:1", 1)
+		is.True(err != nil) // the store tells, and when it may be taken over
+	})
+}
+
 // A host asks the leader, and itself if it leads; without a leader it says so at
 // once.
 func TestWhoIsAskedForAState(t *testing.T) {
--- a/internal/host/exchange/watching.go
+++ b/internal/host/exchange/watching.go
@@ -59,17 +59,26 @@
 	}
 	t := x.leading.Own()
 	if t == nil {
-		return nil, dispatcher.ErrNotLeading
+		return x.successor(in.Row.Term)
 	}
 	select {
 	case <-ctx.Done():
 	case <-t.Over():
-		return nil, dispatcher.ErrNotLeading
+		return x.successor(in.Row.Term)
 	case <-time.After(watchWait):
 	}
 	return watchBody{Row: x.leading.Leader(), Version: x.keeper.Version(), Peers: x.listed(), Reach: x.ownReach()}, nil
 }
 
+// successor tells a watcher of a term whom to watch instead. One that the store turns away
+// cannot read the leader row, and would ask a leader of old until the store serves it again.
+func (x *Exchange) successor(term int64) (any, error) {
+	if row := x.leading.Leader(); row.Term > term && row.Address != x.own {
+		return watchBody{Row: row}, nil
+	}
+	return nil, dispatcher.ErrNotLeading
+}
+
 func (x *Exchange) noteWatcher(in watchBody) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -158,8 +167,36 @@
 	return x.told
 }
 
-// Watch implements leader.Peer.
+// Watch implements leader.Peer. If the host at the address does not lead and the store does
+// not serve this one, others are asked whom they watch.
 func (x *Exchange) Watch(ctx context.Context, address string, term int64) (leader.Row, error) {
+	row, err := x.watch(ctx, address, term)
+	if err == nil || x.up() {
+		return row, err
+	}
+	for _, other := range x.known(address) {
+		if row, otherErr := x.watch(ctx, other, term); otherErr == nil && row.Term > term {
+			return row, nil
+		}
+	}
+	return leader.Row{}, err
+}
+
+// known returns hosts that the last leader named, but for this one and the one given.
+func (x *Exchange) known(but string) (list []string) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, p := range x.ranked {
+		if p.Address != x.own && p.Address != but && len(list) < askedOthers {
+			list = append(list, p.Address)
+		}
+	}
+	return list
+}
+
+// watch watches one host. One that does not lead may name the leader, and tells nothing of
+// what is reached.
+func (x *Exchange) watch(ctx context.Context, address string, term int64) (leader.Row, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTime)
 	defer cancel()
 	var out watchBody
@@ -170,6 +207,9 @@
 		}
 		return leader.Row{}, err
 	}
+	if out.Row.Address != address {
+		return out.Row, nil
+	}
 	x.mu.Lock()
 	x.peers, x.reach, x.heard = out.Peers, out.Reach, time.Now()
 	x.mostZones = max(x.mostZones, out.Reach.Zones)
@@ -190,6 +230,9 @@
 	x.heard = time.Time{}
 }
 
+// askedOthers bounds how many hosts are asked whom they watch.
+const askedOthers = 3
+
 // askedSuccessors bounds how many hosts are asked whether they could succeed.
 const askedSuccessors = 3
 
--- a/internal/host/leader/election_test.go
+++ b/internal/host/leader/election_test.go
@@ -42,7 +42,7 @@
 	s := sitAmong(place{room: r, own: name}, table, name, seed)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.seats[name] = s
+	s.all, r.seats[name] = r, s
 	return s
 }
 
@@ -60,8 +60,11 @@
 }
 
 // Watch implements leader.Peer.
-func (p place) Watch(ctx context.Context, address string, _ int64) (leader.Row, error) {
+func (p place) Watch(ctx context.Context, address string, term int64) (leader.Row, error) {
 	s := p.room.at(address)
+	if s != nil && !s.leads() && s.Leader().Term > term && s.Leader().Address != address {
+		return s.Leader(), nil
+	}
 	if s == nil || !s.leads() {
 		return leader.Row{}, errGone
 	}
@@ -91,6 +94,7 @@
 type seat struct {
 	*leader.Election
 	name string
+	all  *room // of those that reach each other; nil: nobody
 	link *rows.Link
 	led  []int64 // terms that it was given
 	end  context.CancelFunc
@@ -273,6 +277,34 @@
 	}
 }
 
+// The store turns the leader and some other hosts away. The leader hands over, and those
+// that cannot read the row learn from it who leads now.
+func TestHostsThatAreTurnedAwayFollowTheNextLeader(t *testing.T) {
+	for seed := range uint64(10) {
+		synctest.Test(t, func(t *testing.T) {
+			outage(t, seed, func(seats []*seat) {
+				away := map[*seat]bool{}
+				for i, s := range seats {
+					if s.leads() || i%3 == 0 {
+						s.link.Set(rows.Trouble{Refuse: true})
+						away[s] = true
+					}
+				}
+				time.Sleep(4 * time.Second)
+				for s := range away {
+					if at := s.all.at(s.Leader().Address); at == nil || !at.leads() {
+						t.Errorf("seed %d: %s watches %q, which does not lead", seed, s.name, s.Leader().Address)
+					}
+				}
+				for s := range away {
+					s.link.Set(rows.Trouble{})
+				}
+				time.Sleep(time.Second)
+			})
+		})
+	}
+}
+
 // The leader is cut off from the store, another host takes the row over, and the
 // cut heals while the first one settles what became of its last write. It then
 // found the new row, and wrote its own over it by the version it had found: the next
--- a/internal/host/leader/leading.go
+++ b/internal/host/leader/leading.go
@@ -160,6 +160,7 @@
 	for _, address := range e.peer.Successors(ctx, 0) {
 		if e.peer.HandOver(ctx, address, r, version) {
 			e.log.Info("handed over", "term", r.Term, "to", address)
+			e.note(Row{Term: r.Term + 1, Holder: address, Address: address}, 0) // until it or the store says more
 			return
 		}
 	}
