dispatch: a gang does not wait for the lease of a target that took two of its members along

Change: all members on one silent target are given up if all others ended since another had: the first end was there. Tests: TestGangNeedNotWaitForTwoMembersOnADeadTarget, red without it; TestGangWaitsForMembersThatMayWork.

--- a/internal/work/dispatch/broken.go
+++ b/internal/work/dispatch/broken.go
@@ -28,23 +28,43 @@
 	}
 }
 
-// releaseCause gives up a gang's member on a silent target if it must be the one that
-// ended first: all others ended since another had. Without this the gang would wait
-// until the leases have lapsed on a target that lost power, ten seconds and more: the
-// worth of days on which a tenth of the targets crash is 0.77 with it, 0.74 without. It
-// may have failed, which the target tells when it answers again: that counts as an
-// attempt until its leases have lapsed. One that may have been the last attempt is not
-// given up, and stays noted for the next leader.
+// releaseCause gives up a gang's members on a silent target if the one that ended first
+// must be among them: all others ended since another had. Those beside it ended with it,
+// as their target knows of both. Without this the gang would wait until the leases have
+// lapsed on a target that lost power, or under a new leader until those of its
+// predecessor have. One may have failed, which the target tells when it answers again:
+// that counts as an attempt until its leases have lapsed. A run that may have been the
+// last attempt is not given up, and stays noted for the next leader.
 func (m *Machine) releaseCause(r *run, now time.Time) {
-	s := r.task.step
-	ended := s.broken.number == r.Number && len(s.broken.members) == len(s.tasks)-1 && !s.broken.members[r.task.index]
-	if !s.spec.Gang || !ended || r.target.reach == held || s.mayBeSpent(1, now) {
+	s, t := r.task.step, r.target
+	if !s.spec.Gang || t.reach == held || t.runs[r.Run] != r || !s.firstEndedOn(t, r.Number) || s.mayBeSpent(1, now) {
 		return
 	}
-	m.log.Decided("run must have ended", "target", r.target.ID, "task", r.Task, "run", r.Number, "members", len(s.tasks))
-	s.tried.doubt(r.Number, r.target.leaseEnd)
-	m.release(r, now)
-	m.endOnce(r, now)
+	m.log.Decided("run must have ended", "target", t.ID, "task", r.Task, "run", r.Number, "members", len(s.tasks))
+	s.tried.doubt(r.Number, t.leaseEnd)
+	for _, o := range t.runsThat(func(o *run) bool { return o.task.step == s && o.Number == r.Number }) {
+		m.release(o, now)
+		m.endOnce(o, now)
+	}
+}
+
+// firstEndedOn reports whether the member of a gang's run that ended first must have been
+// on a target.
+func (s *step) firstEndedOn(t *target, number int) bool {
+	if s.broken.number != number || len(s.broken.members) == 0 {
+		return false
+	}
+	for _, x := range s.tasks {
+		if !s.broken.members[x.index] && !x.runsOn(t, number) {
+			return false
+		}
+	}
+	return true
+}
+
+// runsOn reports whether a run of the task may exist on a target.
+func (x *task) runsOn(t *target, number int) bool {
+	return slices.ContainsFunc(x.runs, func(r *run) bool { return r.target == t && r.Number == number })
 }
 
 // mayBeSpent reports whether a gang may have no attempt left if so many more failed.
--- a/internal/work/dispatch/broken_test.go
+++ b/internal/work/dispatch/broken_test.go
@@ -40,6 +40,50 @@
 	d.check()
 }
 
+// A target loses power on which two members of a gang work; the others list that they ended
+// since another had. Users would see the gang begin again after ten seconds, and after twice
+// as long if the leader changed meanwhile.
+func TestGangNeedNotWaitForTwoMembersOnADeadTarget(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 6, DefaultBounds())
+	id := d.submit(0, 3*time.Second, urgent(6, 4))
+	d.run(time.Second)
+	dead := d.m.jobs[id].steps[0].tasks[1].runs[0].target
+	is.Equal(len(dead.runs), 2)
+	d.lose = func(c Command) bool { return targetOf(c) == dead.ID }
+	d.p.Kill(dead.ID, d.now)
+	d.run(4 * time.Second)
+	is.True(d.took(id) > 0) // the lease alone is six seconds
+	d.check()
+}
+
+// The same target is cut off and has not lost power, and the gang's first end, a failure, is
+// listed elsewhere: nothing is known of the two members there, which may still work.
+func TestGangWaitsForMembersThatMayWork(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 6, DefaultBounds())
+	id := d.submit(0, 3*time.Second, urgent(6, 4))
+	d.run(time.Second)
+	s := d.m.jobs[id].steps[0]
+	cut := s.tasks[1].runs[0].target
+	d.lose = func(c Command) bool { return targetOf(c) == cut.ID }
+	s.broken = brokenRun{number: 1, members: map[int]bool{}}
+	for _, x := range s.tasks {
+		s.broken.members[x.index] = x.runs[0].target != cut
+	}
+	for _, x := range s.tasks { // listed as failed, and released
+		if x.runs[0].target != cut {
+			delete(s.broken.members, x.index)
+			d.m.release(x.runs[0], d.now)
+			break
+		}
+	}
+	cut.reach = silent
+	is.True(!s.firstEndedOn(cut, 1))
+	d.m.releaseCause(s.tasks[1].runs[0], d.now)
+	is.Equal(len(s.tasks[1].runs), 1)
+}
+
 // Two of three targets lose power. One member ended since another had; which of the two
 // is not known, so neither is believed over before its leases have lapsed.
 func TestGangWaitsForTwoDeadTargets(t *testing.T) {
