dispatch: the targets of a zone are asked at once when the first of them answers again

Change: the first target of a zone that answers again has the others asked beside their holds. Test: TestZoneIsAskedAtOnceWhenItIsBack, red without it.

--- a/internal/work/dispatch/hold.go
+++ b/internal/work/dispatch/hold.go
@@ -55,10 +55,26 @@
 	if now.Sub(t.heldAt) < holdWait+overdue && t.inTouch() && !t.missesEnd(now) {
 		return
 	}
+	m.look(t, now)
+}
+
+// look asks for a report beside the hold that is outstanding.
+func (m *Machine) look(t *target, now time.Time) {
 	t.looking, t.lookedAt = true, now
 	m.out = append(m.out, Hold{Target: t.address(), Order: order.Hold{Term: m.term, Acked: t.acked}, Class: t.class(limiter.Report), Look: true, Sent: now})
 }
 
+// lookAround asks the targets of a zone that do not answer for a report, now that one of
+// them has: a cut may be over. Their holds were sent into it, and would be waited for until
+// their time-outs, with all that has ended there.
+func (m *Machine) lookAround(zone string, now time.Time) {
+	for _, t := range m.byID {
+		if t.Zone == zone && t.reach != held && t.holding && !t.looking && now.Sub(t.lookedAt) >= lookEvery {
+			m.look(t, now)
+		}
+	}
+}
+
 // missesEnd reports whether a stop was answered long ago and its end was not
 // listed since.
 func (t *target) missesEnd(now time.Time) bool {
@@ -136,6 +152,7 @@
 	if t.reach != held {
 		m.log.Decided("target reports", "target", t.ID, "running", len(rep.Running), "ended", len(rep.Ended), "first", !t.reported)
 		t.reach = held
+		m.lookAround(t.Zone, now)
 	}
 	there := map[order.Run]bool{}
 	for _, e := range rep.Ended {
--- a/internal/work/dispatch/touch_test.go
+++ b/internal/work/dispatch/touch_test.go
@@ -49,6 +49,42 @@
 	d.check()
 }
 
+// A zone is back after a cut. The holds of its targets were sent into the cut and are
+// waited for until their time-outs, which a leader that takes its orders' delays into
+// account makes long; what has ended there was told that much later. The first target that
+// answers has all others asked at once.
+func TestZoneIsAskedAtOnceWhenItIsBack(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 3, 4, DefaultBounds())
+	id := d.submit(2, 2*time.Second, small(80)) // on all targets
+	d.run(500 * time.Millisecond)
+	zone := d.m.byID[0].Zone
+	lost := map[string]bool{}
+	for _, x := range d.m.byID {
+		lost[x.ID] = x.Zone == zone
+	}
+	first := d.m.byID[0].ID
+	d.lose = func(c Command) bool {
+		h, hold := c.(Hold)
+		return lost[targetOf(c)] && (!hold || !h.Look) // what was sent into the cut is lost
+	}
+	d.run(4 * time.Second)
+	is.Equal(d.m.targets[first].reach, silent)
+	back := d.now
+	lost[first] = false
+	d.run(900 * time.Millisecond)
+	for _, x := range d.m.byID {
+		if x.Zone == zone {
+			is.Equal(x.reach, held)
+			is.True(x.heardAt.Sub(back) < 900*time.Millisecond)
+		}
+	}
+	d.lose = nil
+	d.run(10 * time.Second)
+	is.True(d.took(id) > 0)
+	d.check()
+}
+
 // One target of a zone crashes, and the others there are idle. They are not taken for
 // cut off: a job that needs the whole zone's rack, less the one, starts at once.
 func TestOneSilentTargetIsNotAZone(t *testing.T) {
