dispatch: reports that break show that a zone is cut off

Cause: a zone is taken for cut off when two of its targets have missed an order since it was last heard of. The reports that waited at its busy targets broke with the cut; they had been asked for before, so they counted for nothing, and as the earliest misses they kept those that came after from counting. Tests: TestReportsThatBreakShowThatAZoneIsCutOff, red without it; TestCrashesDoNotCloseABusyZone.

--- a/internal/work/dispatch/command.go
+++ b/internal/work/dispatch/command.go
@@ -40,6 +40,15 @@
 	Sent   time.Time     // when the machine asked for it
 }
 
+// due returns the moment from which the report was missed that failed at a time: one that
+// waits for an end is not due before its wait is over, or its connection broke.
+func (h Hold) due(failed time.Time) time.Time {
+	if due := h.Sent.Add(h.Order.Wait); due.Before(failed) {
+		return due
+	}
+	return failed
+}
+
 // Save asks for a transaction that writes the progress of jobs of one part. The
 // answer goes to Machine.Saved, Machine.SaveRefused or Machine.SaveFailed. A
 // part has one save outstanding at most.
--- a/internal/work/dispatch/hold.go
+++ b/internal/work/dispatch/hold.go
@@ -225,7 +225,7 @@
 	case t.heardAt.After(h.Sent):
 		// It answered another one since: only this one was lost.
 	default:
-		m.misses(t, h.Sent)
+		m.misses(t, h.due(now), now)
 		m.quiet(t, err, now)
 	}
 	m.changed = true
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -134,6 +134,7 @@
 			m.racks = nil
 		}
 	}
+	m.judgeZones(now)
 	for _, t := range m.byID {
 		m.touchTarget(t)
 	}
--- a/internal/work/dispatch/starting.go
+++ b/internal/work/dispatch/starting.go
@@ -116,9 +116,9 @@
 		m.lifeOver(t, now)
 	case errors.Is(err, order.ErrUnanswered):
 		r.unanswered = true
-		m.misses(t, r.sentAt)
+		m.misses(t, r.sentAt, now)
 	case errors.Is(err, order.ErrUnreached):
-		m.misses(t, r.sentAt) // it is sent again by tickRun
+		m.misses(t, r.sentAt, now) // it is sent again by tickRun
 	default:
 		m.startRefused(r, err, now)
 	}
@@ -254,7 +254,7 @@
 		case err == nil:
 			r.settledAt = now
 		case !answered(err):
-			m.misses(t, r.sentAt)
+			m.misses(t, r.sentAt, now)
 		}
 	}
 }
--- a/internal/work/dispatch/touch_test.go
+++ b/internal/work/dispatch/touch_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"guavaglade.example/guavaglade/internal/fleet/order"
 	"guavaglade.example/guavaglade/internal/work/graph"
 )
 
@@ -49,6 +50,65 @@
 	d.check()
 }
 
+// A zone is cut off with resets: the reports that wait at its busy targets fail at once. They
+// were asked for before the zone was last heard of, so they counted for nothing, and kept
+// the misses that came after them from counting: for five seconds its idle targets got
+// urgent gangs, and each waited until the cut was over.
+func TestReportsThatBreakShowThatAZoneIsCutOff(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 3, 8, DefaultBounds())
+	zone := d.m.byID[0].Zone
+	d.submit(2, 8*time.Second, urgent(3, 8)) // on three targets of the zone
+	d.run(1500 * time.Millisecond)
+	d.cutZone(zone)
+	broken := 0
+	for _, x := range d.m.byID {
+		if x.Zone == zone && x.holding {
+			broken++
+			d.m.HoldFailed(x.ID, Hold{Sent: x.heldAt, Order: order.Hold{Wait: holdWait}}, order.ErrUnanswered, d.now)
+		}
+	}
+	is.Equal(broken, 3)
+	var ids []graph.JobID
+	for range 3 {
+		ids = append(ids, d.submit(0, time.Second, urgent(2, 8)))
+		d.run(100 * time.Millisecond)
+	}
+	d.run(2 * time.Second)
+	for _, id := range ids {
+		is.True(d.took(id) > 0)
+	}
+	d.lose = nil
+	d.run(20 * time.Second)
+	d.check()
+}
+
+// Two busy targets of a zone crash at once, and another of it was heard of a moment ago: the
+// zone is not closed, and a gang that is placed just then starts there.
+func TestCrashesDoNotCloseABusyZone(t *testing.T) {
+	is := is.New(t)
+	d := newDrive(t, 1, 8, DefaultBounds())
+	d.submit(2, 8*time.Second, urgent(2, 8))
+	d.submit(2, time.Second, small(1)) // ends in the moment of the crash
+	d.run(1100 * time.Millisecond)
+	bad := map[string]bool{}
+	for _, x := range d.m.byID {
+		if x.holding && len(x.runs) > 0 && len(bad) < 2 {
+			bad[x.ID] = true
+			d.p.Kill(x.ID, d.now)
+			d.m.HoldFailed(x.ID, Hold{Sent: x.heldAt, Order: order.Hold{Wait: holdWait}}, order.ErrUnanswered, d.now)
+		}
+	}
+	is.Equal(len(bad), 2)
+	d.lose = func(c Command) bool { return bad[targetOf(c)] }
+	id := d.submit(0, time.Second, urgent(5, 8))
+	d.run(1500 * time.Millisecond)
+	is.True(d.took(id) > 0)
+	d.lose = nil
+	d.run(15 * time.Second)
+	d.check()
+}
+
 // A zone is back after a cut. The holds of its targets were sent into the cut and are
 // waited for until their time-outs, which a leader that takes its orders' delays into
 // account makes long; what has ended there was told that much later. The first target that
