--- a/internal/host/dispatcher/rows.go
+++ b/internal/host/dispatcher/rows.go
@@ -23,11 +23,8 @@
 )
 
 // Parts is the number of parts over which the rows of jobs are spread. A part makes
-// its transactions one after the other, about 100 a second. Four would carry several
-// times the jobs of the largest deployment that is planned for, but not those of
-// today on a store that is fifty times as slow: with sixteen, a sixth more of the
-// requests of such a time are served, and a quiet day makes no more calls that can
-// be told. A leader's first write goes to each part.
+// its transactions one after the other, and must not be the limit on a slow store. A
+// leader's first write goes to each part.
 const Parts = 16
 
 // JobKey returns the key of an accepted job.
--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -38,9 +38,7 @@
 	settleShare = 0.4
 	// slowShare is the same while the store is slow. Another host has the same store,
 	// and each write that is made again waits in the same line as the first: a request
-	// is best left to the one call that is on its way. On days with a store that is 90
-	// times slower for six seconds, 5 jobs are lost so in place of 24 at 350 targets,
-	// and 1 in place of 9 at 48.
+	// is best left to the one call that is on its way.
 	slowShare = 0.85
 	tellTime  = time.Second // bounds telling the leader; it scans the store, too
 	// readBack is how long an answer to a cancelling waits until the leader knows of
--- a/internal/host/exchange/counting.go
+++ b/internal/host/exchange/counting.go
@@ -12,8 +12,7 @@
 	// times a second for a queue at the most, however many clients ask a host.
 	countFor = 250 * time.Millisecond
 	// countLast is how long a count is told while the leader does not answer: most
-	// leaders are succeeded within it. On six days with hosts killed or zones cut off
-	// clients were refused a count 82 times in place of 110.
+	// leaders are succeeded within it.
 	countLast = 1500 * time.Millisecond
 )
 
--- a/internal/work/dispatch/straggler.go
+++ b/internal/work/dispatch/straggler.go
@@ -20,9 +20,7 @@
 	moveGain = 1.5
 	moveCost = time.Second
 	// standLong is how long a run stands still before it is given up though its
-	// work is lost. Standstills mostly pass within some seconds: moving at once
-	// what cannot be resumed lost more than it gained (worth 0.710 against 0.746
-	// on days on which an eighth of the targets stand still for six seconds).
+	// work is lost: standstills mostly pass within some seconds.
 	standLong = 8 * time.Second
 )
 
@@ -132,9 +130,8 @@
 
 // crawls reports whether a run goes on so slowly that it would end earlier from
 // its checkpoint on a sound target. The speed of its step's other tasks tells how
-// far its estimate is off. Runs that would begin anew are left: what they lost by
-// it was more than what they gained (worth 0.598 against 0.630 on days on which a
-// fifth of the targets run six times slower for seven seconds).
+// far its estimate is off. Runs that would begin anew are left: they would
+// lose more than they gain.
 func (m *Machine) crawls(r *run, now time.Time) bool {
 	peers := m.peersOf(r.task.step, now)
 	far := m.farFactor(r, peers.severalRacks)
--- a/internal/work/dispatch/trust.go
+++ b/internal/work/dispatch/trust.go
@@ -9,10 +9,7 @@
 // A target may fail all that it starts, and each failure costs a task one of its
 // few attempts: one that does so within 40 ms ends any number of jobs in a second
 // if it is given work as soon as it is free again. So a target that was condemned
-// is tried with one run at a time, until one that began since has gone well. Together
-// with attempts.go and early failures in package soundness this lowers lost jobs from
-// 1.8 to 1.1 a day and raises the worth of days with trouble from 0.687 to 0.708, as a
-// mean of 80 days, two fifths of them with such targets.
+// is tried with one run at a time, until one that began since has gone well.
 
 // worked returns how long a run has worked, as far as it can be told: a gang works
 // from the moment when all members are there, and a run that resumes when it has
