entry: the next leader is told of a job that was stored in a takeover

Change: the host tells it again until somebody who leads has heard, for a second at most. Test: TestNextLeaderIsToldOfAJobFromATakeover, red without it.

--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -41,6 +41,7 @@
 	// is best left to the one call that is on its way.
 	slowShare = 0.85
 	tellTime  = time.Second // bounds telling the leader; it scans the store, too
+	retryTell = 50 * time.Millisecond
 	// readBack is how long an answer to a cancelling waits until the leader knows of
 	// it, so that whoever reads the job next, at any host, finds it cancelled. It is
 	// many times a round trip between hosts; a leader that is lost costs no more.
@@ -149,11 +150,22 @@
 // errDown says that a call was not made since the last ones failed.
 var errDown = errors.New("the store does not serve this host now")
 
+// tell tells the leader, again while nobody leads: in a takeover the next leader would
+// else find the job a second later, by its scan.
 func (e *Entry) tell(ctx context.Context, what string, id graph.JobID, f func(ctx context.Context) error) {
 	ctx, cancel := context.WithTimeout(ctx, tellTime)
 	defer cancel()
-	if err := f(ctx); err != nil {
-		e.log.Info("leader not told", "job", id, "step", what, "error", err.Error())
+	for {
+		err := f(ctx)
+		if err == nil {
+			return
+		}
+		select {
+		case <-time.After(retryTell):
+		case <-ctx.Done():
+			e.log.Info("leader not told", "job", id, "step", what, "error", err.Error())
+			return
+		}
 	}
 }
 
--- a/internal/host/entry/entry_test.go
+++ b/internal/host/entry/entry_test.go
@@ -32,6 +32,8 @@
 type listener struct {
 	takes     time.Duration
 	gone      bool
+	deaf      int // so many calls find nobody who leads
+	heard     int // calls that reached it
 	cancelled map[graph.JobID]bool
 	known     map[graph.JobID]view.Told
 }
@@ -41,7 +43,12 @@
 		<-ctx.Done()
 		return errGone
 	}
+	if l.deaf > 0 {
+		l.deaf--
+		return dispatcher.ErrNotLeading
+	}
 	time.Sleep(l.takes)
+	l.heard++
 	return nil
 }
 
@@ -98,6 +105,22 @@
 	kiosk = Caller{Account: "kiosks"}
 )
 
+// A job is stored while one leader hands over to the next: the host asks one that leads no
+// more. The next one heard of the job by its scan only, up to a second later, and an urgent
+// job had lost half of its slack.
+func TestNextLeaderIsToldOfAJobFromATakeover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newRig(nil)
+		r.leader.deaf = 3
+		is.NoErr(r.entry.Submit(ctx, job(one, "kiosks")))
+		time.Sleep(300 * time.Millisecond)
+		is.Equal(r.leader.heard, 1)
+		time.Sleep(2 * time.Second)
+		is.Equal(r.leader.heard, 1) // and not again
+	})
+}
+
 // A client cancels a job at one host and reads it at another one, which asks the
 // leader. If the answer to the cancelling went out before the leader had heard of
 // it, the client would read that the job still runs.
