dispatcher, entry, exchange: the fakes of new tests are safe for several goroutines

Change: they lock, or count atomically; a test is named in the field's words. No code of the product is touched, no check is changed.

--- a/internal/host/dispatcher/regained_test.go
+++ b/internal/host/dispatcher/regained_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -61,6 +62,20 @@
 	return store.ErrUnknown
 }
 
+// lists returns when lists were given.
+func (o *outage) lists() []time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.listed)
+}
+
+// saves returns when transactions were made.
+func (o *outage) saves() []time.Time {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.saved)
+}
+
 func (o *outage) Targets(ctx context.Context) ([]roster.Target, error) {
 	return nil, o.pass(ctx, &o.listed)
 }
@@ -86,12 +101,13 @@
 		time.Sleep(3 * time.Second)
 		s.set(true)
 		time.Sleep(5 * time.Second)
-		before := len(s.listed)
+		before := len(s.lists())
 		s.set(false)
 		back := time.Now()
 		time.Sleep(time.Second)
-		is.True(len(s.listed) > before)
-		is.True(s.listed[before].Sub(back) < 50*time.Millisecond)
+		lists := s.lists()
+		is.True(len(lists) > before)
+		is.True(lists[before].Sub(back) < 50*time.Millisecond)
 		<-ctx.Done()
 		time.Sleep(time.Second)
 	})
@@ -112,7 +128,7 @@
 		time.Sleep(1500 * time.Millisecond)
 		s.set(false)
 		synctest.Wait()
-		is.Equal(len(s.saved), 1)
+		is.Equal(len(s.saves()), 1)
 		is.True(s.Get(ProgressKey(c.Part, someJob)).Version > 0)
 	})
 }
@@ -130,11 +146,12 @@
 		time.Sleep(2500 * time.Millisecond)
 		s.set(true)
 		time.Sleep(600 * time.Millisecond) // one list is lost in it
-		before := len(s.listed)
+		before := len(s.lists())
 		s.set(false)
 		time.Sleep(1200 * time.Millisecond)
-		is.True(len(s.listed) > before)
-		is.True(s.listed[before].Sub(s.listed[before-1]) <= d.bounds.ListAge)
+		lists := s.lists()
+		is.True(len(lists) > before)
+		is.True(lists[before].Sub(lists[before-1]) <= d.bounds.ListAge)
 		<-ctx.Done()
 		time.Sleep(time.Second)
 	})
--- a/internal/host/entry/entry_test.go
+++ b/internal/host/entry/entry_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,8 +33,8 @@
 type listener struct {
 	takes     time.Duration
 	gone      bool
-	deaf      int // so many calls find nobody who leads
-	heard     int // calls that reached it
+	deaf      atomic.Int32 // so many calls find nobody who leads
+	heard     atomic.Int32 // calls that reached it
 	cancelled map[graph.JobID]bool
 	known     map[graph.JobID]view.Told
 }
@@ -43,12 +44,11 @@
 		<-ctx.Done()
 		return errGone
 	}
-	if l.deaf > 0 {
-		l.deaf--
+	if l.deaf.Add(-1) >= 0 {
 		return dispatcher.ErrNotLeading
 	}
 	time.Sleep(l.takes)
-	l.heard++
+	l.heard.Add(1)
 	return nil
 }
 
@@ -112,12 +112,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := newRig(nil)
-		r.leader.deaf = 3
+		r.leader.deaf.Store(3)
 		is.NoErr(r.entry.Submit(ctx, job(one, "kiosks")))
 		time.Sleep(300 * time.Millisecond)
-		is.Equal(r.leader.heard, 1)
+		is.Equal(r.leader.heard.Load(), int32(1))
 		time.Sleep(2 * time.Second)
-		is.Equal(r.leader.heard, 1) // and not again
+		is.Equal(r.leader.heard.Load(), int32(1)) // and not again
 	})
 }
 
--- a/internal/host/exchange/exchange_test.go
+++ b/internal/host/exchange/exchange_test.go
@@ -351,7 +351,7 @@
 
 // A zone is cut off with resets: the leader cannot be reached, and the store is lost. What
 // the leader told a moment ago holds no more.
-func TestLeaderThatIsNotReachedVouchesForNothing(t *testing.T) {
+func TestUnreachedLeaderIsNoSignOfService(t *testing.T) {
 	among(t, 2, func(ctx context.Context, is *is.I, hosts []*host) {
 		watch(ctx, is, 1, hosts[0], hosts[1])
 		hosts[1].up = false
