dispatch: a zone is looked around only after something there was missed

Cause: the first report of a target had all others of its zone asked beside their holds, also under a new leader, whose first holds were on their way to all of them: a thousand more calls and connections for each zone at 3,000 targets, just after a takeover. Change: only targets that have missed something are asked, and only when one that had answers. Test: TestNewLeaderAsksEachTargetOnce, red without it.

--- a/internal/work/dispatch/hold.go
+++ b/internal/work/dispatch/hold.go
@@ -64,12 +64,13 @@
 	m.out = append(m.out, Hold{Target: t.address(), Order: order.Hold{Term: m.term, Acked: t.acked}, Class: t.class(limiter.Report), Look: true, Sent: now})
 }
 
-// lookAround asks the targets of a zone that do not answer for a report, now that one of
-// them has: a cut may be over. Their holds were sent into it, and would be waited for until
-// their time-outs, with all that has ended there.
+// lookAround asks the targets of a zone that have missed something for a report, now that
+// one of them answers again: a cut may be over. Their holds were sent into it, and would be
+// waited for until their time-outs, with all that has ended there. A new leader's first
+// holds are on their way to all targets; those are not to be asked twice.
 func (m *Machine) lookAround(zone string, now time.Time) {
 	for _, t := range m.byID {
-		if t.Zone == zone && t.reach != held && t.holding && !t.looking && now.Sub(t.lookedAt) >= lookEvery {
+		if t.Zone == zone && t.reach != held && !t.inTouch() && t.holding && !t.looking && now.Sub(t.lookedAt) >= lookEvery {
 			m.look(t, now)
 		}
 	}
@@ -146,13 +147,16 @@
 	t.answered(h)
 	m.touchTarget(t)
 	t.heardAt = now
+	away := !t.inTouch()
 	m.answers(t, now)
 	t.heardClock(rep.Clock, now)
 	t.sentAck = max(t.sentAck, h.Order.Acked)
 	if t.reach != held {
 		m.log.Decided("target reports", "target", t.ID, "running", len(rep.Running), "ended", len(rep.Ended), "first", !t.reported)
 		t.reach = held
-		m.lookAround(t.Zone, now)
+		if away {
+			m.lookAround(t.Zone, now)
+		}
 	}
 	there := map[order.Run]bool{}
 	for _, e := range rep.Ended {
--- a/internal/work/dispatch/touch_test.go
+++ b/internal/work/dispatch/touch_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/fleet/roster"
 	"guavaglade.example/guavaglade/internal/work/graph"
 )
 
@@ -198,3 +199,25 @@
 	d.run(8 * time.Second)
 	d.check()
 }
+
+// A new leader's first holds are on their way to all targets of a zone when the first answer
+// comes. Asked a second time, with as many new connections, they kept a leader of thousands
+// of targets busy just when it had to catch up.
+func TestNewLeaderAsksEachTargetOnce(t *testing.T) {
+	is := is.New(t)
+	m, now := New(2, DefaultBounds()), time.Unix(1000, 0)
+	m.Listed([]roster.Target{{ID: "a", Zone: "z"}, {ID: "b", Zone: "z"}, {ID: "c", Zone: "z"}}, now, now)
+	m.Begin(now, now)
+	holds := func() (n int) {
+		for _, c := range m.Decide(now) {
+			if _, ok := c.(Hold); ok {
+				n++
+			}
+		}
+		return n
+	}
+	is.Equal(holds(), 3)
+	now = now.Add(500 * time.Millisecond)
+	m.Held("a", Hold{Sent: now}, order.Report{Clock: 1}, now)
+	is.Equal(holds(), 0)
+}
