work/dispatch: name the runs that are lost with a target, and count both

The collected logs say that a target's incarnation ended with seven runs, not which runs, nor which of them had just begun. So a task that crashes its targets could not be told from its neighbours, and explain showed one start after the other with no reason between.

--- a/internal/host/dispatcher/execute.go
+++ b/internal/host/dispatcher/execute.go
@@ -32,6 +32,9 @@
 		l.spawn(func() { l.save(c) })
 	case dispatch.JobEnded:
 		l.onJobEnded(c)
+	case dispatch.TargetLost:
+		l.metrics.Counter("targets_lost").Inc(1)
+		l.metrics.Counter("runs_lost").Inc(int64(c.Runs))
 	case dispatch.Forget:
 		l.spawn(func() { l.forget(c) })
 	case dispatch.Pace:
--- a/internal/work/dispatch/command.go
+++ b/internal/work/dispatch/command.go
@@ -78,9 +78,16 @@
 	Took  time.Duration // from acceptance to end
 }
 
-func (Start) command()    {}
-func (Stop) command()     {}
-func (Poll) command()     {}
-func (Save) command()     {}
-func (Forget) command()   {}
-func (JobEnded) command() {}
+// TargetLost reports that a target was lost with the runs that were on it. There is no
+// answer.
+type TargetLost struct {
+	Runs int // that were ordered there; above 0
+}
+
+func (Start) command()      {}
+func (Stop) command()       {}
+func (Poll) command()       {}
+func (Save) command()       {}
+func (Forget) command()     {}
+func (JobEnded) command()   {}
+func (TargetLost) command() {}
--- a/internal/work/dispatch/poll.go
+++ b/internal/work/dispatch/poll.go
@@ -23,7 +23,7 @@
 func (m *Machine) tickTarget(t *target, now time.Time) {
 	if t.reach != reachable && !now.Before(t.leaseEnd) && len(t.runs) > 0 {
 		m.log.Decided("target unreachable until its leases lapsed", "target", t.ID, "runs", len(t.runs), "silentMS", now.Sub(t.unreachableSince).Milliseconds())
-		m.releaseAll(t, now)
+		m.targetLost(t, now)
 	}
 	for _, r := range t.runsWhere((*run).awaitsAnswer) {
 		m.retryOrder(r, now)
@@ -265,21 +265,13 @@
 // more.
 func (m *Machine) incarnationEnded(t *target, now time.Time) {
 	m.log.Decided("target incarnation ended", "target", t.ID, "runs", len(t.runs))
-	m.releaseAll(t, now)
+	m.targetLost(t, now)
 	t.listed = false
 	delete(m.targets, t.ID)
 	m.sortedTargets = removeFrom(m.sortedTargets, t)
 	m.racks = nil
 }
 
-// releaseAll releases all runs of a target.
-func (m *Machine) releaseAll(t *target, now time.Time) {
-	for _, r := range t.sortedRuns() {
-		m.release(r, now)
-		m.failIfAtMostOnce(r, now)
-	}
-}
-
 // advanceAcked moves acked to the last end before the first whose progress is not saved,
 // and drops the ends up to it from unsavedEnds. If acked moves, the acknowledgement is due
 // maxAckDelay from now.
