--- /dev/null
+++ b/internal/standin/pool/crash.go
@@ -0,0 +1,106 @@
+package pool
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"guavaglade.example/guavaglade/internal/fleet/roster"
+	"guavaglade.example/guavaglade/internal/work/graph"
+)
+
+// restart is the next incarnation of a target that has crashed.
+type restart struct {
+	at     time.Time
+	target roster.Target
+	rate   float64 // of its clock
+}
+
+// Crash ends an incarnation like Kill. The next one starts at the same address after
+// Bounds.RestartTime, unless another target has been added there by then.
+func (p *Pool) Crash(id string, now time.Time) {
+	t := p.targets[id]
+	if t == nil || t.dead {
+		return
+	}
+	p.Kill(id, now)
+	next := t.Target
+	next.ID, next.Draining, next.RemainingMS = nextIncarnation(id), false, 0
+	p.restarts = append(p.restarts, restart{at: now.Add(p.bounds.RestartTime), target: next, rate: t.clockRate})
+}
+
+// nextIncarnation returns the id with the number at its end increased by 1. An id without a
+// number gets one.
+func nextIncarnation(id string) string {
+	base := strings.TrimRight(id, "0123456789")
+	n, err := strconv.Atoi(id[len(base):])
+	if err != nil {
+		return id + "#2"
+	}
+	return base + strconv.Itoa(n+1)
+}
+
+// crashTargets crashes the targets whose runs are due to crash them.
+func (p *Pool) crashTargets(now time.Time) {
+	for _, t := range p.sortedTargets() {
+		if t.dead {
+			continue
+		}
+		crashed := false
+		for _, x := range t.sortedRuns() {
+			if !x.crashAt.IsZero() && !now.Before(x.crashAt) {
+				crashed = true
+				x.jobState.crashes[x.Task]++
+			}
+		}
+		if crashed {
+			p.crashes++
+			p.Crash(t.ID, now)
+		}
+	}
+}
+
+// restartTargets starts the next incarnations that are due.
+func (p *Pool) restartTargets(now time.Time) {
+	p.restarts = slices.DeleteFunc(p.restarts, func(r restart) bool {
+		if now.Before(r.at) {
+			return false
+		}
+		if p.byAddress[r.target.Address] == nil {
+			p.Add(r.target, r.rate, now)
+		}
+		return true
+	})
+}
+
+// Crashes returns the number of targets that runs have crashed.
+func (p *Pool) Crashes() int { return p.crashes }
+
+// SetCapacity changes what a target says of its capacity, which it does not enforce. Starts
+// may rely on the earlier capacity for Bounds.CapacityNotice.
+func (p *Pool) SetCapacity(id string, capacity graph.Resources, now time.Time) {
+	t := p.targets[id]
+	t.earlierCapacity, t.noticedAt = t.Capacity, now.Add(p.bounds.CapacityNotice)
+	t.Capacity = capacity
+}
+
+// A task that has crashed maxCrashes targets must be started less than maxCrashStarts times
+// more.
+const (
+	maxCrashes     = 3
+	maxCrashStarts = 3
+)
+
+// checkCrashes checks that a task that crashes its targets is given up.
+func (p *Pool) checkCrashes(x *execution) {
+	j := x.jobState
+	if j.crashes[x.Task] < maxCrashes {
+		return
+	}
+	j.crashStarts[x.Task]++
+	if j.crashStarts[x.Task] >= maxCrashStarts {
+		p.recordBreach("BUDGET", x.target, x.Run, fmt.Sprintf("%d targets crashed under the task", j.crashes[x.Task]))
+	}
+}
--- a/internal/standin/pool/orders.go
+++ b/internal/standin/pool/orders.go
@@ -89,6 +89,9 @@
 	}
 	x.willFail = j.behaviour.Fails != nil && j.behaviour.Fails(s.Run.Task, s.Run.Number)
 	x.failsAtOnce = t.failing
+	if j.behaviour.Crashes != nil && j.behaviour.Crashes(s.Run.Task, s.Run.Number) {
+		x.crashAt = now.Add(p.bounds.CrashDelay)
+	}
 	x.restoredWork = parseCheckpoint(s.Checkpoint)
 	x.savedWork = x.restoredWork
 	x.workLeft = max(x.totalWork-x.restoredWork, 0)
--- a/internal/standin/pool/pool.go
+++ b/internal/standin/pool/pool.go
@@ -18,6 +18,9 @@
 	GangTimeout        time.Duration // how long a run waits for the rest of its gang
 	CheckpointInterval time.Duration // of work
 	RemoteSlowdown     float64       // factor for work far from its data or its gang
+	CrashDelay         time.Duration // from the start of a run that crashes its target to the crash
+	RestartTime        time.Duration // from a crash to the next incarnation
+	CapacityNotice     time.Duration // how long starts may still rely on a capacity that has shrunk
 }
 
 // DefaultBounds returns the bounds of current deployments.
@@ -25,6 +28,7 @@
 	return Bounds{
 		Lease: 6 * time.Second, StopTime: 400 * time.Millisecond, GangTimeout: 3 * time.Second,
 		CheckpointInterval: 2 * time.Second, RemoteSlowdown: 3,
+		CrashDelay: 10 * time.Millisecond, RestartTime: 3300 * time.Millisecond, CapacityNotice: 4500 * time.Millisecond,
 	}
 }
 
@@ -32,6 +36,8 @@
 type Behaviour struct {
 	Work  func(id graph.TaskID) time.Duration // of a run without a checkpoint
 	Fails func(id graph.TaskID, run int) bool // half way, by the task's own fault
+	// Crashes reports whether a run crashes its target, Bounds.CrashDelay after its start.
+	Crashes func(id graph.TaskID, run int) bool
 }
 
 // jobState is a submitted job and what is known of its tasks.
@@ -43,6 +49,8 @@
 	ackedDone     map[graph.TaskID]bool // ends as done that were acknowledged
 	ackedFailures map[graph.TaskID]int  // ends as failed that were acknowledged
 	starts        int                   // of all its tasks on all targets
+	crashes       map[graph.TaskID]int  // crashes of targets that the task's runs caused
+	crashStarts   map[graph.TaskID]int  // starts of the task since it had caused maxCrashes crashes
 }
 
 // Breach is a start that violates a guarantee of the system.
@@ -67,6 +75,8 @@
 	jobs      map[graph.JobID]*jobState
 	breaches  []Breach
 	starts    int
+	crashes   int       // caused by runs
+	restarts  []restart // of crashed targets, in the order of the crashes
 	now       time.Time
 	lookup    Lookup // nil: only submitted jobs are known
 }
@@ -136,7 +146,7 @@
 // Submit adds a job. A start of a job that was not added and that the lookup does not
 // know is a breach.
 func (p *Pool) Submit(j *graph.Job, b Behaviour) {
-	p.jobs[j.ID] = &jobState{job: j, behaviour: b, done: map[graph.TaskID]bool{}, ackedDone: map[graph.TaskID]bool{}, ackedFailures: map[graph.TaskID]int{}}
+	p.jobs[j.ID] = &jobState{job: j, behaviour: b, done: map[graph.TaskID]bool{}, ackedDone: map[graph.TaskID]bool{}, ackedFailures: map[graph.TaskID]int{}, crashes: map[graph.TaskID]int{}, crashStarts: map[graph.TaskID]int{}}
 }
 
 // HasJob reports whether a job was submitted or looked up.
--- a/internal/standin/pool/running.go
+++ b/internal/standin/pool/running.go
@@ -22,6 +22,8 @@
 		return
 	}
 	p.now = now
+	p.crashTargets(now)
+	p.restartTargets(now)
 	for _, t := range p.sortedTargets() {
 		if !t.dead {
 			p.advanceTarget(t, passed, now)
--- a/internal/standin/pool/target.go
+++ b/internal/standin/pool/target.go
@@ -29,6 +29,9 @@
 	lapsedThrough int64                // highest end number when a lease last lapsed
 	starts        int
 	rejecting     bool // refuses starts
+	// earlierCapacity is what starts may rely on until noticedAt, after a change.
+	earlierCapacity graph.Resources
+	noticedAt       time.Time
 }
 
 // execution is a run on a target.
@@ -46,6 +49,7 @@
 	stopAt       time.Time     // when a stop takes effect; zero: no stop was ordered
 	willFail     bool          // half way, by the task's own fault
 	failsAtOnce  bool
+	crashAt      time.Time // when it crashes its target; zero: never
 }
 
 // clock returns the target's clock in milliseconds. It does not begin at 0 and may be
