work/dispatch: send no start to a target whose capacity has shrunk

Callers saw gangs that never began; operators would have seen targets loaded beyond what they had left (LIMIT).

Cause: capacity is looked at when a run is placed, and not again. A start that waits for a slow store, or was not answered and is sent again, goes out seconds later; a run that awaits preempted capacity waits for what may be gone.

Change: a recorded or unanswered start is given up, with its gang, if its target has less than what holds capacity there; runs that await more than the target will have are released. A run of unknown needs no longer lowers what counts as used on such a target.

--- a/internal/work/dispatch/ends.go
+++ b/internal/work/dispatch/ends.go
@@ -8,6 +8,7 @@
 
 	"guavaglade.example/guavaglade/internal/fleet/health"
 	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/work/graph"
 	"guavaglade.example/guavaglade/internal/work/progress"
 )
 
@@ -318,7 +319,10 @@
 	r.task = x
 	r.charge, r.paceShare = x.step.spec.Charge(), initialShare(x.step)
 	if j == nil || j.findTask(reported.Run.Task) == nil {
-		r.charge = t.Capacity.Minus(t.used) // its needs are not known: no other work is placed beside it
+		r.charge = graph.Resources{} // its needs are not known: no other work is placed beside it
+		if !t.overCapacity() {
+			r.charge = t.Capacity.Minus(t.used)
+		}
 	}
 	x.highestRun = max(x.highestRun, reported.Run.Number)
 	x.step.highestGangRun = max(x.step.highestGangRun, reported.Run.Number)
--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -282,14 +282,14 @@
 }
 
 // recordWaiting records waiting runs for which there is free capacity now, and releases
-// those whose target accepts no work any more.
+// those whose target accepts no work any more or has too little capacity left for them.
 func (m *Machine) recordWaiting(now time.Time) {
 	if !m.recheckWaiting {
 		return
 	}
 	m.recheckWaiting = false
 	for _, group := range m.waitingGroups() {
-		lost := slices.ContainsFunc(group, func(r *run) bool { return !r.target.acceptsWork(now) })
+		lost := slices.ContainsFunc(group, func(r *run) bool { return !r.target.acceptsWork(now) || !r.target.canHoldWaiting() })
 		switch {
 		case lost:
 			for _, r := range group {
--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -46,17 +46,18 @@
 
 // startRecorded sends the starts of a job's recorded runs that have been saved. Saving
 // may have taken long, so it drops a run, and its gang, if the target no longer accepts
-// starts or no longer answers, or may be draining without this leader knowing.
+// starts, no longer answers or has less capacity now, or may be draining without this
+// leader knowing.
 func (m *Machine) startRecorded(j *job, now time.Time) {
 	for _, r := range j.sortedLiveRuns() {
 		if r.phase != recorded || r.recordRev > j.savedRev || !j.liveRuns[r] {
 			continue // not live: its gang was stopped in this loop
 		}
 		switch {
-		case !r.target.acceptsStarts() || !r.target.responsive() || !m.stateIsCurrent(now):
-			m.log.Decided("run given up before it was sent", "target", r.target.ID, "task", r.Task, "run", r.Number, "drains", r.target.Draining, "evacuated", r.target.evacuated, "inTouch", r.target.responsive(), "listAgeMS", now.Sub(m.listAsOf).Milliseconds(), "zonesAgeMS", now.Sub(m.evacuated.AsOf).Milliseconds())
-			m.stop(r, "its target accepts no starts or does not answer", now)
-			m.stopGang(r, "a member's target accepts no starts or does not answer", now)
+		case !r.target.acceptsStarts() || !r.target.responsive() || r.target.overCapacity() || !m.stateIsCurrent(now):
+			m.log.Decided("run given up before it was sent", "target", r.target.ID, "task", r.Task, "run", r.Number, "drains", r.target.Draining, "evacuated", r.target.evacuated, "inTouch", r.target.responsive(), "overCapacity", r.target.overCapacity(), "listAgeMS", now.Sub(m.listAsOf).Milliseconds(), "zonesAgeMS", now.Sub(m.evacuated.AsOf).Milliseconds())
+			m.stop(r, "its target accepts no starts, does not answer or has less capacity now", now)
+			m.stopGang(r, "a member's target accepts no starts, does not answer or has less capacity now", now)
 		default:
 			r.phase = starting
 			r.resumedFrom = r.task.checkpoint()
@@ -271,7 +272,8 @@
 const maxProbes = 4
 
 // retryOrder repeats an order that was not answered. It ends a run whose start has been
-// sent maxStartsSent times, or whose target accepts no starts any more.
+// sent maxStartsSent times, or whose target accepts no starts any more or has less
+// capacity now.
 func (m *Machine) retryOrder(r *run, now time.Time) {
 	if r.orderPending || now.Sub(r.sentAt) < orderRetryInterval || (!r.target.responsive() && r.target.ordersPending() >= maxProbes) {
 		return
@@ -279,7 +281,7 @@
 	switch {
 	case r.phase == stopping && r.orderAnsweredAt.IsZero():
 		m.sendStop(r, now)
-	case r.phase == starting && r.startsSent < maxStartsSent && r.target.acceptsStarts():
+	case r.phase == starting && r.startsSent < maxStartsSent && r.target.acceptsStarts() && !r.target.overCapacity():
 		m.sendStart(r, now)
 	case r.phase == starting && r.unanswered:
 		m.stop(r, "start not answered", now)
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -90,6 +90,22 @@
 	return t.usableCapacity().Minus(t.used).Minus(t.waitingCharge)
 }
 
+// overCapacity reports whether the runs that hold capacity need more than the target has. Its
+// capacity may have shrunk since they were placed.
+func (t *target) overCapacity() bool { return !t.used.FitsIn(t.Capacity) }
+
+// canHoldWaiting reports whether there will be capacity for the runs that await it, once the
+// stopping runs have ended.
+func (t *target) canHoldWaiting() bool {
+	need := t.used.Plus(t.waitingCharge)
+	for _, r := range t.runs {
+		if r.phase == stopping {
+			need = need.Minus(r.charge)
+		}
+	}
+	return need.FitsIn(t.Capacity)
+}
+
 // estimatedClock estimates what the target's clock shows, in milliseconds.
 func (t *target) estimatedClock(now time.Time) int64 {
 	return t.clockMS + now.Sub(t.clockAt).Milliseconds()
