work/dispatch: end no job during a pass, and play crashes in the chaos test

Operators would have seen the leader's process end with a nil pointer while it gave up a job.

Cause: the limit on lost targets ended jobs from within a pass over the pending steps when a verdict became due there. The end of a job shortens the list under the loop, which then meets an element that is not there any more. Found by TestChaos in its first run with requests that crash their targets and with targets that crash or shrink; it panicked at schedule.go:120.

Change: verdicts are reached before each decision, and a pass only waits for them. TestGangAwaitsVerdict panics on the code before. The chaos test draws the three new kinds, and reports a job that is given up though it crashes nothing.

--- a/internal/proof/deployment/chaos_test.go
+++ b/internal/proof/deployment/chaos_test.go
@@ -23,6 +23,7 @@
 	Work     time.Duration // of each task
 	Fails    int           // of 100 runs
 	Cancel   time.Duration // since the submission; 0: not cancelled
+	Crashes  bool          // the first task crashes each target that starts it
 }
 
 // drawStep draws a step, which depends on the first step unless it is that.
@@ -62,6 +63,7 @@
 	if rapid.IntRange(0, 6).Draw(t, "cancels") == 0 {
 		q.Cancel = time.Duration(rapid.IntRange(20, 3000).Draw(t, "cancel")) * time.Millisecond
 	}
+	q.Crashes = rapid.IntRange(0, 9).Draw(t, "crashes") == 0
 	return q
 }
 
@@ -161,7 +163,9 @@
 	b.Fails = func(id graph.TaskID, run int) bool {
 		return int(hash(id.String(), run)%100) < q.Fails
 	}
+	b.Crashes = func(id graph.TaskID, _ int) bool { return q.Crashes && id.Step == 0 && id.Index == 0 }
 	s := d.submit(j, b)
+	s.crashes = q.Crashes
 	if q.Cancel > 0 {
 		time.AfterFunc(q.Cancel, func() {
 			events <- func() {
--- a/internal/proof/deployment/deployment_test.go
+++ b/internal/proof/deployment/deployment_test.go
@@ -23,6 +23,7 @@
 	"guavaglade.example/guavaglade/internal/host/peer"
 	"guavaglade.example/guavaglade/internal/host/rpc"
 	"guavaglade.example/guavaglade/internal/platform/store"
+	"guavaglade.example/guavaglade/internal/report/view"
 	"guavaglade.example/guavaglade/internal/standin/pool"
 	"guavaglade.example/guavaglade/internal/standin/rows"
 	"guavaglade.example/guavaglade/internal/work/dispatch"
@@ -73,6 +74,7 @@
 	mu        sync.Mutex
 	accepted  bool           // its submission was acknowledged
 	cancelled bool           // a cancellation was acknowledged
+	crashes   bool           // a task of it crashes its targets
 	state     progress.State // of the last answer to awaitEnds
 }
 
@@ -285,12 +287,11 @@
 	}()
 }
 
-// jobState asks a random host for the state of a job.
-func (d *deployment) jobState(s *submission) (progress.State, error) {
+// jobStatus asks a random host for the status of a job.
+func (d *deployment) jobStatus(s *submission) (view.JobStatus, error) {
 	ctx, cancel := context.WithTimeout(d.ctx, 3*time.Second)
 	defer cancel()
-	status, err := d.anyHost().entry.Status(ctx, s.job.ID, entry.Caller{Account: s.job.Account})
-	return status.State, err
+	return d.anyHost().entry.Status(ctx, s.job.ID, entry.Caller{Account: s.job.Account})
 }
 
 // awaitEnds waits until all clients have finished and every accepted job has a final state.
@@ -335,7 +336,7 @@
 	if !accepted || state.Final() {
 		return ""
 	}
-	now, err := d.jobState(s)
+	status, err := d.jobStatus(s)
 	if errors.Is(err, entry.ErrUnavailable) {
 		return err.Error()
 	}
@@ -343,6 +344,7 @@
 		d.recordViolation("job %s was accepted: %v", s.job.ID, err)
 		return ""
 	}
+	now := status.State
 	s.update(func() { s.state = now })
 	if !now.Final() {
 		return string(now)
@@ -350,6 +352,12 @@
 	if now == progress.Completed {
 		d.checkComplete(s)
 	}
+	if !s.crashes && strings.Contains(status.Reason, "were lost under it") {
+		d.recordViolation("job %s crashes no target and was given up: %s", s.job.ID, status.Reason)
+	}
+	if s.crashes && now == progress.Completed {
+		d.recordViolation("job %s crashes its targets and is completed", s.job.ID)
+	}
 	if now == progress.Cancelled && !cancelled {
 		d.recordViolation("job %s has state cancelled, but no cancellation was acknowledged", s.job.ID)
 	}
--- a/internal/proof/deployment/faults_test.go
+++ b/internal/proof/deployment/faults_test.go
@@ -27,7 +27,7 @@
 var faultKinds = []string{
 	"kill", "kill leader", "stop", "stop leader", "kill all", "cut store", "cut leader from store", "store down",
 	"store loses", "store late", "store slow", "forget", "cut zone", "cut targets", "orders lost", "orders late",
-	"target dies", "target reborn", "target hangs", "target fails", "target slow", "target drains", "target rejects", "cancel", "cut hosts",
+	"target dies", "target crashes", "target shrinks", "target reborn", "target hangs", "target fails", "target slow", "target drains", "target rejects", "cancel", "cut hosts",
 }
 
 func drawFault(t *rapid.T) fault {
@@ -172,6 +172,10 @@
 		switch f.Kind {
 		case "target dies":
 			p.Kill(id, now)
+		case "target crashes":
+			p.Crash(id, now)
+		case "target shrinks":
+			p.SetCapacity(id, needs(3), now)
 		case "target reborn":
 			d.incarnations++
 			p.Add(d.target(f.Which%3, f.Which%4, 1+d.incarnations), 0.99, now)
@@ -224,6 +228,7 @@
 			p.SetFailing(t.ID, false)
 			p.SetSpeed(t.ID, 1)
 			p.SetRejecting(t.ID, false)
+			p.SetCapacity(t.ID, d.target(0, 0, 1).Capacity, now)
 			if t.Draining {
 				p.Kill(t.ID, now)
 				continue
--- a/internal/standin/pool/crash.go
+++ b/internal/standin/pool/crash.go
@@ -31,15 +31,14 @@
 	p.restarts = append(p.restarts, restart{at: now.Add(p.bounds.RestartTime), target: next, rate: t.clockRate})
 }
 
-// nextIncarnation returns the id with the number at its end increased by 1. An id without a
-// number gets one.
+// nextIncarnation returns the id of the incarnation after a crash: id~2, then id~3.
 func nextIncarnation(id string) string {
-	base := strings.TrimRight(id, "0123456789")
-	n, err := strconv.Atoi(id[len(base):])
+	base, number, _ := strings.Cut(id, "~")
+	n, err := strconv.Atoi(number)
 	if err != nil {
-		return id + "#2"
+		n = 1
 	}
-	return base + strconv.Itoa(n+1)
+	return base + "~" + strconv.Itoa(n+1)
 }
 
 // crashTargets crashes the targets whose runs are due to crash them.
@@ -75,6 +74,9 @@
 	})
 }
 
+// Listens reports whether a target is up at an address.
+func (p *Pool) Listens(address string) bool { return p.byAddress[address] != nil }
+
 // Crashes returns the number of targets that runs have crashed.
 func (p *Pool) Crashes() int { return p.crashes }
 
--- a/internal/work/dispatch/crash_test.go
+++ b/internal/work/dispatch/crash_test.go
@@ -139,7 +139,7 @@
 	d.checkCrashes(crashing...)
 }
 
-// Racks lose power one after the other, each twice, under a wide job: no task of it is to
+// Racks lose power one after the other, each four times, under a wide job: no task of it is to
 // blame, however often its targets were lost.
 func TestLossOfRacksIsNotBlamedOnTasks(t *testing.T) {
 	d := newSimulation(t, 3, 8, DefaultBounds())
@@ -149,8 +149,10 @@
 	service := d.submit(1, time.Second, lasting)
 	for i := range 12 {
 		d.runWithListing(4)
-		for k := range 8 {
-			d.p.Crash(fmt.Sprintf("r%d-%d#%d", i%3, k, 1+i/3), d.now)
+		for _, x := range d.p.Roster() {
+			if x.Rack == fmt.Sprintf("r1-%d", i%3) {
+				d.p.Crash(x.ID, d.now)
+			}
 		}
 	}
 	d.runWithListing(20)
@@ -212,3 +214,50 @@
 	}
 	is.Equal(d.state(id), progress.Running)
 }
+
+// Targets are lost under a gang that does not wait for them, and never return. Whether they
+// were lost is known only when their leases have lapsed: the gang waits for that from the
+// third on, and its job fails then.
+func TestGangAwaitsVerdict(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 8, DefaultBounds())
+	nowhere := small(1)
+	nowhere.Label, nowhere.Estimate = "no target has it", time.Minute
+	for priority := range 3 { // the steps that still wait are left alone by the end of the job
+		d.submit(priority, time.Second, nowhere)
+	}
+	j := &graph.Job{Priority: 1, MaxAttempts: 10, SlackFactor: 3, Allowance: time.Second, Steps: []graph.Step{urgentGang(2, 8)}}
+	id := d.submitJob(j, pool.Behaviour{Work: func(graph.TaskID) time.Duration { return 20 * time.Second }})
+	dead := map[string]bool{}
+	d.dropCommand = func(c Command) bool { return dead[targetOf(c)] }
+	for range 3 {
+		d.run(200 * time.Millisecond)
+		lost := d.m.jobs[id].steps[0].tasks[0].runs[0].target.ID
+		dead[lost] = true
+		d.p.Kill(lost, d.now)
+		d.run(400 * time.Millisecond)
+	}
+	starts := d.p.Starts()
+	is.Equal(starts, 6)
+	is.Equal(d.state(id), progress.Running)
+	d.run(8 * time.Second)
+	is.Equal(d.p.Starts(), starts)
+	is.Equal(d.state(id), progress.Failed)
+}
+
+// A task takes down its target so that no connection breaks: the loss shows only when a poll
+// times out, seconds later. That must not look as if the task had run for so long.
+func TestTaskThatSilencesTargetsIsGivenUp(t *testing.T) {
+	d := newSimulation(t, 2, 4, DefaultBounds())
+	d.dropCommand = func(c Command) bool {
+		at := targetOf(c)
+		return at != "" && !d.p.Listens(strings.Split(at, "#")[0])
+	}
+	crashing := d.submitCrashing(2, small(1))
+	for range 8 {
+		d.submit(2, 3*time.Second, small(2))
+		d.runWithListing(1)
+	}
+	d.runWithListing(60)
+	d.checkCrashes(crashing)
+}
--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -21,8 +21,7 @@
 		return true
 	}
 	if s.gangSuspected && slices.ContainsFunc(s.tasks, func(x *task) bool { return x.awaitsVerdict(now) }) {
-		m.failCrashing(now)
-		return !s.job.finished()
+		return true
 	}
 	plan := m.planGang(s, now)
 	if plan == nil {
--- a/internal/work/dispatch/loss.go
+++ b/internal/work/dispatch/loss.go
@@ -9,7 +9,7 @@
 
 // targetLost handles the loss of a target: its incarnation has ended, or its leases have
 // lapsed while it did not answer. It records the loss against the tasks whose runs may have
-// caused it, releases all runs, and fails the jobs that crash their targets.
+// caused it, and releases all runs.
 func (m *Machine) targetLost(t *target, now time.Time) {
 	for x := range m.suspects {
 		if x.losses.Settle(t.ID) {
@@ -22,7 +22,6 @@
 		m.release(r, now)
 		m.failIfAtMostOnce(r, now)
 	}
-	m.failCrashing(now)
 	if len(lost) > 0 {
 		m.commands = append(m.commands, TargetLost{Runs: len(lost)})
 	}
--- a/internal/work/dispatch/schedule.go
+++ b/internal/work/dispatch/schedule.go
@@ -14,6 +14,7 @@
 // starts, stops, polls and saves among them. The caller calls it after it has passed in
 // new events, and when NextDecision says so.
 func (m *Machine) Decide(now time.Time) []Command {
+	m.failCrashing(now)
 	if m.placementEnabled && m.placementDue && !m.superseded && !m.awaitingReports(now) && m.stateIsCurrent(now) {
 		m.recordWaiting(now)
 		if now.Before(m.nextPassAt) {
@@ -219,15 +220,7 @@
 			continue
 		}
 		skipRest = skipRest || m.throttled(s, now)
-		if skipRest || now.Before(x.pausedUntil) {
-			more = true
-			continue
-		}
-		if x.awaitsVerdict(now) {
-			m.failCrashing(now)
-			if s.job.finished() {
-				return false
-			}
+		if skipRest || now.Before(x.pausedUntil) || x.awaitsVerdict(now) {
 			more = true
 			continue
 		}
--- a/internal/work/dispatch/simulation_test.go
+++ b/internal/work/dispatch/simulation_test.go
@@ -226,12 +226,12 @@
 	return d.submitJob(j, pool.Behaviour{Work: func(graph.TaskID) time.Duration { return work }})
 }
 
-// submitJob submits a job whose id, queue, service, account and attempts it sets, and has the
-// machine decide.
+// submitJob submits a job whose id, queue, service and account it sets, with three attempts
+// at least, and has the machine decide.
 func (d *simulation) submitJob(j *graph.Job, b pool.Behaviour) graph.JobID {
 	d.nextID++
 	j.ID, j.Queue, j.Service, j.Account = graph.JobID(fmt.Sprintf("%016x", d.nextID)), "q", "s", "a"
-	j.MaxAttempts, j.AcceptedAt = 3, d.now.UnixMilli()
+	j.MaxAttempts, j.AcceptedAt = max(j.MaxAttempts, 3), d.now.UnixMilli()
 	d.p.Submit(j, b)
 	d.submittedAt[j.ID], d.specs[j.ID] = d.now, j
 	d.m.Accept(j, d.now)
--- a/internal/work/dispatch/suspect.go
+++ b/internal/work/dispatch/suspect.go
@@ -64,7 +64,8 @@
 	}
 }
 
-// failCrashing fails the jobs whose tasks are known to crash their targets.
+// failCrashing fails the jobs whose tasks are known to crash their targets. It must not be
+// called during a pass, which the end of a job would disturb.
 func (m *Machine) failCrashing(now time.Time) {
 	var guilty []*task
 	for x := range m.suspects {
