work/dispatch: judge a lost target by when it last answered

A target that goes down without breaking its connections is found to be lost only when a poll times out, up to two seconds later. Counted from then, a task that took it down at its start seemed to have lasted, which clears it.

Change: a loss lies between the last answer and the first that is missing, and is exact only if the poll's connection broke. A run is new, or has lasted, by the earlier bound; losses are together if their spans meet.

Found by reading; TestTaskThatSilencesTargetsIsGivenUp passes before, too, by other losses. All tests of the package and the chaos test pass.

--- a/internal/work/dispatch/loss.go
+++ b/internal/work/dispatch/loss.go
@@ -34,32 +34,50 @@
 	if len(lost) == 0 {
 		return
 	}
-	lostAt := t.lossTime(now)
-	cause := m.lossCause(t, lostAt)
+	span := t.lossSpan(now)
+	cause := m.lossCause(t, span)
 	for _, r := range lost {
 		kind, suspect := cause.kindFor(r)
-		m.log.Decided("run lost with its target", "target", t.ID, "task", r.Task, "run", r.Number, "beganMSBefore", r.ageAt(lostAt).Milliseconds(), "lost", len(lost), "suspect", suspect, "kind", kind, "together", cause.together)
+		m.log.Decided("run lost with its target", "target", t.ID, "task", r.Task, "run", r.Number, "beganMSBefore", r.ageAt(span.from).Milliseconds(), "lost", len(lost), "suspect", suspect, "kind", kind, "together", cause.together)
 		x := r.task
 		if !suspect || t.Draining || x.done || x.step.job.finished() {
 			continue
 		}
-		x.losses.Lasted(r.ageAt(lostAt))
+		x.losses.Lasted(r.ageAt(span.from))
 		x.losses.Add(crashloop.Loss{Target: t.ID, Kind: kind, Open: !countsFrom.IsZero()}, countsFrom)
 		x.step.lostAt = now
 		m.addSuspect(x)
 		m.markDirty(x.step.job)
 	}
 	t.lossRecorded = true
-	m.recentLosses = append(m.recentLosses, recentLoss{at: lostAt, id: t.ID, rack: t.Rack, zone: t.Zone})
+	m.recentLosses = append(m.recentLosses, recentLoss{span: span, id: t.ID, rack: t.Rack, zone: t.Zone})
 }
 
-// lossTime estimates when an unreachable target was lost: when it first missed an order or
-// a poll.
-func (t *target) lossTime(now time.Time) time.Time {
-	if t.unansweredSince.IsZero() {
-		return now
+// lossSpan is when a target was lost: not before from, and not after to.
+type lossSpan struct {
+	from, to time.Time
+}
+
+// lossSpan returns when an unreachable target was lost. If the connection of its poll broke,
+// that was the moment. Otherwise it was between its last answer and the first that it missed.
+func (t *target) lossSpan(now time.Time) lossSpan {
+	to := t.unansweredSince
+	if to.IsZero() {
+		to = now
+	}
+	if t.connectionBroke {
+		return lossSpan{to, to}
 	}
-	return t.unansweredSince
+	from := to.Add(-maxPollWait - pollOverdue) // it is not polled while it has no work
+	if t.answeredAt.After(from) {
+		from = t.answeredAt
+	}
+	return lossSpan{from, to}
+}
+
+// near reports whether two targets may have been lost within a time of each other.
+func (s lossSpan) near(o lossSpan, within time.Duration) bool {
+	return !s.from.After(o.to.Add(within)) && !o.from.After(s.to.Add(within))
 }
 
 // mayBeOnTarget reports whether the run may be on its target: its start was sent, in this
@@ -80,25 +98,25 @@
 
 // lossCause is what may have caused the loss of a target.
 type lossCause struct {
-	lostAt   time.Time
+	span     lossSpan
 	newJobs  []*job // jobs of which a run had just begun there
 	certain  bool   // all these runs were started in this term, so it is known that they had just begun
 	together bool   // it was lost together with much of its rack or zone
 }
 
 // lossCause returns what may have caused the loss of a target.
-func (m *Machine) lossCause(t *target, lostAt time.Time) lossCause {
-	c := lossCause{lostAt: lostAt, together: m.lostTogether(t, lostAt)}
-	c.newJobs, c.certain = t.jobsNewAt(lostAt)
+func (m *Machine) lossCause(t *target, span lossSpan) lossCause {
+	c := lossCause{span: span, together: m.lostTogether(t, span)}
+	c.newJobs, c.certain = t.jobsNewAt(span)
 	return c
 }
 
-// jobsNewAt returns the jobs of which a run had just begun on the target at a time, and
-// whether all these runs were started in this term.
-func (t *target) jobsNewAt(at time.Time) (jobs []*job, certain bool) {
+// jobsNewAt returns the jobs of which a run had just begun on the target when it was lost,
+// and whether all these runs were started in this term.
+func (t *target) jobsNewAt(span lossSpan) (jobs []*job, certain bool) {
 	certain = true
 	for _, r := range t.runs {
-		if !r.mayBeOnTarget() || r.sentAfter(at) || !r.newAt(at) {
+		if !r.mayBeOnTarget() || r.sentAfter(span.to) || !r.newAt(span.from) {
 			continue
 		}
 		certain = certain && r.startsSent > 0
@@ -118,7 +136,7 @@
 // not if the run had not just begun there, and others had or there is a common cause.
 func (c lossCause) kindFor(r *run) (kind crashloop.Kind, suspect bool) {
 	switch {
-	case r.sentAfter(c.lostAt) || !r.newAt(c.lostAt) && (len(c.newJobs) > 0 || c.together):
+	case r.sentAfter(c.span.to) || !r.newAt(c.span.from) && (len(c.newJobs) > 0 || c.together):
 		return crashloop.Running, false
 	case len(c.newJobs) == 0:
 		return crashloop.Running, true
@@ -132,7 +150,7 @@
 
 // recentLoss is a target that was lost a short time ago.
 type recentLoss struct {
-	at         time.Time
+	span       lossSpan
 	id         string
 	rack, zone string
 }
@@ -140,9 +158,9 @@
 // Targets that are lost together have a common cause, such as a failure of power, rather
 // than each a run that crashes it.
 const (
-	// togetherWindow is how far apart losses with a common cause are noticed: targets
-	// without an outstanding poll miss their next order.
-	togetherWindow = time.Second
+	// togetherWindow is how far apart losses with a common cause are noticed, beyond what
+	// is not known of their times.
+	togetherWindow = 300 * time.Millisecond
 	// recentLossTime is how long losses are kept: targets with a common cause are found to
 	// be lost when they return, or when their leases have lapsed.
 	recentLossTime = 30 * time.Second
@@ -155,12 +173,11 @@
 
 // lostTogether reports whether a target was lost together with so much of its rack or zone
 // that there must be a common cause.
-func (m *Machine) lostTogether(t *target, lostAt time.Time) bool {
-	m.recentLosses = slices.DeleteFunc(m.recentLosses, func(l recentLoss) bool { return lostAt.Sub(l.at) > recentLossTime })
-	near := func(at time.Time) bool { return at.Sub(lostAt).Abs() <= togetherWindow }
+func (m *Machine) lostTogether(t *target, span lossSpan) bool {
+	m.recentLosses = slices.DeleteFunc(m.recentLosses, func(l recentLoss) bool { return span.to.Sub(l.span.to) > recentLossTime })
 	rack, zone := share{lost: 1, of: 1}, share{lost: 1, of: 1}
 	for _, l := range m.recentLosses {
-		if l.id == t.ID || !near(l.at) {
+		if l.id == t.ID || !l.span.near(span, togetherWindow) {
 			continue
 		}
 		rack.add(l.rack == t.Rack, true)
@@ -170,7 +187,7 @@
 		if o == t || o.lossRecorded {
 			continue
 		}
-		lost := o.reach == unreachable && near(o.unansweredSince)
+		lost := o.reach == unreachable && !o.unansweredSince.IsZero() && o.lossSpan(o.unansweredSince).near(span, togetherWindow)
 		rack.add(o.Rack == t.Rack, lost)
 		zone.add(o.Zone == t.Zone, lost)
 	}
--- a/internal/work/dispatch/poll.go
+++ b/internal/work/dispatch/poll.go
@@ -234,6 +234,9 @@
 	case t.reportedAt.After(p.Sent):
 		// The target has answered another poll since: only this one was lost.
 	default:
+		if t.unansweredSince.IsZero() {
+			t.connectionBroke = !p.Sent.Add(p.Order.Wait).Before(now)
+		}
 		m.targetMissed(t, p.missedSince(now), now)
 		m.markUnreachable(t, err, now)
 	}
--- a/internal/work/dispatch/reachability.go
+++ b/internal/work/dispatch/reachability.go
@@ -29,7 +29,7 @@
 	if t.responsive() {
 		return
 	}
-	t.unansweredSince, t.zoneUnreachable = time.Time{}, false
+	t.unansweredSince, t.zoneUnreachable, t.connectionBroke = time.Time{}, false, false
 	m.checkZoneReachable(t.Zone, now)
 	m.placementDue = true
 }
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -57,6 +57,7 @@
 	remainingReportedAt time.Time // when it last announced its remaining time
 	suspendedUntil      time.Time // it gets no work until then
 	addedAt             time.Time // when it was first listed; zero: before this term
+	connectionBroke     bool      // the first poll that it missed broke before its wait was over
 	lossRecorded        bool      // it is in Machine.recentLosses, and has not answered since
 	suspectRuns         []*run    // runs of suspects that were placed there; some may not be new or there any more
 }
