proof/soak, platform/standin: targets that crash and shrink, and jobs that crash them

The soak kept its targets up or killed them for good, their capacity never changed, and no job harmed them. So it could not meet a task that takes down one target after the other, or capacity that is gone when a start arrives.

--- a/internal/proof/soak/caller_test.go
+++ b/internal/proof/soak/caller_test.go
@@ -39,6 +39,7 @@
 // taskInputs are the inputs of jobs by kind.
 var taskInputs = map[string]string{
 	"label": `{"runMillis": 150}`, "plan": `{"runMillis": 400}`, "bill": `{"runMillis": 300}`, "forecast": `{"runMillis": 2500}`,
+	"crash": `{"runMillis": 2500, "crash": true}`,
 }
 
 // jobKinds are the kinds that callers draw from; a repeated kind is drawn more often.
@@ -97,6 +98,18 @@
 	}
 }
 
+// submitCrashing submits a job that crashes each target that starts it.
+func (c *callers) submitCrashing(number int) {
+	r := request.Request{RequestID: fmt.Sprintf("x%d", number), Service: "refill", Job: "crash", Input: []byte(taskInputs["crash"])}
+	s := &submission{id: request.JobID("norte", r.RequestID), kind: "crash"}
+	transport := &http.Transport{}
+	defer transport.CloseIdleConnections()
+	c.submit(s, r, rand.New(rand.NewPCG(uint64(number), 0)), transport)
+	c.mu.Lock()
+	c.submissions = append(c.submissions, s)
+	c.mu.Unlock()
+}
+
 // submit sends a request to random ready hosts until it is accepted, at most maxTries times.
 // A time when no host is ready counts as a try.
 func (c *callers) submit(s *submission, r request.Request, rnd *rand.Rand, transport http.RoundTripper) {
--- a/internal/proof/soak/deployment_test.go
+++ b/internal/proof/soak/deployment_test.go
@@ -32,6 +32,8 @@
 [job refill.forecast]
 accelerators = 4
 stoppable = true
+[job refill.crash]
+accelerators = 1
 [account norte]
 keyHash = %s
 [account automation]
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -14,8 +14,10 @@
 	"testing"
 	"time"
 
+	"guavaglade.example/guavaglade/internal/fleet/roster"
 	"guavaglade.example/guavaglade/internal/operator/command"
 	"guavaglade.example/guavaglade/internal/standin/pool"
+	"guavaglade.example/guavaglade/internal/work/graph"
 	"guavaglade.example/guavaglade/internal/work/progress"
 )
 
@@ -97,6 +99,8 @@
 		p := d.targets[f.which%len(d.targets)]
 		d.mu.Unlock()
 		d.injectProxyFault(f, p)
+	case "crash target", "shrink target":
+		d.disturbTarget(f)
 	case "change":
 		d.changeConfig(time.Now().Add(settleTimeout))
 	case "forget":
@@ -136,6 +140,30 @@
 	d.site.Shared.Do(func(p *pool.Pool, _ time.Time) { p.SetStalled(id, false) })
 }
 
+// extraFaults are drawn apart from the others, so that the scripts of earlier seeds stay.
+var extraFaults = []string{"crash target", "shrink target", "crashing job"}
+
+// disturbTarget crashes a target, which comes back, or halves its capacity for the length of
+// the fault.
+func (d *deployment) disturbTarget(f fault) {
+	var t roster.Target
+	setCapacity := func(c graph.Resources) {
+		d.site.Shared.Do(func(p *pool.Pool, now time.Time) { p.SetCapacity(t.ID, c, now) })
+	}
+	d.site.Shared.Do(func(p *pool.Pool, now time.Time) {
+		list := p.Roster()
+		t = list[f.which%len(list)]
+		if f.kind == "crash target" {
+			p.Crash(t.ID, now)
+		}
+	})
+	if f.kind == "shrink target" {
+		setCapacity(graph.Resources{CPU: t.Capacity.CPU / 2, MemoryMB: t.Capacity.MemoryMB / 2, Accelerators: t.Capacity.Accelerators / 2})
+		time.Sleep(f.length)
+		setCapacity(t.Capacity)
+	}
+}
+
 // run executes a script of faults on a new deployment while callers submit jobs, waits for the
 // accepted jobs to end and returns the violations. It keeps the logs if there are any.
 func run(t *testing.T, seed uint64, script []fault, plannedOnly bool) []string {
@@ -174,6 +202,10 @@
 	for _, f := range script {
 		all.Go(func() {
 			time.Sleep(f.at)
+			if f.kind == "crashing job" {
+				c.submitCrashing(f.which)
+				return
+			}
 			d.inject(f)
 		})
 	}
@@ -232,7 +264,7 @@
 	switch {
 	case err != nil:
 		return append(violations, fmt.Sprintf("%s (%s) has not ended: %v", s.id, s.kind, err))
-	case state == progress.Completed, state == progress.Cancelled && s.cancelSent, state == progress.Failed && s.kind == "bill":
+	case state == progress.Completed, state == progress.Cancelled && s.cancelSent, state == progress.Failed && s.kind == "bill", state == progress.Failed && s.kind == "crash":
 		return violations
 	}
 	return append(violations, fmt.Sprintf("%s (%s, cancelled %t) is %s", s.id, s.kind, s.cancelAcked, state))
@@ -276,7 +308,8 @@
 	242: "of two changes with the same base, the refused one was retried repeatedly with its stale base",
 }
 
-// For each seed, 4 to 9 random faults of all kinds occur one after the other or together.
+// For each seed, 4 to 9 random faults of all kinds occur one after the other or together, and
+// up to four more: targets that crash or shrink, and jobs that crash each target they run on.
 // Accepted jobs end as they must, nothing runs twice, jobs answered as not run do not run,
 // and in the end the newest configuration is in force on every host.
 func TestFaults(t *testing.T) {
@@ -291,6 +324,12 @@
 			for range 4 + rnd.IntN(6) {
 				script = append(script, drawFault(rnd, faultKinds))
 			}
+			if regressionSeeds[seed] == "" {
+				extra := rand.New(rand.NewPCG(seed, 2))
+				for range 1 + extra.IntN(4) {
+					script = append(script, drawFault(extra, extraFaults))
+				}
+			}
 			report(t, seed, script, run(t, seed, script, false))
 		})
 	}
--- a/internal/standin/site/jobs.go
+++ b/internal/standin/site/jobs.go
@@ -14,9 +14,9 @@
 // StoredJobs looks up jobs in the table in which the system stores them; a row that is
 // missing or malformed is no job. The job's spec says how its tasks run:
 //
-//	{"runMillis": 200, "fail": true}
+//	{"runMillis": 200, "fail": true, "crash": true}
 //
-// Without runMillis a task runs for its estimate.
+// Without runMillis a task runs for its estimate. With crash each run crashes its target.
 func StoredJobs(t *rows.Table) pool.Lookup {
 	return func(id graph.JobID) (*graph.Job, pool.Behaviour) {
 		row := t.Get(dispatcher.JobKey(dispatch.PartitionOf(id, dispatcher.Partitions), id))
@@ -40,6 +40,7 @@
 	var spec struct {
 		RunMillis int64 `json:"runMillis"`
 		Fail      bool  `json:"fail"`
+		Crash     bool  `json:"crash"`
 	}
 	_ = json.Unmarshal([]byte(j.Spec), &spec) // other specs have no effect
 	return pool.Behaviour{
@@ -52,6 +53,7 @@
 			}
 			return defaultWork
 		},
-		Fails: func(graph.TaskID, int) bool { return spec.Fail },
+		Fails:   func(graph.TaskID, int) bool { return spec.Fail },
+		Crashes: func(graph.TaskID, int) bool { return spec.Crash },
 	}
 }
