work/dispatch: isolate only tasks whose start may have caused a loss

After the loss of a rack, hundreds of tasks had losses that were not theirs, and each was started a second apart from all others, just when capacity is short.

Change: a task is a suspect only after a loss that came just after the start of its run, and without a common cause. The losses still count.

--- a/internal/work/crashloop/record.go
+++ b/internal/work/crashloop/record.go
@@ -105,6 +105,11 @@
 // Empty reports whether there are no losses.
 func (r *Record) Empty() bool { return len(r.losses) == 0 }
 
+// Suspicious reports whether a loss may have been caused by the start of a run.
+func (r *Record) Suspicious() bool {
+	return slices.ContainsFunc(r.losses, func(l entry) bool { return l.Kind == Shared || l.Kind == Sole })
+}
+
 // Losses returns all losses, oldest first.
 func (r *Record) Losses() []Loss {
 	list := make([]Loss, 0, len(r.losses))
--- a/internal/work/dispatch/accept.go
+++ b/internal/work/dispatch/accept.go
@@ -106,7 +106,7 @@
 		}
 		for _, l := range k.Losses[x.index] {
 			x.losses.Add(l, now.Add(m.bounds.Lease+m.bounds.Lease/16)) // the earlier leader's last lease is over by then
-			m.addSuspect(x)
+			m.lossesChanged(x)
 		}
 		x.highestRun = k.LastRuns[x.index]
 		for _, p := range placed[x.index] {
--- a/internal/work/dispatch/ends.go
+++ b/internal/work/dispatch/ends.go
@@ -211,9 +211,9 @@
 func (m *Machine) endJob(j *job, s progress.State, now time.Time) {
 	j.state, j.endedAt = s, m.wallMS(now)
 	m.markDirty(j)
-	for x := range m.suspects {
+	for x := range m.tasksWithLosses {
 		if x.step.job == j {
-			m.dropSuspect(x)
+			delete(m.tasksWithLosses, x)
 		}
 	}
 	for _, r := range j.sortedLiveRuns() {
--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -20,7 +20,7 @@
 	if now.Before(s.pausedUntil) || s.attemptsMayBeExhausted(0, now) {
 		return true
 	}
-	if s.gangSuspected && slices.ContainsFunc(s.tasks, func(x *task) bool { return x.awaitsVerdict(now) }) {
+	if len(m.tasksWithLosses) > 0 && slices.ContainsFunc(s.tasks, func(x *task) bool { return x.awaitsVerdict(now) }) {
 		return true
 	}
 	plan := m.planGang(s, now)
--- a/internal/work/dispatch/loss.go
+++ b/internal/work/dispatch/loss.go
@@ -11,7 +11,7 @@
 // lapsed while it did not answer. It records the loss against the tasks whose runs may have
 // caused it, and releases all runs.
 func (m *Machine) targetLost(t *target, now time.Time) {
-	for x := range m.suspects {
+	for x := range m.tasksWithLosses {
 		if x.losses.Settle(t.ID) {
 			m.markDirty(x.step.job)
 		}
@@ -46,7 +46,7 @@
 		x.losses.Lasted(r.ageAt(span.from))
 		x.losses.Add(crashloop.Loss{Target: t.ID, Kind: kind, Open: !countsFrom.IsZero()}, countsFrom)
 		x.step.lostAt = now
-		m.addSuspect(x)
+		m.lossesChanged(x)
 		m.markDirty(x.step.job)
 	}
 	t.lossRecorded = true
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -48,7 +48,7 @@
 	evacuated          evacuation.Status          // zones evacuated by operators
 	placementDue       bool                       // something may have become placeable since the last pass
 	superseded         bool                       // a newer term has begun
-	suspects           map[*task]bool             // tasks with losses, of jobs that have not ended
+	tasksWithLosses    map[*task]bool             // under which targets were lost, of jobs that have not ended
 	recentLosses       []recentLoss               // targets lost a short time ago
 }
 
--- a/internal/work/dispatch/suspect.go
+++ b/internal/work/dispatch/suspect.go
@@ -10,57 +10,51 @@
 	"guavaglade.example/guavaglade/internal/work/progress"
 )
 
-// A task under which a target was lost is a suspect: it may crash the targets that start
-// it. Until its next run has lasted for crashloop.Window, no run of another job is begun
-// beside it. So the next loss tells a task that crashes targets from its neighbours, and
-// takes down no work that has just begun.
+// A task is a suspect if a target was lost just after a run of it had begun: it may crash
+// the targets that start it. Until its next run has lasted for crashloop.Window, no run of
+// another job is begun beside it. So the next loss tells a task that crashes targets from
+// its neighbours, and takes down no work that has just begun.
 
 // suspected reports whether the task, or a member of its gang, is a suspect.
 func (x *task) suspected() bool {
 	if x.step.spec.Gang {
 		return x.step.gangSuspected
 	}
-	return !x.losses.Empty()
+	return x.losses.Suspicious()
 }
 
-// addSuspect registers a task with losses.
-func (m *Machine) addSuspect(x *task) {
-	if m.suspects == nil {
-		m.suspects = map[*task]bool{}
+// lossesChanged registers a task that has losses now, or unregisters it.
+func (m *Machine) lossesChanged(x *task) {
+	if m.tasksWithLosses == nil {
+		m.tasksWithLosses = map[*task]bool{}
 	}
-	m.suspects[x] = true
-	x.step.gangSuspected = true
-}
-
-// dropSuspect unregisters a task without losses, or of a job that has ended.
-func (m *Machine) dropSuspect(x *task) {
-	delete(m.suspects, x)
-	x.step.gangSuspected = slices.ContainsFunc(x.step.tasks, func(o *task) bool { return m.suspects[o] })
+	if x.losses.Empty() {
+		delete(m.tasksWithLosses, x)
+	} else {
+		m.tasksWithLosses[x] = true
+	}
+	x.step.gangSuspected = slices.ContainsFunc(x.step.tasks, func(o *task) bool { return o.losses.Suspicious() })
 }
 
 // observeLasting removes the losses under a task that are not its fault, since a run of it
 // has lasted.
 func (m *Machine) observeLasting(r *run, now time.Time) {
 	x := r.task
-	if len(m.suspects) == 0 || !m.suspects[x] || !x.losses.Lasted(r.ageAt(now)) {
+	if x.losses.Empty() || x.step.job.finished() || !x.losses.Lasted(r.ageAt(now)) {
 		return
 	}
 	m.markDirty(x.step.job)
-	if x.losses.Empty() {
-		m.dropSuspect(x)
-	}
+	m.lossesChanged(x)
 }
 
 // withdrawLosses removes the losses of a target that has answered after it seemed lost.
 func (m *Machine) withdrawLosses(id string) {
-	for x := range m.suspects {
+	for x := range m.tasksWithLosses {
 		if !x.losses.Withdraw(id) {
 			continue
 		}
 		m.markDirty(x.step.job)
-		if x.losses.Empty() {
-			m.dropSuspect(x)
-		}
+		m.lossesChanged(x)
 	}
 }
 
@@ -68,7 +62,7 @@
 // called during a pass, which the end of a job would disturb.
 func (m *Machine) failCrashing(now time.Time) {
 	var guilty []*task
-	for x := range m.suspects {
+	for x := range m.tasksWithLosses {
 		if x.losses.Verdict(now) == crashloop.Guilty {
 			guilty = append(guilty, x)
 		}
