work/dispatch: isolate a suspect from its second loss on

A single loss is common where targets crash for reasons of their own, and an urgent gang that lost a member used to start again within 0.1 s. Isolated after the first loss it waited for a rack on which nothing had just begun, and others were kept off its targets.

Change: after its first suspicious loss a single task only chooses a target on which no other job's run has just begun; from the second on it, and a gang, are isolated as before.

--- a/internal/work/crashloop/record.go
+++ b/internal/work/crashloop/record.go
@@ -105,9 +105,15 @@
 // Empty reports whether there are no losses.
 func (r *Record) Empty() bool { return len(r.losses) == 0 }
 
-// Suspicious reports whether a loss may have been caused by the start of a run.
-func (r *Record) Suspicious() bool {
-	return slices.ContainsFunc(r.losses, func(l entry) bool { return l.Kind == Shared || l.Kind == Sole })
+// Suspicious returns the number of losses that the start of a run may have caused.
+func (r *Record) Suspicious() int {
+	n := 0
+	for _, l := range r.losses {
+		if l.Kind == Shared || l.Kind == Sole {
+			n++
+		}
+	}
+	return n
 }
 
 // Losses returns all losses, oldest first.
--- a/internal/work/crashloop/record_test.go
+++ b/internal/work/crashloop/record_test.go
@@ -58,11 +58,11 @@
 	for name, k := range map[string]crashloop.Kind{"a": crashloop.Running, "b": crashloop.Together, "c": crashloop.Shared, "d": crashloop.Sole} {
 		r.Add(crashloop.Loss{Target: name, Kind: k}, time.Time{})
 	}
-	is.True(r.Suspicious())
+	is.Equal(r.Suspicious(), 2)
 	is.True(!r.Lasted(crashloop.ProvingTime - 1))
 	is.True(r.Lasted(crashloop.ProvingTime))
 	is.Equal(r.Losses(), []crashloop.Loss{{Target: "a"}})
-	is.True(!r.Suspicious())
+	is.Equal(r.Suspicious(), 0)
 	is.True(!r.Lasted(crashloop.ForgetTime - 1))
 	is.True(r.Lasted(crashloop.ForgetTime))
 	is.True(r.Empty())
--- a/internal/work/dispatch/fit.go
+++ b/internal/work/dispatch/fit.go
@@ -79,7 +79,7 @@
 	remaining := free.Minus(charge)
 	f := fit{interference: t.interference(x.step), acceleratorsLeft: remaining.Accelerators, cpuLeft: remaining.CPU, stranded: m.stranded(remaining) - m.stranded(free)}
 	switch {
-	case x.attempts().avoids(t) || t.health.Suspect(now) || t.health.Slow(now) || x.suspected() && !t.settled(now):
+	case x.attempts().avoids(t) || t.health.Suspect(now) || t.health.Slow(now) || x.suspicion() > 0 && !t.settled(now):
 		f.risk = 2
 	case x.onLastAttempt() && !t.health.ProvenSince(now.Add(-provenTime)):
 		f.risk = 1
--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -20,8 +20,8 @@
 	x.step.job.liveRuns[r] = true
 	t.runs[r.Run] = r
 	t.waitingCharge = t.waitingCharge.Plus(r.charge)
-	if x.suspected() {
-		t.suspectRuns = append(t.suspectRuns, r)
+	if x.isolated() {
+		t.isolatedRuns = append(t.isolatedRuns, r)
 	}
 	delete(m.pass.preemptibleCapacity, t)
 	m.waitingRuns = append(m.waitingRuns, r)
--- a/internal/work/dispatch/suspect.go
+++ b/internal/work/dispatch/suspect.go
@@ -11,18 +11,34 @@
 )
 
 // A task is a suspect if a target was lost just after a run of it had begun: it may crash
-// the targets that start it. Until its next run has lasted for crashloop.Window, no run of
-// another job is begun beside it. So the next loss tells a task that crashes targets from
-// its neighbours, and takes down no work that has just begun.
-
-// suspected reports whether the task, or a member of its gang, is a suspect.
-func (x *task) suspected() bool {
+// the targets that start it. Its next run is not begun beside one of another job that has
+// just begun, so that the next loss tells it from its neighbours; they may be suspects, too.
+// From the second such loss on it is isolated: no other job's run is begun beside it, either,
+// until it has lasted for crashloop.Window. A gang needs many targets at once, and is
+// only isolated.
+
+// isolationLosses is the number of suspicious losses from which a task is isolated.
+const isolationLosses = 2
+
+// suspicion returns the number of suspicious losses under the task, or under the member of
+// its gang that has the most.
+func (x *task) suspicion() int {
 	if x.step.spec.Gang {
-		return x.step.gangSuspected
+		return x.step.gangSuspicion
 	}
 	return x.losses.Suspicious()
 }
 
+// isolated reports whether no other job's run may begin beside the task.
+func (x *task) isolated() bool { return x.suspicion() >= isolationLosses }
+
+// choosesQuietTarget reports whether the task must not begin beside a run of another job that
+// has just begun.
+func (x *task) choosesQuietTarget(now time.Time) bool {
+	suspect := x.isolated() || x.suspicion() > 0 && !x.step.spec.Gang
+	return suspect && now.Sub(x.step.lostAt) < isolationWait
+}
+
 // lossesChanged registers a task that has losses now, or unregisters it.
 func (m *Machine) lossesChanged(x *task) {
 	if m.tasksWithLosses == nil {
@@ -33,7 +49,10 @@
 	} else {
 		m.tasksWithLosses[x] = true
 	}
-	x.step.gangSuspected = slices.ContainsFunc(x.step.tasks, func(o *task) bool { return o.losses.Suspicious() })
+	x.step.gangSuspicion = 0
+	for _, o := range x.step.tasks {
+		x.step.gangSuspicion = max(x.step.gangSuspicion, o.losses.Suspicious())
+	}
 }
 
 // observeLasting removes the losses under a task that are not its fault, since a run of it
@@ -83,26 +102,26 @@
 }
 
 // isolationWait bounds how long after a loss a suspect waits for a target on which nothing
-// else has just begun. On a busy fleet a gang might otherwise find none.
+// else has just begun. On a busy fleet it might otherwise find none.
 const isolationWait = 3 * time.Second
 
 // startsTooClose reports whether a run of a task would begin on a target just after, or just
-// before, one of another job, and one of the two tasks is a suspect. Guaranteed work that
-// is due is placed nevertheless.
+// before, one of another job, and one of the two tasks is a suspect that rules this out.
+// Guaranteed work that is due is placed nevertheless.
 func (m *Machine) startsTooClose(x *task, t *target, now time.Time) bool {
-	waits := x.suspected() && now.Sub(x.step.lostAt) < isolationWait
-	if !waits && len(t.suspectRuns) == 0 {
+	quiet := x.choosesQuietTarget(now)
+	if !quiet && len(t.isolatedRuns) == 0 {
 		return false
 	}
 	j := x.step.job
-	return (waits && t.hasNewRunOfOther(j, now) || t.hasNewSuspectOfOther(j, now)) && !m.guaranteeDue(x.step, now)
+	return (quiet && t.hasNewRunOfOther(j, now) || t.hasNewIsolatedRunOfOther(j, now)) && !m.guaranteeDue(x.step, now)
 }
 
-// hasNewSuspectOfOther reports whether a run of another job's suspect has just begun on the
-// target, or is about to.
-func (t *target) hasNewSuspectOfOther(j *job, now time.Time) bool {
-	t.suspectRuns = slices.DeleteFunc(t.suspectRuns, func(r *run) bool { return t.runs[r.Run] != r || !r.isNew(now) })
-	return slices.ContainsFunc(t.suspectRuns, func(r *run) bool { return r.task.step.job != j })
+// hasNewIsolatedRunOfOther reports whether an isolated run of another job has just begun on
+// the target, or is about to.
+func (t *target) hasNewIsolatedRunOfOther(j *job, now time.Time) bool {
+	t.isolatedRuns = slices.DeleteFunc(t.isolatedRuns, func(r *run) bool { return t.runs[r.Run] != r || !r.isNew(now) })
+	return slices.ContainsFunc(t.isolatedRuns, func(r *run) bool { return r.task.step.job != j })
 }
 
 // hasNewRunOfOther reports whether a run of another job has just begun on the target, or is
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -59,7 +59,7 @@
 	addedAt             time.Time // when it was first listed; zero: before this term
 	connectionBroke     bool      // the first poll that it missed broke before its wait was over
 	lossRecorded        bool      // it is in Machine.recentLosses, and has not answered since
-	suspectRuns         []*run    // runs of suspects that were placed there; some may not be new or there any more
+	isolatedRuns        []*run    // runs of isolated tasks that were placed there; some may not be new or there any more
 }
 
 // unsavedEnd is an end that may be acknowledged once a revision of its job is saved.
