work/dispatch: judge losses once for each change, not at each decision

After the loss of a zone thousands of tasks have losses, and each decision, some hundred a second, went over all of them. A target that was presumed lost, and answered, still counted as lost beside its rack for 30 s.

Change: verdicts are due when losses change and at a tick; a target that answers leaves the recent losses; changes are made in a fixed order of tasks. A new leader counts targets that have not answered it as lost, too.

Found by reading.

--- a/internal/work/dispatch/loss.go
+++ b/internal/work/dispatch/loss.go
@@ -11,11 +11,7 @@
 // lapsed while it did not answer. It records the loss against the tasks whose runs may have
 // caused it, and releases all runs.
 func (m *Machine) targetLost(t *target, now time.Time) {
-	for x := range m.tasksWithLosses {
-		if x.losses.Settle(t.ID) {
-			m.markDirty(x.step.job)
-		}
-	}
+	m.changeLosses(func(x *task) bool { return x.losses.Settle(t.ID) })
 	lost := t.runsWhere((*run).mayBeOnTarget)
 	m.recordLosses(t, lost, time.Time{}, now)
 	for _, r := range t.sortedRuns() {
@@ -49,6 +45,10 @@
 		m.lossesChanged(x)
 		m.markDirty(x.step.job)
 	}
+	m.verdictsDue = true
+	if t.lossRecorded {
+		return
+	}
 	t.lossRecorded = true
 	m.recentLosses = append(m.recentLosses, recentLoss{span: span, id: t.ID, rack: t.Rack, zone: t.Zone})
 }
@@ -99,32 +99,25 @@
 // lossCause is what may have caused the loss of a target.
 type lossCause struct {
 	span     lossSpan
-	newJobs  []*job // jobs of which a run had just begun there
-	certain  bool   // all these runs were started in this term, so it is known that they had just begun
-	together bool   // it was lost together with much of its rack or zone
+	newJobs  int  // number of jobs of which a run had just begun there
+	certain  bool // all these runs were started in this term, so it is known that they had just begun
+	together bool // it was lost together with much of its rack or zone
 }
 
 // lossCause returns what may have caused the loss of a target.
 func (m *Machine) lossCause(t *target, span lossSpan) lossCause {
 	c := lossCause{span: span, together: m.lostTogether(t, span)}
-	c.newJobs, c.certain = t.jobsNewAt(span)
-	return c
-}
-
-// jobsNewAt returns the jobs of which a run had just begun on the target when it was lost,
-// and whether all these runs were started in this term.
-func (t *target) jobsNewAt(span lossSpan) (jobs []*job, certain bool) {
-	certain = true
+	jobs := map[*job]bool{}
+	c.certain = true
 	for _, r := range t.runs {
 		if !r.mayBeOnTarget() || r.sentAfter(span.to) || !r.newAt(span.from) {
 			continue
 		}
-		certain = certain && r.startsSent > 0
-		if j := r.task.step.job; !slices.Contains(jobs, j) {
-			jobs = append(jobs, j)
-		}
+		c.certain = c.certain && r.startsSent > 0
+		jobs[r.task.step.job] = true
 	}
-	return jobs, certain
+	c.newJobs = len(jobs)
+	return c
 }
 
 // sentAfter reports whether the run's only start was sent after a time.
@@ -136,13 +129,13 @@
 // not if the run had not just begun there, and others had or there is a common cause.
 func (c lossCause) kindFor(r *run) (kind crashloop.Kind, suspect bool) {
 	switch {
-	case r.sentAfter(c.span.to) || !r.newAt(c.span.from) && (len(c.newJobs) > 0 || c.together):
+	case r.sentAfter(c.span.to) || !r.newAt(c.span.from) && (c.newJobs > 0 || c.together):
 		return crashloop.Running, false
-	case len(c.newJobs) == 0:
+	case c.newJobs == 0:
 		return crashloop.Running, true
 	case c.together:
 		return crashloop.Together, true
-	case len(c.newJobs) == 1 && c.certain:
+	case c.newJobs == 1 && c.certain:
 		return crashloop.Sole, true
 	}
 	return crashloop.Shared, true
@@ -187,7 +180,7 @@
 		if o == t || o.lossRecorded {
 			continue
 		}
-		lost := o.reach == unreachable && !o.unansweredSince.IsZero() && o.lossSpan(o.unansweredSince).near(span, togetherWindow)
+		lost := o.reach != reachable && !o.unansweredSince.IsZero() && o.lossSpan(o.unansweredSince).near(span, togetherWindow)
 		rack.add(o.Rack == t.Rack, lost)
 		zone.add(o.Zone == t.Zone, lost)
 	}
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -49,6 +49,7 @@
 	placementDue       bool                       // something may have become placeable since the last pass
 	superseded         bool                       // a newer term has begun
 	tasksWithLosses    map[*task]bool             // under which targets were lost, of jobs that have not ended
+	verdictsDue        bool                       // a task with losses may have become guilty
 	recentLosses       []recentLoss               // targets lost a short time ago
 }
 
@@ -145,6 +146,7 @@
 		m.considerPoll(t)
 	}
 	m.forgetEnded(now)
+	m.verdictsDue = len(m.tasksWithLosses) > 0 // an open loss may count by now
 	m.placementDue, m.recheckWaiting = true, true
 }
 
--- a/internal/work/dispatch/poll.go
+++ b/internal/work/dispatch/poll.go
@@ -156,8 +156,8 @@
 	t.confirmedAck = max(t.confirmedAck, p.Order.Acked)
 	if t.reach != reachable {
 		m.log.Decided("target reachable", "target", t.ID, "running", len(rep.Running), "ended", len(rep.Ended), "first", !t.reported)
-		t.reach, t.lossRecorded = reachable, false
-		m.withdrawLosses(t.ID)
+		t.reach = reachable
+		m.withdrawLosses(t)
 		if wasUnresponsive {
 			m.pollZone(t.Zone, now)
 		}
--- a/internal/work/dispatch/suspect.go
+++ b/internal/work/dispatch/suspect.go
@@ -67,27 +67,45 @@
 }
 
 // withdrawLosses removes the losses of a target that has answered after it seemed lost.
-func (m *Machine) withdrawLosses(id string) {
-	for x := range m.tasksWithLosses {
-		if !x.losses.Withdraw(id) {
-			continue
-		}
+func (m *Machine) withdrawLosses(t *target) {
+	if !t.lossRecorded && t.reported {
+		return
+	}
+	t.lossRecorded = false
+	m.recentLosses = slices.DeleteFunc(m.recentLosses, func(l recentLoss) bool { return l.id == t.ID })
+	m.changeLosses(func(x *task) bool { return x.losses.Withdraw(t.ID) })
+}
+
+// changeLosses applies a change to all tasks with losses; change reports whether it has
+// changed the task's.
+func (m *Machine) changeLosses(change func(x *task) bool) {
+	for _, x := range m.tasksWithLossesWhere(change) {
 		m.markDirty(x.step.job)
 		m.lossesChanged(x)
 	}
 }
 
-// failCrashing fails the jobs whose tasks are known to crash their targets. It must not be
-// called during a pass, which the end of a job would disturb.
-func (m *Machine) failCrashing(now time.Time) {
-	var guilty []*task
+// tasksWithLossesWhere returns the tasks with losses that match, in a fixed order.
+func (m *Machine) tasksWithLossesWhere(matches func(x *task) bool) []*task {
+	var list []*task
 	for x := range m.tasksWithLosses {
-		if x.losses.Verdict(now) == crashloop.Guilty {
-			guilty = append(guilty, x)
+		if matches(x) {
+			list = append(list, x)
 		}
 	}
-	slices.SortFunc(guilty, func(a, b *task) int { return strings.Compare(a.id().String(), b.id().String()) })
-	for _, x := range guilty {
+	slices.SortFunc(list, func(a, b *task) int { return strings.Compare(a.id().String(), b.id().String()) })
+	return list
+}
+
+// failCrashing fails the jobs whose tasks are known to crash their targets, if losses have
+// changed or a tick has passed since it was last called. It must not be called during a
+// pass, which the end of a job would disturb.
+func (m *Machine) failCrashing(now time.Time) {
+	if !m.verdictsDue {
+		return
+	}
+	m.verdictsDue = false
+	for _, x := range m.tasksWithLossesWhere(func(x *task) bool { return x.losses.Verdict(now) == crashloop.Guilty }) {
 		if j := x.step.job; !j.finished() {
 			m.log.Decided("job failed: a task crashes its targets", "job", j.spec.ID, "task", x.id(), "losses", x.losses.String())
 			m.failJob(j, progress.CrashLoop, fmt.Sprintf("task %s was given up: %d targets were lost under it: %s", x.id(), len(x.losses.Losses()), x.losses.Targets()), now)
