work/dispatch: place an isolated task where the fewest runs would be lost

A job beside a task that crashes its targets lost a second run to it, after the two had been started apart: the best fit took the suspect to the target on which the other had gone on.

Change: of targets that fit an isolated task, those with the fewest runs come first. TestSuspectsAreStartedApart: the neighbour is started twice; three times before.

--- a/internal/work/dispatch/crash_test.go
+++ b/internal/work/dispatch/crash_test.go
@@ -249,10 +249,7 @@
 // times out, seconds later. That must not look as if the task had run for so long.
 func TestTaskThatSilencesTargetsIsGivenUp(t *testing.T) {
 	d := newSimulation(t, 2, 4, DefaultBounds())
-	d.dropCommand = func(c Command) bool {
-		at := targetOf(c)
-		return at != "" && !d.p.Listens(strings.Split(at, "#")[0])
-	}
+	d.silentCrashes = true
 	crashing := d.submitCrashing(2, small(1))
 	for range 8 {
 		d.submit(2, 3*time.Second, small(2))
@@ -261,3 +258,99 @@
 	d.runWithListing(60)
 	d.checkCrashes(crashing)
 }
+
+// The same without other work, so that nothing but a late poll shows the loss: the task is
+// given up after the third target all the same.
+func TestLossThatShowsLateIsJudgedByLastAnswer(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 2, 4, DefaultBounds())
+	d.silentCrashes = true
+	crashing := d.submitCrashing(2, small(1))
+	d.runWithListing(60)
+	d.checkCrashes(crashing)
+	is.Equal(d.p.Crashes(), 3)
+}
+
+// A run lasts for more than two seconds after two that lost their targets at their start.
+// Whether a report shows that before its target is lost, or not, the task is cleared.
+func TestRunThatLastedClearsItsTask(t *testing.T) {
+	for _, lasts := range []time.Duration{2100 * time.Millisecond, 2400 * time.Millisecond, 3 * time.Second, 3600 * time.Millisecond} {
+		t.Run(lasts.String(), func(t *testing.T) {
+			is := is.New(t)
+			d := newSimulation(t, 1, 8, DefaultBounds())
+			others := small(56) // so that polls are not sent just when the task begins
+			others.PerTarget = 7
+			d.submit(2, 2*time.Minute, others)
+			d.run(700 * time.Millisecond)
+			id := d.submit(2, 20*time.Second, small(1))
+			x := d.m.jobs[id].steps[0].tasks[0]
+			for _, age := range []time.Duration{300 * time.Millisecond, 300 * time.Millisecond, lasts} {
+				for len(x.runs) == 0 || x.runs[0].phase != running {
+					d.run(simulationStep)
+				}
+				d.run(age)
+				d.p.Crash(x.runs[0].target.ID, d.now)
+				d.runWithListing(4)
+			}
+			is.Equal(d.state(id), progress.Running)
+			is.Equal(x.losses.Suspicious(), 0)
+		})
+	}
+}
+
+// Tasks that crash their target come to the only one there is, where a long run goes on. It
+// had begun before each of them, and must not be blamed for nine losses.
+func TestOldRunIsNotBlamedForNewOnes(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 1, DefaultBounds())
+	long := small(1)
+	long.Checkpointing = true
+	victim := d.submit(2, 30*time.Second, long)
+	var crashing []graph.JobID
+	for range 3 {
+		d.runWithListing(8)
+		crashing = append(crashing, d.submitCrashing(2, small(1)))
+	}
+	d.runWithListing(100)
+	is.True(d.p.Crashes() >= 9)
+	is.Equal(d.state(victim), progress.Completed)
+	d.checkCrashes(crashing...)
+}
+
+// A task that crashes its target takes down the run of another job that began beside it. If
+// both were started together again, that job would lose one target after the other.
+func TestSuspectsAreStartedApart(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 8, DefaultBounds())
+	neighbour := d.submit(2, 6*time.Second, small(1))
+	crashing := d.submitCrashing(2, small(1))
+	d.run(20 * time.Millisecond)
+	is.Equal(d.targetOfJob(string(crashing)), d.targetOfJob(string(neighbour)))
+	d.runWithListing(40)
+	is.Equal(d.p.StartsOf(neighbour), 2)
+	d.checkCrashes(crashing)
+}
+
+// An isolated task is started, and more work is submitted at once. None of it may begin beside
+// the task: it would be lost with the next target.
+func TestNothingBeginsBesideIsolatedTask(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 2, DefaultBounds())
+	crashing := d.submitCrashing(2, small(1))
+	x := d.m.jobs[crashing].steps[0].tasks[0]
+	for !x.isolated() || len(x.runs) == 0 {
+		d.run(simulationStep)
+		if d.now.UnixMilli()%500 == 0 {
+			d.listTargets()
+		}
+	}
+	others := d.submit(2, 3*time.Second, small(4))
+	d.run(5 * time.Millisecond)
+	for _, o := range d.m.jobs[others].steps[0].tasks {
+		for _, r := range o.runs {
+			is.True(r.target != x.runs[0].target)
+		}
+	}
+	d.runWithListing(40)
+	d.checkCrashes(crashing)
+}
--- a/internal/work/dispatch/fit.go
+++ b/internal/work/dispatch/fit.go
@@ -58,6 +58,7 @@
 	// risk is 1 if the target is not proven and this is the last attempt, 2 if the target
 	// is suspect or slow, the task avoids it, or the task is a suspect and the target new.
 	risk             int
+	exposed          int // runs that would be lost with the target, if the task is isolated
 	cold             int // 1 if the target is warming up
 	remote           int // 1 if the task's data is on another rack
 	interference     int // number of tasks there that would disturb it or that it would disturb
@@ -68,7 +69,7 @@
 
 func (f fit) compare(o fit) int {
 	return cmp.Or(
-		cmp.Compare(f.risk, o.risk), cmp.Compare(f.cold, o.cold), cmp.Compare(f.remote, o.remote), cmp.Compare(f.interference, o.interference), cmp.Compare(f.stranded, o.stranded),
+		cmp.Compare(f.risk, o.risk), cmp.Compare(f.exposed, o.exposed), cmp.Compare(f.cold, o.cold), cmp.Compare(f.remote, o.remote), cmp.Compare(f.interference, o.interference), cmp.Compare(f.stranded, o.stranded),
 		cmp.Compare(f.acceleratorsLeft, o.acceleratorsLeft), cmp.Compare(f.cpuLeft, o.cpuLeft),
 	)
 }
@@ -84,6 +85,9 @@
 	case x.onLastAttempt() && !t.health.ProvenSince(now.Add(-provenTime)):
 		f.risk = 1
 	}
+	if x.isolated() {
+		f.exposed = len(t.runs)
+	}
 	if t.cold() {
 		f.cold = 1
 	}
--- a/internal/work/dispatch/simulation_test.go
+++ b/internal/work/dispatch/simulation_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"testing"
@@ -31,6 +32,7 @@
 	dropCommand       func(c Command) bool // selects starts, stops and polls that are lost without an answer; nil: none
 	dropAnswer        func(c Command) bool // selects starts that are executed but whose answer is lost; nil: none
 	log               []string             // decisions that the machine logged
+	silentCrashes     bool                 // polls of a target that crashes are lost, instead of broken off
 	decisionScheduled bool                 // events has one for the next decision
 	// slowSaveTime is the duration of a save if it is longer than saveTime.
 	slowSaveTime time.Duration
@@ -203,6 +205,10 @@
 // answerPoll answers a poll once there is an end to list, it fails or its wait is over.
 func (d *simulation) answerPoll(c Poll, until time.Time) {
 	rep, err := d.p.Poll(c.Target, c.Order, d.now)
+	if d.silentCrashes && errors.Is(err, order.ErrUnreached) {
+		d.after(until.Sub(d.now)+600*time.Millisecond, func() { d.m.PollFailed(c.Target.ID, c, order.ErrUnanswered, d.now) })
+		return
+	}
 	if err == nil && len(rep.Ended) == 0 && d.now.Before(until) {
 		d.after(simulationStep, func() { d.answerPoll(c, until) })
 		return
