work/dispatch, docs: drop two checks that guarded nothing, list the others

A single task has no open losses, so its placement need not wait for a verdict: guilty ones are ended before the pass. A suspect's speculative run needs no rule of its own, since the losses of both runs count. The tests of work pass.

--- a/internal/standin/pool/crash.go
+++ b/internal/standin/pool/crash.go
@@ -74,9 +74,6 @@
 	})
 }
 
-// Listens reports whether a target is up at an address.
-func (p *Pool) Listens(address string) bool { return p.byAddress[address] != nil }
-
 // Crashes returns the number of targets that runs have crashed.
 func (p *Pool) Crashes() int { return p.crashes }
 
--- a/internal/work/dispatch/schedule.go
+++ b/internal/work/dispatch/schedule.go
@@ -220,7 +220,7 @@
 			continue
 		}
 		skipRest = skipRest || m.throttled(s, now)
-		if skipRest || now.Before(x.pausedUntil) || x.awaitsVerdict(now) {
+		if skipRest || now.Before(x.pausedUntil) {
 			more = true
 			continue
 		}
--- a/internal/work/dispatch/straggler.go
+++ b/internal/work/dispatch/straggler.go
@@ -247,7 +247,7 @@
 	if t == nil || t == r.target {
 		return
 	}
-	if !x.step.spec.Speculative || x.suspicion() > 0 {
+	if !x.step.spec.Speculative {
 		m.stop(r, reason, now)
 		return
 	}
