--- a/internal/work/crashloop/record.go
+++ b/internal/work/crashloop/record.go
@@ -25,10 +25,10 @@
 // Limits on the losses under a task. A task that crashes every target is blamed after the
 // third crash, unless others always began beside it, and after the fifth in any case.
 const (
-	minLosses     = 3 // needed to blame a task at all,
-	minSoleLosses = 2 // with this many of kind Sole among them
+	minLosses     = 3 // of all kinds, to blame a task at all
+	minSoleLosses = 2 // of kind Sole among minLosses
 	maxNewLosses  = 4 // of kinds Shared and Sole
-	maxLosses     = 5 // of all kinds
+	maxLosses     = 5 // of all kinds; a task is never started a sixth time
 )
 
 // Loss is the loss of a target with a run of the task on it.
--- a/internal/work/dispatch/crash_test.go
+++ b/internal/work/dispatch/crash_test.go
@@ -354,3 +354,27 @@
 	d.runWithListing(40)
 	d.checkCrashes(crashing)
 }
+
+// BenchmarkLostZone measures the loss of a third of all targets at once, with eight runs on
+// each, and the decision after it.
+func BenchmarkLostZone(b *testing.B) {
+	for _, racks := range []int{6, 45, 138} {
+		b.Run(fmt.Sprint(racks*8), func(b *testing.B) {
+			for b.Loop() {
+				b.StopTimer()
+				d := newSimulation(b, racks, 8, DefaultBounds())
+				for range racks {
+					d.submit(2, time.Minute, small(64))
+				}
+				d.run(2 * time.Second)
+				b.StartTimer()
+				for _, t := range d.m.sortedTargets {
+					if t.Zone == "z0" {
+						d.m.targetLost(t, d.now)
+					}
+				}
+				d.m.Decide(d.now)
+			}
+		})
+	}
+}
