work/dispatch: name a cause only for jobs that failed

A job whose cancellation is found when its failure is saved ends as cancelled; its last line named the cause of the failure nevertheless.

--- a/internal/work/dispatch/save.go
+++ b/internal/work/dispatch/save.go
@@ -157,13 +157,11 @@
 	j.published = s
 	if s.Final() {
 		kv := []any{"job", j.spec.ID, "queue", j.spec.Queue, "state", s, "accepted", j.spec.AcceptedAt, "ended", j.endedAt}
-		if j.cause != "" {
-			kv = append(kv, "cause", j.cause)
-		}
-		m.log.Decided("job ended", kv...)
 		if s == progress.Failed {
+			kv = append(kv, "cause", j.cause)
 			m.commands = append(m.commands, JobFailed{Cause: j.cause})
 		}
+		m.log.Decided("job ended", kv...)
 		m.reportJobEnded(j, s)
 	}
 }
