work/dispatch: a missed answer does not say when a target was lost

A start that was sent after the first missed answer was taken to have come too late to crash its target. But that answer may have been lost on the way while the target went on, and the task would not be blamed for the loss. Only a broken connection tells the moment.

Found by reading. TestStartAfterLostAnswerIsBlamed passes before, too: the start is repeated by then, and repeated starts were not excluded.

--- a/internal/work/dispatch/crash_test.go
+++ b/internal/work/dispatch/crash_test.go
@@ -271,6 +271,20 @@
 	is.Equal(d.p.Crashes(), 3)
 }
 
+// The answers to some starts are lost, a later one crashes the target before its answer, and
+// no connection breaks. The first missed answer is no sign that the target was down by then.
+func TestStartAfterLostAnswerIsBlamed(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 1, DefaultBounds())
+	d.silentCrashes = true
+	d.dropAnswer = func(c Command) bool { return d.p.Crashes() == 0 }
+	d.submit(2, 3*time.Second, small(6)) // their repetitions leave no room for others
+	d.run(100 * time.Millisecond)
+	crashing := d.submitCrashing(2, small(1))
+	d.runWithListing(9)
+	is.Equal(len(d.m.jobs[crashing].steps[0].tasks[0].losses.Losses()), 1)
+}
+
 // A run lasts for more than two seconds after two that lost their targets at their start.
 // Whether a report shows that before its target is lost, or not, the task is cleared.
 func TestRunThatLastedClearsItsTask(t *testing.T) {
--- a/internal/work/dispatch/loss.go
+++ b/internal/work/dispatch/loss.go
@@ -110,7 +110,7 @@
 	jobs := map[*job]bool{}
 	c.certain = true
 	for _, r := range t.runs {
-		if !r.mayBeOnTarget() || r.sentAfter(span.to) || !r.newAt(span.from) {
+		if !r.mayBeOnTarget() || r.sentAfter(span) || !r.newAt(span.from) {
 			continue
 		}
 		c.certain = c.certain && r.startsSent > 0
@@ -120,16 +120,17 @@
 	return c
 }
 
-// sentAfter reports whether the run's only start was sent after a time.
-func (r *run) sentAfter(at time.Time) bool {
-	return r.beganAt.IsZero() && r.startsSent == 1 && r.sentAt.After(at)
+// sentAfter reports whether the run's only start was sent after its target was lost. That is
+// known only if the moment is: a missed answer may have been lost on the way.
+func (r *run) sentAfter(span lossSpan) bool {
+	return span.from.Equal(span.to) && r.beganAt.IsZero() && r.startsSent == 1 && r.sentAt.After(span.to)
 }
 
 // kindFor returns how the loss points at a run's task, and whether it does at all. It does
 // not if the run had not just begun there, and others had or there is a common cause.
 func (c lossCause) kindFor(r *run) (kind crashloop.Kind, suspect bool) {
 	switch {
-	case r.sentAfter(c.span.to) || !r.newAt(c.span.from) && (c.newJobs > 0 || c.together):
+	case r.sentAfter(c.span) || !r.newAt(c.span.from) && (c.newJobs > 0 || c.together):
 		return crashloop.Running, false
 	case c.newJobs == 0:
 		return crashloop.Running, true
