--- a/internal/work/dispatch/crash_test.go
+++ b/internal/work/dispatch/crash_test.go
@@ -277,7 +277,7 @@
 	is := is.New(t)
 	d := newSimulation(t, 1, 1, DefaultBounds())
 	d.silentCrashes = true
-	d.dropAnswer = func(c Command) bool { return d.p.Crashes() == 0 }
+	d.dropAnswer = func(Command) bool { return d.p.Crashes() == 0 }
 	d.submit(2, 3*time.Second, small(6)) // their repetitions leave no room for others
 	d.run(100 * time.Millisecond)
 	crashing := d.submitCrashing(2, small(1))
