work/dispatch: isolate a task after two losses at its starts, whatever their cause

Trace: four jobs whose tasks crash their targets come within a second to twelve targets, beside cut zones and two leaders that are killed. Three or more targets of a rack are down together, so losses count as having a common cause, and nothing was isolated: the tasks began beside each other again and again, and an innocent one lost five targets at its starts.

Change: isolation counts losses at starts of all kinds; what they say against a task is as before.

--- a/internal/work/crashloop/record.go
+++ b/internal/work/crashloop/record.go
@@ -116,6 +116,18 @@
 	return n
 }
 
+// AtStart returns the number of losses that came just after the start of a run, whatever
+// their cause.
+func (r *Record) AtStart() int {
+	n := 0
+	for _, l := range r.losses {
+		if l.Kind != Running {
+			n++
+		}
+	}
+	return n
+}
+
 // Losses returns all losses, oldest first.
 func (r *Record) Losses() []Loss {
 	list := make([]Loss, 0, len(r.losses))
--- a/internal/work/crashloop/record_test.go
+++ b/internal/work/crashloop/record_test.go
@@ -59,6 +59,7 @@
 		r.Add(crashloop.Loss{Target: name, Kind: k}, time.Time{})
 	}
 	is.Equal(r.Suspicious(), 2)
+	is.Equal(r.AtStart(), 3)
 	is.True(!r.Lasted(crashloop.ProvingTime - 1))
 	is.True(r.Lasted(crashloop.ProvingTime))
 	is.Equal(r.Losses(), []crashloop.Loss{{Target: "a"}})
--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -201,7 +201,7 @@
 // recordUnplaceable records that a gang did not fit, unless it is excluded from targets
 // that others may use.
 func (p *pass) recordUnplaceable(s *step, slower bool) {
-	if len(s.gangAttempts.avoidedTargets) == 0 && s.spec.PerTarget == 0 && s.gangSuspicion < isolationLosses {
+	if len(s.gangAttempts.avoidedTargets) == 0 && s.spec.PerTarget == 0 && !s.gangIsolated {
 		p.unplaceable = append(p.unplaceable, unplaceableGang{s, slower})
 	}
 }
--- a/internal/work/dispatch/job.go
+++ b/internal/work/dispatch/job.go
@@ -53,6 +53,7 @@
 	gangAttempts     attempts        // used for gangs only
 	gangEnd          gangEnd         // used for gangs only
 	gangSuspicion    int             // highest number of suspicious losses under a task of it
+	gangIsolated     bool            // a task of it is isolated
 	lostAt           time.Time       // when the last loss under a task was recorded in this term
 	failedTargets    map[string]bool // targets on which a task failed
 	speeds           stepSpeeds      // speeds of its tasks, as last measured
--- a/internal/work/dispatch/suspect.go
+++ b/internal/work/dispatch/suspect.go
@@ -13,11 +13,11 @@
 // A task is a suspect if a target was lost just after a run of it had begun: it may crash
 // the targets that start it. Its next run is not begun beside one of another job that has
 // just begun, so that the next loss tells it from its neighbours; they may be suspects, too.
-// From the second such loss on it is isolated: no other job's run is begun beside it, either,
-// until it has lasted for crashloop.Window. A gang needs many targets at once, and is
-// only isolated.
+// From the second loss at a start on, whatever its cause, it is isolated: no other job's run
+// is begun beside it, either, until it has lasted for crashloop.Window. A gang needs many
+// targets at once, and is only isolated.
 
-// isolationLosses is the number of suspicious losses from which a task is isolated.
+// isolationLosses is the number of losses at starts from which a task is isolated.
 const isolationLosses = 2
 
 // suspicion returns the number of suspicious losses under the task, or under the member of
@@ -30,7 +30,12 @@
 }
 
 // isolated reports whether no other job's run may begin beside the task.
-func (x *task) isolated() bool { return x.suspicion() >= isolationLosses }
+func (x *task) isolated() bool {
+	if x.step.spec.Gang {
+		return x.step.gangIsolated
+	}
+	return x.losses.AtStart() >= isolationLosses
+}
 
 // choosesQuietTarget reports whether the task must not begin beside a run of another job that
 // has just begun.
@@ -49,9 +54,10 @@
 	} else {
 		m.tasksWithLosses[x] = true
 	}
-	x.step.gangSuspicion = 0
+	x.step.gangSuspicion, x.step.gangIsolated = 0, false
 	for _, o := range x.step.tasks {
 		x.step.gangSuspicion = max(x.step.gangSuspicion, o.losses.Suspicious())
+		x.step.gangIsolated = x.step.gangIsolated || o.losses.AtStart() >= isolationLosses
 	}
 }
 
