--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -152,12 +152,15 @@
 	}
 	d.site.Shared.Do(func(p *pool.Pool, now time.Time) {
 		list := p.Roster()
+		if len(list) == 0 {
+			return // all have crashed
+		}
 		t = list[f.which%len(list)]
 		if f.kind == "crash target" {
 			p.Crash(t.ID, now)
 		}
 	})
-	if f.kind == "shrink target" {
+	if f.kind == "shrink target" && t.ID != "" {
 		setCapacity(graph.Resources{CPU: t.Capacity.CPU / 2, MemoryMB: t.Capacity.MemoryMB / 2, Accelerators: t.Capacity.Accelerators / 2})
 		time.Sleep(f.length)
 		setCapacity(t.Capacity)
