work/dispatch, fleet, platform: a target that starts again under its id is another incarnation

Targets may start again under the id that they had; only the time of their start, which their entry in the list and their reports name, tells the incarnations apart. What is kept by id or by a number of the target was taken for the new one's: its ends, numbered anew, were skipped as processed, an acknowledgement of the earlier ones had it forget its own, its clock seemed to have gone back, what ran there was believed lost only after a lease, and nothing was charged to a task that takes its targets down.

Change: the start is read with each entry and report, whole numbers only. On a later one the ends, acknowledgements, clock, health, tickets and the outage of the earlier incarnation are dropped and its reported runs are lost at once. Runs that were sent to it but never reported are settled by the first report of the new one; a start that was never answered is stopped first, since it may still arrive. An entry of the earlier incarnation gives no capacity or labels. An acknowledgement is sent once, and never to a target that does not answer. Rows and losses name the incarnation (ID@START), so that they outlive a change of the leader. What outlives a start: the list of targets that a task avoids, and answers of the advice service that deny a target.

--- a/internal/fleet/order/order.go
+++ b/internal/fleet/order/order.go
@@ -26,7 +26,7 @@
 
 // Address is the network address of an incarnation of a target.
 type Address struct {
-	ID   string // of the incarnation
+	ID   string // of the target
 	Host string // IP:port
 }
 
@@ -85,9 +85,10 @@
 
 // Report is a target's answer to a poll.
 type Report struct {
-	Clock   int64 // milliseconds on the target's clock
-	Running []Running
-	Ended   []Ended // by number; may be truncated, the rest follows after an acknowledgement
+	Clock     int64 // milliseconds on the target's clock
+	StartedAt int64 // of the incarnation that reports, as roster.Target.StartedAt; 0: unknown
+	Running   []Running
+	Ended     []Ended // by number; may be truncated, the rest follows after an acknowledgement
 }
 
 // Transport sends orders to targets and waits for their answers. Its errors wrap one of
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -8,7 +8,8 @@
 
 // Target is the registration of one incarnation of a target.
 type Target struct {
-	ID              string // of the incarnation
+	ID              string // of the target; a new incarnation may keep it
+	StartedAt       int64  // when the incarnation started, in milliseconds since 1970 on its own clock; 0: unknown
 	Address         string // IP:port
 	Zone            string
 	Service         string // whose tasks it runs
@@ -28,6 +29,6 @@
 // Same reports whether the targets are equal but for RemainingMS and ColdRemainingMS. The
 // order of labels matters.
 func (t *Target) Same(o *Target) bool {
-	return t.ID == o.ID && t.Address == o.Address && t.Zone == o.Zone && t.Service == o.Service &&
+	return t.ID == o.ID && t.StartedAt == o.StartedAt && t.Address == o.Address && t.Zone == o.Zone && t.Service == o.Service &&
 		t.Capacity == o.Capacity && t.Rack == o.Rack && t.Draining == o.Draining && slices.Equal(t.Labels, o.Labels)
 }
--- a/internal/proof/deployment/deployment_test.go
+++ b/internal/proof/deployment/deployment_test.go
@@ -92,14 +92,17 @@
 
 // newDeployment starts a deployment with the given numbers of hosts and of racks, each
 // of four targets and a zone of its own. The seed decides the speed of the targets' clocks,
-// the random numbers of hosts and which calls and orders meet faults.
+// the random numbers of hosts, which calls and orders meet faults, and whether targets that crash
+// return under their ids.
 func newDeployment(t testing.TB, seed uint64, hosts, racks int) *deployment {
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &deployment{
 		t: t, ctx: ctx, cancelCtx: cancel, rnd: rand.New(rand.NewPCG(seed, 1)), table: rows.New(8 * time.Millisecond),
 		network: newNetwork(), startedAt: time.Now(),
 	}
-	p := pool.New(pool.DefaultBounds())
+	bounds := pool.DefaultBounds()
+	bounds.KeepIDs = seed%2 == 0
+	p := pool.New(bounds)
 	for rack := range racks {
 		for i := range 4 {
 			p.Add(d.target(rack, i, 1), 1-0.02*d.rnd.Float64(), time.Now())
--- a/internal/proof/deployment/faults_test.go
+++ b/internal/proof/deployment/faults_test.go
@@ -27,7 +27,7 @@
 var faultKinds = []string{
 	"kill", "kill leader", "stop", "stop leader", "kill all", "cut store", "cut leader from store", "store down",
 	"store loses", "store late", "store slow", "forget", "cut zone", "cut targets", "orders lost", "orders late",
-	"target dies", "target crashes", "target shrinks", "target reborn", "target hangs", "target fails", "target slow", "target drains", "target rejects", "cancel", "cut hosts",
+	"target dies", "target crashes", "target shrinks", "target reborn", "target hangs", "target fails", "target slow", "target drains", "target rejects", "cancel", "cut hosts", "target restarts",
 }
 
 func drawFault(t *rapid.T) fault {
@@ -174,6 +174,8 @@
 			p.Kill(id, now)
 		case "target crashes":
 			p.Crash(id, now)
+		case "target restarts":
+			p.Restart(id, f.For/2, now)
 		case "target shrinks":
 			p.SetCapacity(id, needs(3), now)
 		case "target reborn":
--- a/internal/standin/pool/crash.go
+++ b/internal/standin/pool/crash.go
@@ -19,16 +19,30 @@
 }
 
 // Crash ends an incarnation like Kill. The next one starts at the same address after
-// Bounds.RestartTime, unless another target has been added there by then.
+// Bounds.RestartTime, unless another target has been added there by then. It has a new id,
+// unless Bounds.KeepIDs is set.
 func (p *Pool) Crash(id string, now time.Time) {
+	if p.bounds.KeepIDs {
+		p.Restart(id, p.bounds.RestartTime, now)
+		return
+	}
+	p.replace(id, nextIncarnation(id), p.bounds.RestartTime, now)
+}
+
+// Restart ends an incarnation like Kill. The next one starts under the same id and at the
+// same address after the given time.
+func (p *Pool) Restart(id string, after time.Duration, now time.Time) { p.replace(id, id, after, now) }
+
+// replace ends an incarnation and schedules the start of the next one.
+func (p *Pool) replace(id, nextID string, after time.Duration, now time.Time) {
 	t := p.targets[id]
 	if t == nil || t.dead {
 		return
 	}
 	p.Kill(id, now)
 	next := t.Target
-	next.ID, next.Draining, next.RemainingMS = nextIncarnation(id), false, 0
-	p.restarts = append(p.restarts, restart{at: now.Add(p.bounds.RestartTime), target: next, rate: t.clockRate})
+	next.ID, next.Draining, next.RemainingMS = nextID, false, 0
+	p.restarts = append(p.restarts, restart{at: now.Add(after), target: next, rate: t.clockRate})
 }
 
 // nextIncarnation returns the id of the incarnation after a crash: id~2, then id~3.
--- a/internal/standin/pool/orders.go
+++ b/internal/standin/pool/orders.go
@@ -137,7 +137,7 @@
 	}
 	p.renewLease(t, poll.Deadline, now)
 	p.acknowledge(t, poll.Acked)
-	rep := order.Report{Clock: t.clock(now)}
+	rep := order.Report{Clock: t.clock(now), StartedAt: t.StartedAt}
 	for _, x := range t.sortedRuns() {
 		rep.Running = append(rep.Running, order.Running{Run: x.Run, Checkpoint: x.checkpoint(), Percent: x.percent()})
 	}
--- a/internal/standin/pool/pool.go
+++ b/internal/standin/pool/pool.go
@@ -21,6 +21,7 @@
 	CrashDelay         time.Duration // from the start of a run that crashes its target to the crash
 	RestartTime        time.Duration // from a crash to the next incarnation
 	CapacityNotice     time.Duration // how long starts may still rely on a capacity that has shrunk
+	KeepIDs            bool          // whether a target that crashes returns under its id, and not under a new one
 }
 
 // DefaultBounds returns the bounds of current deployments.
@@ -104,11 +105,13 @@
 }
 
 // Add starts an incarnation of a target and kills the earlier one at the address, if
-// any. Its clock runs at the rate, relative to true time.
+// any. Its clock runs at the rate, relative to true time. An earlier incarnation with the
+// same id must be dead.
 func (p *Pool) Add(t roster.Target, rate float64, now time.Time) {
 	if old := p.byAddress[t.Address]; old != nil {
 		p.Kill(old.ID, now)
 	}
+	t.StartedAt = now.UnixMilli()
 	incarnation := &target{Target: t, startedAt: now, clockRate: rate, speed: 1, runs: map[order.Run]*execution{}, staleThrough: map[graph.TaskID]int{}}
 	p.targets[t.ID], p.byAddress[t.Address] = incarnation, incarnation
 }
--- a/internal/standin/pool/transport.go
+++ b/internal/standin/pool/transport.go
@@ -142,7 +142,7 @@
 
 // Poll implements order.Transport. It polls the pool every TickInterval, each time with
 // the delay and the faults, until the target lists an end, a poll fails or poll.Wait has
-// passed. Only the first of these polls renews the lease.
+// passed. Only the first of these polls renews the lease and acknowledges ends.
 func (t *Transport) Poll(ctx context.Context, to order.Address, poll order.Poll) (order.Report, error) {
 	t.mu.Lock()
 	t.polls++
@@ -154,7 +154,7 @@
 			return rep, err
 		}
 		time.Sleep(TickInterval)
-		poll.Deadline = 0 // already granted
+		poll.Deadline, poll.Acked = 0, 0 // already granted, and already forgotten
 	}
 }
 
--- a/internal/work/dispatch/accept.go
+++ b/internal/work/dispatch/accept.go
@@ -127,13 +127,15 @@
 // restoreRun adds a run that an earlier leader recorded. It may exist until its target
 // reports without it or its leases have lapsed.
 func (m *Machine) restoreRun(x *task, p progress.Placement, now time.Time) {
-	t := m.targets[p.Target]
+	id, incarnation := parseIncarnation(p.Target)
+	t := m.targets[id]
 	if t == nil { // UpdateTargets fills in the rest if the target is still listed
-		t = m.addTarget(roster.Target{ID: p.Target})
+		t = m.addTarget(roster.Target{ID: id})
 	}
 	r := &run{
 		Run: order.Run{Task: x.id(), Number: p.Run}, task: x, target: t, charge: x.step.spec.Charge(),
 		phase: unconfirmed, placedAt: now, orderAnsweredAt: now, paceShare: initialShare(x.step),
+		sentTo: incarnation,
 	}
 	x.runs = append(x.runs, r)
 	x.step.job.liveRuns[r] = true
--- a/internal/work/dispatch/advice.go
+++ b/internal/work/dispatch/advice.go
@@ -40,8 +40,9 @@
 
 // ticket permits a step to run on one target.
 type ticket struct {
-	text  string    // as the start carries it
-	until time.Time // end of its validity
+	text        string    // as the start carries it
+	until       time.Time // end of its validity
+	incarnation int64     // of the target, by target.incarnation: it is not valid for a later one
 }
 
 // permitted reports whether a target may run the step now; a step of a queue without
@@ -51,7 +52,7 @@
 		return true
 	}
 	k, ok := s.permits.tickets[t.ID]
-	return ok && now.Add(ticketMargin).Before(k.until)
+	return ok && k.incarnation == t.incarnation && now.Add(ticketMargin).Before(k.until)
 }
 
 // ticket returns the text of the ticket for a start of the step on a target; empty if
@@ -109,7 +110,11 @@
 	}
 	for _, g := range granted {
 		delete(s.permits.denied, g.Target)
-		s.permits.tickets[g.Target] = ticket{text: g.Ticket, until: asked.Add(valid)}
+		k := ticket{text: g.Ticket, until: asked.Add(valid)}
+		if t := m.targets[g.Target]; t != nil {
+			k.incarnation = t.incarnation
+		}
+		s.permits.tickets[g.Target] = k
 	}
 }
 
--- a/internal/work/dispatch/command.go
+++ b/internal/work/dispatch/command.go
@@ -36,6 +36,8 @@
 	Class  limiter.Class // class in which it queues; not used by a poll that waits for an end
 	Extra  bool          // sent while another poll, which may be lost, is outstanding
 	Sent   time.Time     // when the machine issued it
+	// Incarnation is the one that the acknowledgement is for, by roster.Target.StartedAt.
+	Incarnation int64
 }
 
 // missedSince returns from when on the report of a poll that failed was overdue: from the
--- a/internal/work/dispatch/ends.go
+++ b/internal/work/dispatch/ends.go
@@ -274,6 +274,7 @@
 	if r == nil {
 		r = m.adopt(t, reported, now)
 	}
+	r.sentTo, r.reported = t.incarnation, true
 	if r.phase == starting || r.phase == unconfirmed {
 		m.runBegan(r, now)
 		if r.task.step.job.finished() || r.task.done {
--- a/internal/work/dispatch/evacuation.go
+++ b/internal/work/dispatch/evacuation.go
@@ -85,7 +85,9 @@
 
 // acceptsStarts reports whether starts may be sent to the target: it is not draining, and
 // its zone is not evacuated.
-func (t *target) acceptsStarts() bool { return !t.Draining && !t.evacuated }
+func (t *target) acceptsStarts() bool {
+	return !t.Draining && !t.evacuated && t.entryIsCurrent()
+}
 
 // usableAccelerators returns the number of accelerators on targets that may get work.
 func (m *Machine) usableAccelerators() int {
--- a/internal/work/dispatch/gang_end.go
+++ b/internal/work/dispatch/gang_end.go
@@ -44,7 +44,7 @@
 	m.log.Decided("run presumed ended", "target", t.ID, "task", r.Task, "run", r.Number, "members", len(s.tasks))
 	s.gangAttempts.recordUncertain(r.Number, t.leaseEnd)
 	presumed := t.runsWhere(func(o *run) bool { return o.task.step == s && o.Number == r.Number })
-	m.recordLosses(t, presumed, t.leaseEnd, now)
+	m.recordLosses(t, presumed, t.lossSpan(now), t.leaseEnd, now)
 	for _, o := range presumed {
 		m.release(o, now)
 		m.failIfAtMostOnce(o, now)
--- /dev/null
+++ b/internal/work/dispatch/incarnation_test.go
@@ -0,0 +1,185 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/standin/pool"
+	"guavaglade.example/guavaglade/internal/work/graph"
+	"guavaglade.example/guavaglade/internal/work/progress"
+)
+
+// restartTime is from the end of an incarnation to the start of the next in these tests.
+const restartTime = 200 * time.Millisecond
+
+// A target starts again under its id while a task runs there. The task must be started again
+// as soon as the new incarnation shows, not only after the lease of the earlier one.
+func TestRunsAreLostWithTheirIncarnation(t *testing.T) {
+	for name, list := range map[string]bool{"shown by its report": false, "shown by the list": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newSimulation(t, 1, 1, DefaultBounds())
+			id := d.submit(1, 4*time.Second, small(1))
+			d.run(2500 * time.Millisecond) // it has been reported
+			if list { // only the list shows it: the target does not answer
+				d.dropCommand = func(Command) bool { return true }
+			}
+			d.p.Restart("r0-0#1", restartTime, d.now)
+			d.run(500 * time.Millisecond)
+			d.listTargets()
+			is.Equal(len(d.m.targets["r0-0#1"].runsWhere(func(r *run) bool { return r.Number == 1 })), 0)
+			d.dropCommand = nil
+			d.runWithListing(6)
+			is.Equal(d.state(id), progress.Completed)
+			is.Equal(d.p.StartsOf(id), 2)
+			d.check()
+		})
+	}
+}
+
+// A target has listed many ends and starts again under its id. The new incarnation numbers its
+// ends anew: they must not be taken for those that were processed, and no acknowledgement of
+// the earlier incarnation's ends must have it forget its own.
+func TestEndsOfNewIncarnationAreProcessed(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 1, DefaultBounds())
+	first := d.submit(1, 300*time.Millisecond, small(8))
+	d.runWithListing(3)
+	is.Equal(d.state(first), progress.Completed)
+	d.p.Restart("r0-0#1", restartTime, d.now)
+	d.runWithListing(1)
+	var acked []int64
+	d.dropCommand = func(c Command) bool {
+		if p, ok := c.(Poll); ok {
+			acked = append(acked, p.Order.Acked)
+		}
+		return false
+	}
+	second := d.submit(1, 300*time.Millisecond, small(3))
+	d.runWithListing(3)
+	is.Equal(d.state(second), progress.Completed)
+	is.Equal(d.p.StartsOf(second), 3)
+	for _, n := range acked {
+		is.True(n <= 3) // the new incarnation has had three ends
+	}
+	d.check()
+}
+
+// A poll that acknowledges ends of one incarnation is answered by the next. It must not count
+// as an acknowledgement of ends that the new incarnation has yet to list.
+func TestAcknowledgementIsOfOneIncarnation(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 1, DefaultBounds())
+	target := d.m.targets["r0-0#1"]
+	p := Poll{Order: order.Poll{Acked: 57}, Sent: d.now, Incarnation: target.incarnation}
+	d.m.Polled(target.ID, p, order.Report{Clock: 1000, StartedAt: target.incarnation + 1}, d.now)
+	is.Equal(target.confirmedAck, int64(0))
+}
+
+// An idle target starts again under its id, and work is sent there before anything shows that.
+// The new incarnation executes the starts, and they must not be repeated elsewhere.
+func TestStartReachesUnknownIncarnation(t *testing.T) {
+	d := newSimulation(t, 1, 2, DefaultBounds())
+	for _, target := range []string{"r0-0#1", "r0-1#1"} {
+		d.p.Restart(target, 0, d.now)
+	}
+	d.run(50 * time.Millisecond)
+	id := d.submit(1, 2*time.Second, small(12))
+	d.runWithListing(5)
+	is.New(t).Equal(d.p.StartsOf(id), 12)
+	d.check()
+}
+
+// The answer to a start is lost, and the target starts again under its id. The start may still
+// be executed by the new incarnation: the task must not run elsewhere before a stop has ruled
+// that out.
+func TestUnansweredStartMayReachNewIncarnation(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 2, DefaultBounds())
+	var late []Start
+	d.dropCommand = func(c Command) bool {
+		s, ok := c.(Start)
+		if ok {
+			late = append(late, s)
+		}
+		return ok
+	}
+	id := d.submit(1, 2*time.Second, small(1))
+	d.run(100 * time.Millisecond)
+	is.Equal(len(late), 1)
+	d.p.Restart(late[0].Target.ID, restartTime, d.now)
+	d.dropCommand = nil
+	d.run(300 * time.Millisecond)
+	_, _ = d.p.Start(late[0].Target, late[0].Order, d.now) // its order arrives
+	d.runWithListing(6)
+	is.Equal(d.state(id), progress.Completed)
+	d.check()
+}
+
+// A target has started again under its id with other labels and less capacity, which only its
+// new entry shows. Nothing may be placed there by the entry of the earlier incarnation.
+func TestEntryOfEarlierIncarnationIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 1, DefaultBounds())
+	before := d.p.Roster()
+	d.submit(1, 3*time.Second, small(1))
+	d.run(time.Second)
+	d.p.Restart("r0-0#1", restartTime, d.now)
+	d.run(300 * time.Millisecond)
+	d.p.SetCapacity("r0-0#1", graph.Resources{CPU: 11200, MemoryMB: 58000, Accelerators: 2}, d.now.Add(-time.Minute))
+	d.run(time.Second) // it has reported
+	wide := d.submit(1, time.Second, small(6))
+	d.m.UpdateTargets(before, d.now, d.now) // the list is late
+	d.decide()
+	d.run(500 * time.Millisecond)
+	is.Equal(d.p.StartsOf(wide), 0)
+	d.runWithListing(12)
+	d.check()
+}
+
+// A target starts again under its id. Tickets that the advice service issued for its earlier
+// incarnation are not valid for the new one, which would refuse starts that carry them.
+func TestTicketsEndWithTheIncarnation(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 1, DefaultBounds())
+	target := d.m.targets["r0-0#1"]
+	j := &graph.Job{Advised: true, AdviceValid: time.Minute, SlackFactor: 3, Steps: []graph.Step{small(1)}}
+	id := d.submitJob(j, pool.Behaviour{Work: func(graph.TaskID) time.Duration { return time.Second }})
+	s := d.m.jobs[id].steps[0]
+	d.m.Advised(Advise{Step: s.id, Targets: []string{target.ID}}, []order.Permit{{Target: target.ID, Ticket: "k"}}, 0, d.now, nil, d.now)
+	is.True(s.permitted(target, d.now))
+	d.m.observeStart(target, target.incarnation+1, d.now)
+	is.True(!s.permitted(target, d.now))
+}
+
+// The targets that a task crashes return under their ids. Each loss must count, although the
+// same target is lost more than once.
+func TestCrashingTaskIsGivenUpWhereTargetsKeepTheirIDs(t *testing.T) {
+	bounds := pool.DefaultBounds()
+	bounds.KeepIDs = true
+	d := newSimulationOf(t, 1, 2, DefaultBounds(), bounds)
+	crashing := d.submitCrashing(2, small(1))
+	d.submit(2, 2*time.Second, small(4))
+	d.runWithListing(60)
+	d.checkCrashes(crashing)
+}
+
+// A report that an earlier incarnation sent arrives after one of the present incarnation. What
+// it lists does not exist any more.
+func TestReportOfEarlierIncarnationIsIgnored(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 1, DefaultBounds())
+	target := d.m.targets["r0-0#1"]
+	earlier := target.incarnation
+	d.p.Restart(target.ID, 0, d.now)
+	d.run(50 * time.Millisecond)
+	d.listTargets()
+	d.run(200 * time.Millisecond)
+	ghost := order.Running{Run: order.Run{Task: graph.TaskID{StepID: graph.StepID{Job: "0123456789abcdef"}}, Number: 1}}
+	d.m.Polled(target.ID, Poll{Sent: d.now}, order.Report{Clock: 90000, StartedAt: earlier, Running: []order.Running{ghost}}, d.now)
+	is.Equal(len(target.runs), 0)
+	is.Equal(target.reach, reachable)
+}
--- a/internal/work/dispatch/loss.go
+++ b/internal/work/dispatch/loss.go
@@ -11,9 +11,9 @@
 // lapsed while it did not answer. It records the loss against the tasks whose runs may have
 // caused it, and releases all runs.
 func (m *Machine) targetLost(t *target, now time.Time) {
-	m.changeLosses(func(x *task) bool { return x.losses.Settle(t.ID) })
+	m.changeLosses(t.settleLoss)
 	lost := t.runsWhere((*run).mayBeOnTarget)
-	m.recordLosses(t, lost, time.Time{}, now)
+	m.recordLosses(t, lost, t.lossSpan(now), time.Time{}, now)
 	for _, r := range t.sortedRuns() {
 		m.release(r, now)
 		m.failIfAtMostOnce(r, now)
@@ -23,14 +23,17 @@
 	}
 }
 
-// recordLosses records the loss of a target against the tasks of lost runs, which are runs
-// that may be on it. If countsFrom is not zero, the target may still answer, and the losses
-// count from then on. A target that was to leave is no loss.
-func (m *Machine) recordLosses(t *target, lost []*run, countsFrom, now time.Time) {
+// settleLoss makes an open loss of the target's incarnation under a task count, and reports
+// whether there was one.
+func (t *target) settleLoss(x *task) bool { return x.losses.Settle(t.incarnationName()) }
+
+// recordLosses records the loss of a target in a span against the tasks of lost runs, which
+// are runs that may be on it. If countsFrom is not zero, the target may still answer, and the
+// losses count from then on. A target that was to leave is no loss.
+func (m *Machine) recordLosses(t *target, lost []*run, span lossSpan, countsFrom, now time.Time) {
 	if len(lost) == 0 {
 		return
 	}
-	span := t.lossSpan(now)
 	cause := m.lossCause(t, span)
 	for _, r := range lost {
 		kind, suspect := cause.kindFor(r)
@@ -40,7 +43,7 @@
 			continue
 		}
 		x.losses.Lasted(r.ageAt(span.from))
-		x.losses.Add(crashloop.Loss{Target: t.ID, Kind: kind, Open: !countsFrom.IsZero()}, countsFrom)
+		x.losses.Add(crashloop.Loss{Target: r.incarnationName(), Kind: kind, Open: !countsFrom.IsZero()}, countsFrom)
 		x.step.lostAt = now
 		m.lossesChanged(x)
 		m.markDirty(x.step.job)
@@ -50,7 +53,7 @@
 		return
 	}
 	t.lossRecorded = true
-	m.recentLosses = append(m.recentLosses, recentLoss{span: span, id: t.ID, rack: t.Rack, zone: t.Zone})
+	m.recentLosses = append(m.recentLosses, recentLoss{span: span, incarnation: lost[0].incarnationName(), rack: t.Rack, zone: t.Zone})
 }
 
 // lossSpan is when a target was lost: not before from, and not after to.
@@ -144,9 +147,9 @@
 
 // recentLoss is a target that was lost a short time ago.
 type recentLoss struct {
-	span       lossSpan
-	id         string
-	rack, zone string
+	span        lossSpan
+	incarnation string
+	rack, zone  string
 }
 
 // Targets that are lost together have a common cause, such as a failure of power, rather
@@ -171,7 +174,7 @@
 	m.recentLosses = slices.DeleteFunc(m.recentLosses, func(l recentLoss) bool { return span.to.Sub(l.span.to) > recentLossTime })
 	rack, zone := share{lost: 1, of: 1}, share{lost: 1, of: 1}
 	for _, l := range m.recentLosses {
-		if l.id == t.ID || !l.span.near(span, togetherWindow) {
+		if l.incarnation == t.incarnationName() || !l.span.near(span, togetherWindow) {
 			continue
 		}
 		rack.add(l.rack == t.Rack, true)
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -179,12 +179,19 @@
 // updateTarget applies the entry of a target in the list.
 func (m *Machine) updateTarget(l roster.Target, now time.Time) {
 	t := m.targets[l.ID]
+	if t != nil && t.isOutdated(l.StartedAt) {
+		t.listed = true // its new incarnation has not written its entry yet
+		return
+	}
 	if t == nil {
 		t = m.addTarget(l)
 		if m.placementEnabled { // those that a new leader finds may be old
 			t.addedAt = now
 		}
 	}
+	if m.observeStart(t, l.StartedAt, now); l.StartedAt != t.Target.StartedAt {
+		t.Draining, t.RemainingMS, t.ColdRemainingMS = false, 0, 0
+	}
 	if l.Draining && !t.Draining {
 		t.drainingAt = now
 		m.log.Decided("target started draining", "target", t.ID, "remainsMS", l.RemainingMS, "runs", len(t.runs))
--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -36,7 +36,7 @@
 func (m *Machine) record(runs []*run) {
 	for _, r := range runs {
 		t := r.target
-		r.phase = recorded
+		r.phase, r.sentTo = recorded, t.incarnation
 		t.waitingCharge = t.waitingCharge.Minus(r.charge)
 		t.used = t.used.Plus(r.charge)
 		r.recordRev = m.markDirty(r.task.step.job)
@@ -81,7 +81,7 @@
 func (m *Machine) sendStart(r *run, now time.Time) {
 	t := r.target
 	r.startsSent++
-	r.sentAt, r.orderPending = now, true
+	r.sentAt, r.orderPending, r.sentTo = now, true, t.incarnation
 	m.considerPoll(t)
 	m.commands = append(m.commands, Start{Target: t.address(), Zone: t.Zone, Order: order.Start{
 		Run: r.Run, Spec: r.task.step.job.spec.Spec, Deadline: t.grantLease(now, m.bounds.Lease),
--- a/internal/work/dispatch/poll.go
+++ b/internal/work/dispatch/poll.go
@@ -60,7 +60,18 @@
 // sendExtraPoll sends a poll beside the outstanding one.
 func (m *Machine) sendExtraPoll(t *target, now time.Time) {
 	t.extraPollPending, t.extraPollSentAt = true, now
-	m.commands = append(m.commands, Poll{Target: t.address(), Order: order.Poll{Term: m.term, Acked: t.acked}, Class: t.class(limiter.Report), Extra: true, Sent: now})
+	m.commands = append(m.commands, Poll{Target: t.address(), Order: order.Poll{Term: m.term, Acked: t.dueAck()}, Class: t.class(limiter.Report), Extra: true, Sent: now, Incarnation: t.incarnation})
+}
+
+// dueAck returns the number up to which a poll acknowledges ends; 0: it acknowledges none. An
+// acknowledgement that was delivered is not repeated, and a target that does not answer gets
+// none: a new incarnation, which numbers its ends anew, would forget ends by it that it has
+// never listed.
+func (t *target) dueAck() int64 {
+	if t.reach != reachable || t.acked == t.confirmedAck {
+		return 0
+	}
+	return t.acked
 }
 
 // pollZone sends extra polls to the unresponsive targets of a zone after one of its
@@ -130,7 +141,7 @@
 // sendPoll polls a target. A reachable one gets its lease renewed, and waits up to the
 // given time for an end before it answers.
 func (m *Machine) sendPoll(t *target, wait time.Duration, now time.Time) {
-	o := order.Poll{Term: m.term, Acked: t.acked}
+	o := order.Poll{Term: m.term, Acked: t.dueAck()}
 	if t.reach == reachable { // the lease of an unreachable target must lapse
 		o.Wait = wait
 		if t.clockMS != 0 {
@@ -138,7 +149,7 @@
 		}
 	}
 	t.pollPending, t.pollSentAt = true, now
-	m.commands = append(m.commands, Poll{Target: t.address(), Order: o, Class: t.class(limiter.Report), Sent: now})
+	m.commands = append(m.commands, Poll{Target: t.address(), Order: o, Class: t.class(limiter.Report), Sent: now, Incarnation: t.incarnation})
 }
 
 // Polled applies a target's report; the caller calls it when a poll was answered.
@@ -149,11 +160,17 @@
 	}
 	t.pollEnded(p)
 	m.considerPoll(t)
+	if t.isOutdated(rep.StartedAt) {
+		return // an earlier incarnation answered before it ended
+	}
+	m.observeStart(t, rep.StartedAt, now)
 	t.reportedAt = now
 	wasUnresponsive := !t.responsive()
 	m.targetAnswered(t, now)
 	t.updateClock(rep.Clock, now)
-	t.confirmedAck = max(t.confirmedAck, p.Order.Acked)
+	if p.Incarnation == 0 || p.Incarnation == t.incarnation {
+		t.confirmedAck = max(t.confirmedAck, p.Order.Acked)
+	}
 	if t.reach != reachable {
 		m.log.Decided("target reachable", "target", t.ID, "running", len(rep.Running), "ended", len(rep.Ended), "first", !t.reported)
 		t.reach = reachable
@@ -174,6 +191,7 @@
 		listed[r.Run] = true
 		m.runReported(t, r, p.Sent, now)
 	}
+	m.settleSent(t, listed, p.Sent, now)
 	m.checkProgress(t, now)
 	m.pace(t, now)
 	m.moveLongRunning(t, now)
--- a/internal/work/dispatch/reachability.go
+++ b/internal/work/dispatch/reachability.go
@@ -25,10 +25,14 @@
 
 // targetAnswered records that a target has answered.
 func (m *Machine) targetAnswered(t *target, now time.Time) {
-	t.answeredAt = now
 	if t.responsive() {
+		t.answeredAt = now
 		return
 	}
+	if !t.unansweredSince.IsZero() {
+		t.lastOutage = t.lossSpan(now)
+	}
+	t.answeredAt = now
 	t.unansweredSince, t.zoneUnreachable, t.connectionBroke = time.Time{}, false, false
 	m.checkZoneReachable(t.Zone, now)
 	m.placementDue = true
--- a/internal/work/dispatch/run.go
+++ b/internal/work/dispatch/run.go
@@ -46,4 +46,6 @@
 	firstPercent    int       // progress reported then
 	beganAt         time.Time // when it was first known to be on the target
 	provedHealthy   bool      // it has worked long enough to be evidence of its target's health
+	sentTo          int64     // incarnation of the target to which it was or will be sent, or that reported it; 0: unknown
+	reported        bool      // that incarnation has reported it
 }
--- a/internal/work/dispatch/save.go
+++ b/internal/work/dispatch/save.go
@@ -99,7 +99,7 @@
 		highestPlaced := false // the highest run is among those that may exist
 		for _, r := range t.runs {
 			if r.phase != awaitingCapacity {
-				k.Placements = append(k.Placements, progress.Placement{Task: t.index, Target: r.target.ID, Run: r.Number})
+				k.Placements = append(k.Placements, progress.Placement{Task: t.index, Target: r.incarnationName(), Run: r.Number})
 				highestPlaced = highestPlaced || r.Number == t.highestRun
 			}
 		}
--- a/internal/work/dispatch/simulation_test.go
+++ b/internal/work/dispatch/simulation_test.go
@@ -54,8 +54,13 @@
 // eight accelerators each, the racks in zones z0 to z2 in turn. The machine may place work
 // and has the targets' first reports.
 func newSimulation(t testing.TB, racks, perRack int, b Bounds) *simulation {
+	return newSimulationOf(t, racks, perRack, b, pool.DefaultBounds())
+}
+
+// newSimulationOf is newSimulation with the given bounds of the targets.
+func newSimulationOf(t testing.TB, racks, perRack int, b Bounds, targets pool.Bounds) *simulation {
 	d := &simulation{
-		t: t, p: pool.New(pool.DefaultBounds()), now: time.Unix(1000, 0),
+		t: t, p: pool.New(targets), now: time.Unix(1000, 0),
 		endedAt: map[graph.JobID]time.Time{}, submittedAt: map[graph.JobID]time.Time{},
 		bounds: b, specs: map[graph.JobID]*graph.Job{}, rows: map[graph.JobID][]byte{},
 	}
--- a/internal/work/dispatch/suspect.go
+++ b/internal/work/dispatch/suspect.go
@@ -78,8 +78,9 @@
 		return
 	}
 	t.lossRecorded = false
-	m.recentLosses = slices.DeleteFunc(m.recentLosses, func(l recentLoss) bool { return l.id == t.ID })
-	m.changeLosses(func(x *task) bool { return x.losses.Withdraw(t.ID) })
+	name := t.incarnationName()
+	m.recentLosses = slices.DeleteFunc(m.recentLosses, func(l recentLoss) bool { return l.incarnation == name })
+	m.changeLosses(func(x *task) bool { return x.losses.Withdraw(name) })
 }
 
 // changeLosses applies a change to all tasks with losses; change reports whether it has
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -21,6 +21,9 @@
 // target is one incarnation of a target.
 type target struct {
 	roster.Target
+	incarnation         int64         // latest start of an incarnation that its entry or a report has shown, as roster.Target.StartedAt
+	endedIn             lossSpan      // when the incarnation before ended
+	lastOutage          lossSpan      // when it last ceased to answer before it did again
 	listed              bool          // it is in the platform's list
 	evacuated           bool          // its zone is evacuated
 	warmUpEnd           time.Time     // end of its warm-up, during which it is slow
@@ -46,7 +49,7 @@
 	zoneUnreachable     bool               // its zone is considered unreachable, and it has not answered since
 	nextPollAt          time.Time          // earliest time of the next poll
 	reported            bool               // it has reported in this term
-	highestEnd          int64              // highest end number processed
+	highestEnd          int64              // highest end number processed, of the present incarnation
 	unsavedEnds         []unsavedEnd       // ends processed and not yet saved, by number
 	unsavedPollAt       time.Time          // earliest time of the next poll while ends are not saved
 	acked               int64              // all ends up to this number are saved
--- a/internal/work/progress/step.go
+++ b/internal/work/progress/step.go
@@ -24,7 +24,7 @@
 // Placement names a target on which a run of a task may exist.
 type Placement struct {
 	Task   int
-	Target string // its incarnation
+	Target string // its incarnation, as the leader names it
 	Run    int
 }
 
