host/scheduler, platform/store: a feed may wait as long as the configuration may take

Every host follows the change feed of the configuration, and each read waited for 600 ms: 1.7 calls a host and second, which grow with the hosts and of which nearly none brings anything.

Change: while the leader reports that it reaches the store, a read waits for as long as it can be lost, detected and replaced by a read of the rows within the time in which a configuration has to be in force, 3 s at most. Where that is 2 s the wait stays 600 ms. The time without an answer after which the store is probed, and for which a configuration counts as confirmed, follow it. A host that the leader does not answer, and the leader itself, wait as before; the former also reads the leader row at once, which is a probe.

--- a/internal/host/rpc/endpoint_test.go
+++ b/internal/host/rpc/endpoint_test.go
@@ -427,3 +427,24 @@
 	_, err = e.Handle(t.Context(), "submitted", json.RawMessage(`"not a job"`))
 	is.True(errors.Is(err, peer.ErrBadParams))
 }
+
+// Hosts rest their own calls to the store while the leader reports that it has access. They
+// must not rely on a leader without access, nor on one that has fallen silent, nor does the
+// leader rely on itself.
+func TestLeaderReportsOnlyWithAccessToStore(t *testing.T) {
+	withHosts(t, 2, func(ctx context.Context, is *is.I, hosts []*host) {
+		own, follower := hosts[0], hosts[1]
+		own.election.term = leader.NewTerm(1, time.Now())
+		is.True(!follower.LeaderReports()) // it has not reported yet
+		_, err := follower.Watch(ctx, own.address, 1)
+		is.NoErr(err)
+		is.True(follower.LeaderReports())
+		is.True(!own.LeaderReports())
+		time.Sleep(time.Second) // without a report
+		is.True(!follower.LeaderReports())
+		own.storeUp = false
+		_, err = follower.Watch(ctx, own.address, 1)
+		is.NoErr(err)
+		is.True(!follower.LeaderReports())
+	})
+}
--- a/internal/host/rpc/watch.go
+++ b/internal/host/rpc/watch.go
@@ -242,6 +242,18 @@
 	e.leaderReportedAt = time.Time{}
 }
 
+// LeaderReports reports whether another host leads and has reported a short time ago that the
+// store is available to it. It also names the leader's configuration then, so that this host
+// learns of a newer one without the store.
+func (e *Endpoint) LeaderReports() bool {
+	if e.election.OwnTerm() != nil {
+		return false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.reach.StoreUp && time.Since(e.leaderReportedAt) < reachableFor
+}
+
 // maxOtherPeers bounds how many hosts are asked which leader they watch.
 const maxOtherPeers = 3
 
--- a/internal/host/scheduler/config.go
+++ b/internal/host/scheduler/config.go
@@ -10,16 +10,40 @@
 
 // Timeouts of following the stored configuration.
 const (
-	// feedWait is how long a read of the change feed waits for a change. A dead
-	// connection is detected after feedWait and feedMargin; a new configuration must be
+	// minFeedWait is how long a read of the change feed waits for a change at least. A dead
+	// connection is detected after the wait and feedMargin; a new configuration must be
 	// in force within two seconds.
-	feedWait       = 600 * time.Millisecond
+	minFeedWait    = 600 * time.Millisecond
+	maxFeedWait    = 3 * time.Second
 	feedMargin     = 500 * time.Millisecond // several times the latency of a slow store
+	feedSlack      = 300 * time.Millisecond // for reading and applying the rows after a failed feed
+	idleSlack      = 100 * time.Millisecond // beyond the feed's wait, after which its answer shows that the store is up
 	minReadTimeout = 600 * time.Millisecond // of the full read after a failed feed; doubles on each failure
 	maxReadTimeout = 3 * time.Second
 	feedRetryPause = 150 * time.Millisecond
 )
 
+// feedWait returns how long a read of the change feed waits. Every host follows the feed, so
+// its calls grow with the hosts. While the leader reports, which also detects an outage or a
+// newer configuration, a read may wait for as long as it can be lost and the configuration
+// still be in force in time.
+func (s *Scheduler) feedWait() time.Duration {
+	if !s.endpoint.LeaderReports() {
+		return minFeedWait
+	}
+	return s.longFeedWait
+}
+
+// longFeedWait returns the longest wait of a read of the feed after which a lost
+// configuration can be read within the time in which it has to be in force.
+func longFeedWait(applyTime time.Duration) time.Duration {
+	return min(max(minFeedWait, applyTime-feedMargin-minReadTimeout-feedSlack), maxFeedWait)
+}
+
+// idleTime returns the time without an answer of the store after which it is probed. A host
+// whose watch of the leader fails reads the leader row at once, which is a probe as well.
+func (s *Scheduler) idleTime() time.Duration { return s.feedWait() + idleSlack }
+
 // followConfig keeps the configuration and the zones evacuated by rows up to date from the
 // store until the context ends. It reads the rows once, then follows the change feed, and
 // reads the rows again after a failure. While the store does not serve this host, peers send
@@ -83,14 +107,15 @@
 	return page.Version, nil
 }
 
-// awaitConfig waits up to feedWait for changes of the configuration and the evacuated zones
+// awaitConfig waits up to the feed's wait for changes of the configuration and the evacuated zones
 // after a version, applies them and returns the version after which to go on. An answer
 // without changes confirms the configuration as well.
 func (s *Scheduler) awaitConfig(ctx context.Context, after int64) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, feedWait+feedMargin)
+	wait := s.feedWait()
+	ctx, cancel := context.WithTimeout(ctx, wait+feedMargin)
 	defer cancel()
 	asOf := s.freshness.clock()
-	page, err := s.store.Changes(ctx, s.config.Key.Table, after, feedWait)
+	page, err := s.store.Changes(ctx, s.config.Key.Table, after, wait)
 	if err != nil {
 		return -1, err
 	}
--- a/internal/host/scheduler/freshness.go
+++ b/internal/host/scheduler/freshness.go
@@ -9,9 +9,9 @@
 )
 
 const (
-	// freshFor is how long a configuration counts as the newest after the store
-	// confirmed it. The store usually does so every 600 ms, a slow one within a second.
-	freshFor = 1500 * time.Millisecond
+	// freshSlack is how long, beyond the wait of the feed, a configuration counts as the
+	// newest after the store confirmed it. A slow store does so within 400 ms of the wait.
+	freshSlack = 900 * time.Millisecond
 	// maxConfirmWait bounds how long a request waits for the store to confirm the
 	// configuration: a process that resumes reads it within a few milliseconds, or
 	// within feedRetryPause and a round trip.
@@ -24,14 +24,15 @@
 // configuration, with keys and queues that were removed, and others by the new one.
 type freshness struct {
 	clock       boottime.Clock
+	validFor    time.Duration // how long a configuration counts as the newest
 	mu          sync.Mutex
 	confirmedAt time.Time     // when the store last confirmed it
 	confirmed   chan struct{} // closed at the next confirmation
 }
 
 // newFreshness returns a freshness that counts as just confirmed.
-func newFreshness(c boottime.Clock) *freshness {
-	return &freshness{clock: c, confirmedAt: c(), confirmed: make(chan struct{})}
+func newFreshness(c boottime.Clock, feedWait time.Duration) *freshness {
+	return &freshness{clock: c, validFor: feedWait + freshSlack, confirmedAt: c(), confirmed: make(chan struct{})}
 }
 
 // confirm records that the store has just returned all changes.
@@ -47,7 +48,7 @@
 // maxConfirmWait. After that a request is served by the configuration in force.
 func (f *freshness) await(ctx context.Context) {
 	f.mu.Lock()
-	fresh, confirmed := f.clock().Sub(f.confirmedAt) < freshFor, f.confirmed
+	fresh, confirmed := f.clock().Sub(f.confirmedAt) < f.validFor, f.confirmed
 	f.mu.Unlock()
 	if fresh {
 		return
--- a/internal/host/scheduler/freshness_test.go
+++ b/internal/host/scheduler/freshness_test.go
@@ -17,13 +17,13 @@
 func TestRequestsWaitForConfigurationAfterPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		f := newFreshness(time.Now)
+		f := newFreshness(time.Now, minFeedWait)
 		took := func(ctx context.Context) time.Duration {
 			began := time.Now()
 			f.await(ctx)
 			return time.Since(began)
 		}
-		time.Sleep(freshFor - time.Millisecond)
+		time.Sleep(minFeedWait + freshSlack - time.Millisecond)
 		is.Equal(took(t.Context()), time.Duration(0)) // still fresh
 		f.confirm()
 		time.Sleep(3 * time.Second) // the process is paused
--- a/internal/host/scheduler/scheduler.go
+++ b/internal/host/scheduler/scheduler.go
@@ -57,6 +57,7 @@
 	config        Configuration
 	stopTimeout   time.Duration // of a planned stop, with unreadyTime
 	unreadyTime   time.Duration // for which a planned stop keeps serving requests
+	longFeedWait  time.Duration // of a read of the configuration's change feed while the leader reports
 	log           logr.Logger
 	metrics       tally.Scope
 	store         *store.Monitor
@@ -81,6 +82,7 @@
 	bounds      dispatch.Bounds
 	peerTLS     peer.ClientTLS // nil: peers are reached without TLS
 	unreadyTime time.Duration
+	applyTime   time.Duration
 }
 
 // WithMetrics sets the scope of the metrics, by default none.
@@ -96,24 +98,32 @@
 // balancer detects that the host is not ready, by default 2.2 s.
 func WithUnreadyTime(d time.Duration) Option { return func(o *options) { o.unreadyTime = d } }
 
+// WithApplyTime sets within which time a new configuration has to be in force, by default 2 s.
+func WithApplyTime(d time.Duration) Option { return func(o *options) { o.applyTime = d } }
+
 // WithBounds sets the bounds of dispatching, by default dispatch.DefaultBounds.
 func WithBounds(b dispatch.Bounds) Option { return func(o *options) { o.bounds = b } }
 
-const defaultStopTimeout = 6 * time.Second
+const (
+	defaultStopTimeout = 6 * time.Second
+	defaultApplyTime   = 2 * time.Second
+)
 
 // New returns a scheduler that does not run yet. Each process has its own holder name in
 // the leader row, so that a later process at the same address is distinguished from it.
 func New(id Identity, p Ports, c Configuration, log logr.Logger, opts ...Option) *Scheduler {
-	set := options{metrics: tally.NoopScope, stopTimeout: defaultStopTimeout, unreadyTime: defaultUnreadyTime, bounds: dispatch.DefaultBounds()}
+	set := options{metrics: tally.NoopScope, stopTimeout: defaultStopTimeout, unreadyTime: defaultUnreadyTime, applyTime: defaultApplyTime, bounds: dispatch.DefaultBounds()}
 	for _, o := range opts {
 		o(&set)
 	}
 	holder := id.Name + "#" + strconv.FormatInt(time.Now().UnixNano(), 36)
 	s := &Scheduler{
 		identity: id, config: c, stopTimeout: set.stopTimeout, unreadyTime: set.unreadyTime, log: log, metrics: set.metrics,
-		keeper: catalog.NewKeeper(c.Decode), zones: evacuation.NewRegister(), freshness: newFreshness(boottime.Now), burn: burn.New(holder),
+		keeper: catalog.NewKeeper(c.Decode), zones: evacuation.NewRegister(), burn: burn.New(holder),
+		longFeedWait: longFeedWait(set.applyTime),
 	}
-	s.store = store.NewMonitor(store.NewInstrumented(p.Store, set.metrics), leader.RowKey, s.storeChanged)
+	s.freshness = newFreshness(boottime.Now, s.longFeedWait)
+	s.store = store.NewMonitor(store.NewInstrumented(p.Store, set.metrics), leader.RowKey, s.storeChanged, store.WithIdleTime(s.idleTime))
 	dispatcherOpts := []dispatcher.Option{
 		dispatcher.WithCatalog(s.keeper), dispatcher.WithMetrics(set.metrics), dispatcher.WithJobEnded(s.recordOutcome),
 		dispatcher.WithEvacuations(s.Evacuations), dispatcher.WithRecovered(s.store.Recovered),
--- a/internal/platform/store/monitor.go
+++ b/internal/platform/store/monitor.go
@@ -12,9 +12,9 @@
 	// downAfterFailures is the number of consecutive failures after which the store
 	// counts as down: a single one may be a connection that was reset.
 	downAfterFailures = 2
-	// idleProbeInterval is the time without an answer after which a host probes the
-	// store, so that an outage is detected by a probe and not by clients' requests.
-	idleProbeInterval = 900 * time.Millisecond
+	// defaultIdleTime is the time without an answer after which a host probes the store, so
+	// that an outage is detected by a probe and not by clients' requests.
+	defaultIdleTime = 900 * time.Millisecond
 	// downProbeInterval is the time between probes while the store fails. It bounds how
 	// long clients are still refused after the store has recovered.
 	downProbeInterval = 250 * time.Millisecond
@@ -39,13 +39,30 @@
 	wentDown   chan struct{} // holds a value when the store has just gone down
 	recovered  chan struct{} // closed at the next recovery
 	onChange   func(up bool, err error)
+	idleTime   func() time.Duration // time without an answer after which the store is probed
+}
+
+// MonitorOption sets one property of a new monitor.
+type MonitorOption func(*Monitor)
+
+// WithIdleTime sets the function that returns after which time without an answer the store is
+// probed, by default 900 ms. It may return another time on each call.
+func WithIdleTime(f func() time.Duration) MonitorOption {
+	return func(m *Monitor) { m.idleTime = f }
 }
 
 // NewMonitor returns a monitor of a store, which counts as up at first. Probes read
 // probeKey, but only while Run runs. onChange is called when the store goes down or comes
 // up, in the call whose outcome shows it and with that call's error; it must not block.
-func NewMonitor(s Store, probeKey Key, onChange func(up bool, err error)) *Monitor {
-	return &Monitor{Store: s, probeKey: probeKey, wentDown: make(chan struct{}, 1), recovered: make(chan struct{}), onChange: onChange}
+func NewMonitor(s Store, probeKey Key, onChange func(up bool, err error), opts ...MonitorOption) *Monitor {
+	m := &Monitor{
+		Store: s, probeKey: probeKey, wentDown: make(chan struct{}, 1), recovered: make(chan struct{}), onChange: onChange,
+		idleTime: func() time.Duration { return defaultIdleTime },
+	}
+	for _, o := range opts {
+		o(m)
+	}
+	return m
 }
 
 // Up reports whether the store counts as up for this host.
@@ -84,7 +101,7 @@
 // store goes down: a store that only loses the answers to writes comes up again by
 // that probe. It returns when the context ends.
 func (m *Monitor) Run(ctx context.Context) {
-	for wait := idleProbeInterval; ; wait = m.untilNextProbe() {
+	for wait := m.idleTime(); ; wait = m.untilNextProbe() {
 		select {
 		case <-ctx.Done():
 			return
@@ -114,7 +131,7 @@
 func (m *Monitor) probeDue() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.failures > 0 || time.Since(m.lastAnswer) >= idleProbeInterval
+	return m.failures > 0 || time.Since(m.lastAnswer) >= m.idleTime()
 }
 
 // untilNextProbe returns how long to wait until the next probe may be due.
@@ -124,7 +141,7 @@
 	if m.failures > 0 {
 		return downProbeInterval
 	}
-	return max(idleProbeInterval-time.Since(m.lastAnswer), downProbeInterval)
+	return max(m.idleTime()-time.Since(m.lastAnswer), downProbeInterval)
 }
 
 // observe records the outcome of a call. If the store goes down or comes up by it, it
