work/dispatch, fleet/limiter: a new leader polls first where runs may exist, then rack by rack

A new leader polled all targets in the order of their ids, before other starts. With 6,000 targets the last had reported 0.8 s after it led; until then no rack was whole, so that urgent gangs, which want one rack, waited, and so did starts, behind the polls. The time grows with the targets: 1.6 s at 12,000.

Change: first polls go to targets on which runs may exist, the most urgent first, and then to one rack after the other; those of targets without runs are a class of their own behind starts. The check whether first reports are outstanding remembers one that is, instead of searching all targets for each event. A first report that lists nothing is not logged.

The stand-in targets are kept sorted, which the larger simulations need.

--- a/internal/fleet/limiter/limiter.go
+++ b/internal/fleet/limiter/limiter.go
@@ -14,8 +14,9 @@
 const (
 	Stop        Class = iota // frees capacity and ends runs that must not continue
 	UrgentStart              // starts that a guarantee requires in time
-	Report                   // polls that do not wait for an end: first ones, acknowledgements
+	Report                   // polls that do not wait for an end, of targets where runs may exist
 	Start                    // other starts
+	Survey                   // first polls of the other targets, which are most of what a new leader sends
 	Probe                    // orders to targets that do not answer
 	classes                  // number of classes
 )
--- a/internal/standin/pool/pool.go
+++ b/internal/standin/pool/pool.go
@@ -72,6 +72,7 @@
 type Pool struct {
 	bounds    Bounds
 	targets   map[string]*target // by id, including dead ones
+	sorted    []*target          // targets by id; nil after a target was added
 	byAddress map[string]*target // the live incarnation at each address
 	jobs      map[graph.JobID]*jobState
 	breaches  []Breach
@@ -113,7 +114,7 @@
 	}
 	t.StartedAt = now.UnixMilli()
 	incarnation := &target{Target: t, startedAt: now, clockRate: rate, speed: 1, runs: map[order.Run]*execution{}, staleThrough: map[graph.TaskID]int{}}
-	p.targets[t.ID], p.byAddress[t.Address] = incarnation, incarnation
+	p.targets[t.ID], p.byAddress[t.Address], p.sorted = incarnation, incarnation, nil
 }
 
 // Kill ends an incarnation without reporting the ends of its runs. The other members of
--- a/internal/standin/pool/running.go
+++ b/internal/standin/pool/running.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -31,13 +32,12 @@
 	}
 }
 
+// sortedTargets returns all targets, sorted by id.
 func (p *Pool) sortedTargets() []*target {
-	list := make([]*target, 0, len(p.targets))
-	for _, t := range p.targets {
-		list = append(list, t)
+	if p.sorted == nil {
+		p.sorted = slices.SortedFunc(maps.Values(p.targets), func(a, b *target) int { return strings.Compare(a.ID, b.ID) })
 	}
-	slices.SortFunc(list, func(a, b *target) int { return strings.Compare(a.ID, b.ID) })
-	return list
+	return p.sorted
 }
 
 // advanceTarget ends all runs of a target as lapsed if its lease has ended, without the
--- a/internal/work/dispatch/incarnation_test.go
+++ b/internal/work/dispatch/incarnation_test.go
@@ -24,7 +24,7 @@
 			d := newSimulation(t, 1, 1, DefaultBounds())
 			id := d.submit(1, 4*time.Second, small(1))
 			d.run(2500 * time.Millisecond) // it has been reported
-			if list { // only the list shows it: the target does not answer
+			if list {                      // only the list shows it: the target does not answer
 				d.dropCommand = func(Command) bool { return true }
 			}
 			d.p.Restart("r0-0#1", restartTime, d.now)
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -28,6 +28,7 @@
 	commands           []Command // issued since the last Decide
 	placementEnabled   bool      // set by EnablePlacement
 	placementEnabledAt time.Time
+	awaited            *target   // a target whose first report was outstanding when last checked; nil: none
 	listAsOf           time.Time // when the current list of targets was read
 	pollCandidates     []*target // targets that may be due for a poll
 	newSteps           []*step   // steps enqueued since the last pass
@@ -126,6 +127,7 @@
 			t.leaseEnd = predecessorLeasesEnd
 		}
 	}
+	m.orderFirstPolls()
 }
 
 // Tick does what is due by time alone: it opens occurrences, repeats orders, polls
--- a/internal/work/dispatch/poll.go
+++ b/internal/work/dispatch/poll.go
@@ -1,7 +1,10 @@
 package dispatch
 
 import (
+	"cmp"
 	"errors"
+	"math"
+	"slices"
 	"time"
 
 	"guavaglade.example/guavaglade/internal/fleet/limiter"
@@ -149,7 +152,44 @@
 		}
 	}
 	t.pollPending, t.pollSentAt = true, now
-	m.commands = append(m.commands, Poll{Target: t.address(), Order: o, Class: t.class(limiter.Report), Sent: now, Incarnation: t.incarnation})
+	m.commands = append(m.commands, Poll{Target: t.address(), Order: o, Class: t.class(t.reportClass()), Sent: now, Incarnation: t.incarnation})
+}
+
+// reportClass returns the limiter class of a poll that does not wait.
+func (t *target) reportClass() limiter.Class {
+	if t.reach == notPolled && len(t.runs) == 0 {
+		return limiter.Survey
+	}
+	return limiter.Report
+}
+
+// orderFirstPolls has the next Decide send the first polls of a term to targets on which runs
+// may exist, the most urgent first, and then to whole racks, one after the other. A gang that
+// wants one rack can be placed once a rack has reported, long before all targets have.
+func (m *Machine) orderFirstPolls() {
+	busy, idle := []*target(nil), []*target(nil)
+	for _, rack := range m.targetsByRack() {
+		for _, t := range rack {
+			t.pollCandidate = true
+			if len(t.runs) > 0 {
+				busy = append(busy, t)
+			} else {
+				idle = append(idle, t)
+			}
+		}
+	}
+	slices.SortStableFunc(busy, func(a, b *target) int { return cmp.Compare(a.mostUrgentPriority(), b.mostUrgentPriority()) })
+	m.pollCandidates = append(busy, idle...)
+}
+
+// mostUrgentPriority returns the lowest priority of the jobs with runs on the target, of which
+// there must be one.
+func (t *target) mostUrgentPriority() int {
+	lowest := math.MaxInt
+	for _, r := range t.runs {
+		lowest = min(lowest, r.task.step.job.spec.Priority)
+	}
+	return lowest
 }
 
 // Polled applies a target's report; the caller calls it when a poll was answered.
@@ -172,7 +212,9 @@
 		t.confirmedAck = max(t.confirmedAck, p.Order.Acked)
 	}
 	if t.reach != reachable {
-		m.log.Decided("target reachable", "target", t.ID, "running", len(rep.Running), "ended", len(rep.Ended), "first", !t.reported)
+		if t.reported || len(rep.Running) > 0 || len(rep.Ended) > 0 {
+			m.log.Decided("target reachable", "target", t.ID, "running", len(rep.Running), "ended", len(rep.Ended), "first", !t.reported)
+		}
 		t.reach = reachable
 		m.withdrawLosses(t)
 		if wasUnresponsive {
--- a/internal/work/dispatch/schedule.go
+++ b/internal/work/dispatch/schedule.go
@@ -169,9 +169,20 @@
 	if now.Sub(m.placementEnabledAt) >= reportWait {
 		return false
 	}
-	return slices.ContainsFunc(m.sortedTargets, func(t *target) bool { return t.listed && t.reach == notPolled })
+	if t := m.awaited; t != nil && t.awaitsFirstReport() {
+		return true
+	}
+	i := slices.IndexFunc(m.sortedTargets, (*target).awaitsFirstReport)
+	if i < 0 {
+		return false
+	}
+	m.awaited = m.sortedTargets[i]
+	return true
 }
 
+// awaitsFirstReport reports whether a target of the list has not reported in this term.
+func (t *target) awaitsFirstReport() bool { return t.listed && t.reach == notPolled }
+
 // lateFactor is the multiple of its objective within which a late job still earns value.
 const lateFactor = 3
 
--- a/internal/work/dispatch/simulation_test.go
+++ b/internal/work/dispatch/simulation_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"guavaglade.example/guavaglade/internal/fleet/limiter"
 	"guavaglade.example/guavaglade/internal/fleet/order"
 	"guavaglade.example/guavaglade/internal/fleet/roster"
 	"guavaglade.example/guavaglade/internal/standin/pool"
@@ -42,6 +43,8 @@
 	bounds       Bounds
 	specs        map[graph.JobID]*graph.Job // of jobs submitted with submitJob
 	rows         map[graph.JobID][]byte     // saved progress
+	orderRate    int                        // orders that the host can send in a second; 0: any number
+	unsent       [limiter.Probe + 1][]Command
 }
 
 // event is an action at a simulated time.
@@ -129,6 +132,7 @@
 		}
 		d.now = next
 		d.p.Advance(d.now)
+		d.sendQueued(simulationStep)
 		if d.now.UnixMilli()%100 == 0 {
 			d.m.Tick(d.now)
 			d.decide()
@@ -140,7 +144,7 @@
 // if the machine asks for one, and notes which jobs have ended.
 func (d *simulation) decide() {
 	for _, c := range d.m.Decide(d.now) {
-		d.execute(c)
+		d.send(c)
 	}
 	if at, due := d.m.NextDecision(d.now); due && !d.decisionScheduled {
 		d.decisionScheduled = true
@@ -155,6 +159,40 @@
 	}
 }
 
+// send executes a command, or queues it by its class if the host sends a limited number of
+// orders. Polls that wait are not limited.
+func (d *simulation) send(c Command) {
+	class, limited := limiter.Stop, d.orderRate > 0
+	switch c := c.(type) {
+	case Start:
+		class = c.Class
+	case Stop:
+		class = c.Class
+	case Poll:
+		class, limited = c.Class, limited && c.Order.Wait == 0
+	default:
+		limited = false
+	}
+	if !limited {
+		d.execute(c)
+		return
+	}
+	d.unsent[class] = append(d.unsent[class], c)
+}
+
+// sendQueued executes the orders that the host can send in a time, of higher classes first.
+func (d *simulation) sendQueued(span time.Duration) {
+	n := int(int64(d.orderRate) * int64(span) / int64(time.Second))
+	for class := range d.unsent {
+		k := min(n, len(d.unsent[class]))
+		for _, c := range d.unsent[class][:k] {
+			d.execute(c)
+		}
+		d.unsent[class] = d.unsent[class][k:]
+		n -= k
+	}
+}
+
 // execute executes a start, stop, poll or save, whose outcome reaches the machine after the
 // simulated delays. It ignores other commands.
 func (d *simulation) execute(c Command) {
@@ -253,7 +291,7 @@
 // changeLeader replaces the machine by that of the next term, which knows only what was
 // saved and what the targets report. Answers to the earlier one are lost.
 func (d *simulation) changeLeader() {
-	d.events, d.decisionScheduled = nil, false
+	d.events, d.decisionScheduled, d.unsent = nil, false, [limiter.Probe + 1][]Command{}
 	d.m = New(d.m.Term()+1, d.bounds, WithLog(d))
 	for n := 1; n <= d.nextID; n++ {
 		id := graph.JobID(fmt.Sprintf("%016x", n))
