work/dispatch: a target that has not answered lately is polled before work is sent to it

A target without work is not polled. When it ceases to answer, nothing shows that until a start to it is lost, and that start may have been executed: the task must not run elsewhere until all leases there have lapsed, 6 s later, and its whole gang waits with it, or runs into its own time-out. Small fleets are busy, so that nearly all targets are polled anyway; on the fleet nine in ten are idle. After a crash of 312 targets and in a zone that is cut off, urgent gangs of seven tasks met such a target one time in three, and took 8 s.

Change: when a run is recorded on a target that has not answered within a second, the target is polled, in parallel with the save of the placement, which takes longer. The start is sent when both are there; those of a gang are sent together. A run whose target does not answer within 250 ms, and four times the usual delay of an order, is placed elsewhere: nothing was sent.

--- a/internal/work/dispatch/backlog_test.go
+++ b/internal/work/dispatch/backlog_test.go
@@ -100,6 +100,9 @@
 	is.Equal(len(savedStarts(d)), 0)
 	d.now = d.now.Add(b.ReclaimTime - b.MaxStopTime - reclaimMargin + 10*time.Millisecond)
 	d.m.UpdateTargets(d.p.Roster(), d.now, d.now)
+	for _, x := range d.m.sortedTargets {
+		d.m.targetAnswered(x, d.now)
+	}
 	is.Equal(len(savedStarts(d)), 4)
 }
 
--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -33,7 +33,7 @@
 	for i, x := range s.tasks {
 		runs[i] = m.place(x, plan[i], number, now)
 	}
-	m.recordIfFits(runs)
+	m.recordIfFits(runs, now)
 	return true
 }
 
@@ -259,9 +259,9 @@
 
 // recordIfFits records runs that were just placed if there is free capacity for all of
 // them. Otherwise they await capacity.
-func (m *Machine) recordIfFits(runs []*run) {
+func (m *Machine) recordIfFits(runs []*run, now time.Time) {
 	if allFit(runs) {
-		m.record(runs)
+		m.record(runs, now)
 	}
 }
 
@@ -295,7 +295,7 @@
 				m.release(r, now)
 			}
 		case allFit(group):
-			m.record(group)
+			m.record(group, now)
 		}
 	}
 }
--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -33,7 +33,7 @@
 // start is sent only after its run was saved under this term's fencing token: the next
 // leader, which may not reach the run's target, finds in the rows what may exist there,
 // and a leader that was superseded without noticing can start nothing more.
-func (m *Machine) record(runs []*run) {
+func (m *Machine) record(runs []*run, now time.Time) {
 	for _, r := range runs {
 		t := r.target
 		r.phase, r.sentTo = recorded, t.incarnation
@@ -41,6 +41,7 @@
 		t.used = t.used.Plus(r.charge)
 		r.recordRev = m.markDirty(r.task.step.job)
 		m.backlog.add(r)
+		m.verify(r, now)
 	}
 }
 
@@ -58,6 +59,7 @@
 			m.log.Decided("run given up before it was sent", "target", r.target.ID, "task", r.Task, "run", r.Number, "drains", r.target.Draining, "evacuated", r.target.evacuated, "inTouch", r.target.responsive(), "overCapacity", r.target.overCapacity(), "listAgeMS", now.Sub(m.listAsOf).Milliseconds(), "zonesAgeMS", now.Sub(m.evacuated.AsOf).Milliseconds())
 			m.stop(r, "its target accepts no starts, does not answer or has less capacity now", now)
 			m.stopGang(r, "a member's target accepts no starts, does not answer or has less capacity now", now)
+		case !r.gangVerified(): // startVerified or dropUnverified decides
 		default:
 			r.phase = starting
 			r.resumedFrom = r.task.checkpoint()
@@ -104,6 +106,7 @@
 	}
 	if isAnswer(err) {
 		m.targetAnswered(t, now)
+		m.startVerified(t, now)
 	}
 	r := t.runs[id]
 	if r == nil {
@@ -252,6 +255,7 @@
 	}
 	if isAnswer(err) {
 		m.targetAnswered(t, now)
+		m.startVerified(t, now)
 	}
 	if r := t.runs[id]; r != nil {
 		r.orderPending = false
--- a/internal/work/dispatch/poll.go
+++ b/internal/work/dispatch/poll.go
@@ -31,6 +31,7 @@
 	for _, r := range t.runsWhere((*run).awaitsAnswer) {
 		m.retryOrder(r, now)
 	}
+	m.dropUnverified(t, now)
 	m.pollIfDue(t, now)
 	m.extraPollIfDue(t, now)
 }
@@ -248,6 +249,7 @@
 	if len(rep.Running) > 0 && p.Order.Deadline == 0 && !t.pollPending {
 		m.sendPoll(t, 0, now) // this poll renewed no lease, since the clock was not known
 	}
+	m.startVerified(t, now)
 	m.placementDue = true
 }
 
--- a/internal/work/dispatch/run.go
+++ b/internal/work/dispatch/run.go
@@ -27,6 +27,7 @@
 	charge          graph.Resources // what it takes of the target's capacity
 	phase           phase
 	placedAt        time.Time
+	recordedAt      time.Time // when it was recorded
 	recordRev       int64     // revision of the job's progress that records it
 	sentAt          time.Time // when the last order was sent
 	startsSent      int       // number of starts sent
--- a/internal/work/dispatch/schedule.go
+++ b/internal/work/dispatch/schedule.go
@@ -244,7 +244,7 @@
 			skipRest = len(x.attempts().avoidedTargets) == 0 && x.suspicion() == 0 // the other tasks are alike
 			continue
 		}
-		m.recordIfFits([]*run{m.place(x, t, x.highestRun+1, now)})
+		m.recordIfFits([]*run{m.place(x, t, x.highestRun+1, now)}, now)
 	}
 	return more
 }
--- a/internal/work/dispatch/straggler.go
+++ b/internal/work/dispatch/straggler.go
@@ -255,7 +255,7 @@
 		return
 	}
 	m.log.Decided("speculative run placed", "task", r.Task, "reason", reason)
-	m.recordIfFits([]*run{m.place(x, t, x.highestRun+1, now)})
+	m.recordIfFits([]*run{m.place(x, t, x.highestRun+1, now)}, now)
 }
 
 // moveGang ends a whole gang because one of its members has to move.
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -55,6 +55,7 @@
 	acked               int64              // all ends up to this number are saved
 	confirmedAck        int64              // highest acknowledgement that a poll has delivered
 	ackDue              time.Time          // latest time to acknowledge saved ends; zero: none yet
+	unverifiedRuns      bool               // runs that are recorded there may wait for its answer
 	health              health.Record
 	pacedAt             time.Time // when the pace of its best-effort tasks last changed
 	remainingReportedAt time.Time // when it last announced its remaining time
