work/dispatch, platform: a gang is dropped for a failed poll, not for time that passed here

Change: a gang is dropped when a poll of a member's target has failed, an event that keeps its order with the answers, and never by the clock of the leader. Members that were not sent are dropped with one whose target is lost.

--- a/internal/work/dispatch/loss.go
+++ b/internal/work/dispatch/loss.go
@@ -17,6 +17,9 @@
 	for _, r := range t.sortedRuns() {
 		m.release(r, now)
 		m.failIfAtMostOnce(r, now)
+		if r.phase == recorded { // the other members are not sent without it
+			m.stopGang(r, "a member's target was lost before it was sent", now)
+		}
 	}
 	if len(lost) > 0 {
 		m.commands = append(m.commands, TargetLost{Runs: len(lost)})
--- a/internal/work/dispatch/poll.go
+++ b/internal/work/dispatch/poll.go
@@ -31,7 +31,6 @@
 	for _, r := range t.runsWhere((*run).awaitsAnswer) {
 		m.retryOrder(r, now)
 	}
-	m.dropUnverified(t, now)
 	m.pollIfDue(t, now)
 	m.extraPollIfDue(t, now)
 }
@@ -301,6 +300,7 @@
 		}
 		m.targetMissed(t, p.missedSince(now), now)
 		m.markUnreachable(t, err, now)
+		m.dropUnverified(t, now)
 	}
 	m.placementDue = true
 }
