work/dispatch: the loss of many targets one after the other is blamed on no task

What is lost together was looked for in a rack or a zone within 300 ms only.

Change: a tenth of all targets, eight at least, that is lost within two seconds is a common cause as well. The limit of five losses of any kind stays, so a task that does crash its targets is never started a sixth time.

Evidence: TestScatteredLossOfManyTargetsIsNotBlamedOnTasks fails without it (job failed, three targets) and passes with it.

--- a/internal/work/dispatch/crash_test.go
+++ b/internal/work/dispatch/crash_test.go
@@ -162,6 +162,38 @@
 	d.checkCrashes()
 }
 
+// Four targets in ten are lost within a second and a half, one after the other in all racks and
+// zones. A task that is started again meets the next loss, three times, with nothing new beside
+// it. It is not to blame.
+func TestScatteredLossOfManyTargetsIsNotBlamedOnTasks(t *testing.T) {
+	bounds := pool.DefaultBounds()
+	bounds.RestartTime = 50 * time.Millisecond
+	d := newSimulationOf(t, 24, 8, DefaultBounds(), bounds)
+	d.submit(2, 6*time.Second, small(400))
+	d.runWithListing(2)
+	targets := d.p.Roster()
+	victim := d.submit(1, 3*time.Second, graph.Step{Count: 1, Needs: graph.Resources{CPU: 20000, Accelerators: 3}, Estimate: 3 * time.Second})
+	met := 0
+	for i := range 77 {
+		d.p.Crash(targets[i*73%len(targets)].ID, d.now)
+		for _, r := range d.m.jobs[victim].steps[0].tasks[0].runs {
+			if i >= 25 && met < 3 && r.Number > met && r.phase == running {
+				d.p.Crash(r.target.ID, d.now)
+				met++
+			}
+		}
+		d.run(20 * time.Millisecond)
+		if i%4 == 3 {
+			d.listTargets()
+		}
+	}
+	d.runWithListing(30)
+	d.checkCrashes()
+	if n := d.p.StartsOf(victim); n != 4 {
+		t.Errorf("the task was started %d times", n)
+	}
+}
+
 // Single targets break down and come back, one each half second, under short jobs that
 // crash nothing.
 func TestSingleLossesAreNotBlamedOnTasks(t *testing.T) {
--- a/internal/work/dispatch/loss.go
+++ b/internal/work/dispatch/loss.go
@@ -169,29 +169,40 @@
 	// minTogether is the number of losses in a rack or zone from which they may have a
 	// common cause.
 	minTogether = 3
+	// A part of all targets that is lost one after the other, in no rack or zone more than
+	// elsewhere, has a common cause as well. A task that is started again at once then meets
+	// several losses, each just after it has begun.
+	scatteredWindow = 2 * time.Second
+	scatteredShare  = 0.1
+	minScattered    = 8 // more than a few tasks that crash their targets cause in that time
 )
 
-// lostTogether reports whether a target was lost together with so much of its rack or zone
-// that there must be a common cause.
+// lostTogether reports whether a target was lost together with so much of its rack, its zone or
+// all targets that there must be a common cause.
 func (m *Machine) lostTogether(t *target, span lossSpan) bool {
 	m.recentLosses = slices.DeleteFunc(m.recentLosses, func(l recentLoss) bool { return span.to.Sub(l.span.to) > recentLossTime })
-	rack, zone := share{lost: 1, of: 1}, share{lost: 1, of: 1}
+	rack, zone, all := share{lost: 1, of: 1}, share{lost: 1, of: 1}, share{lost: 1, of: 1}
 	for _, l := range m.recentLosses {
-		if l.incarnation == t.incarnationName() || !l.span.near(span, togetherWindow) {
+		if l.incarnation == t.incarnationName() {
 			continue
 		}
-		rack.add(l.rack == t.Rack, true)
-		zone.add(l.zone == t.Zone, true)
+		all.add(true, l.span.near(span, scatteredWindow))
+		if l.span.near(span, togetherWindow) {
+			rack.add(l.rack == t.Rack, true)
+			zone.add(l.zone == t.Zone, true)
+		}
 	}
 	for _, o := range m.sortedTargets {
 		if o == t || o.lossRecorded {
 			continue
 		}
-		lost := o.reach != reachable && !o.unansweredSince.IsZero() && o.lossSpan(o.unansweredSince).near(span, togetherWindow)
+		silent := o.reach != reachable && !o.unansweredSince.IsZero()
+		lost := silent && o.lossSpan(o.unansweredSince).near(span, togetherWindow)
 		rack.add(o.Rack == t.Rack, lost)
 		zone.add(o.Zone == t.Zone, lost)
+		all.add(true, silent && o.lossSpan(o.unansweredSince).near(span, scatteredWindow))
 	}
-	return t.Rack != "" && rack.together() || zone.together()
+	return t.Rack != "" && rack.together() || zone.together() || all.scattered()
 }
 
 // share counts targets and how many of them were lost.
@@ -209,6 +220,10 @@
 	}
 }
 
+func (s *share) scattered() bool {
+	return s.lost >= minScattered && float64(s.lost) >= scatteredShare*float64(s.of)
+}
+
 func (s *share) together() bool {
 	return s.lost >= minTogether && float64(s.lost) >= togetherShare*float64(s.of)
 }
