--- a/internal/work/dispatch/loss.go
+++ b/internal/work/dispatch/loss.go
@@ -220,10 +220,14 @@
 	}
 }
 
+// scattered reports whether so many targets were lost that they have a common cause wherever
+// they are.
 func (s *share) scattered() bool {
 	return s.lost >= minScattered && float64(s.lost) >= scatteredShare*float64(s.of)
 }
 
+// together reports whether so many targets of a rack or a zone were lost that they have a
+// common cause.
 func (s *share) together() bool {
 	return s.lost >= minTogether && float64(s.lost) >= togetherShare*float64(s.of)
 }
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -191,7 +191,8 @@
 			t.addedAt = now
 		}
 	}
-	if m.observeStart(t, l.StartedAt, now); l.StartedAt != t.Target.StartedAt {
+	m.observeStart(t, l.StartedAt, now)
+	if l.StartedAt != t.Target.StartedAt { // what is compared below was that of an earlier incarnation
 		t.Draining, t.RemainingMS, t.ColdRemainingMS = false, 0, 0
 	}
 	if l.Draining && !t.Draining {
