work/dispatch: log how long a new leader waits for earlier leases

A new leader did not log when it expects the leases of earlier leaders to end, nor how many recorded runs there are, and the time of silence of a target that had never answered it was meaningless. Neither hypothesis on withheld work can be told from the others without these. No decision changes.

--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -122,11 +122,14 @@
 // all leases that it can have granted have lapsed.
 func (m *Machine) EnablePlacement(predecessorLeasesEnd, now time.Time) {
 	m.placementEnabled, m.placementEnabledAt, m.placementDue = true, now, true
+	runs := 0
 	for _, t := range m.sortedTargets {
 		if t.reach == notPolled {
 			t.leaseEnd = predecessorLeasesEnd
 		}
+		runs += len(t.runs)
 	}
+	m.log.Decided("placement enabled", "term", m.term, "targets", len(m.sortedTargets), "recordedRuns", runs, "earlierLeasesMS", predecessorLeasesEnd.Sub(now).Milliseconds())
 	m.orderFirstPolls()
 }
 
--- a/internal/work/dispatch/poll.go
+++ b/internal/work/dispatch/poll.go
@@ -25,7 +25,7 @@
 // the runs of an unreachable target whose leases have lapsed.
 func (m *Machine) tickTarget(t *target, now time.Time) {
 	if t.reach != reachable && !now.Before(t.leaseEnd) && len(t.runs) > 0 {
-		m.log.Decided("target unreachable until its leases lapsed", "target", t.ID, "runs", len(t.runs), "silentMS", now.Sub(t.unreachableSince).Milliseconds())
+		m.log.Decided("target unreachable until its leases lapsed", "target", t.ID, "runs", len(t.runs), "reported", t.reported, "silentMS", now.Sub(t.silentSince(m.placementEnabledAt)).Milliseconds())
 		m.targetLost(t, now)
 	}
 	for _, r := range t.runsWhere((*run).awaitsAnswer) {
--- a/internal/work/dispatch/reachability.go
+++ b/internal/work/dispatch/reachability.go
@@ -23,6 +23,15 @@
 // answer, and its zone is not considered unreachable.
 func (t *target) responsive() bool { return t.unansweredSince.IsZero() && !t.zoneUnreachable }
 
+// silentSince returns since when the target has been unreachable: since the term began if it has
+// not reported in this term.
+func (t *target) silentSince(termBegan time.Time) time.Time {
+	if t.reach == notPolled {
+		return termBegan
+	}
+	return t.unreachableSince
+}
+
 // targetAnswered records that a target has answered.
 func (m *Machine) targetAnswered(t *target, now time.Time) {
 	if t.responsive() {
