proof/deployment: tests of work that is withheld after a takeover

TestWorkOfLostTargetsIsWithheldForGraceOnly fails: the work of three targets that are lost together with the leader is withheld for 16.4 s from the takeover on, and the job ends 20 s after the loss instead of 13.

TestDisconnectedLeaderRenewsNoLeaseBeyondGrace passes: it holds the other side, that nothing runs twice when the wait becomes shorter.

--- a/internal/proof/deployment/takeover_test.go
+++ b/internal/proof/deployment/takeover_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"guavaglade.example/guavaglade/internal/host/leader"
 	"guavaglade.example/guavaglade/internal/standin/pool"
 	"guavaglade.example/guavaglade/internal/standin/rows"
 	"guavaglade.example/guavaglade/internal/work/graph"
@@ -168,6 +169,61 @@
 	})
 }
 
+// The leader is lost for good together with some targets. Its work there is withheld no longer than
+// the leader may act without the store: by then no lease of it is left.
+func TestWorkOfLostTargetsIsWithheldForGraceOnly(t *testing.T) {
+	simulate(t, 9, 3, 2, func(d *deployment) {
+		is := is.New(d.t)
+		time.Sleep(2 * time.Second)
+		d.submit(d.singleStepJob(2, graph.Step{Count: 50, Needs: needs(1), Estimate: 2 * time.Second}), succeedsAfter(2*time.Second))
+		time.Sleep(time.Second)
+		d.pool.Do(func(p *pool.Pool, now time.Time) {
+			for _, t := range p.Roster()[:3] {
+				p.Kill(t.ID, now)
+			}
+		})
+		lostAt := time.Now()
+		d.kill(d.leader())
+		d.awaitEnds(40 * time.Second)
+		const restart = time.Second // to find that leases have lapsed, and to place the work again
+		is.True(time.Since(lostAt) < leader.Grace+2*time.Second+restart)
+	})
+}
+
+// A zone with the leader and one rack of targets is disconnected for longer than the leader may
+// act. It must not renew the leases of runs there beyond that: the new leader starts them elsewhere.
+func TestDisconnectedLeaderRenewsNoLeaseBeyondGrace(t *testing.T) {
+	for seed := range uint64(4) {
+		simulate(t, 20+seed, 4, 2, func(d *deployment) {
+			time.Sleep(2 * time.Second)
+			d.submit(d.singleStepJob(2, graph.Step{Count: 40, Needs: needs(1), Estimate: 30 * time.Second}), succeedsAfter(30*time.Second))
+			time.Sleep(time.Second)
+			old := d.leader()
+			inside, outside := map[string]bool{}, map[string]bool{}
+			d.pool.Do(func(p *pool.Pool, _ time.Time) {
+				for _, t := range p.Roster() {
+					inside[t.ID], outside[t.ID] = t.Zone == "zone0", t.Zone != "zone0"
+				}
+			})
+			old.storeLink.SetFaults(rows.Faults{Unresponsive: true})
+			old.transport.SetFaults(pool.Faults{Unreachable: outside})
+			for _, h := range d.hosts {
+				if h != old {
+					d.network.setDisconnected(h.address, old.address, true)
+					h.transport.SetFaults(pool.Faults{Unreachable: inside})
+				}
+			}
+			time.Sleep(22 * time.Second)
+			old.storeLink.SetFaults(rows.Faults{})
+			for _, h := range d.hosts {
+				d.network.setDisconnected(h.address, old.address, false)
+				h.transport.SetFaults(pool.Faults{})
+			}
+			d.awaitEnds(90 * time.Second)
+		})
+	}
+}
+
 // All hosts lose power right after jobs were submitted, and restart. One leads within 3 s.
 // They restore the accepted jobs from the store and the running tasks from the targets, and
 // all accepted jobs end.
