host/leader, work/dispatch: leases end with the time for which the leader may act

A leader that cannot renew its row may send orders for another 10 s (Grace), and each granted a whole lease of 6 s. So a new leader that could not reach a target withheld the work there for 16.4 s from its own start on, whether its predecessor was dead or not, and another takeover in that time began the wait anew.

Now a leader grants no lease beyond Grace after its last renewal, and its row says so. The next leader counts Grace from when it first saw the row that it replaced. It waits 8 to 9 s from its start on instead of 16.4, and nothing more if its predecessor was silent for longer. Polls of a leader whose leases are cut short return after half of the lease, so that a renewal is passed on in time.

What a shorter wait must prove, each with a test that fails without it: - a renewal that is written late was counted from the attempt that found it, after another host had seen it; each attempt has a number of its own now (TestRenewalWrittenLateIsNotCountedFromALaterAttempt); - a leader that followed one which had resigned did not wait for the one before that, which may not know that it was replaced: two runs at once. Rows of earlier versions, which do not say that leases are limited, are awaited as before.

--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -138,8 +138,8 @@
 
 // Lead serves a term until the context ends or a newer term is found, and returns which as
 // an error. After the main loop it waits for the term's calls to the store, but not for
-// those to targets. clean is as for leader.Lead.
-func (d *Dispatcher) Lead(ctx context.Context, t *leader.Term, clean bool) error {
+// those to targets.
+func (d *Dispatcher) Lead(ctx context.Context, t *leader.Term, earlier leader.Predecessors) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	l := &leadership{
@@ -151,12 +151,9 @@
 	if err := l.restore(); err != nil {
 		return fmt.Errorf("term %d: %w", t.Number(), err)
 	}
-	predecessorLeasesEnd := began.Add(d.bounds.Lease + d.bounds.Lease/16 + leader.Grace)
-	if clean {
-		predecessorLeasesEnd = predecessorLeasesEnd.Add(-leader.Grace)
-	}
 	d.log.Info("restored", "term", t.Number(), "jobs", l.machine.Counts().Jobs, "tookMS", l.clock().Sub(began).Milliseconds())
-	err := l.run(predecessorLeasesEnd)
+	clockSlack := d.bounds.Lease / 16 // for targets whose clocks are slow
+	err := l.run(earlier.LeasesEnd(d.bounds.Lease).Add(clockSlack))
 	cancel()
 	d.setServing(nil)
 	l.wg.Wait()
@@ -265,6 +262,7 @@
 		if l.evacuations != nil {
 			l.machine.SetEvacuated(l.evacuations(), now)
 		}
+		l.machine.SetLeaseLimit(l.term.Deadline())
 		l.machine.SetMaxPendingStarts(l.limiter.MaxPendingStarts())
 		l.machine.SetOrderTime(l.limiter.MeanLatency())
 		for _, c := range l.machine.Decide(now) {
--- a/internal/host/dispatcher/listing_test.go
+++ b/internal/host/dispatcher/listing_test.go
@@ -37,7 +37,7 @@
 		d := New(rows.New(0), &orderCounter{}, r, dispatch.DefaultBounds(), logr.Discard(), WithClock(time.Now))
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
-		_ = d.Lead(ctx, leader.NewTerm(1, time.Now()), true) // ends with the context
+		_ = d.Lead(ctx, leader.NewTerm(1, time.Now()), leader.Predecessors{}) // ends with the context
 		is.True(len(r.calls) > 5)
 		for i := range r.calls[1:] {
 			oldest := r.calls[i+1].Sub(r.calls[i]) + r.latency
--- a/internal/host/dispatcher/narrow_link_test.go
+++ b/internal/host/dispatcher/narrow_link_test.go
@@ -119,7 +119,7 @@
 	link := &narrowLink{Transport: pool.NewTransport(r.pool, time.Millisecond, rand.New(rand.NewPCG(1, 1))), perSecond: perSecond}
 	r.d = New(r.rows, link, r.pool, dispatch.DefaultBounds(), logr.Discard(), WithClock(time.Now))
 	term := leader.NewTerm(1, time.Now().Add(time.Hour)) // as if the row were renewed all the time
-	go func() { r.ended <- r.d.Lead(ctx, term, true) }()
+	go func() { r.ended <- r.d.Lead(ctx, term, leader.Predecessors{}) }()
 	time.Sleep(time.Second)
 	return r
 }
--- a/internal/host/dispatcher/recovery_test.go
+++ b/internal/host/dispatcher/recovery_test.go
@@ -99,7 +99,7 @@
 		d := New(s, &orderCounter{}, s, dispatch.DefaultBounds(), logr.Discard(), WithClock(time.Now), WithRecovered(s.recovered))
 		ctx, cancel := context.WithTimeout(t.Context(), 15*time.Second)
 		defer cancel()
-		go func() { _ = d.Lead(ctx, leader.NewTerm(1, time.Now()), true) }()
+		go func() { _ = d.Lead(ctx, leader.NewTerm(1, time.Now()), leader.Predecessors{}) }()
 		time.Sleep(3 * time.Second)
 		s.setDown(true)
 		time.Sleep(5 * time.Second)
@@ -144,7 +144,7 @@
 		d := New(s, &orderCounter{}, s, dispatch.DefaultBounds(), logr.Discard(), WithClock(time.Now))
 		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 		defer cancel()
-		go func() { _ = d.Lead(ctx, leader.NewTerm(1, time.Now()), true) }()
+		go func() { _ = d.Lead(ctx, leader.NewTerm(1, time.Now()), leader.Predecessors{}) }()
 		time.Sleep(2500 * time.Millisecond)
 		s.setDown(true)
 		time.Sleep(600 * time.Millisecond) // one list is lost in it
--- a/internal/host/leader/doc.go
+++ b/internal/host/leader/doc.go
@@ -9,7 +9,7 @@
 // unavailable to all hosts, no host can take over and the leader continues.
 //
 // A leader that cannot write its row keeps sending orders for at most Grace, since it
-// may be the only disconnected host. The first order of the next leader to a target
-// fences off the old one there. On targets that the next leader does not reach, Grace
-// and the longest target lease limit what the old one can do.
+// may be the only disconnected host, and grants no lease on a target beyond that. The first
+// order of the next leader to a target fences off the old one there. On targets that the next
+// leader does not reach, no lease is left Grace after it first saw the row that it replaced.
 package leader
--- a/internal/host/leader/election.go
+++ b/internal/host/leader/election.go
@@ -31,9 +31,8 @@
 }
 
 // Lead is called when a term of this host begins. It returns when the context ends, or
-// earlier if it finds that a newer term has begun. clean reports that no other leader
-// can have sent an order since the row was taken over.
-type Lead func(ctx context.Context, t *Term, clean bool) error
+// earlier if it finds that a newer term has begun. earlier tells of the leaders before.
+type Lead func(ctx context.Context, t *Term, earlier Predecessors) error
 
 // Election follows the leader row, and leads while this host holds it.
 type Election struct {
@@ -48,7 +47,8 @@
 	mu          sync.Mutex
 	row         Row           // leader row as last read, written or reported by a peer
 	version     int64         // of row in the store; 0 if a peer reported the row
-	changedAt   time.Time     // when this host first saw that row, or last reset the lease
+	seenAt      time.Time     // when this host first saw that row
+	changedAt   time.Time     // the same, or when it last reset the lease
 	storeDownAt time.Time     // when the store last became unavailable to this host
 	term        *Term         // nil while another host leads
 	following   bool          // another host leads, and this one could
@@ -108,7 +108,7 @@
 			stop()
 			<-followed
 			e.setFollowing(false)
-			e.serveTerm(ctx, t.term, t.row, t.version, true)
+			e.serveTerm(ctx, t.term, t.row, t.version, t.earlier)
 		case takeOver := <-followed:
 			e.setFollowing(false)
 			if takeOver && ctx.Err() == nil {
--- a/internal/host/leader/election_test.go
+++ b/internal/host/leader/election_test.go
@@ -98,6 +98,7 @@
 	network *network // nil if the host reaches no other one
 	link    *rows.Link
 	terms   []int64 // in which it led
+	led     []*ledTerm
 	cancel  context.CancelFunc
 	done    chan struct{}
 }
@@ -111,9 +112,12 @@
 func startHostWithPeers(peers leader.Peers, table *rows.Table, name string, seed uint64) *host {
 	ctx, cancel := context.WithCancel(context.Background())
 	h := &host{name: name, link: rows.NewLink(table, rand.New(rand.NewPCG(seed, 1))), cancel: cancel, done: make(chan struct{})}
-	lead := func(ctx context.Context, t *leader.Term, _ bool) error {
+	lead := func(ctx context.Context, t *leader.Term, earlier leader.Predecessors) error {
 		h.terms = append(h.terms, t.Number())
+		l := &ledTerm{Term: t, beganAt: time.Now(), earlierEnd: earlier.LeasesEnd(longestLease)}
+		h.led = append(h.led, l)
 		<-ctx.Done()
+		l.endedAt = time.Now()
 		return ctx.Err()
 	}
 	randN := rand.New(rand.NewPCG(seed, 2)).Int64N
@@ -127,6 +131,42 @@
 	return h
 }
 
+// ledTerm is a term in which a host led.
+type ledTerm struct {
+	*leader.Term
+	beganAt, endedAt time.Time
+	earlierEnd       time.Time // when it took all leases of earlier terms to have lapsed
+}
+
+// longestLease is the longest lease that a leader grants.
+const longestLease = 6 * time.Second
+
+// leasesEnd returns when the last lease of the term may have lapsed.
+func (l *ledTerm) leasesEnd() time.Time {
+	end := l.endedAt.Add(longestLease)
+	if l.Deadline().Before(end) {
+		return l.Deadline()
+	}
+	return end
+}
+
+// checkLeases fails the test if a leader may have taken leases of an earlier term to have lapsed
+// that had not. It is called once all terms have ended.
+func checkLeases(t *testing.T, seed uint64, hosts []*host) {
+	t.Helper()
+	var all []*ledTerm
+	for _, h := range hosts {
+		all = append(all, h.led...)
+	}
+	for _, before := range all {
+		for _, after := range all {
+			if before.Number() < after.Number() && before.leasesEnd().After(after.earlierEnd) {
+				t.Errorf("seed %d: leases of term %d may last %s longer than term %d expects", seed, before.Number(), before.leasesEnd().Sub(after.earlierEnd), after.Number())
+			}
+		}
+	}
+}
+
 func (h *host) leads() bool { return h.OwnTerm() != nil }
 
 func countLeaders(hosts []*host) (n int) {
@@ -228,9 +268,104 @@
 			holder[n] = h.name
 		}
 	}
+	checkLeases(t, seed, hosts)
 	return before, after
 }
 
+// Leaders lose and regain the store in turn, their writes are executed late or not answered, and
+// they resign soon after they began. No leader may take a lease of an earlier one to have lapsed
+// that may be in force.
+func TestLeasesOfEarlierLeadersAreAwaited(t *testing.T) {
+	for seed := range uint64(60) {
+		synctest.Test(t, func(t *testing.T) {
+			rnd := rand.New(rand.NewPCG(seed, 9))
+			runEightHosts(t, seed, func(hosts []*host) {
+				faults := []rows.Faults{
+					{Unresponsive: true},
+					{Refuse: true},
+					{LostAnswers: 0.8},
+					{LateWrites: 0.7, LateBy: 2 * time.Second},
+					{LateWrites: 0.5, LateBy: 4 * time.Second, LostAnswers: 0.5},
+				}
+				for range 6 {
+					for _, h := range hosts {
+						if h.leads() {
+							h.link.SetFaults(faults[rnd.IntN(len(faults))])
+						}
+					}
+					time.Sleep(500*time.Millisecond + time.Duration(rnd.IntN(3500))*time.Millisecond)
+					if rnd.IntN(2) == 0 {
+						for _, h := range hosts {
+							h.link.SetFaults(rows.Faults{})
+						}
+					}
+				}
+				for _, h := range hosts {
+					h.link.SetFaults(rows.Faults{})
+				}
+				time.Sleep(leader.Grace)
+			})
+		})
+	}
+}
+
+// A leader is replaced without knowing it, and the next one resigns soon after. The third must
+// await the leases of the first, too.
+func TestLeasesAreAwaitedAcrossAShortTerm(t *testing.T) {
+	for seed := range uint64(10) {
+		synctest.Test(t, func(t *testing.T) {
+			table := rows.New(storeLatency)
+			hosts := []*host{startHost(table, "a", seed)}
+			time.Sleep(time.Second)
+			hosts = append(hosts, startHost(table, "b", seed+100), startHost(table, "c", seed+200))
+			time.Sleep(time.Second)
+			hosts[0].link.SetFaults(rows.Faults{Unresponsive: true})
+			for !hosts[1].leads() && !hosts[2].leads() {
+				time.Sleep(10 * time.Millisecond)
+			}
+			time.Sleep(time.Duration(seed) * 200 * time.Millisecond)
+			for _, h := range hosts[1:] {
+				if h.leads() {
+					h.stop()
+				}
+			}
+			time.Sleep(2 * time.Second)
+			for _, h := range hosts {
+				h.stop()
+			}
+			checkLeases(t, seed, hosts)
+		})
+	}
+}
+
+// A renewal is written late, and the leader's next attempt finds it. The leader must not count it
+// from that attempt on: another host has seen it before, and counts from then.
+func TestRenewalWrittenLateIsNotCountedFromALaterAttempt(t *testing.T) {
+	for seed := range uint64(40) {
+		synctest.Test(t, func(t *testing.T) {
+			table := rows.New(storeLatency)
+			a := startHost(table, "a", seed)
+			time.Sleep(time.Second)
+			b := startHost(table, "b", seed+100)
+			const betweenRenewals = 700 * time.Millisecond // into the half second between two of them
+			time.Sleep(leader.RenewInterval + betweenRenewals)
+			a.link.SetFaults(rows.Faults{LateWrites: 1, LateBy: betweenRenewals})
+			time.Sleep(leader.RenewInterval)
+			a.link.SetFaults(rows.Faults{Refuse: true})
+			time.Sleep(leader.RenewInterval)
+			a.link.SetFaults(rows.Faults{})
+			time.Sleep(leader.RenewInterval)
+			a.link.SetFaults(rows.Faults{Unresponsive: true})
+			time.Sleep(leader.Grace)
+			hosts := []*host{a, b}
+			for _, h := range hosts {
+				h.stop()
+			}
+			checkLeases(t, seed, hosts)
+		})
+	}
+}
+
 // The store is unavailable for four seconds or longer. The leader is healthy and answers
 // its watchers, but its row does not change in that time. Once the store is back, a watcher
 // that has not read the row for a second must not take it over, and the leader, whose last
--- a/internal/host/leader/following.go
+++ b/internal/host/leader/following.go
@@ -85,7 +85,8 @@
 		e.log.Info("leader changed", "holder", r.Holder, "term", r.Term, "address", r.Address)
 	}
 	if r != e.row {
-		e.changedAt = e.clock()
+		e.seenAt = e.clock()
+		e.changedAt = e.seenAt
 	}
 	e.row, e.version = r, version
 }
--- a/internal/host/leader/leading.go
+++ b/internal/host/leader/leading.go
@@ -9,7 +9,7 @@
 
 // serveTerm calls lead and renews the row until one of them ends the term, waits for the
 // other, then resigns.
-func (e *Election) serveTerm(ctx context.Context, t *Term, r Row, version int64, clean bool) {
+func (e *Election) serveTerm(ctx context.Context, t *Term, r Row, version int64, earlier Predecessors) {
 	leading, end := context.WithCancel(ctx)
 	lost := make(chan error, 1)
 	go func() {
@@ -18,7 +18,7 @@
 		lost <- err
 	}()
 	done := make(chan error, 1)
-	go func() { done <- e.lead(leading, t, clean) }()
+	go func() { done <- e.lead(leading, t, earlier) }()
 	var err error
 	select {
 	case err = <-done:
@@ -86,18 +86,16 @@
 	return found
 }
 
-// renew writes the row again and returns the version for the next write. It returns an error
+// renew writes the row r again and returns the version for the next write. It returns an error
 // if the term has ended, or must end since the store is unavailable to this host only. Any
 // other failure is only logged.
 func (e *Election) renew(ctx context.Context, t *Term, r *Row, version int64) (int64, error) {
 	sent := e.clock()
-	next := *r
-	next.Heartbeat++
-	v, err := e.write(ctx, next, version)
+	r.Heartbeat++ // also after a failure: what another host sees was written by one attempt only
+	v, err := e.write(ctx, *r, version)
 	if err == nil {
-		*r = next
 		t.renewed(sent)
-		e.setOwnRow(next, v, t)
+		e.setOwnRow(*r, v, t)
 		return v, nil
 	}
 	if ctx.Err() != nil {
--- /dev/null
+++ b/internal/host/leader/predecessors.go
@@ -0,0 +1,38 @@
+package leader
+
+import "time"
+
+// Predecessors tells, at the beginning of a term, for how long the leaders of earlier terms may
+// still act. The zero value says that there were none.
+type Predecessors struct {
+	ordersEnd time.Time // all that may grant a lease of any length have ceased to by then
+	leasesEnd time.Time // those that may act for longer grant no lease beyond that
+}
+
+// LeasesEnd returns when every lease that an earlier leader granted or may still grant has
+// lapsed, if none is longer than the given one, on a target whose clock is right.
+func (p Predecessors) LeasesEnd(longest time.Duration) time.Time {
+	end := p.ordersEnd.Add(longest)
+	if p.leasesEnd.After(end) {
+		return p.leasesEnd
+	}
+	return end
+}
+
+// resigned returns the Predecessors of a term that follows one whose leader has ceased to act,
+// and whose row was last r. A leader before that one may act for Grace from when that one began;
+// how long ago that was, the number of renewals tells.
+func (r Row) resigned(now time.Time) Predecessors {
+	const unpaced = 2 // the first and the last write of a term
+	lasted := time.Duration(max(r.Heartbeat-unpaced, 0)) * RenewInterval
+	return Predecessors{ordersEnd: now, leasesEnd: now.Add(Grace - lasted)}
+}
+
+// deposed returns the Predecessors of a term that follows one whose leader may not know that it
+// has been replaced. Its row was last r, which was first seen at a time.
+func (r Row) deposed(seen time.Time) Predecessors {
+	if !r.Limited {
+		return Predecessors{ordersEnd: seen.Add(Grace)}
+	}
+	return Predecessors{leasesEnd: seen.Add(Grace)}
+}
--- a/internal/host/leader/row.go
+++ b/internal/host/leader/row.go
@@ -34,7 +34,8 @@
 	Term      int64  `json:"term"`
 	Holder    string `json:"holder"`            // host name with incarnation; empty after a resignation
 	Address   string `json:"address,omitempty"` // of the holder, for peers
-	Heartbeat int64  `json:"beat"`              // incremented by each renewal
+	Heartbeat int64  `json:"beat"`              // incremented by each attempt to renew it
+	Limited   bool   `json:"limited,omitempty"` // the holder grants no lease beyond Grace after it wrote the row
 }
 
 func (r Row) encode() []byte {
--- a/internal/host/leader/takeover.go
+++ b/internal/host/leader/takeover.go
@@ -17,10 +17,13 @@
 		return
 	}
 	e.mu.Lock()
-	before, version := e.row, e.version
+	before, version, earlier := e.row, e.version, e.row.deposed(e.seenAt)
 	e.mu.Unlock()
 	if t, next, version, err := e.acquire(ctx, before, version); err == nil {
-		e.serveTerm(ctx, t, next, version, before.vacant(next))
+		if before.vacant(next) {
+			earlier = before.resigned(e.clock())
+		}
+		e.serveTerm(ctx, t, next, version, earlier)
 		return
 	}
 	e.sleepJittered(ctx, ReadInterval/4)
@@ -30,7 +33,7 @@
 // succeeds, this host leads: OwnTerm returns the new term from then on.
 func (e *Election) acquire(ctx context.Context, before Row, version int64) (*Term, Row, int64, error) {
 	next := e.own
-	next.Term, next.Heartbeat = before.Term+1, 1
+	next.Term, next.Heartbeat, next.Limited = before.Term+1, 1, true
 	sent := e.clock()
 	version, err := e.write(ctx, next, version)
 	if err != nil {
@@ -58,7 +61,7 @@
 		return false
 	}
 	select {
-	case e.transfers <- transfer{t, next, version}:
+	case e.transfers <- transfer{t, next, version, r.resigned(e.clock())}:
 		return true
 	case <-time.After(storeTimeout): // Run ended, or this host took the row over without a transfer
 		return false
@@ -70,6 +73,7 @@
 	term    *Term
 	row     Row
 	version int64
+	earlier Predecessors
 }
 
 // setOwnRow records that this host wrote the row for its term.
@@ -77,11 +81,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.row, e.version, e.term, e.changedAt = r, version, t, e.clock()
+	e.seenAt = e.changedAt
 }
 
 // write replaces the row at the given version and returns its new version. After a conflict
-// or an unknown outcome it reads the row back: if the row is r, the write has succeeded, else
-// the row is recorded as last known.
+// or an unknown outcome it reads the row back: if the row is r, this write or an earlier one of
+// the same content has succeeded, else the row is recorded as last known.
 func (e *Election) write(ctx context.Context, r Row, version int64) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
--- a/internal/host/leader/term.go
+++ b/internal/host/leader/term.go
@@ -25,9 +25,12 @@
 // Done returns a channel that is closed when the term ends.
 func (t *Term) Done() <-chan struct{} { return t.done }
 
-// Valid reports whether the leader may still send orders: it has renewed the row within
-// Grace.
-func (t *Term) Valid(now time.Time) bool { return now.Sub(t.lastRenewal()) < Grace }
+// Deadline returns when the leader must cease to send orders unless it renews the row before:
+// Grace after the last renewal. The leases that it grants end by then as well.
+func (t *Term) Deadline() time.Time { return t.lastRenewal().Add(Grace) }
+
+// Valid reports whether the leader may still send orders.
+func (t *Term) Valid(now time.Time) bool { return now.Before(t.Deadline()) }
 
 // LeaseHeld reports whether the row was written recently enough that no other host
 // can have taken it over.
--- a/internal/work/dispatch/lease_test.go
+++ b/internal/work/dispatch/lease_test.go
@@ -12,16 +12,15 @@
 // A target that had been idle executes a start late, after its lease is presumed to have lapsed:
 // its slow clock had fallen behind the estimate by which the deadline was set.
 func TestDeadlineAllowsForSlowClockOfIdleTarget(t *testing.T) {
-	const lease = 6 * time.Second
 	for _, rate := range []float64{1, 0.99, 0.98} {
 		for _, idle := range []time.Duration{0, time.Second, 10 * time.Second, time.Minute, time.Hour} {
 			is := is.New(t)
 			reported := time.Unix(1000, 0)
-			x := &target{}
+			m, x := New(1, DefaultBounds()), &target{}
 			x.updateClock(5000, reported)
 			clockAt := func(at time.Time) int64 { return 5000 + int64(rate*float64(at.Sub(reported).Milliseconds())) }
 			now := reported.Add(idle)
-			deadline := x.grantLease(now, lease)
+			deadline, _ := m.grantLease(x, now)
 			is.True(clockAt(x.leaseEnd) >= deadline) // the start is refused from then on
 		}
 	}
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -49,6 +49,7 @@
 	evacuated          evacuation.Status          // zones evacuated by operators
 	placementDue       bool                       // something may have become placeable since the last pass
 	superseded         bool                       // a newer term has begun
+	leaseLimit         time.Time                  // no lease is granted beyond it; zero: no limit
 	tasksWithLosses    map[*task]bool             // under which targets were lost, of jobs that have not ended
 	verdictsDue        bool                       // a task with losses may have become guilty
 	recentLosses       []recentLoss               // targets lost a short time ago
@@ -109,6 +110,10 @@
 	m.checkGuarantees()
 }
 
+// SetLeaseLimit sets a time beyond which no lease is granted, until it is moved on: the next leader
+// may start work elsewhere from then on. The caller sets it before each decision.
+func (m *Machine) SetLeaseLimit(at time.Time) { m.leaseLimit = at }
+
 // SetWallOffset sets the time of day minus the boot-time clock that callers pass as
 // now. It is called before jobs are restored and before each Tick.
 func (m *Machine) SetWallOffset(offset time.Duration) { m.wallOffset = offset }
--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -89,7 +89,7 @@
 	r.unanswered++
 	r.sentAt, r.orderPending, r.sentTo = now, true, t.incarnation
 	m.considerPoll(t)
-	latest := t.grantLease(now, m.bounds.Lease)
+	latest, _ := m.grantLease(t, now)
 	r.startsExpireAt = now.Add(longestLease(m.bounds.Lease))
 	m.commands = append(m.commands, Start{Target: t.address(), Zone: t.Zone, Order: order.Start{
 		Run: r.Run, Spec: r.task.step.job.spec.Spec, Deadline: min(latest, t.estimatedClock(now)+startValidity.Milliseconds()),
--- a/internal/work/dispatch/poll.go
+++ b/internal/work/dispatch/poll.go
@@ -143,14 +143,19 @@
 	return false
 }
 
+// minLimitedWait is the shortest wait of a poll whose lease is cut short by the end of the term.
+const minLimitedWait = 200 * time.Millisecond
+
 // sendPoll polls a target. A reachable one gets its lease renewed, and waits up to the
-// given time for an end before it answers.
+// given time for an end before it answers. If the lease is cut short by the end of the term,
+// the next poll is sent well before it lapses, since the term may have been renewed by then.
 func (m *Machine) sendPoll(t *target, wait time.Duration, now time.Time) {
 	o := order.Poll{Term: m.term, Acked: t.dueAck()}
 	if t.reach == reachable { // the lease of an unreachable target must lapse
 		o.Wait = wait
 		if t.clockMS != 0 {
-			o.Deadline = t.grantLease(now, m.bounds.Lease)
+			deadline, lease := m.grantLease(t, now)
+			o.Deadline, o.Wait = deadline, min(wait, max(lease/2, minLimitedWait))
 		}
 	}
 	t.pollPending, t.pollSentAt = true, now
@@ -262,7 +267,8 @@
 	case !t.pollPending:
 		m.sendPoll(t, 0, now)
 	case !t.extraPollPending && now.Sub(t.pollSentAt) >= maxPollWait+pollOverdue:
-		m.sendExtraPoll(t, t.grantLease(now, m.bounds.Lease), now)
+		deadline, _ := m.grantLease(t, now)
+		m.sendExtraPoll(t, deadline, now)
 	}
 }
 
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -136,12 +136,15 @@
 	return lease + time.Duration(float64(lease)*clockDrift*2) + leaseSlack
 }
 
-// grantLease returns the deadline of an order that is sent now, on the target's clock.
-// It extends leaseEnd for a target clock that is slow by clockDrift.
-func (t *target) grantLease(now time.Time, lease time.Duration) int64 {
-	end := now.Add(longestLease(lease))
-	if end.After(t.leaseEnd) {
+// grantLease returns the deadline of an order that is sent to a target now, on the target's clock,
+// and the lease that it grants. It extends leaseEnd for a target clock that is slow by clockDrift.
+func (m *Machine) grantLease(t *target, now time.Time) (deadline int64, lease time.Duration) {
+	lease = m.bounds.Lease
+	if !m.leaseLimit.IsZero() {
+		lease = max(min(lease, m.leaseLimit.Sub(now)), 0)
+	}
+	if end := now.Add(longestLease(lease)); end.After(t.leaseEnd) {
 		t.leaseEnd = end
 	}
-	return t.estimatedClock(now) + lease.Milliseconds()
+	return t.estimatedClock(now) + lease.Milliseconds(), lease
 }
