work/dispatch: a run that its target does not have is released

A task stays without a run although other targets are idle (LOST), for as long as its target answers polls and no stop: leases are renewed by the polls, and a run was released only by an end, by the end of all leases, or by a report without it after an answered start or stop. Two runs had neither: one whose start and stops all go unanswered or are refused, and one that only a report has shown and whose end its target has forgotten.

A report without a run now proves as much if an earlier report of the same incarnation listed it, for a run that has ended cannot begin again there, or if all its starts have been refused as late since. The starts of an earlier leader count as late when its leases have ended.

--- /dev/null
+++ b/internal/work/dispatch/hold_test.go
@@ -0,0 +1,80 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/standin/pool"
+	"guavaglade.example/guavaglade/internal/work/graph"
+)
+
+// The only start of a task is lost, and its target answers polls but no stop. The run must be
+// given up once its start is refused as late and the target still does not list it. Guards
+// against a task that is never started again while another target is idle.
+func TestTaskIsStartedAgainOnceOutstandingStartHasExpired(t *testing.T) {
+	for name, refused := range map[string]bool{"stops are lost": false, "stops are refused": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newSimulation(t, 1, 2, DefaultBounds())
+			first := ""
+			d.dropCommand = func(c Command) bool {
+				switch c := c.(type) {
+				case Start:
+					if first == "" {
+						first = c.Target.ID
+					}
+					return c.Order.Run.Number == 1
+				case Stop:
+					return !refused
+				}
+				return false
+			}
+			d.refuse = func(c Command) error {
+				if _, ok := c.(Stop); ok && refused {
+					return order.ErrUnhealthy
+				}
+				return nil
+			}
+			id := d.submit(2, time.Second, small(1))
+			d.runWithListing(60)
+			is.Equal(d.m.targets[first].reach, reachable)
+			is.True(d.duration(id) > 0) // a minute after its start was lost
+			d.check()
+		})
+	}
+}
+
+// The answer to a start is lost, a report shows that the run has begun, and its end is forgotten by
+// its target before the leader has read it. Guards against a task that has a run for ever, or for
+// some seconds, that no report lists.
+func TestRunThatOnlyAReportHasShownIsReleased(t *testing.T) {
+	for _, longRunning := range []bool{false, true} {
+		t.Run(fmt.Sprintf("long-running %t", longRunning), func(t *testing.T) {
+			is := is.New(t)
+			d := newSimulation(t, 1, 2, DefaultBounds())
+			d.dropAnswer = func(c Command) bool { _, ok := c.(Start); return ok }
+			step := small(1)
+			step.LongRunning = longRunning
+			j := &graph.Job{Priority: 2, SlackFactor: 3, Steps: []graph.Step{step}}
+			id := d.submitJob(j, pool.Behaviour{
+				Work:  func(graph.TaskID) time.Duration { return 2 * time.Second },
+				Fails: func(_ graph.TaskID, run int) bool { return run == 1 }, // after a second
+			})
+			d.run(700 * time.Millisecond)
+			r := d.m.jobs[id].steps[0].tasks[0].runs[0]
+			is.Equal(r.phase, running) // as reported
+			d.dropAnswer = nil
+			d.disconnected[r.target.Address] = true
+			d.run(700 * time.Millisecond)
+			_, _ = d.p.Poll(r.target.address(), order.Poll{Term: 1, Acked: 57}, d.now) // an acknowledgement for its earlier incarnation arrives
+			delete(d.disconnected, r.target.Address)
+			d.runWithListing(6)
+			is.Equal(r.target.reach, reachable)
+			is.Equal(d.p.StartsOf(id), 2) // six seconds after the target has answered again without the run
+		})
+	}
+}
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -132,6 +132,9 @@
 		if t.reach == notPolled {
 			t.leaseEnd = predecessorLeasesEnd
 		}
+		for _, r := range t.runs {
+			r.startsExpireAt = predecessorLeasesEnd
+		}
 		runs += len(t.runs)
 	}
 	m.log.Decided("placement enabled", "term", m.term, "targets", len(m.sortedTargets), "recordedRuns", runs, "earlierLeasesMS", predecessorLeasesEnd.Sub(now).Milliseconds())
--- a/internal/work/dispatch/poll.go
+++ b/internal/work/dispatch/poll.go
@@ -284,12 +284,10 @@
 // maxListedEnds is the number of ends from which a report may be incomplete.
 const maxListedEnds = 500
 
-// releaseMissing releases runs that the target does not have: their start or stop was
-// answered before the poll was sent, and the report lists neither the run nor its end.
+// releaseMissing releases runs that the target does not have and that can no longer begin there:
+// the report lists neither the run nor its end.
 func (m *Machine) releaseMissing(t *target, listed map[order.Run]bool, polledAt, now time.Time) {
-	gone := t.runsWhere(func(r *run) bool {
-		return !listed[r.Run] && !r.orderAnsweredAt.IsZero() && r.orderAnsweredAt.Before(polledAt)
-	})
+	gone := t.runsWhere(func(r *run) bool { return !listed[r.Run] && r.wouldBeListed(polledAt) })
 	for _, r := range gone {
 		m.log.Decided("run not on its target", "target", t.ID, "task", r.Task, "run", r.Number, "phase", int(r.phase))
 		m.release(r, now)
@@ -298,6 +296,19 @@
 	}
 }
 
+// wouldBeListed reports whether a report that was asked for at a time lists the run or its end, if
+// the run exists or may still begin. That is so once its start or stop was answered, once its target has
+// reported it, and once all its starts are refused as late.
+func (r *run) wouldBeListed(asked time.Time) bool {
+	if !r.orderAnsweredAt.IsZero() {
+		return r.orderAnsweredAt.Before(asked)
+	}
+	if r.sentTo != r.target.incarnation {
+		return false // it may have been sent to either incarnation
+	}
+	return r.reported && r.reportedAt.Before(asked) || r.startsExpired && r.startsExpireAt.Before(asked)
+}
+
 // PollFailed records that a poll failed; the caller calls it with the error of the poll.
 func (m *Machine) PollFailed(id string, p Poll, err error, now time.Time) {
 	t := m.targets[id]
--- a/internal/work/dispatch/simulation_test.go
+++ b/internal/work/dispatch/simulation_test.go
@@ -44,6 +44,11 @@
 	// startsQueued is whether starts have queued in the host for so long that they carry the latest
 	// deadline that they may have.
 	startsQueued bool
+	// refuse returns the error with which a target answers a start or stop that it does not execute;
+	// nil: it executes it. A nil function refuses nothing.
+	refuse func(c Command) error
+	// advise returns what the advice service answers, and after which time; nil: it does not answer.
+	advise func(c Advise) (granted []order.Permit, took time.Duration)
 	// slowAnswer returns by how much the answer to a start or stop is late; nil: none is.
 	slowAnswer        func(c Command) time.Duration
 	log               []string // decisions that the machine logged
@@ -265,6 +270,13 @@
 			return
 		}
 		d.after(oneWay, func() { d.answerPoll(c, c.Order, until.Add(oneWay)) })
+	case Advise:
+		if d.advise == nil {
+			return
+		}
+		asked := d.now
+		granted, took := d.advise(c)
+		d.after(took, func() { d.m.Advised(c, granted, 0, asked, nil, d.now) })
 	case Save:
 		m := d.m
 		d.after(max(saveTime, d.slowSaveTime), func() {
@@ -330,7 +342,13 @@
 			fail()
 			return
 		}
-		clock, err := do()
+		clock, err := int64(0), error(nil)
+		if d.refuse != nil {
+			err = d.refuse(c)
+		}
+		if err == nil {
+			clock, err = do()
+		}
 		d.after(back, func() {
 			if d.disconnected[address] {
 				fail()
