work/dispatch: advice is requested for steps that it can help

The advice service answers one call at a time, the most urgent step first. A gang stays pending until it is done, so calls were made for it as long as it ran, and a step that fits on no target asked about all of them again whenever its tickets had expired. Steps behind either did not begin, with most targets idle (LOST): 16 s in a simulation of 200 targets, without a bound for the second.

Calls are made for steps with tasks that have no run, about targets that could hold one.

Left: a gang that waits for its rack renews its tickets before others are asked for.

--- a/internal/work/dispatch/advice.go
+++ b/internal/work/dispatch/advice.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"guavaglade.example/guavaglade/internal/fleet/order"
@@ -59,16 +60,22 @@
 // there is none.
 func (s *step) ticket(t *target) string { return s.permits.tickets[t.ID].text }
 
+// hasUnstartedTasks reports whether a task of the step is not done and has no run. A gang is pending
+// until it is done.
+func (s *step) hasUnstartedTasks() bool {
+	return slices.ContainsFunc(s.tasks, func(x *task) bool { return !x.done && len(x.runs) == 0 })
+}
+
 // requestAdvice issues an Advise that asks for permission to run a pending step on
 // targets that could take its tasks: those with free capacity first.
 func (m *Machine) requestAdvice(s *step, now time.Time) {
-	if !s.job.spec.Advised || m.advicePending || now.Before(m.nextAdviceAt) {
+	if !s.job.spec.Advised || m.advicePending || now.Before(m.nextAdviceAt) || !s.hasUnstartedTasks() {
 		return
 	}
 	var ids []string
 	for _, withCapacity := range []bool{true, false} {
 		for _, t := range m.sortedTargets {
-			if len(ids) == maxAdviceTargets || s.permits.denied[t.ID] || s.permitted(t, now) || !s.eligibleWithoutAdvice(t, now) {
+			if len(ids) == maxAdviceTargets || s.permits.denied[t.ID] || s.permitted(t, now) || !s.eligibleWithoutAdvice(t, now) || !s.spec.Charge().FitsIn(t.Capacity) {
 				continue
 			}
 			if s.spec.Charge().FitsIn(t.freeCapacity()) == withCapacity {
--- a/internal/work/dispatch/advice_test.go
+++ b/internal/work/dispatch/advice_test.go
@@ -10,6 +10,7 @@
 
 	"guavaglade.example/guavaglade/internal/fleet/order"
 	"guavaglade.example/guavaglade/internal/fleet/roster"
+	"guavaglade.example/guavaglade/internal/standin/pool"
 	"guavaglade.example/guavaglade/internal/work/graph"
 )
 
@@ -120,3 +121,82 @@
 	is.Equal(starts, 0)
 	is.Equal(asks, 1)
 }
+
+// The advice service answers one call at a time, and a gang that it permitted runs. Guards against
+// calls for that gang, which has all its runs, before those for a step that waits.
+func TestRunningGangRequestsNoAdvice(t *testing.T) {
+	is := is.New(t)
+	d, calls := newSimulation(t, 25, 8, DefaultBounds()), map[graph.JobID]int{}
+	d.adviseAll(calls)
+	gang := d.submitAdvised(30*time.Second, largeGang(2, 8))
+	d.run(2 * time.Second)
+	is.Equal(d.p.RunningOf(gang), 2)
+	step := small(17)
+	step.Estimate = 15 * time.Second // less urgent than the gang
+	waiting := d.submitAdvised(time.Second, step)
+	d.runWithListing(5)
+	is.Equal(d.p.StartsOf(waiting), 17) // 198 of 200 targets are idle
+}
+
+// A step that fits on no target is asked about again and again, since its tickets expire before the
+// service has answered about all targets. Another step must get its turn.
+func TestStepThatFitsNowhereDoesNotTakeAllAdvice(t *testing.T) {
+	is := is.New(t)
+	s, hopeless := newAdviceFixture(t, 1)
+	s.jobs[hopeless].spec.Steps[0].Needs.Accelerators = 16
+	var list []roster.Target
+	for i := range 100 {
+		name := fmt.Sprintf("t%02d", i)
+		list = append(list, roster.Target{ID: name, Address: name, Service: "s", Capacity: graph.Resources{CPU: 64000, MemoryMB: 262144, Accelerators: 8}})
+	}
+	s.UpdateTargets(list, s.now, s.now)
+	for _, l := range list {
+		s.Polled(l.ID, Poll{Sent: s.now}, order.Report{Clock: 5000}, s.now)
+	}
+	j := testJob("00000000000000bb", 1)
+	j.Advised, j.AdviceValid = true, 3*time.Second
+	s.Accept(j, s.now)
+	steps := map[graph.JobID]int{}
+	for range 20 {
+		var asked []Advise
+		for _, c := range commands[Command](s) {
+			if a, ok := c.(Advise); ok {
+				asked = append(asked, a)
+			}
+		}
+		if len(asked) == 0 {
+			break // no step has tasks to start
+		}
+		is.Equal(len(asked), 1)
+		steps[asked[0].Step.Job]++
+		at := s.now
+		s.now = s.now.Add(time.Second) // as long as the service takes for 30 targets
+		var granted []order.Permit
+		for _, id := range asked[0].Targets {
+			granted = append(granted, order.Permit{Target: id, Ticket: "leave"})
+		}
+		s.Advised(asked[0], granted, 3*time.Second, at, nil, s.now)
+		s.UpdateTargets(list, s.now, s.now)
+		s.Tick(s.now)
+	}
+	is.True(steps[j.ID] > 0)
+}
+
+// adviseAll has the advice service permit all targets to all steps, with tickets that are valid for
+// three seconds, and count the calls for each job.
+func (d *simulation) adviseAll(calls map[graph.JobID]int) {
+	d.advise = func(c Advise) (granted []order.Permit, took time.Duration) {
+		calls[c.Step.Job]++
+		for _, id := range c.Targets {
+			granted = append(granted, order.Permit{Target: id, Ticket: "leave"})
+		}
+		return granted, 100*time.Millisecond + time.Duration(len(c.Targets))*15*time.Millisecond
+	}
+}
+
+// submitAdvised submits a job whose tasks each take the given work on targets that the advice
+// service permits.
+func (d *simulation) submitAdvised(work time.Duration, s graph.Step) graph.JobID {
+	j := &graph.Job{Priority: 1, Advised: true, AdviceValid: 3 * time.Second, SlackFactor: 3, Steps: []graph.Step{s}}
+	return d.submitJob(j, pool.Behaviour{Work: func(graph.TaskID) time.Duration { return work }})
+}
