work/dispatch: a gang does not wait for another one, nor for what long-running tasks hold

The pass records on which sets a gang was tried, and gangs that need permission rule out none. What long-running tasks hold is not waited for.

The three tests failed before; TestUnplaceableGangRulesOutLargerGangs checks the sets that are tried first, whichever these are, not only the fastest.

--- a/internal/work/dispatch/accept.go
+++ b/internal/work/dispatch/accept.go
@@ -160,7 +160,7 @@
 	x.runs = append(x.runs, r)
 	x.step.job.liveRuns[r] = true
 	x.step.job.started = true
-	t.runs[r.Run] = r
+	t.addRun(r)
 	t.used = t.used.Plus(r.charge)
 }
 
--- a/internal/work/dispatch/ends.go
+++ b/internal/work/dispatch/ends.go
@@ -55,7 +55,7 @@
 		return
 	}
 	outstanding := r.startOutstanding()
-	delete(t.runs, r.Run)
+	t.removeRun(r)
 	if r.phase == awaitingCapacity {
 		t.waitingCharge = t.waitingCharge.Minus(r.charge)
 	} else {
@@ -382,7 +382,7 @@
 	x.step.highestGangRun = max(x.step.highestGangRun, reported.Run.Number)
 	x.runs = append(x.runs, r)
 	x.step.job.liveRuns[r] = true
-	t.runs[r.Run] = r
+	t.addRun(r)
 	t.used = t.used.Plus(r.charge)
 	m.log.Decided("run found", "target", t.ID, "task", reported.Run.Task, "run", reported.Run.Number, "stop", reason)
 	if reason != "" {
--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -44,7 +44,7 @@
 }
 
 // targetSets returns the sets of targets that could hold the whole gang if they were
-// empty, the fastest ones for the gang first. A gang that wants one rack may run on
+// empty but for long-running tasks, the fastest ones for the gang first. A gang that wants one rack may run on
 // several, and one whose data is on a rack may run on another, but slower.
 func (m *Machine) targetSets(s *step, now time.Time) []targetSet {
 	m.targetsConsidered += len(m.sortedTargets)
@@ -96,11 +96,12 @@
 	return m.racks
 }
 
-// fitsIfEmpty reports whether the targets could hold the gang if they were empty.
+// fitsIfEmpty reports whether the targets could hold the gang if all runs there had ended that do
+// end.
 func (s *step) fitsIfEmpty(targets []*target) bool {
 	charge, n := s.spec.Charge(), 0
 	for _, t := range targets {
-		n += min(tasksThatFit(charge, t.Capacity), max(s.perTargetLeft(t), 0))
+		n += min(tasksThatFit(charge, t.Capacity.Minus(t.lasting)), max(s.perTargetLeft(t), 0))
 	}
 	return n >= len(s.tasks)
 }
@@ -129,15 +130,17 @@
 // more than the gang's wait. It therefore takes a slower set only if it must begin now,
 // or if waiting cannot earn any value any more.
 func (m *Machine) planGang(s *step, now time.Time) []*target {
-	slower := m.guaranteeDue(s, now) || m.wallMS(now) > s.latestStartForValue()
-	unplaceable, preempt := m.pass.isUnplaceable(s, slower), m.mayPreempt(s, now)
+	slower := m.takesSlowerSet(s, now)
+	unplaceable, preempt := m.isUnplaceable(s, slower, now), m.mayPreempt(s, now)
 	if unplaceable && !preempt {
 		m.reserve(s, s.reservation)
 		return nil
 	}
 	consideredBefore := m.targetsConsidered
 	sets := m.targetSets(s, now)
+	slowdowns := 0
 	for first := 0; first < len(sets); {
+		slowdowns = sets[first].slowdowns
 		last := first
 		for last < len(sets) && sets[last].slowdowns == sets[first].slowdowns {
 			last++
@@ -150,7 +153,7 @@
 		}
 		first = last
 	}
-	m.pass.recordUnplaceable(s, slower)
+	m.pass.recordUnplaceable(s, slowdowns)
 	if preempt {
 		s.nextPreemptionAt = now.Add(min(time.Duration(m.targetsConsidered-consideredBefore)*preemptionPausePerTarget, maxPreemptionPause))
 	} else {
@@ -194,28 +197,57 @@
 // unplaceableGang is a gang that did not fit in this pass without preemption. A gang that
 // needs more does not fit either.
 type unplaceableGang struct {
-	step   *step
-	slower bool // slower sets were tried, too
+	step      *step
+	slowdowns int // of the slowest sets that were tried
 }
 
-// recordUnplaceable records that a gang did not fit, unless it is excluded from targets
-// that others may use.
-func (p *pass) recordUnplaceable(s *step, slower bool) {
-	if len(s.gangAttempts.avoidedTargets) == 0 && s.spec.PerTarget == 0 && !s.gangIsolated {
-		p.unplaceable = append(p.unplaceable, unplaceableGang{s, slower})
+// recordUnplaceable records that a gang did not fit on sets with up to a number of slowdowns,
+// unless it is kept from targets that others may use.
+func (p *pass) recordUnplaceable(s *step, slowdowns int) {
+	if len(s.gangAttempts.avoidedTargets) == 0 && s.spec.PerTarget == 0 && !s.gangIsolated && !s.job.spec.Advised {
+		p.unplaceable = append(p.unplaceable, unplaceableGang{s, slowdowns})
 	}
 }
 
-// isUnplaceable reports whether a gang that needs no more than this one did not fit in this
-// pass. Free capacity only shrinks within a pass, since runs that are stopped end later.
-func (p *pass) isUnplaceable(s *step, slower bool) bool {
-	for _, n := range p.unplaceable {
+// isUnplaceable reports whether a gang that needs no more than this one did not fit in this pass
+// on the sets that would be tried for this one. Free capacity only shrinks within a pass, since runs
+// that are stopped end later.
+func (m *Machine) isUnplaceable(s *step, slower bool, now time.Time) bool {
+	tried := -1
+	for _, n := range m.pass.unplaceable {
 		o := n.step
 		similar := o.job.spec.Service == s.job.spec.Service && o.spec.Label == s.spec.Label && o.spec.DataRack == s.spec.DataRack && o.spec.SameRack == s.spec.SameRack
-		if similar && (n.slower || !slower) && len(o.tasks) <= len(s.tasks) && o.spec.Charge().FitsIn(s.spec.Charge()) {
-			return true
+		if similar && len(o.tasks) <= len(s.tasks) && o.spec.Charge().FitsIn(s.spec.Charge()) {
+			tried = max(tried, n.slowdowns)
 		}
 	}
+	switch {
+	case tried < 0:
+		return false
+	case slower:
+		return tried >= s.mostSlowdowns()
+	}
+	return tried >= s.mostSlowdowns() || tried >= m.targetSets(s, now)[0].slowdowns
+}
+
+// mostSlowdowns returns how many slowdowns the slowest set has that a gang may run on.
+func (s *step) mostSlowdowns() int {
+	n := 0
+	if s.spec.DataRack != "" {
+		n++
+	}
+	if s.spec.SameRack {
+		n++
+	}
+	return n
+}
+
+// takesSlowerSet reports whether a gang may be placed on a set on which it runs more slowly.
+func (m *Machine) takesSlowerSet(s *step, now time.Time) bool {
+	nowMS := m.wallMS(now)
+	if m.guaranteeDue(s, now) || nowMS > s.latestStartForValue() {
+		return true
+	}
 	return false
 }
 
--- a/internal/work/dispatch/gang_test.go
+++ b/internal/work/dispatch/gang_test.go
@@ -26,12 +26,13 @@
 			d.m.Accept(d.makeJob(100+n, 1, g), d.now)
 			s := d.m.pendingSteps[len(d.m.pendingSteps)-1]
 			slower := d.m.wallMS(d.now) > s.latestStartForValue()
-			if !d.m.pass.isUnplaceable(s, slower) {
+			if !d.m.isUnplaceable(s, slower, d.now) {
 				d.m.placeGang(s, d.now)
 				continue
 			}
-			for _, set := range d.m.targetSets(s, d.now) {
-				if plan, _ := d.m.planWithoutPreemption(s, set.targets, d.now); plan != nil && (set.slowdowns == 0 || slower) {
+			sets := d.m.targetSets(s, d.now)
+			for _, set := range sets {
+				if plan, _ := d.m.planWithoutPreemption(s, set.targets, d.now); plan != nil && (set.slowdowns == sets[0].slowdowns || slower) {
 					rt.Fatalf("%d members of %d accelerators fit", len(s.tasks), s.spec.Needs.Accelerators)
 				}
 			}
--- /dev/null
+++ b/internal/work/dispatch/gang_wait_test.go
@@ -0,0 +1,80 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"guavaglade.example/guavaglade/internal/standin/pool"
+	"guavaglade.example/guavaglade/internal/work/graph"
+)
+
+// smallGang returns a gang of tasks that need one accelerator each.
+func smallGang(count int) graph.Step {
+	return graph.Step{Count: count, Needs: graph.Resources{CPU: 5600, MemoryMB: 8192, Accelerators: 1}, Estimate: 6 * time.Second, Gang: true}
+}
+
+// holdOnRacks has long-running tasks hold this many accelerators of each rack.
+func (d *simulation) holdOnRacks(accelerators int) {
+	racks := map[string]bool{}
+	for _, x := range d.p.Roster() {
+		if racks[x.Rack] {
+			continue
+		}
+		racks[x.Rack] = true
+		lasting := small(accelerators)
+		lasting.LongRunning, lasting.DataRack = true, x.Rack
+		d.submit(2, time.Second, lasting)
+	}
+	d.run(500 * time.Millisecond)
+}
+
+// A gang waits for the rack that it prefers, on which long-running tasks hold what it needs for
+// good, while three quarters of all targets are free. Guards against a gang that begins only once
+// its job cannot earn any value any more.
+func TestGangDoesNotAwaitRackThatLongRunningTasksHold(t *testing.T) {
+	oneRack, rackWithData := smallGang(13), smallGang(13)
+	oneRack.SameRack, rackWithData.DataRack = true, "r1-0"
+	for name, step := range map[string]graph.Step{"one rack": oneRack, "rack with data": rackWithData} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newSimulation(t, 4, 2, DefaultBounds())
+			d.holdOnRacks(4)
+			id := d.submit(2, time.Second, step)
+			d.runWithListing(3)
+			is.True(d.p.StartsOf(id) > 0)
+		})
+	}
+}
+
+// A gang whose queue requires advice may run nowhere, and stays pending. Guards against a larger
+// gang that needs no advice and is not tried on free targets, since the first one did not fit.
+func TestGangWithoutPermitsDoesNotRuleOutOthers(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 2, 4, DefaultBounds())
+	gang := smallGang(2)
+	advised := &graph.Job{Priority: 2, SlackFactor: 3, Allowance: time.Second, Steps: []graph.Step{gang}, Advised: true, AdviceValid: 3 * time.Second}
+	d.submitJob(advised, pool.Behaviour{Work: func(graph.TaskID) time.Duration { return time.Second }})
+	d.run(time.Second)
+	gang.Count = 4
+	id := d.submit(2, time.Second, gang)
+	d.runWithListing(3)
+	is.True(d.p.StartsOf(id) > 0)
+}
+
+// A gang of which no rack has enough room waits. Guards against a larger gang that is not tried on
+// several racks, on which it must run in any case, since the first one did not fit on one.
+func TestGangAwaitingOneRackDoesNotRuleOutOneThatFitsNone(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 4, 2, DefaultBounds())
+	d.holdOnRacks(4)
+	step := smallGang(13)
+	step.SameRack = true
+	d.submit(2, time.Second, step)
+	d.run(500 * time.Millisecond)
+	step.Count = 20
+	id := d.submit(2, time.Second, step)
+	d.runWithListing(3)
+	is.True(d.p.StartsOf(id) > 0)
+}
--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -18,7 +18,7 @@
 	x.highestRun = max(x.highestRun, number)
 	x.runs = append(x.runs, r)
 	x.step.job.liveRuns[r] = true
-	t.runs[r.Run] = r
+	t.addRun(r)
 	t.waitingCharge = t.waitingCharge.Plus(r.charge)
 	if x.isolated() {
 		t.isolatedRuns = append(t.isolatedRuns, r)
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -35,6 +35,7 @@
 	runs                map[order.Run]*run // all runs that may exist there
 	used                graph.Resources    // charge of the runs that hold capacity there
 	waitingCharge       graph.Resources    // charge of the runs that await capacity there
+	lasting             graph.Resources    // charge of the runs of long-running tasks
 	clockMS             int64              // its clock as last reported; 0: not known
 	clockAt             time.Time          // when that was received
 	leaseEnd            time.Time          // when all leases granted there have lapsed
@@ -82,6 +83,22 @@
 	return saved && (e.task == nil || e.task.outstandingStart(e.run) == nil)
 }
 
+// addRun adds a run that may exist on the target.
+func (t *target) addRun(r *run) {
+	t.runs[r.Run] = r
+	if r.task.step.spec.LongRunning {
+		t.lasting = t.lasting.Plus(r.charge)
+	}
+}
+
+// removeRun removes a run that addRun has added.
+func (t *target) removeRun(r *run) {
+	delete(t.runs, r.Run)
+	if r.task.step.spec.LongRunning {
+		t.lasting = t.lasting.Minus(r.charge)
+	}
+}
+
 func (t *target) address() order.Address { return order.Address{ID: t.ID, Host: t.Address} }
 
 // acceptsWork reports whether new work may be given to the target.
