work/dispatch: a gang runs on several racks rather than wait while most targets are free

With most accelerators free nobody waits for them. So it takes several racks once it has waited for as long as it takes, 10 s at most, while under half of its service's accelerators are in use.

TestGangDoesNotAwaitRackWhileMostTargetsAreFree failed before.

--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -127,8 +127,8 @@
 // planGang returns a target for each task of a gang, or nil. Sets on which the gang runs
 // equally fast are tried together, first without and then with preemption. On a slower
 // set, the gang would hold its accelerators longer by the slowdown, which costs others
-// more than the gang's wait. It therefore takes a slower set only if it must begin now,
-// or if waiting cannot earn any value any more.
+// more than the gang's wait. It therefore takes a slower set only if it must begin now, if
+// waiting cannot earn any value any more, or if it has waited while most accelerators are free.
 func (m *Machine) planGang(s *step, now time.Time) []*target {
 	slower := m.takesSlowerSet(s, now)
 	unplaceable, preempt := m.isUnplaceable(s, slower, now), m.mayPreempt(s, now)
@@ -248,7 +248,29 @@
 	if m.guaranteeDue(s, now) || nowMS > s.latestStartForValue() {
 		return true
 	}
-	return false
+	waited := time.Duration(nowMS-s.releaseTime()) * time.Millisecond
+	return waited >= min(s.spec.Estimate, maxIdleWait) && m.mostlyIdle(s.job.spec.Service)
+}
+
+// maxIdleWait bounds how long a gang waits for a faster set while most accelerators are free: the
+// capacity that it needs may be spread over the racks for good.
+const maxIdleWait = 10 * time.Second
+
+// mostlyIdle reports whether under half of a service's accelerators that may get work are in use
+// in this pass.
+func (m *Machine) mostlyIdle(service string) bool {
+	if idle, ok := m.pass.idle[service]; ok {
+		return idle
+	}
+	used, usable := 0, 0
+	for _, t := range m.sortedTargets {
+		if t.Service == service && t.listed && t.acceptsStarts() {
+			used += t.used.Accelerators + t.waitingCharge.Accelerators
+			usable += t.Capacity.Accelerators
+		}
+	}
+	m.pass.idle = put(m.pass.idle, service, 2*used < usable)
+	return m.pass.idle[service]
 }
 
 // planWithoutPreemption returns a plan that puts each task of a gang on the best fitting
--- a/internal/work/dispatch/gang_wait_test.go
+++ b/internal/work/dispatch/gang_wait_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -78,3 +79,21 @@
 	d.runWithListing(3)
 	is.True(d.p.StartsOf(id) > 0)
 }
+
+// No rack has room for a gang that wants one, since other work is spread over all of them, and most
+// accelerators are free. Guards against a gang that waits for its rack until it can earn no value.
+func TestGangDoesNotAwaitRackWhileMostTargetsAreFree(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 4, 4, DefaultBounds())
+	for rack := range 4 { // one task on each of two targets of the rack
+		spread := small(2)
+		spread.DataRack, spread.PerTarget, spread.Estimate = fmt.Sprintf("r1-%d", rack), 1, time.Minute
+		d.submit(2, time.Minute, spread)
+	}
+	d.run(time.Second)
+	step := largeGang(3, 8)
+	step.SameRack, step.Estimate = true, 4*time.Second
+	id := d.submit(1, 4*time.Second, step)
+	d.runWithListing(6)
+	is.True(d.p.StartsOf(id) > 0)
+}
--- a/internal/work/dispatch/schedule.go
+++ b/internal/work/dispatch/schedule.go
@@ -72,6 +72,7 @@
 	// stop.
 	preemptibleCapacity map[*target]graph.Resources
 	unplaceable         []unplaceableGang // gangs that do not fit without preemption
+	idle                map[string]bool   // services of which most accelerators are free
 }
 
 // invalidate drops the cached values of a target.
