work/dispatch: nothing is sent to a target that is not listed

A target that is not listed was kept from new placements only. Now starts that are recorded or to be sent again are not sent there, either; they are placed again.

Both tests failed before.

--- a/internal/work/dispatch/capacity_test.go
+++ b/internal/work/dispatch/capacity_test.go
@@ -1,11 +1,13 @@
 package dispatch
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"guavaglade.example/guavaglade/internal/fleet/roster"
 	"guavaglade.example/guavaglade/internal/work/graph"
 	"guavaglade.example/guavaglade/internal/work/progress"
 )
@@ -74,3 +76,48 @@
 	d.runWithListing(60)
 	d.check()
 }
+
+// Starts wait to be saved while the store is away. It returns without the entry of their target, which
+// has lapsed, and the target's capacity has shrunk since it was last listed. Nothing may be sent there
+// until it is listed again: what it has now is not known.
+func TestSavedStartsAreNotSentToTargetThatLeftTheList(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 2, boundsWithListAge())
+	d.listTargets()
+	d.slowSaveTime = 6 * time.Second
+	id := d.submit(2, 3*time.Second, small(16))
+	d.run(500 * time.Millisecond)
+	d.p.SetCapacity("r0-0#1", halfCapacity, d.now)
+	d.run(5400 * time.Millisecond)
+	d.slowSaveTime = 0
+	listed := slices.DeleteFunc(d.p.Roster(), func(x roster.Target) bool { return x.ID == "r0-0#1" })
+	d.m.UpdateTargets(listed, d.now, d.now)
+	d.run(500 * time.Millisecond)
+	is.Equal(d.p.StartsOn("r0-0#1"), 0)
+	is.Equal(d.p.StartsOn("r0-1#1"), 8)
+	d.runWithListing(20)
+	d.check()
+	is.Equal(d.state(id), progress.Completed)
+}
+
+// A start is not answered, and its target leaves the list before it is sent again. The first one may
+// never have arrived, so the second would bring the target over a capacity that nobody knows.
+func TestStartIsNotRepeatedOnTargetThatLeftTheList(t *testing.T) {
+	d := newSimulation(t, 1, 2, DefaultBounds())
+	d.submit(2, 20*time.Second, small(8))
+	d.run(time.Second)
+	d.dropCommand = func(c Command) bool {
+		s, start := c.(Start)
+		return start && s.Order.Run.Number == 1
+	}
+	d.submit(2, 3*time.Second, small(8))
+	d.run(100 * time.Millisecond)
+	for _, x := range d.p.Roster() {
+		d.p.SetCapacity(x.ID, halfCapacity, d.now.Add(-5*time.Second))
+	}
+	d.m.UpdateTargets(nil, d.now, d.now)
+	d.dropCommand = nil
+	d.run(time.Second)
+	d.runWithListing(60)
+	d.check()
+}
--- a/internal/work/dispatch/evacuation.go
+++ b/internal/work/dispatch/evacuation.go
@@ -83,17 +83,17 @@
 	return m.listIsCurrent(now) && m.evacuationsAreCurrent(now)
 }
 
-// acceptsStarts reports whether starts may be sent to the target: it is not draining, and
-// its zone is not evacuated.
+// acceptsStarts reports whether starts may be sent to the target: it is listed, so that its
+// capacity is known, it is not draining, and its zone is not evacuated.
 func (t *target) acceptsStarts() bool {
-	return !t.Draining && !t.evacuated && t.entryIsCurrent()
+	return t.listed && !t.Draining && !t.evacuated && t.entryIsCurrent()
 }
 
 // usableAccelerators returns the number of accelerators on targets that may get work.
 func (m *Machine) usableAccelerators() int {
 	n := 0
 	for _, t := range m.sortedTargets {
-		if t.listed && t.acceptsStarts() {
+		if t.acceptsStarts() {
 			n += t.Capacity.Accelerators
 		}
 	}
--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -264,7 +264,7 @@
 	}
 	used, usable := 0, 0
 	for _, t := range m.sortedTargets {
-		if t.Service == service && t.listed && t.acceptsStarts() {
+		if t.Service == service && t.acceptsStarts() {
 			used += t.used.Accelerators + t.waitingCharge.Accelerators
 			usable += t.Capacity.Accelerators
 		}
