work/dispatch, host: a leader hands over what it could not save

The disconnected leader reads ends of runs there that it cannot save; by the time that the connection is back the targets are gone, and the new leader never reads these ends. It withholds the work until the leases have lapsed and has it done again, and the steps after it wait for that.

A leader whose term has ended now passes on to the present one the ends that it has read and not saved, and the targets of which it has seen all leases lapse. The present leader applies an end only to a run that it knows of, on the incarnation that listed it, while it does not reach the target: a target that answers reports by itself. It does not acknowledge such an end. So nothing is started that would not be otherwise, and an end is counted once.

--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -63,9 +63,11 @@
 	evacuations func() evacuation.Status
 	// recovered returns a channel that is closed when the store serves this host again.
 	recovered func() <-chan struct{}
-	log       logr.Logger
-	mu        sync.Mutex
-	serving   *leadership // nil while another host leads
+	// passOn passes what a term has left to the present leader; nil: it is dropped.
+	passOn  func(ctx context.Context, h dispatch.Handover) error
+	log     logr.Logger
+	mu      sync.Mutex
+	serving *leadership // nil while another host leads
 }
 
 // Option sets one property of a new dispatcher.
@@ -103,6 +105,12 @@
 	return func(d *Dispatcher) { d.recovered = f }
 }
 
+// WithHandover sets the function that passes what a term has left to the present leader. Without
+// it, that is dropped.
+func WithHandover(passOn func(ctx context.Context, h dispatch.Handover) error) Option {
+	return func(d *Dispatcher) { d.passOn = passOn }
+}
+
 // New returns a dispatcher that does not lead yet. It replaces Partitions and MaxListAge of
 // the bounds, and MaxEvacuationAge if WithEvacuations and EvacuateTime are set.
 func New(s store.Store, t order.Transport, r Roster, b dispatch.Bounds, log logr.Logger, opts ...Option) *Dispatcher {
@@ -157,6 +165,9 @@
 	cancel()
 	d.setServing(nil)
 	l.wg.Wait()
+	if h := l.machine.Handover(); d.passOn != nil && !h.Empty() {
+		go d.handOver(context.WithoutCancel(ctx), t.Number(), h)
+	}
 	return err
 }
 
--- a/internal/host/rpc/endpoint.go
+++ b/internal/host/rpc/endpoint.go
@@ -15,6 +15,7 @@
 	"guavaglade.example/guavaglade/internal/host/peer"
 	"guavaglade.example/guavaglade/internal/report/burn"
 	"guavaglade.example/guavaglade/internal/report/view"
+	"guavaglade.example/guavaglade/internal/work/dispatch"
 	"guavaglade.example/guavaglade/internal/work/graph"
 )
 
@@ -35,6 +36,7 @@
 	methodFleet     = "fleet"
 	methodInForce   = "inForce"
 	methodBurn      = "burn"
+	methodHandover  = "handover"
 )
 
 // Timeouts of calls, and how long a host counts as reachable.
@@ -79,6 +81,7 @@
 type Dispatcher interface {
 	Submitted(ctx context.Context, j *graph.Job) error
 	Cancelled(ctx context.Context, id graph.JobID) error
+	Handover(ctx context.Context, h dispatch.Handover) error
 	Status(ctx context.Context, id graph.JobID) (status view.JobStatus, known bool, err error)
 	Pending(ctx context.Context, queue string) (int, error)
 	Jobs(ctx context.Context, account string) ([]view.Job, error)
@@ -170,6 +173,8 @@
 		return decodeAndCall(params, func(in graph.Job) (any, error) { return nil, e.dispatcher.Submitted(ctx, &in) })
 	case methodCancelled:
 		return decodeAndCall(params, func(in graph.JobID) (any, error) { return nil, e.dispatcher.Cancelled(ctx, in) })
+	case methodHandover:
+		return decodeAndCall(params, func(in dispatch.Handover) (any, error) { return nil, e.dispatcher.Handover(ctx, in) })
 	case methodStatus:
 		return decodeAndCall(params, func(in graph.JobID) (any, error) { return e.localStatus(ctx, in) })
 	case methodPending:
--- a/internal/host/rpc/endpoint_test.go
+++ b/internal/host/rpc/endpoint_test.go
@@ -15,20 +15,23 @@
 	"github.com/matryer/is"
 
 	"guavaglade.example/guavaglade/internal/config/catalog"
+	"guavaglade.example/guavaglade/internal/fleet/order"
 	"guavaglade.example/guavaglade/internal/host/dispatcher"
 	"guavaglade.example/guavaglade/internal/host/entry"
 	"guavaglade.example/guavaglade/internal/host/leader"
 	"guavaglade.example/guavaglade/internal/host/peer"
 	"guavaglade.example/guavaglade/internal/host/rpc"
 	"guavaglade.example/guavaglade/internal/report/view"
+	"guavaglade.example/guavaglade/internal/work/dispatch"
 	"guavaglade.example/guavaglade/internal/work/graph"
 )
 
 // testDispatcher implements rpc.Dispatcher and counts its calls.
 type testDispatcher struct {
-	leads   bool
-	pending int
-	calls   int
+	leads      bool
+	pending    int
+	calls      int
+	handedOver []dispatch.Handover
 }
 
 // err counts a call and returns its error.
@@ -42,6 +45,10 @@
 
 func (d *testDispatcher) Submitted(context.Context, *graph.Job) error  { return d.err() }
 func (d *testDispatcher) Cancelled(context.Context, graph.JobID) error { return d.err() }
+func (d *testDispatcher) Handover(_ context.Context, h dispatch.Handover) error {
+	d.handedOver = append(d.handedOver, h)
+	return d.err()
+}
 func (d *testDispatcher) Pending(context.Context, string) (int, error) { return d.pending, d.err() }
 
 func (d *testDispatcher) Fleet(context.Context) (view.Fleet, error)        { return view.Fleet{}, d.err() }
@@ -417,6 +424,20 @@
 	})
 }
 
+// What a former leader has left reaches the present one whole, and is kept while there is none.
+func TestHandoverReachesLeader(t *testing.T) {
+	withHosts(t, 2, func(ctx context.Context, is *is.I, hosts []*host) {
+		h := dispatch.Handover{
+			Ends:   []dispatch.ListedEnd{{Target: "t1@abc", Task: "0123456789abcdef.0.0.1", Run: 2, Reason: order.Done, Checkpoint: "c"}},
+			Lapsed: []string{"t2"},
+		}
+		is.NoErr(hosts[1].Handover(ctx, h))
+		is.Equal(hosts[0].dispatcher.handedOver, []dispatch.Handover{h})
+		hosts[1].election.row = leader.Row{}
+		is.True(errors.Is(hosts[1].Handover(ctx, h), dispatcher.ErrNotLeading))
+	})
+}
+
 // A host of a newer version calls a method that this one does not know, or sends parameters
 // of another type. The errors say which.
 func TestUnknownMethodAndBadParamsAreRefused(t *testing.T) {
--- a/internal/host/rpc/leadercall.go
+++ b/internal/host/rpc/leadercall.go
@@ -5,6 +5,7 @@
 
 	"guavaglade.example/guavaglade/internal/host/dispatcher"
 	"guavaglade.example/guavaglade/internal/report/view"
+	"guavaglade.example/guavaglade/internal/work/dispatch"
 	"guavaglade.example/guavaglade/internal/work/graph"
 )
 
@@ -47,6 +48,12 @@
 	return err
 }
 
+// Handover passes what a term of this host has left to the present leader.
+func (e *Endpoint) Handover(ctx context.Context, h dispatch.Handover) error {
+	_, err := callLeader(ctx, e, methodHandover, h, func() (empty, error) { return empty{}, e.dispatcher.Handover(ctx, h) })
+	return err
+}
+
 // Status asks the leader for the status of a job, and whether it knows the job.
 func (e *Endpoint) Status(ctx context.Context, id graph.JobID) (view.JobStatus, bool, error) {
 	out, err := callLeader(ctx, e, methodStatus, id, func() (statusReply, error) { return e.localStatus(ctx, id) })
--- a/internal/host/scheduler/scheduler.go
+++ b/internal/host/scheduler/scheduler.go
@@ -127,6 +127,7 @@
 	dispatcherOpts := []dispatcher.Option{
 		dispatcher.WithCatalog(s.keeper), dispatcher.WithMetrics(set.metrics), dispatcher.WithJobEnded(s.recordOutcome),
 		dispatcher.WithEvacuations(s.Evacuations), dispatcher.WithRecovered(s.store.Recovered),
+		dispatcher.WithHandover(func(ctx context.Context, h dispatch.Handover) error { return s.endpoint.Handover(ctx, h) }),
 	}
 	if p.Adviser != nil {
 		dispatcherOpts = append(dispatcherOpts, dispatcher.WithAdviser(p.Adviser))
--- a/internal/proof/deployment/deployment_test.go
+++ b/internal/proof/deployment/deployment_test.go
@@ -136,8 +136,10 @@
 	monitor := store.NewMonitor(h.storeLink, leader.RowKey, func(up bool, err error) {
 		log.Info("store availability changed", "serves", up, "error", fmt.Sprint(err))
 	})
-	disp := dispatcher.New(monitor, h.transport, d.pool, dispatch.DefaultBounds(), log, dispatcher.WithClock(time.Now))
-	endpoint := rpc.New(h.address, disp, catalog.NewKeeper(nil), monitor.Up, rpc.WithCores(1))
+	var endpoint *rpc.Endpoint
+	disp := dispatcher.New(monitor, h.transport, d.pool, dispatch.DefaultBounds(), log, dispatcher.WithClock(time.Now),
+		dispatcher.WithHandover(func(ctx context.Context, h dispatch.Handover) error { return endpoint.Handover(ctx, h) }))
+	endpoint = rpc.New(h.address, disp, catalog.NewKeeper(nil), monitor.Up, rpc.WithCores(1))
 	h.peerTransport = peer.New(endpoint.Handle, nil, d.network.dial(h.address), logr.Discard())
 	h.election = leader.New(monitor, endpoint, disp.Lead, fmt.Sprintf("%s#%d", name, incarnation), h.address, log, leader.WithClock(time.Now), leader.WithRandom(d.randomSource()))
 	h.entry = entry.New(monitor, endpoint, endpoint, log)
--- a/internal/proof/deployment/takeover_test.go
+++ b/internal/proof/deployment/takeover_test.go
@@ -224,6 +224,57 @@
 	}
 }
 
+// Targets end their tasks while they are disconnected together with the leader, and leave. It has
+// read the ends and cannot save them. The next leader must learn of them when the connection is
+// back, and not have the tasks done again.
+func TestEndsReadByDisconnectedLeaderAreHandedOver(t *testing.T) {
+	simulate(t, 30, 4, 2, func(d *deployment) {
+		is := is.New(d.t)
+		time.Sleep(2 * time.Second)
+		d.submit(d.newJob(2,
+			graph.Step{Count: 64, Needs: needs(1), Estimate: 3 * time.Second},
+			graph.Step{Count: 2, Needs: needs(1), Estimate: 3 * time.Second, After: []int{0}},
+		), succeedsAfter(3*time.Second))
+		time.Sleep(2 * time.Second)
+		before := startCount(d)
+		old := d.leader()
+		inside, outside := map[string]bool{}, map[string]bool{}
+		d.pool.Do(func(p *pool.Pool, _ time.Time) {
+			for _, t := range p.Roster() {
+				inside[t.ID], outside[t.ID] = t.Zone == "zone0", t.Zone != "zone0"
+			}
+		})
+		old.storeLink.SetFaults(rows.Faults{Unresponsive: true})
+		old.transport.SetFaults(pool.Faults{Unreachable: outside})
+		for _, h := range d.hosts {
+			if h != old {
+				d.network.setDisconnected(h.address, old.address, true)
+				h.transport.SetFaults(pool.Faults{Unreachable: inside})
+			}
+		}
+		time.Sleep(2500 * time.Millisecond)
+		d.pool.Do(func(p *pool.Pool, now time.Time) {
+			for id, gone := range inside {
+				if gone {
+					p.Kill(id, now)
+				}
+			}
+		})
+		time.Sleep(1500 * time.Millisecond)
+		old.storeLink.SetFaults(rows.Faults{})
+		for _, h := range d.hosts {
+			d.network.setDisconnected(h.address, old.address, false)
+			h.transport.SetFaults(pool.Faults{})
+		}
+		is.Equal(before, 64)
+		healedAt := time.Now()
+		d.awaitEnds(40 * time.Second)
+		is.Equal(startCount(d), 66)
+		const notice, secondStep = 1500 * time.Millisecond, 3 * time.Second
+		is.True(time.Since(healedAt) < notice+secondStep)
+	})
+}
+
 // All hosts lose power right after jobs were submitted, and restart. One leads within 3 s.
 // They restore the accepted jobs from the store and the running tasks from the targets, and
 // all accepted jobs end.
--- a/internal/work/dispatch/ends.go
+++ b/internal/work/dispatch/ends.go
@@ -94,6 +94,20 @@
 		return
 	}
 	m.log.Decided("run ended", "target", t.ID, "task", e.Run.Task, "run", e.Run.Number, "how", e.Reason, "number", e.Number, "checkpoint", e.Checkpoint)
+	m.settleEnd(j, t, r, e, now)
+	// Even an end that changes nothing is acknowledged only after the job's unsaved
+	// changes are saved: another member's end may just have ended the whole gang, and
+	// must not be the only remaining record of that if the save fails.
+	end := unsavedEnd{number: e.Number, job: j, rev: j.rev, listed: e}
+	if x := j.findTask(e.Run.Task); x != nil && (x.done || j.finished()) && x.outstandingStart(e.Run.Number) != nil {
+		end.task, end.run = x, e.Run.Number
+		j.withheldEnds = append(j.withheldEnds, t)
+	}
+	t.unsavedEnds = append(t.unsavedEnds, end)
+}
+
+// settleEnd applies an end to its job. r is nil for a run that was not known; any other was removed.
+func (m *Machine) settleEnd(j *job, t *target, r *run, e order.Ended, now time.Time) {
 	if x := j.findTask(e.Run.Task); x != nil {
 		m.logOutstandingStart(x, e, now)
 		x.highestRun = max(x.highestRun, e.Run.Number)
@@ -108,15 +122,6 @@
 			m.recordBrokenMember(r, now)
 		}
 	}
-	// Even an end that changes nothing is acknowledged only after the job's unsaved
-	// changes are saved: another member's end may just have ended the whole gang, and
-	// must not be the only remaining record of that if the save fails.
-	end := unsavedEnd{number: e.Number, job: j, rev: j.rev}
-	if x := j.findTask(e.Run.Task); x != nil && (x.done || j.finished()) && x.outstandingStart(e.Run.Number) != nil {
-		end.task, end.run = x, e.Run.Number
-		j.withheldEnds = append(j.withheldEnds, t)
-	}
-	t.unsavedEnds = append(t.unsavedEnds, end)
 }
 
 // logOutstandingStart logs that a run has ended as done or failed while another run of its task
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -53,6 +53,7 @@
 	tasksWithLosses    map[*task]bool             // under which targets were lost, of jobs that have not ended
 	verdictsDue        bool                       // a task with losses may have become guilty
 	recentLosses       []recentLoss               // targets lost a short time ago
+	lapsed             []lapsedTarget             // targets on which leases have lapsed a short time ago
 }
 
 // Log receives one line for each decision, with alternating keys and values. Its
--- a/internal/work/dispatch/poll.go
+++ b/internal/work/dispatch/poll.go
@@ -26,6 +26,7 @@
 func (m *Machine) tickTarget(t *target, now time.Time) {
 	if t.reach != reachable && !now.Before(t.leaseEnd) && len(t.runs) > 0 {
 		m.log.Decided("target unreachable until its leases lapsed", "target", t.ID, "runs", len(t.runs), "reported", t.reported, "silentMS", now.Sub(t.silentSince(m.placementEnabledAt)).Milliseconds())
+		m.recordLapsed(t, now)
 		m.targetLost(t, now)
 	}
 	for _, r := range t.runsWhere((*run).awaitsAnswer) {
@@ -224,6 +225,7 @@
 		}
 		t.reach = reachable
 		m.withdrawLosses(t)
+		m.withdrawLapsed(t)
 		if wasUnresponsive {
 			m.pollZone(t.Zone, now)
 		}
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -75,6 +75,7 @@
 	rev    int64
 	task   *task // nil: it may be started again
 	run    int
+	listed order.Ended // the end itself, for the next leader; not set without a job
 }
 
 // acknowledgeable reports whether the end may be acknowledged.
