work/dispatch: a task avoids a target that does not answer its starts

A target that answers polls and stops and loses starts was chosen for a task again and again, since nothing counts against it: eight starts in half a minute beside an idle target (LOST, without a bound).

--- a/internal/work/dispatch/hold_test.go
+++ b/internal/work/dispatch/hold_test.go
@@ -78,3 +78,22 @@
 		})
 	}
 }
+
+// A target answers polls and stops, and loses all starts. Guards against a task that is placed there
+// again and again while another target is idle.
+func TestTargetThatLosesStartsIsAvoided(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 2, DefaultBounds())
+	losing := ""
+	d.dropCommand = func(c Command) bool {
+		s, ok := c.(Start)
+		if ok && losing == "" {
+			losing = s.Target.ID
+		}
+		return ok && s.Target.ID == losing
+	}
+	id := d.submit(2, time.Second, small(1))
+	d.runWithListing(30)
+	is.True(d.duration(id) > 0) // half a minute, and eight starts or more
+	d.check()
+}
--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -316,6 +316,7 @@
 			m.sendStart(r, now)
 		}
 	case r.phase == starting && r.hasUnansweredStart():
+		r.task.attempts().avoid(r.target)
 		m.stop(r, "start not answered", now)
 		m.stopGang(r, "a member's start was not answered", now)
 	case r.phase == starting:
