work/dispatch: a gang does not wait for a member whose target is lost before it began

Members that await capacity, or whose starts are on their way, were released when their target was lost, but the others were sent or left to wait without them, until the targets gave them up after the gang timeout of 3 s (LOST: nothing of the job works; GANG: they end alone). Only members that were recorded had the others dropped.

--- a/internal/work/dispatch/hold_test.go
+++ b/internal/work/dispatch/hold_test.go
@@ -97,3 +97,60 @@
 	is.True(d.duration(id) > 0) // half a minute, and eight starts or more
 	d.check()
 }
+
+// Members of an urgent gang await capacity on two targets, of which one crashes. Guards against the
+// others being sent without it: they would wait in vain for as long as a gang's members do.
+func TestAwaitingGangIsNotSentWithoutALostMember(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 3, DefaultBounds())
+	d.submit(2, 20*time.Second, small(24))
+	d.run(time.Second)
+	d.refuse = func(c Command) error { // what is preempted ends later
+		if _, ok := c.(Stop); ok {
+			return order.ErrUnhealthy
+		}
+		return nil
+	}
+	id := d.submit(0, time.Second, urgentGang(2, 8))
+	d.run(200 * time.Millisecond)
+	tasks := d.m.jobs[id].steps[0].tasks
+	is.Equal(len(tasks[0].runs), 1)
+	is.Equal(tasks[0].runs[0].phase, awaitingCapacity)
+	d.p.Crash(tasks[0].runs[0].target.ID, d.now)
+	d.m.PollFailed(tasks[0].runs[0].target.ID, Poll{Target: tasks[0].runs[0].target.address(), Sent: d.now}, order.ErrOtherIncarnation, d.now) // as its next incarnation answers
+	d.refuse = nil
+	d.run(1500 * time.Millisecond)
+	sent := 0
+	for _, x := range tasks {
+		for _, r := range x.runs {
+			if r.phase != awaitingCapacity {
+				sent++
+			}
+		}
+	}
+	is.True(sent == 0 || sent == len(tasks))
+	d.runWithListing(60)
+	d.check()
+}
+
+// The target of a gang's member starts again under a new id before the member's start reached it.
+// Guards against the other members waiting for it as long as a gang's members do.
+func TestGangDoesNotWaitForAMemberThatIsLost(t *testing.T) {
+	is := is.New(t)
+	bounds := pool.DefaultBounds()
+	bounds.RestartTime = 200 * time.Millisecond
+	d := newSimulationOf(t, 1, 3, DefaultBounds(), bounds)
+	lost := ""
+	d.dropCommand = func(c Command) bool {
+		s, ok := c.(Start)
+		if ok && lost == "" {
+			lost = s.Target.ID
+			d.p.Crash(lost, d.now)
+		}
+		return ok && s.Target.ID == lost
+	}
+	id := d.submit(2, time.Second, largeGang(2, 8))
+	d.run(50 * time.Millisecond)
+	d.run(1500 * time.Millisecond)
+	is.Equal(d.m.jobs[id].steps[0].highestGangRun, 2) // the loss was known after half a second
+}
--- a/internal/work/dispatch/loss.go
+++ b/internal/work/dispatch/loss.go
@@ -17,8 +17,8 @@
 	for _, r := range t.sortedRuns() {
 		m.release(r, now)
 		m.failIfAtMostOnce(r, now)
-		if r.phase == recorded { // the other members are not sent without it
-			m.stopGang(r, "a member's target was lost before it was sent", now)
+		if r.phase == awaitingCapacity || r.phase == recorded || r.phase == starting { // the other members must not wait for it
+			m.stopGang(r, "a member's target was lost before it began", now)
 		}
 	}
 	if len(lost) > 0 {
