work/dispatch: a report that was overtaken by a newer one is ignored

Answers on different connections may overtake one another. Reports carry the target's clock, which never goes back within an incarnation.

--- a/internal/work/dispatch/hold_test.go
+++ b/internal/work/dispatch/hold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -154,3 +155,40 @@
 	d.run(1500 * time.Millisecond)
 	is.Equal(d.m.jobs[id].steps[0].highestGangRun, 2) // the loss was known after half a second
 }
+
+// A target's report of a run arrives after a newer one that listed its end. Guards against the run
+// being taken for one that goes on, for which the rest of its gang waits.
+func TestOvertakenReportDoesNotReviveARun(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 3, DefaultBounds())
+	j := &graph.Job{Priority: 2, SlackFactor: 3, Steps: []graph.Step{urgentGang(2, 8)}}
+	id := d.submitJob(j, pool.Behaviour{
+		Work:  func(graph.TaskID) time.Duration { return 3 * time.Second },
+		Fails: func(x graph.TaskID, run int) bool { return run == 1 && x.Index == 0 }, // after 1.5 s
+	})
+	d.run(1500 * time.Millisecond)
+	s := d.m.jobs[id].steps[0]
+	failing, asked := s.tasks[0].runs[0].target, d.now
+	late, err := d.p.Poll(failing.address(), order.Poll{Term: 1}, d.now)
+	is.NoErr(err)
+	is.Equal(len(late.Running), 1)
+	endedAt := time.Time{}
+	d.m.log = logHook(func(message string) {
+		if message == "run ended" && endedAt.IsZero() { // before that of the other member is listed
+			endedAt = d.now
+			p := Poll{Target: failing.address(), Extra: true, Sent: asked, Incarnation: failing.incarnation}
+			d.events = slices.Insert(d.events, 0, event{at: d.now, do: func() { d.m.Polled(failing.ID, p, late, d.now) }})
+		}
+	})
+	for s.highestGangRun == 1 && d.now.Sub(d.submittedAt[id]) < 20*time.Second {
+		d.run(simulationStep)
+	}
+	is.True(!endedAt.IsZero())
+	is.True(d.now.Sub(endedAt) < time.Second) // until the gang is started again
+}
+
+// logHook calls a function for each decision that is logged.
+type logHook func(message string)
+
+// Decided implements Log.
+func (h logHook) Decided(message string, _ ...any) { h(message) }
--- a/internal/work/dispatch/incarnation.go
+++ b/internal/work/dispatch/incarnation.go
@@ -103,7 +103,7 @@
 // resetIncarnation drops what was known of the earlier incarnation, except for its entry in the
 // list and the runs that may have been sent to the new one.
 func (t *target) resetIncarnation(now time.Time) {
-	t.clockMS, t.clockAt = 0, time.Time{}
+	t.clockMS, t.clockAt, t.latestReport = 0, time.Time{}, 0
 	t.highestEnd, t.acked, t.confirmedAck = 0, 0, 0
 	t.unsavedEnds, t.unsavedPollAt, t.ackDue = nil, time.Time{}, time.Time{}
 	t.nextPollAt, t.suspendedUntil = time.Time{}, time.Time{}
--- a/internal/work/dispatch/poll.go
+++ b/internal/work/dispatch/poll.go
@@ -230,6 +230,10 @@
 			m.pollZone(t.Zone, now)
 		}
 	}
+	if rep.Clock > 0 && rep.Clock < t.latestReport {
+		return // a newer report has overtaken it
+	}
+	t.latestReport = rep.Clock
 	listed := map[order.Run]bool{}
 	for _, e := range rep.Ended {
 		if e.Number > t.highestEnd {
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -45,6 +45,7 @@
 	extraPollPending    bool               // an extra poll is outstanding
 	extraPollSentAt     time.Time          // when the last extra poll was sent
 	reportedAt          time.Time          // when it last reported
+	latestReport        int64              // its clock in the newest report
 	answeredAt          time.Time          // when it last answered any order or poll
 	unansweredSince     time.Time          // when the first order or poll without an answer was sent since it last answered; zero: none
 	zoneUnreachable     bool               // its zone is considered unreachable, and it has not answered since
