work/dispatch: tasks beside an isolated one are started

The other tasks of a step are skipped in a pass if one found no target, since they are alike. A task isolated by targets that were lost together is not: it alone waits for a quiet target, up to 3 s after each loss (LOST).

--- a/internal/work/dispatch/hold_test.go
+++ b/internal/work/dispatch/hold_test.go
@@ -10,6 +10,7 @@
 
 	"guavaglade.example/guavaglade/internal/fleet/order"
 	"guavaglade.example/guavaglade/internal/standin/pool"
+	"guavaglade.example/guavaglade/internal/work/crashloop"
 	"guavaglade.example/guavaglade/internal/work/graph"
 )
 
@@ -192,3 +193,28 @@
 
 // Decided implements Log.
 func (h logHook) Decided(message string, _ ...any) { h(message) }
+
+// A task of a step is isolated after targets were lost together under it, and no target is quiet.
+// Guards against the step's other tasks, which may begin anywhere, waiting for it.
+func TestTasksBesideAnIsolatedOneAreStarted(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 2, DefaultBounds())
+	j := &graph.Job{Priority: 2, SlackFactor: 3, Steps: []graph.Step{small(1), small(3)}}
+	j.Steps[1].After = []int{0}
+	id := d.submitJob(j, pool.Behaviour{Work: func(graph.TaskID) time.Duration { return time.Second }})
+	s := d.m.jobs[id].steps[1]
+	for _, lost := range []string{"a", "b"} { // two targets of a rack that lost power
+		s.tasks[0].losses.Add(crashloop.Loss{Target: lost, Kind: crashloop.Together}, time.Time{})
+	}
+	d.m.lossesChanged(s.tasks[0])
+	is.True(s.tasks[0].isolated())
+	noise := small(2)
+	noise.PerTarget = 1
+	for range 30 { // a short task begins on each target, again and again
+		s.lostAt = d.submittedAt[id].Add(500 * time.Millisecond)
+		d.submit(2, 150*time.Millisecond, noise)
+		d.run(100 * time.Millisecond)
+	}
+	is.True(s.blockedBy == 0)
+	is.True(len(s.tasks[1].runs) > 0 || s.tasks[1].done) // two seconds after its turn has come
+}
--- a/internal/work/dispatch/schedule.go
+++ b/internal/work/dispatch/schedule.go
@@ -242,7 +242,7 @@
 		}
 		if t == nil {
 			more = true
-			skipRest = len(x.attempts().avoidedTargets) == 0 && x.suspicion() == 0 // the other tasks are alike
+			skipRest = len(x.attempts().avoidedTargets) == 0 && x.suspicion() == 0 && !x.isolated() // the other tasks are alike
 			continue
 		}
 		m.recordIfFits([]*run{m.place(x, t, x.highestRun+1, now)}, now)
