work/dispatch: a draining target is polled while its ends are being saved

A target that has listed ends is not polled for up to a second until they are saved. If it leaves in that time, ends that come after them are read by nobody: the steps after them wait until the leases have lapsed, and the work is done again (LOST). Draining targets are polled after 50 ms.

--- a/internal/work/dispatch/hold_test.go
+++ b/internal/work/dispatch/hold_test.go
@@ -218,3 +218,24 @@
 	is.True(s.blockedBy == 0)
 	is.True(len(s.tasks[1].runs) > 0 || s.tasks[1].done) // two seconds after its turn has come
 }
+
+// A task ends on a draining target shortly after another one, whose end is not saved yet, and the
+// target leaves. Guards against the second end not being read, for which the task's leases would have
+// to lapse.
+func TestEndsOfADrainingTargetAreReadWhileOthersAreUnsaved(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 2, DefaultBounds())
+	work := func(x graph.TaskID) time.Duration { return time.Second + time.Duration(x.Index)*50*time.Millisecond }
+	id := d.submitJob(&graph.Job{Priority: 2, SlackFactor: 3, Steps: []graph.Step{small(2)}}, pool.Behaviour{Work: work})
+	d.run(900 * time.Millisecond)
+	leaving := d.m.jobs[id].steps[0].tasks[0].runs[0].target
+	is.Equal(d.m.jobs[id].steps[0].tasks[1].runs[0].target, leaving)
+	d.p.Drain(leaving.ID)
+	d.listTargets()
+	d.slowSaveTime = 300 * time.Millisecond
+	d.run(300 * time.Millisecond) // the second task has ended 40 ms ago
+	is.Equal(d.p.TasksDone(id), 2)
+	d.p.Kill(leaving.ID, d.now)
+	d.runWithListing(3)
+	is.True(d.duration(id) > 0)
+}
--- a/internal/work/dispatch/poll.go
+++ b/internal/work/dispatch/poll.go
@@ -21,6 +21,10 @@
 // while the store is unavailable.
 const unsavedPause = time.Second
 
+// drainingUnsavedPause is unsavedPause for a draining target. It may leave soon, and ends that
+// nobody has read by then are lost.
+const drainingUnsavedPause = 50 * time.Millisecond
+
 // tickTarget sends the polls and order retries that are due for a target, and releases
 // the runs of an unreachable target whose leases have lapsed.
 func (m *Machine) tickTarget(t *target, now time.Time) {
@@ -255,7 +259,10 @@
 	}
 	t.reported = true
 	t.advanceAcked(now)
-	if len(t.unsavedEnds) > 0 {
+	switch {
+	case len(t.unsavedEnds) > 0 && t.Draining:
+		t.unsavedPollAt = now.Add(drainingUnsavedPause)
+	case len(t.unsavedEnds) > 0:
 		t.unsavedPollAt = now.Add(unsavedPause)
 	}
 	if len(rep.Running) > 0 && p.Order.Deadline == 0 {
