host/dispatcher: writes whose answers are lost are repeated soon

Both writes may be repeated at will: their conditions let them take effect once.

The first two attempts time out after eight times what calls to the store take, 400 ms at least, and later ones after up to 2 s, so that a slow store is not asked more often than it answers.

The jobs table is read with a timeout for each partition after the history was compacted: with one for all of them a job that the leader was not notified of was not found on a store that takes 150 ms a call.

The simulated deployments wait longer at their ends: a handover without an addressee is tried for 20 s.

--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -30,8 +30,12 @@
 	scanInterval    = time.Second            // of the scan for jobs whose notification was lost
 	storeTimeout    = 2 * time.Second        // of a call to the store
 	storeRetryDelay = 150 * time.Millisecond // between two attempts
-	minReportMargin = 600 * time.Millisecond // for a report to arrive, beyond the time that the poll waits at the target
-	maxQueuedEvents = 4096                   // events that wait for the main loop
+	// minWriteTimeout and writeTimeoutFactor set the timeout of the first attempts of a write: a
+	// multiple of what calls to the store take, with a minimum.
+	minWriteTimeout    = 400 * time.Millisecond
+	writeTimeoutFactor = 8
+	minReportMargin    = 600 * time.Millisecond // for a report to arrive, beyond the time that the poll waits at the target
+	maxQueuedEvents    = 4096                   // events that wait for the main loop
 	// minListTimeout and listTimeoutFactor set the timeout of reading the list of targets:
 	// a multiple of what the last read took, with a minimum.
 	minListTimeout    = 500 * time.Millisecond
@@ -61,6 +65,8 @@
 	onJobEnded func(dispatch.JobEnded)
 	// evacuations returns which zones are evacuated; nil: none ever is.
 	evacuations func() evacuation.Status
+	// storeLatency returns how long calls to the store take.
+	storeLatency func() time.Duration
 	// recovered returns a channel that is closed when the store serves this host again.
 	recovered func() <-chan struct{}
 	// passOn passes what a term has left to the present leader; nil: it is dropped.
@@ -111,11 +117,17 @@
 	return func(d *Dispatcher) { d.passOn = passOn }
 }
 
+// WithStoreLatency sets the function that returns how long calls to the store take. Without it,
+// they are taken to be short.
+func WithStoreLatency(f func() time.Duration) Option {
+	return func(d *Dispatcher) { d.storeLatency = f }
+}
+
 // New returns a dispatcher that does not lead yet. It replaces Partitions and MaxListAge of
 // the bounds, and MaxEvacuationAge if WithEvacuations and EvacuateTime are set.
 func New(s store.Store, t order.Transport, r Roster, b dispatch.Bounds, log logr.Logger, opts ...Option) *Dispatcher {
 	b.Partitions, b.MaxListAge = Partitions, max(b.DrainTime-startMargin, 3*b.DrainTime/4)
-	d := &Dispatcher{store: s, transport: t, roster: r, bounds: b, clock: boottime.Now, metrics: tally.NoopScope, onJobEnded: func(dispatch.JobEnded) {}, recovered: func() <-chan struct{} { return nil }, log: log}
+	d := &Dispatcher{store: s, transport: t, roster: r, bounds: b, clock: boottime.Now, metrics: tally.NoopScope, onJobEnded: func(dispatch.JobEnded) {}, recovered: func() <-chan struct{} { return nil }, storeLatency: func() time.Duration { return 0 }, log: log}
 	for _, o := range opts {
 		o(d)
 	}
@@ -198,7 +210,7 @@
 	for p := range Partitions {
 		go func() {
 			r := result{partition: p}
-			if r.fence, r.err = writeFence(l.ctx, l.store, p, l.term.Number()); r.err == nil {
+			if r.fence, r.err = writeFence(l.ctx, l.store, p, l.term.Number(), l.writeTimeout); r.err == nil {
 				r.jobs, r.version, r.err = l.readPartitionUntilAnswered(p)
 			}
 			results <- r
--- a/internal/host/dispatcher/execute.go
+++ b/internal/host/dispatcher/execute.go
@@ -179,7 +179,7 @@
 func (l *leadership) save(c dispatch.Save) {
 	tx := l.transaction(c)
 	for attempt := 0; ; attempt++ {
-		res, interrupted, err := l.commit(tx)
+		res, interrupted, err := l.commit(tx, l.writeTimeout(attempt))
 		switch {
 		case interrupted:
 			continue
@@ -201,11 +201,18 @@
 	}
 }
 
+// writeTimeout returns the timeout of an attempt of a write that may be repeated at will. Its answer
+// may be lost, and work waits for it.
+func (d *Dispatcher) writeTimeout(attempt int) time.Duration {
+	base := max(minWriteTimeout, writeTimeoutFactor*d.storeLatency())
+	return min(base<<min(attempt/2, 4), storeTimeout)
+}
+
 // commit commits a transaction. interrupted reports that the store recovered during the
 // call, so the outcome is not known.
-func (l *leadership) commit(tx store.Tx) (res store.Result, interrupted bool, err error) {
+func (l *leadership) commit(tx store.Tx, timeout time.Duration) (res store.Result, interrupted bool, err error) {
 	interrupted, err = store.RunUntilRecovered(l.ctx, l.recovered(), func(ctx context.Context) error {
-		ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		var err error
 		res, err = l.store.Commit(ctx, tx)
@@ -278,9 +285,9 @@
 // scan finds jobs and cancellations whose notification was lost, in the changes of the jobs
 // table since the last scan.
 func (l *leadership) scan(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	changesCtx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	page, err := l.store.Changes(ctx, jobsTable, l.scannedVersion, 0)
+	page, err := l.store.Changes(changesCtx, jobsTable, l.scannedVersion, 0)
 	switch {
 	case errors.Is(err, store.ErrCompacted):
 		return l.rescan(ctx)
@@ -298,7 +305,7 @@
 func (l *leadership) rescan(ctx context.Context) error {
 	version := int64(0)
 	for p := range Partitions {
-		page, err := store.ReadAll(ctx, l.store, store.Range{Table: jobsTable, Partition: fmt.Sprint(p)})
+		page, err := l.readJobs(ctx, p)
 		if err != nil {
 			l.log.V(1).Info("jobs not scanned", "part", p, "error", err.Error())
 			return err
@@ -313,6 +320,13 @@
 	return nil
 }
 
+// readJobs reads the rows of the jobs table in a partition.
+func (l *leadership) readJobs(ctx context.Context, partition int) (store.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return store.ReadAll(ctx, l.store, store.Range{Table: jobsTable, Partition: fmt.Sprint(partition)})
+}
+
 // applyRows posts the jobs and cancellations of rows of the jobs table. Removed rows are
 // skipped, malformed ones logged.
 func (l *leadership) applyRows(rows []store.Row) {
--- a/internal/host/dispatcher/rows.go
+++ b/internal/host/dispatcher/rows.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 
 	"guavaglade.example/guavaglade/internal/platform/store"
 	"guavaglade.example/guavaglade/internal/work/graph"
@@ -74,9 +75,9 @@
 // writeFence writes the term into a partition's fence row and returns the row's version,
 // which every write of progress expects from then on. It retries until it succeeds, a
 // newer term is found there or the context ends.
-func writeFence(ctx context.Context, s store.Store, partition int, term int64) (int64, error) {
-	for {
-		version, err := tryWriteFence(ctx, s, partition, term)
+func writeFence(ctx context.Context, s store.Store, partition int, term int64, timeout func(attempt int) time.Duration) (int64, error) {
+	for attempt := 0; ; attempt++ {
+		version, err := tryWriteFence(ctx, s, partition, term, timeout(attempt))
 		if err == nil || errors.Is(err, errNewerTerm) {
 			return version, err
 		}
@@ -89,8 +90,8 @@
 
 // tryWriteFence makes one attempt of writeFence. A row that names the term already is left
 // as it is.
-func tryWriteFence(ctx context.Context, s store.Store, partition int, term int64) (int64, error) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+func tryWriteFence(ctx context.Context, s store.Store, partition int, term int64, timeout time.Duration) (int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	row, err := store.Get(ctx, s, fenceKey(partition))
 	if err != nil {
--- a/internal/host/scheduler/scheduler.go
+++ b/internal/host/scheduler/scheduler.go
@@ -126,7 +126,7 @@
 	s.store = store.NewMonitor(store.NewInstrumented(p.Store, set.metrics), leader.RowKey, s.storeChanged, store.WithIdleTime(s.idleTime))
 	dispatcherOpts := []dispatcher.Option{
 		dispatcher.WithCatalog(s.keeper), dispatcher.WithMetrics(set.metrics), dispatcher.WithJobEnded(s.recordOutcome),
-		dispatcher.WithEvacuations(s.Evacuations), dispatcher.WithRecovered(s.store.Recovered),
+		dispatcher.WithEvacuations(s.Evacuations), dispatcher.WithRecovered(s.store.Recovered), dispatcher.WithStoreLatency(s.store.TypicalLatency),
 		dispatcher.WithHandover(func(ctx context.Context, h dispatch.Handover) error { return s.endpoint.Handover(ctx, h) }),
 	}
 	if p.Adviser != nil {
--- a/internal/proof/deployment/deployment_test.go
+++ b/internal/proof/deployment/deployment_test.go
@@ -137,7 +137,7 @@
 		log.Info("store availability changed", "serves", up, "error", fmt.Sprint(err))
 	})
 	var endpoint *rpc.Endpoint
-	disp := dispatcher.New(monitor, h.transport, d.pool, dispatch.DefaultBounds(), log, dispatcher.WithClock(time.Now),
+	disp := dispatcher.New(monitor, h.transport, d.pool, dispatch.DefaultBounds(), log, dispatcher.WithClock(time.Now), dispatcher.WithStoreLatency(monitor.TypicalLatency),
 		dispatcher.WithHandover(func(ctx context.Context, h dispatch.Handover) error { return endpoint.Handover(ctx, h) }))
 	endpoint = rpc.New(h.address, disp, catalog.NewKeeper(nil), monitor.Up, rpc.WithCores(1))
 	h.peerTransport = peer.New(endpoint.Handle, nil, d.network.dial(h.address), logr.Discard())
@@ -424,5 +424,5 @@
 		}
 	}
 	d.cancelCtx()
-	time.Sleep(10 * time.Second) // for goroutines that still wait for a timeout
+	time.Sleep(25 * time.Second) // for goroutines that still wait for a timeout, such as a handover
 }
