host/leader: renewals that are written late count from their own attempt

Found in review. Each attempt to renew the row has a number of its own, so a leader whose renewals take effect shortly after their answers were lost never recognised one: attempt n+1 finds n, attempt n+2 is lost again. It cut its leases short and ended its term after Grace, though every host saw the row change. It now keeps when each attempt was sent, and a row read back with one of them is a renewal from then.

A row says that leases are limited only if those of earlier leaders are that may still act: the leader after one of an earlier version sets it after Grace. Otherwise a third leader within that time would await too little.

TestLeaderWhoseRenewalsAreNotAnsweredLeadsOn and TestUnlimitedLeasesAreAwaitedAcrossAShortTerm failed before.

--- a/internal/host/leader/election_test.go
+++ b/internal/host/leader/election_test.go
@@ -551,3 +551,54 @@
 		}
 	})
 }
+
+// The store does every write of the leader shortly after the answer was lost. Other hosts see each
+// renewal, and none takes over: the leader must not take itself for one that cannot write its row.
+func TestLeaderWhoseRenewalsAreNotAnsweredLeadsOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		table := rows.New(storeLatency)
+		a := startHost(table, "a", 1)
+		time.Sleep(2 * time.Second)
+		a.link.SetFaults(rows.Faults{LateWrites: 1, LateBy: 50 * time.Millisecond})
+		time.Sleep(leader.Grace + 2*time.Second)
+		a.link.SetFaults(rows.Faults{})
+		time.Sleep(leader.RenewInterval)
+		terms := a.terms
+		a.stop()
+		is.Equal(terms, []int64{1})
+	})
+}
+
+// A leader of an earlier version, which grants whole leases for as long as it may act, is replaced
+// without knowing it, and the next one is lost or resigns soon after. The third must await the leases of
+// the first, although the row that it replaces is of a leader that limits its own.
+func TestUnlimitedLeasesAreAwaitedAcrossAShortTerm(t *testing.T) {
+	for name, lose := range map[string]func(h *host){
+		"resigned": func(h *host) { h.stop() },
+		"lost":     func(h *host) { h.link.SetFaults(rows.Faults{Unresponsive: true}) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				table := rows.New(storeLatency)
+				table.Put(leader.RowKey, []byte(`{"term":1,"holder":"old#1","address":"old","beat":9}`))
+				written := time.Now()
+				a := startHost(table, "a", 1)
+				time.Sleep(3 * time.Second)
+				lose(a)
+				b := startHost(table, "b", 2)
+				time.Sleep(3 * time.Second)
+				a.stop()
+				b.stop()
+				for _, h := range []*host{a, b} {
+					if len(h.led) != 1 {
+						t.Fatalf("%s led in %d terms", h.name, len(h.led))
+					}
+					if early := written.Add(leader.Grace + longestLease).Sub(h.led[0].earlierEnd); early > 0 {
+						t.Errorf("leases of term 1 may last %s longer than %s expects", early, h.name)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/host/leader/leading.go
+++ b/internal/host/leader/leading.go
@@ -90,11 +90,12 @@
 // if the term has ended, or must end since the store is unavailable to this host only. Any
 // other failure is only logged.
 func (e *Election) renew(ctx context.Context, t *Term, r *Row, version int64) (int64, error) {
-	sent := e.clock()
 	r.Heartbeat++ // also after a failure: what another host sees was written by one attempt only
+	r.Limited = r.Limited || t.olderThan(Grace, e.clock())
+	t.attempted(r.Heartbeat, e.clock())
 	v, err := e.write(ctx, *r, version)
 	if err == nil {
-		t.renewed(sent)
+		t.renewed(r.Heartbeat)
 		e.setOwnRow(*r, v, t)
 		return v, nil
 	}
@@ -114,6 +115,7 @@
 	if superseded != nil {
 		return 0, fmt.Errorf("%w: %w", superseded, err)
 	}
+	t.renewed(e.Leader().Heartbeat) // by an earlier attempt that was written late
 	e.log.V(1).Info("leader row not renewed", "term", t.number, "error", err.Error())
 	return max(version, found), nil
 }
@@ -166,7 +168,7 @@
 			return
 		}
 	}
-	resigned := Row{Term: r.Term, Heartbeat: r.Heartbeat + 1}
+	resigned := Row{Term: r.Term, Heartbeat: r.Heartbeat + 1, Limited: r.Limited}
 	if _, err := e.write(ctx, resigned, version); err != nil {
 		e.log.V(1).Info("leader row not released", "term", r.Term, "error", err.Error())
 	}
--- a/internal/host/leader/predecessors.go
+++ b/internal/host/leader/predecessors.go
@@ -25,6 +25,9 @@
 func (r Row) resigned(now time.Time) Predecessors {
 	const unpaced = 2 // the first and the last write of a term
 	lasted := time.Duration(max(r.Heartbeat-unpaced, 0)) * RenewInterval
+	if !r.Limited {
+		return Predecessors{ordersEnd: now.Add(max(Grace-lasted, 0))}
+	}
 	return Predecessors{ordersEnd: now, leasesEnd: now.Add(Grace - lasted)}
 }
 
--- a/internal/host/leader/row.go
+++ b/internal/host/leader/row.go
@@ -35,7 +35,9 @@
 	Holder    string `json:"holder"`            // host name with incarnation; empty after a resignation
 	Address   string `json:"address,omitempty"` // of the holder, for peers
 	Heartbeat int64  `json:"beat"`              // incremented by each attempt to renew it
-	Limited   bool   `json:"limited,omitempty"` // the holder grants no lease beyond Grace after it wrote the row
+	// Limited is set if neither the holder nor an earlier leader that may still act grants a lease
+	// beyond Grace after the row was written.
+	Limited bool `json:"limited,omitempty"`
 }
 
 func (r Row) encode() []byte {
--- a/internal/host/leader/takeover.go
+++ b/internal/host/leader/takeover.go
@@ -33,7 +33,7 @@
 // succeeds, this host leads: OwnTerm returns the new term from then on.
 func (e *Election) acquire(ctx context.Context, before Row, version int64) (*Term, Row, int64, error) {
 	next := e.own
-	next.Term, next.Heartbeat, next.Limited = before.Term+1, 1, true
+	next.Term, next.Heartbeat, next.Limited = before.Term+1, 1, before.Limited || version == 0
 	sent := e.clock()
 	version, err := e.write(ctx, next, version)
 	if err != nil {
--- a/internal/host/leader/term.go
+++ b/internal/host/leader/term.go
@@ -1,6 +1,7 @@
 package leader
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -9,14 +10,16 @@
 type Term struct {
 	number    int64
 	done      chan struct{} // closed when the term ends
+	beganAt   time.Time
 	mu        sync.Mutex
-	renewedAt time.Time // when the last successful write of the row was sent
+	renewedAt time.Time           // when the last successful write of the row was sent
+	attempts  map[int64]time.Time // when each later write was sent, by its heartbeat
 }
 
 // NewTerm returns a term that began with a write of the leader row sent at the
 // given time.
 func NewTerm(number int64, sent time.Time) *Term {
-	return &Term{number: number, renewedAt: sent, done: make(chan struct{})}
+	return &Term{number: number, beganAt: sent, renewedAt: sent, done: make(chan struct{}), attempts: map[int64]time.Time{}}
 }
 
 // Number returns the number of the term, which is the fencing token of its orders.
@@ -42,9 +45,25 @@
 	return t.renewedAt
 }
 
-// renewed records a successful renewal of the row that was sent at the given time.
-func (t *Term) renewed(at time.Time) {
+// attempted records that a write of the row with a heartbeat is sent.
+func (t *Term) attempted(heartbeat int64, at time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.renewedAt = at
+	t.attempts[heartbeat] = at
 }
+
+// renewed records that the row holds what was written with a heartbeat. It does nothing if that is
+// known already.
+func (t *Term) renewed(heartbeat int64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sent, ok := t.attempts[heartbeat]
+	if !ok {
+		return
+	}
+	t.renewedAt = sent
+	maps.DeleteFunc(t.attempts, func(h int64, _ time.Time) bool { return h <= heartbeat })
+}
+
+// olderThan reports whether the term began more than a time ago.
+func (t *Term) olderThan(d time.Duration, now time.Time) bool { return now.Sub(t.beganAt) > d }
