work/dispatch: lapses are handed over by the term before only, and checked

Lapses count only from the term before, and runs are released only once the target is found not to answer the present leader, or is not listed.

TestLapseIsNotHandedOverAcrossATerm and TestHandedOverLapseDoesNotForestallFirstReport failed before; the test of what is ignored names another incarnation now, not an unknown target.

--- a/internal/work/dispatch/handover.go
+++ b/internal/work/dispatch/handover.go
@@ -14,6 +14,7 @@
 
 // Handover is what the leader of an earlier term passes on to the present one.
 type Handover struct {
+	Term   int64       `json:"term"` // that has ended
 	Ends   []ListedEnd `json:"ends,omitempty"`
 	Lapsed []string    `json:"lapsed,omitempty"` // incarnations of targets that did not answer until all leases there had lapsed
 }
@@ -55,7 +56,7 @@
 
 // Handover returns what the machine knows and could not save. It is called after the term.
 func (m *Machine) Handover() Handover {
-	var h Handover
+	h := Handover{Term: m.term}
 	for _, t := range m.sortedTargets {
 		for _, e := range t.unsavedEnds {
 			if e.job == nil || e.job.savedRev >= e.rev {
@@ -71,24 +72,45 @@
 }
 
 // ApplyHandover applies what an earlier leader has passed on, to targets that the machine does not
-// reach: the others report themselves.
+// reach: the others report themselves. Lapses count only from the term before: a leader between may
+// have reached the target and granted other leases.
 func (m *Machine) ApplyHandover(h Handover, now time.Time) {
-	m.log.Decided("handover", "ends", len(h.Ends), "lapsed", len(h.Lapsed))
+	m.log.Decided("handover", "from", h.Term, "ends", len(h.Ends), "lapsed", len(h.Lapsed))
 	for _, e := range h.Ends {
 		m.applyListedEnd(e, now)
 	}
-	for _, name := range h.Lapsed {
-		id, _ := parseIncarnation(name)
-		t := m.targets[id]
-		if t == nil || t.reach != notPolled || len(t.runs) == 0 || len(t.runsWhere(func(r *run) bool { return r.incarnationName() != name })) > 0 {
-			continue
+	if h.Term == m.term-1 {
+		for _, name := range h.Lapsed {
+			m.applyLapse(name)
 		}
-		m.log.Decided("target unreachable until its leases lapsed, as an earlier leader has seen", "target", id, "runs", len(t.runs))
-		m.targetLost(t, now)
 	}
 	m.placementDue = true
 }
 
+// applyLapse ends the wait for leases on a target that has not reported in this term, if all runs there
+// are on the incarnation on which an earlier leader has seen them lapse. The runs are released once the
+// target is found not to answer.
+func (m *Machine) applyLapse(incarnation string) {
+	id, _ := parseIncarnation(incarnation)
+	t := m.targets[id]
+	if t == nil || t.reach != notPolled || len(t.runsWhere(func(r *run) bool { return r.incarnationName() != incarnation })) > 0 {
+		return
+	}
+	t.earlierLeasesLapsed = true
+}
+
+// leasesLapsed reports whether all leases on a target that does not answer have lapsed.
+func (t *target) leasesLapsed(now time.Time) bool {
+	switch {
+	case t.reach == reachable:
+		return false
+	case !now.Before(t.leaseEnd):
+		return true
+	}
+	silent := !t.unansweredSince.IsZero() || !t.listed // a target that is not listed is not polled
+	return t.reach == notPolled && t.earlierLeasesLapsed && silent
+}
+
 // applyListedEnd applies an end that an earlier leader has read. It is not acknowledged: if the
 // target answers again, it lists the end itself.
 func (m *Machine) applyListedEnd(e ListedEnd, now time.Time) {
