work/dispatch: a gang's wait for its rack counts from its turn, and all resources count

Found in review: the wait was counted from the acceptance of the job, so a gang of a later step, or one started again, did not wait for its rack at all; and only accelerators counted as use of a service, so a gang on targets without any waited as before.

TestGangOfLaterStepAwaitsRackFromItsTurnOn and TestGangDoesNotAwaitRackWhileMostCPUIsFree failed before.

--- a/internal/work/dispatch/accept.go
+++ b/internal/work/dispatch/accept.go
@@ -199,8 +199,12 @@
 }
 
 // enqueueStep adds a step that may have tasks to start to the pending steps.
-func (m *Machine) enqueueStep(s *step, _ time.Time) {
-	if s.blockedBy > 0 || s.done || s.job.finished() || s.queued {
+func (m *Machine) enqueueStep(s *step, now time.Time) {
+	if s.blockedBy > 0 || s.done || s.job.finished() {
+		return
+	}
+	s.waitingSince = now
+	if s.queued {
 		return
 	}
 	s.queued = true
--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -128,7 +128,7 @@
 // equally fast are tried together, first without and then with preemption. On a slower
 // set, the gang would hold its accelerators longer by the slowdown, which costs others
 // more than the gang's wait. It therefore takes a slower set only if it must begin now, if
-// waiting cannot earn any value any more, or if it has waited while most accelerators are free.
+// waiting cannot earn any value any more, or if it has waited while most capacity is free.
 func (m *Machine) planGang(s *step, now time.Time) []*target {
 	slower := m.takesSlowerSet(s, now)
 	unplaceable, preempt := m.isUnplaceable(s, slower, now), m.mayPreempt(s, now)
@@ -248,28 +248,27 @@
 	if m.guaranteeDue(s, now) || nowMS > s.latestStartForValue() {
 		return true
 	}
-	waited := time.Duration(nowMS-s.releaseTime()) * time.Millisecond
-	return waited >= min(s.spec.Estimate, maxIdleWait) && m.mostlyIdle(s.job.spec.Service)
+	return now.Sub(s.waitingSince) >= min(s.spec.Estimate, maxIdleWait) && m.mostlyIdle(s.job.spec.Service)
 }
 
-// maxIdleWait bounds how long a gang waits for a faster set while most accelerators are free: the
-// capacity that it needs may be spread over the racks for good.
+// maxIdleWait bounds how long a gang waits for a faster set while most capacity is free: what
+// it needs may be spread over the racks for good.
 const maxIdleWait = 10 * time.Second
 
-// mostlyIdle reports whether under half of a service's accelerators that may get work are in use
-// in this pass.
+// mostlyIdle reports whether under half of each resource of a service's targets that may get work is
+// in use in this pass.
 func (m *Machine) mostlyIdle(service string) bool {
 	if idle, ok := m.pass.idle[service]; ok {
 		return idle
 	}
-	used, usable := 0, 0
+	var used, usable graph.Resources
 	for _, t := range m.sortedTargets {
 		if t.Service == service && t.acceptsStarts() {
-			used += t.used.Accelerators + t.waitingCharge.Accelerators
-			usable += t.Capacity.Accelerators
+			used = used.Plus(t.used).Plus(t.waitingCharge)
+			usable = usable.Plus(t.Capacity)
 		}
 	}
-	m.pass.idle = put(m.pass.idle, service, 2*used < usable)
+	m.pass.idle = put(m.pass.idle, service, used.Plus(used).FitsIn(usable))
 	return m.pass.idle[service]
 }
 
--- a/internal/work/dispatch/gang_wait_test.go
+++ b/internal/work/dispatch/gang_wait_test.go
@@ -97,3 +97,48 @@
 	d.runWithListing(6)
 	is.True(d.p.StartsOf(id) > 0)
 }
+
+// The same on targets without accelerators, of which less than a fifth of the CPU is in use.
+func TestGangDoesNotAwaitRackWhileMostCPUIsFree(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 4, 4, DefaultBounds())
+	for _, x := range d.p.Roster() {
+		d.p.SetCapacity(x.ID, graph.Resources{CPU: 64000, MemoryMB: 262144}, d.now)
+	}
+	d.listTargets()
+	for rack := range 4 { // one task on each of two targets of the rack
+		d.submit(2, time.Minute, graph.Step{
+			Count: 2, Needs: graph.Resources{CPU: 5600, MemoryMB: 29000}, Estimate: time.Minute, DataRack: fmt.Sprintf("r1-%d", rack), PerTarget: 1,
+		})
+	}
+	d.run(time.Second)
+	id := d.submit(1, 4*time.Second, graph.Step{
+		Count: 3, Needs: graph.Resources{CPU: 60000, MemoryMB: 75000}, Estimate: 4 * time.Second, Gang: true, SameRack: true,
+	})
+	d.runWithListing(6)
+	is.True(d.p.StartsOf(id) > 0)
+}
+
+// A gang's turn comes once an earlier step is done, and a second later there is a rack with room for
+// it. Guards against a wait that counts from the acceptance of the job: the gang would take several
+// racks at once, on which it holds its targets for three times as long.
+func TestGangOfLaterStepAwaitsRackFromItsTurnOn(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 4, 4, DefaultBounds())
+	for rack := range 4 { // one task on each of two targets of the rack
+		spread := small(2)
+		spread.DataRack, spread.PerTarget = fmt.Sprintf("r1-%d", rack), 1
+		d.submit(2, 7*time.Second, spread)
+	}
+	d.run(100 * time.Millisecond)
+	first, gang := small(1), largeGang(3, 8)
+	first.DataRack, gang.Estimate, gang.After = "r1-0", 4*time.Second, []int{0}
+	id := d.submit(1, 6*time.Second, first, gang)
+	d.runWithListing(9)
+	racks := map[string]bool{}
+	for _, x := range d.m.jobs[id].steps[1].tasks {
+		is.Equal(len(x.runs), 1)
+		racks[x.runs[0].target.Rack] = true
+	}
+	is.Equal(len(racks), 1)
+}
--- a/internal/work/dispatch/job.go
+++ b/internal/work/dispatch/job.go
@@ -60,6 +60,7 @@
 	lostAt           time.Time       // when the last loss under a task was recorded in this term
 	failedTargets    map[string]bool // targets on which a task failed
 	speeds           stepSpeeds      // speeds of its tasks, as last measured
+	waitingSince     time.Time       // when its turn came, or a run of it was last released
 	pausedUntil      time.Time       // a gang is not placed before
 	nextPreemptionAt time.Time       // earliest time of the next search for work to preempt
 	reservation      []*target       // targets reserved for it until nextPreemptionAt
