work/dispatch: a recorded run is not sent to another incarnation of its target

A target that starts again under its id may have other labels, another service or another capacity.

TestRecordedRunIsNotSentToIncarnationWithoutItsLabel failed before.

--- a/internal/work/dispatch/hold_test.go
+++ b/internal/work/dispatch/hold_test.go
@@ -239,3 +239,31 @@
 	d.runWithListing(3)
 	is.True(d.duration(id) > 0)
 }
+
+// An earlier leader recorded a gang whose starts were lost. One member is known to be missing, and
+// the other is stopped before its target has reported; that target answers polls but no stop. Guards
+// against a task that has a run for ever, although its target has reported without it to this leader
+// and thus accepts no start of an earlier one.
+func TestRunOfEarlierLeaderIsReleasedByAReport(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 4, DefaultBounds())
+	d.dropCommand = func(c Command) bool { _, ok := c.(Start); return ok }
+	id := d.submit(2, time.Second, largeGang(2, 8))
+	d.run(50 * time.Millisecond)
+	other := d.m.jobs[id].steps[0].tasks[1].runs[0].target.ID
+	changedAt := d.now
+	d.dropCommand = func(c Command) bool {
+		switch c.(type) {
+		case Stop:
+			return true
+		case Poll:
+			return targetOf(c) == other && d.now.Sub(changedAt) < 300*time.Millisecond
+		}
+		return false
+	}
+	d.changeLeader()
+	d.runWithListing(30)
+	is.Equal(d.m.targets[other].reach, reachable)
+	is.True(d.duration(id) > 0) // half a minute
+	d.check()
+}
--- a/internal/work/dispatch/incarnation_test.go
+++ b/internal/work/dispatch/incarnation_test.go
@@ -507,3 +507,33 @@
 	d.listTargets()
 	is.True(r.startOutstanding())
 }
+
+// A placement is being saved, and its target starts again under its id without the label that the task
+// requires, and reports. The start must not be sent there.
+func TestRecordedRunIsNotSentToIncarnationWithoutItsLabel(t *testing.T) {
+	is := is.New(t)
+	s := &fixture{Machine: New(7, DefaultBounds()), now: time.Unix(1000, 0)}
+	listed := roster.Target{ID: "t1", Address: "t1", Service: "s", Labels: []string{"a"}, StartedAt: 1000, Capacity: graph.Resources{CPU: 64000, MemoryMB: 262144, Accelerators: 8}}
+	s.UpdateTargets([]roster.Target{listed}, s.now, s.now)
+	s.Polled("t1", Poll{Sent: s.now}, order.Report{Clock: 5000, StartedAt: 1000}, s.now)
+	s.EnablePlacement(s.now, s.now)
+	j := testJob("00000000000000ba", 1)
+	j.Steps[0].Label = "a"
+	s.Accept(j, s.now)
+	var save Save
+	for _, c := range s.Decide(s.now) {
+		if c, ok := c.(Save); ok {
+			save = c
+		}
+	}
+	is.Equal(len(save.Rows), 1)
+	s.now = s.now.Add(time.Second)
+	listed.Labels, listed.StartedAt = []string{"b"}, 2000
+	s.UpdateTargets([]roster.Target{listed}, s.now, s.now)
+	s.Polled("t1", Poll{Sent: s.now}, order.Report{Clock: 100, StartedAt: 2000}, s.now)
+	s.Saved(save.Partition, 1, s.now)
+	for _, c := range s.Decide(s.now) {
+		_, start := c.(Start)
+		is.True(!start)
+	}
+}
--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -60,6 +60,8 @@
 			m.log.Decided("run given up before it was sent", "target", r.target.ID, "task", r.Task, "run", r.Number, "listed", r.target.listed, "drains", r.target.Draining, "evacuated", r.target.evacuated, "inTouch", r.target.responsive(), "clockMS", r.target.clockMS, "overCapacity", r.target.overCapacity(), "listAgeMS", now.Sub(m.listAsOf).Milliseconds(), "zonesAgeMS", now.Sub(m.evacuated.AsOf).Milliseconds())
 			m.stop(r, "its target accepts no starts, does not answer, has less capacity now or an unknown clock", now)
 			m.stopGang(r, "a member's target accepts no starts, does not answer, has less capacity now or an unknown clock", now)
+		case r.sentTo != r.target.incarnation: // which may have other labels
+			m.dropUnsent(r, "its target has started again", now)
 		case len(r.task.runs) > 1 && !r.task.step.spec.Speculative: // its target has reported another one since
 			m.dropUnsent(r, "another run of its task was found", now)
 		case !r.gangVerified(): // startVerified or dropUnverified decides
