work/dispatch: random scripts in which no step may stay without runs

What tests did not ask: that a step whose turn has come gets runs within a bound while there is room, also while targets misbehave. Scripts of jobs of one and two steps, with targets that are replaced one after the other, cut off, frozen, shrunk or hidden from the list, that refuse or lose starts and stops, that start again under their ids, with late, overtaken and lost answers, a store that is away, takeovers and queues that need advice; the check explains what holds a step that has no run for longer than the leases that may be in force. The stand-in pool tells which tasks of a step are done and what is in use on a target.

--- a/internal/standin/pool/pool.go
+++ b/internal/standin/pool/pool.go
@@ -216,6 +216,21 @@
 // acknowledged or not.
 func (p *Pool) TasksDone(id graph.JobID) int { return len(p.jobs[id].done) }
 
+// DoneOf returns the number of tasks of a step of a submitted job that ended as done,
+// acknowledged or not.
+func (p *Pool) DoneOf(id graph.StepID) int {
+	j, n := p.jobs[id.Job], 0
+	for i := range j.job.Steps[id.Step].Count {
+		if j.done[id.Task(i)] {
+			n++
+		}
+	}
+	return n
+}
+
+// UsedOn returns the resources that the runs on a target take, including those being stopped.
+func (p *Pool) UsedOn(id string) graph.Resources { return p.targets[id].used() }
+
 // Running returns the number of runs on all targets.
 func (p *Pool) Running() int {
 	n := 0
--- a/internal/work/dispatch/advice_test.go
+++ b/internal/work/dispatch/advice_test.go
@@ -185,12 +185,9 @@
 // adviseAll has the advice service permit all targets to all steps, with tickets that are valid for
 // three seconds, and count the calls for each job.
 func (d *simulation) adviseAll(calls map[graph.JobID]int) {
-	d.advise = func(c Advise) (granted []order.Permit, took time.Duration) {
+	d.advise = func(c Advise) (allowed []string, wait time.Duration, err error) {
 		calls[c.Step.Job]++
-		for _, id := range c.Targets {
-			granted = append(granted, order.Permit{Target: id, Ticket: "leave"})
-		}
-		return granted, 100*time.Millisecond + time.Duration(len(c.Targets))*15*time.Millisecond
+		return c.Targets, 100*time.Millisecond + time.Duration(len(c.Targets))*15*time.Millisecond, nil
 	}
 }
 
--- a/internal/work/dispatch/simulation_test.go
+++ b/internal/work/dispatch/simulation_test.go
@@ -44,13 +44,24 @@
 	// startsQueued is whether starts have queued in the host for so long that they carry the latest
 	// deadline that they may have.
 	startsQueued bool
-	// refuse returns the error with which a target answers a start or stop that it does not execute;
-	// nil: it executes it. A nil function refuses nothing.
-	refuse func(c Command) error
-	// advise returns what the advice service answers, and after which time; nil: it does not answer.
-	advise func(c Advise) (granted []order.Permit, took time.Duration)
 	// slowAnswer returns by how much the answer to a start or stop is late; nil: none is.
-	slowAnswer        func(c Command) time.Duration
+	slowAnswer func(c Command) time.Duration
+	// slowReport returns by how much the answer to a poll is late, after it was written; nil: none is.
+	slowReport func(c Poll) time.Duration
+	// refuse returns the error with which a target refuses a start, stop or poll without executing
+	// it; nil: no error, or none is refused.
+	refuse func(c Command) error
+	// storeAway is whether saves fail.
+	storeAway bool
+	// hidden holds the addresses whose targets are missing from the list.
+	hidden map[string]bool
+	// advise answers calls for advice: the targets that may run a step, or an error, after some time.
+	// nil: calls are not answered.
+	advise func(c Advise) (allowed []string, wait time.Duration, err error)
+	// cancelled holds the jobs whose cancellation is stored.
+	cancelled map[graph.JobID]bool
+	// advanced is called after each advance of the targets; nil: nothing is.
+	advanced          func()
 	log               []string // decisions that the machine logged
 	silentCrashes     bool     // polls of a target that crashes are lost, instead of broken off
 	decisionScheduled bool     // events has one for the next decision
@@ -106,10 +117,15 @@
 
 // listTargets passes the current list of targets to the machine, and has it decide.
 func (d *simulation) listTargets() {
-	d.m.UpdateTargets(d.p.Roster(), d.now, d.now)
+	d.m.UpdateTargets(d.roster(), d.now, d.now)
 	d.decide()
 }
 
+// roster returns the list of targets, without those that are hidden.
+func (d *simulation) roster() []roster.Target {
+	return slices.DeleteFunc(d.p.Roster(), func(x roster.Target) bool { return d.hidden[x.Address] })
+}
+
 // runWithListing runs the simulation for some seconds and lists the targets after each.
 func (d *simulation) runWithListing(seconds int) {
 	for range seconds {
@@ -160,6 +176,9 @@
 		}
 		d.now = next
 		d.p.Advance(d.now)
+		if d.advanced != nil {
+			d.advanced()
+		}
 		d.sendQueued(simulationStep)
 		if d.now.UnixMilli()%100 == 0 {
 			d.m.Tick(d.now)
@@ -245,6 +264,12 @@
 			lost, answerLost = true, false
 		}
 	}
+	if d.refuse != nil && !lost {
+		if err := d.refuse(c); err != nil {
+			d.refuseOrder(c, err)
+			return
+		}
+	}
 	term := d.m.Term()
 	switch c := c.(type) {
 	case Start:
@@ -271,18 +296,17 @@
 		}
 		d.after(oneWay, func() { d.answerPoll(c, c.Order, until.Add(oneWay)) })
 	case Advise:
-		if d.advise == nil {
-			return
-		}
-		asked := d.now
-		granted, took := d.advise(c)
-		d.after(took, func() { d.m.Advised(c, granted, 0, asked, nil, d.now) })
+		d.answerAdvise(c)
 	case Save:
 		m := d.m
 		d.after(max(saveTime, d.slowSaveTime), func() {
 			if m != d.m {
 				return // refused: a newer leader has written the fence row
 			}
+			if d.storeAway {
+				d.m.SaveFailed(c.Partition, d.now)
+				return
+			}
 			d.version++
 			for _, r := range c.Rows {
 				d.rows[r.Job] = r.Value
@@ -292,6 +316,38 @@
 	}
 }
 
+// answerAdvise answers a call for advice with tickets that are valid for ticketTime.
+func (d *simulation) answerAdvise(c Advise) {
+	if d.advise == nil {
+		return
+	}
+	asked := d.now
+	allowed, wait, err := d.advise(c)
+	var granted []order.Permit
+	for _, id := range allowed {
+		granted = append(granted, order.Permit{Target: id, Ticket: "ticket"})
+	}
+	d.after(wait, func() { d.m.Advised(c, granted, ticketTime, asked, err, d.now) })
+}
+
+// ticketTime is the validity of tickets.
+const ticketTime = 3 * time.Second
+
+// refuseOrder has a target answer an order with an error and without executing it. It ignores
+// commands that are no starts, stops or polls.
+func (d *simulation) refuseOrder(c Command, err error) {
+	d.after(2*oneWay, func() {
+		switch c := c.(type) {
+		case Start:
+			d.m.StartAnswered(c, 0, err, d.now)
+		case Stop:
+			d.m.StopAnswered(c, 0, err, d.now)
+		case Poll:
+			d.m.PollFailed(c.Target.ID, c, err, d.now)
+		}
+	})
+}
+
 // executeLate executes an order after some time, whoever leads then and whether its target is
 // disconnected or not. The order is the one that was sent: its deadline may have passed. It
 // ignores commands that are no orders.
@@ -342,13 +398,7 @@
 			fail()
 			return
 		}
-		clock, err := int64(0), error(nil)
-		if d.refuse != nil {
-			err = d.refuse(c)
-		}
-		if err == nil {
-			clock, err = do()
-		}
+		clock, err := do()
 		d.after(back, func() {
 			if d.disconnected[address] {
 				fail()
@@ -381,7 +431,11 @@
 		d.after(simulationStep, func() { d.answerPoll(c, o, until) })
 		return
 	}
-	d.after(oneWay, func() {
+	back := oneWay
+	if d.slowReport != nil && err == nil {
+		back += d.slowReport(c)
+	}
+	d.after(back, func() {
 		switch {
 		case d.disconnected[c.Target.Host]:
 			d.failPoll(c, until)
@@ -431,9 +485,9 @@
 				d.t.Fatal(err)
 			}
 		}
-		d.m.Restore(d.specs[id], p, 1, false, d.now)
+		d.m.Restore(d.specs[id], p, 1, d.cancelled[id], d.now)
 	}
-	d.m.UpdateTargets(d.p.Roster(), d.now, d.now)
+	d.m.UpdateTargets(d.roster(), d.now, d.now)
 	d.m.EnablePlacement(d.now.Add(d.bounds.Lease+d.bounds.Lease/16), d.now)
 	d.decide()
 }
