--- a/internal/work/dispatch/handover_test.go
+++ b/internal/work/dispatch/handover_test.go
@@ -56,7 +56,7 @@
 // nothing: the run goes on.
 func TestHandoverOfOtherRunsIsIgnored(t *testing.T) {
 	for name, change := range map[string]func(d *simulation, h *Handover){
-		"other incarnation": func(d *simulation, h *Handover) {
+		"other incarnation": func(_ *simulation, h *Handover) {
 			id, startedAt := parseIncarnation(h.Ends[0].Target)
 			h.Ends[0].Target = incarnationName(id, startedAt+1)
 			h.Lapsed[0] = h.Ends[0].Target
