work/dispatch: an at-most-once job whose start has expired is placed again

Found in review: a run that is released since all its starts were refused as late has not run, so a job that must run at most once need not be shown as failed (LOST). The test failed before.

--- a/internal/work/dispatch/hold_test.go
+++ b/internal/work/dispatch/hold_test.go
@@ -12,6 +12,7 @@
 	"guavaglade.example/guavaglade/internal/standin/pool"
 	"guavaglade.example/guavaglade/internal/work/crashloop"
 	"guavaglade.example/guavaglade/internal/work/graph"
+	"guavaglade.example/guavaglade/internal/work/progress"
 )
 
 // The only start of a task is lost, and its target answers polls but no stop. The run must be
@@ -267,3 +268,20 @@
 	is.True(d.duration(id) > 0) // half a minute
 	d.check()
 }
+
+// The only start of a job that must run at most once is lost, and its target answers no stop. It was not
+// executed, which is known once the run is given up: the job must be placed again, not shown as failed.
+func TestAtMostOnceJobIsStartedAgainOnceOutstandingStartHasExpired(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 2, DefaultBounds())
+	d.dropCommand = func(c Command) bool {
+		start, ok := c.(Start)
+		_, stop := c.(Stop)
+		return stop || ok && start.Order.Run.Number == 1
+	}
+	j := &graph.Job{Priority: 2, SlackFactor: 3, AtMostOnce: true, Steps: []graph.Step{small(1)}}
+	id := d.submitJob(j, pool.Behaviour{Work: func(graph.TaskID) time.Duration { return time.Second }})
+	d.runWithListing(30)
+	is.Equal(d.state(id), progress.Completed)
+	is.Equal(d.p.StartsOf(id), 1)
+}
--- a/internal/work/dispatch/poll.go
+++ b/internal/work/dispatch/poll.go
@@ -304,7 +304,9 @@
 	for _, r := range gone {
 		m.log.Decided("run not on its target", "target", t.ID, "task", r.Task, "run", r.Number, "phase", int(r.phase))
 		m.release(r, now)
-		m.failIfAtMostOnce(r, now)
+		if !r.startsExpired || !r.beganAt.IsZero() { // else it has not run
+			m.failIfAtMostOnce(r, now)
+		}
 		m.stopGang(r, "a member is missing on its target", now)
 	}
 }
