host/leader, host/dispatcher, work/dispatch: names and comments after the review

Rows are asked afterResignation and afterTakeover for what earlier leaders may still do; AcceptHandover applies what Handover passes on; comments say what the review stumbled on. No behaviour changes.

--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -172,7 +172,7 @@
 		return fmt.Errorf("term %d: %w", t.Number(), err)
 	}
 	d.log.Info("restored", "term", t.Number(), "jobs", l.machine.Counts().Jobs, "tookMS", l.clock().Sub(began).Milliseconds())
-	clockSlack := d.bounds.Lease / 16 // for targets whose clocks are slow
+	clockSlack := d.bounds.Lease / 16 // a target's clock may be 2 % slow
 	err := l.run(earlier.LeasesEnd(d.bounds.Lease).Add(clockSlack))
 	cancel()
 	d.setServing(nil)
--- a/internal/host/dispatcher/handover.go
+++ b/internal/host/dispatcher/handover.go
@@ -32,7 +32,7 @@
 	}
 }
 
-// Handover applies what an earlier leader has passed on.
-func (d *Dispatcher) Handover(ctx context.Context, h dispatch.Handover) error {
+// AcceptHandover applies what an earlier leader has passed on.
+func (d *Dispatcher) AcceptHandover(ctx context.Context, h dispatch.Handover) error {
 	return d.onLoop(ctx, func(m *dispatch.Machine, now time.Time) { m.ApplyHandover(h, now) })
 }
--- a/internal/host/leader/election.go
+++ b/internal/host/leader/election.go
@@ -31,7 +31,8 @@
 }
 
 // Lead is called when a term of this host begins. It returns when the context ends, or
-// earlier if it finds that a newer term has begun. earlier tells of the leaders before.
+// earlier if it finds that a newer term has begun. earlier says until when leaders of earlier
+// terms may act.
 type Lead func(ctx context.Context, t *Term, earlier Predecessors) error
 
 // Election follows the leader row, and leads while this host holds it.
--- a/internal/host/leader/predecessors.go
+++ b/internal/host/leader/predecessors.go
@@ -5,8 +5,8 @@
 // Predecessors tells, at the beginning of a term, for how long the leaders of earlier terms may
 // still act. The zero value says that there were none.
 type Predecessors struct {
-	ordersEnd time.Time // all that may grant a lease of any length have ceased to by then
-	leasesEnd time.Time // those that may act for longer grant no lease beyond that
+	ordersEnd time.Time // when the last leader that may grant whole leases ceases to send orders
+	leasesEnd time.Time // when the leases of all other earlier leaders end at the latest
 }
 
 // LeasesEnd returns when every lease that an earlier leader granted or may still grant has
@@ -19,11 +19,11 @@
 	return end
 }
 
-// resigned returns the Predecessors of a term that follows one whose leader has ceased to act,
-// and whose row was last r. A leader before that one may act for Grace from when that one began;
-// how long ago that was, the number of renewals tells.
-func (r Row) resigned(now time.Time) Predecessors {
-	const unpaced = 2 // the first and the last write of a term
+// afterResignation returns the Predecessors of a term that follows one whose leader has ceased to
+// act, and whose row was last r. A leader before that one may act for Grace from when that one
+// began; how long ago that was, the number of attempts to renew the row tells.
+func (r Row) afterResignation(now time.Time) Predecessors {
+	const unpaced = 2 // the first write of a term and the resignation are not paced
 	lasted := time.Duration(max(r.Heartbeat-unpaced, 0)) * RenewInterval
 	if !r.Limited {
 		return Predecessors{ordersEnd: now.Add(max(Grace-lasted, 0))}
@@ -31,9 +31,9 @@
 	return Predecessors{ordersEnd: now, leasesEnd: now.Add(Grace - lasted)}
 }
 
-// deposed returns the Predecessors of a term that follows one whose leader may not know that it
-// has been replaced. Its row was last r, which was first seen at a time.
-func (r Row) deposed(seen time.Time) Predecessors {
+// afterTakeover returns the Predecessors of a term that follows one whose leader may not know that
+// it has been replaced. Its row was last r, which was first seen at a time.
+func (r Row) afterTakeover(seen time.Time) Predecessors {
 	if !r.Limited {
 		return Predecessors{ordersEnd: seen.Add(Grace)}
 	}
--- a/internal/host/leader/takeover.go
+++ b/internal/host/leader/takeover.go
@@ -17,11 +17,11 @@
 		return
 	}
 	e.mu.Lock()
-	before, version, earlier := e.row, e.version, e.row.deposed(e.seenAt)
+	before, version, earlier := e.row, e.version, e.row.afterTakeover(e.seenAt)
 	e.mu.Unlock()
 	if t, next, version, err := e.acquire(ctx, before, version); err == nil {
 		if before.vacant(next) {
-			earlier = before.resigned(e.clock())
+			earlier = before.afterResignation(e.clock())
 		}
 		e.serveTerm(ctx, t, next, version, earlier)
 		return
@@ -61,7 +61,7 @@
 		return false
 	}
 	select {
-	case e.transfers <- transfer{t, next, version, r.resigned(e.clock())}:
+	case e.transfers <- transfer{t, next, version, r.afterResignation(e.clock())}:
 		return true
 	case <-time.After(storeTimeout): // Run ended, or this host took the row over without a transfer
 		return false
--- a/internal/host/rpc/endpoint.go
+++ b/internal/host/rpc/endpoint.go
@@ -81,7 +81,7 @@
 type Dispatcher interface {
 	Submitted(ctx context.Context, j *graph.Job) error
 	Cancelled(ctx context.Context, id graph.JobID) error
-	Handover(ctx context.Context, h dispatch.Handover) error
+	AcceptHandover(ctx context.Context, h dispatch.Handover) error
 	Status(ctx context.Context, id graph.JobID) (status view.JobStatus, known bool, err error)
 	Pending(ctx context.Context, queue string) (int, error)
 	Jobs(ctx context.Context, account string) ([]view.Job, error)
@@ -174,7 +174,7 @@
 	case methodCancelled:
 		return decodeAndCall(params, func(in graph.JobID) (any, error) { return nil, e.dispatcher.Cancelled(ctx, in) })
 	case methodHandover:
-		return decodeAndCall(params, func(in dispatch.Handover) (any, error) { return nil, e.dispatcher.Handover(ctx, in) })
+		return decodeAndCall(params, func(in dispatch.Handover) (any, error) { return nil, e.dispatcher.AcceptHandover(ctx, in) })
 	case methodStatus:
 		return decodeAndCall(params, func(in graph.JobID) (any, error) { return e.localStatus(ctx, in) })
 	case methodPending:
--- a/internal/host/rpc/endpoint_test.go
+++ b/internal/host/rpc/endpoint_test.go
@@ -45,7 +45,7 @@
 
 func (d *testDispatcher) Submitted(context.Context, *graph.Job) error  { return d.err() }
 func (d *testDispatcher) Cancelled(context.Context, graph.JobID) error { return d.err() }
-func (d *testDispatcher) Handover(_ context.Context, h dispatch.Handover) error {
+func (d *testDispatcher) AcceptHandover(_ context.Context, h dispatch.Handover) error {
 	d.handedOver = append(d.handedOver, h)
 	return d.err()
 }
--- a/internal/host/rpc/leadercall.go
+++ b/internal/host/rpc/leadercall.go
@@ -50,7 +50,7 @@
 
 // Handover passes what a term of this host has left to the present leader.
 func (e *Endpoint) Handover(ctx context.Context, h dispatch.Handover) error {
-	_, err := callLeader(ctx, e, methodHandover, h, func() (empty, error) { return empty{}, e.dispatcher.Handover(ctx, h) })
+	_, err := callLeader(ctx, e, methodHandover, h, func() (empty, error) { return empty{}, e.dispatcher.AcceptHandover(ctx, h) })
 	return err
 }
 
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -111,8 +111,8 @@
 	m.checkGuarantees()
 }
 
-// SetLeaseLimit sets a time beyond which no lease is granted, until it is moved on: the next leader
-// may start work elsewhere from then on. The caller sets it before each decision.
+// SetLeaseLimit sets a time beyond which no lease is granted: the next leader may start work
+// elsewhere from then on. The caller moves it on with each renewal of the term.
 func (m *Machine) SetLeaseLimit(at time.Time) { m.leaseLimit = at }
 
 // SetWallOffset sets the time of day minus the boot-time clock that callers pass as
@@ -125,7 +125,7 @@
 // EnablePlacement allows placement. It is called once, after all accepted jobs were
 // restored and the first list of targets was read. Runs that an earlier leader recorded
 // on targets that do not report are taken to have ended at predecessorLeasesEnd, when
-// all leases that it can have granted have lapsed.
+// all leases that it can have granted have lapsed. No start of it is executed after that.
 func (m *Machine) EnablePlacement(predecessorLeasesEnd, now time.Time) {
 	m.placementEnabled, m.placementEnabledAt, m.placementDue = true, now, true
 	runs := 0
--- a/internal/work/dispatch/poll.go
+++ b/internal/work/dispatch/poll.go
@@ -311,8 +311,8 @@
 	}
 }
 
-// wouldBeListed reports whether a report that was asked for at a time lists the run or its end, if
-// the run exists or may still begin. That is so once its start or stop was answered, once its target has
+// wouldBeListed reports whether a report that was asked for at a time would list the run or its end,
+// unless the run has ended or can no longer begin. That is so once its start or stop was answered, once its target has
 // reported it, and once all its starts are refused as late.
 func (r *run) wouldBeListed(asked time.Time) bool {
 	if !r.orderAnsweredAt.IsZero() {
