--- a/internal/host/leader/election_test.go
+++ b/internal/host/leader/election_test.go
@@ -564,9 +564,8 @@
 		time.Sleep(leader.Grace + 2*time.Second)
 		a.link.SetFaults(rows.Faults{})
 		time.Sleep(leader.RenewInterval)
-		terms := a.terms
 		a.stop()
-		is.Equal(terms, []int64{1})
+		is.Equal(a.terms, []int64{1})
 	})
 }
 
