host/leader: a lost renewal is repeated before the row may be taken over

A write now waits for eight times what calls to the store take, 400 ms at least, and the rest of the time is for reading the row back.

--- a/internal/host/leader/election.go
+++ b/internal/host/leader/election.go
@@ -42,8 +42,9 @@
 	lead        Lead
 	own         Row // term 0, with the holder and address of this host
 	clock       boottime.Clock
-	randN       func(n int64) int64 // a random number in [0, n)
-	cores       float64             // of this host
+	randN       func(n int64) int64  // a random number in [0, n)
+	latency     func() time.Duration // how long calls to the store take
+	cores       float64              // of this host
 	log         logr.Logger
 	mu          sync.Mutex
 	row         Row           // leader row as last read, written or reported by a peer
@@ -72,10 +73,14 @@
 // in leading.
 func WithCores(cores float64) Option { return func(e *Election) { e.cores = cores } }
 
+// WithStoreLatency sets the function that returns how long calls to the store take. Without it,
+// they are taken to be slow.
+func WithStoreLatency(f func() time.Duration) Option { return func(e *Election) { e.latency = f } }
+
 // New returns an election for the host with the given holder name and address for
 // peers.
 func New(s store.Store, p Peers, lead Lead, holder, address string, log logr.Logger, opts ...Option) *Election {
-	e := &Election{store: s, peers: p, lead: lead, own: Row{Holder: holder, Address: address}, clock: boottime.Now, randN: rand.Int64N, log: log, transfers: make(chan transfer)}
+	e := &Election{store: s, peers: p, lead: lead, own: Row{Holder: holder, Address: address}, clock: boottime.Now, randN: rand.Int64N, log: log, transfers: make(chan transfer), latency: func() time.Duration { return storeTimeout }}
 	for _, o := range opts {
 		o(e)
 	}
--- a/internal/host/leader/election_test.go
+++ b/internal/host/leader/election_test.go
@@ -122,7 +122,7 @@
 	}
 	randN := rand.New(rand.NewPCG(seed, 2)).Int64N
 	monitor := store.NewMonitor(h.link, leader.RowKey, func(up bool, _ error) { h.StoreChanged(up) })
-	h.Election = leader.New(monitor, peers, lead, name+"#1", name, logr.Discard(), leader.WithClock(time.Now), leader.WithRandom(randN), leader.WithCores(1))
+	h.Election = leader.New(monitor, peers, lead, name+"#1", name, logr.Discard(), leader.WithClock(time.Now), leader.WithRandom(randN), leader.WithCores(1), leader.WithStoreLatency(monitor.TypicalLatency))
 	go monitor.Run(ctx)
 	go func() {
 		h.Run(ctx)
@@ -569,6 +569,31 @@
 	})
 }
 
+// One renewal of a leader is lost, and not answered. It must renew its row again before another host takes
+// it over.
+func TestOneLostRenewalCostsNoTerm(t *testing.T) {
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			before, after := runEightHosts(t, seed, func(hosts []*host) {
+				time.Sleep(time.Duration(seed) * 25 * time.Millisecond) // at any moment between two renewals
+				for _, h := range hosts {
+					if !h.leads() {
+						continue
+					}
+					h.link.SetFaults(rows.Faults{SilentWrites: true})
+					time.Sleep(leader.RenewInterval - 20*time.Millisecond)
+					h.link.SetFaults(rows.Faults{})
+					break
+				}
+				time.Sleep(3 * time.Second)
+			})
+			if after != before {
+				t.Errorf("seed %d: term %d, want %d", seed, after, before)
+			}
+		})
+	}
+}
+
 // A leader of an earlier version, which grants whole leases for as long as it may act, is replaced
 // without knowing it, and the next one is lost or resigns soon after. The third must await the leases of
 // the first, although the row that it replaces is of a leader that limits its own.
--- a/internal/host/leader/row.go
+++ b/internal/host/leader/row.go
@@ -22,8 +22,13 @@
 	// ReadInterval is the time between two reads of the row by a host whose calls to
 	// the leader are not answered.
 	ReadInterval = 300 * time.Millisecond
-	// storeTimeout bounds a read or write of the row.
+	// storeTimeout bounds a read or write of the row, and reading it back.
 	storeTimeout = 1500 * time.Millisecond
+	// minWriteTimeout and writeTimeoutFactor bound the write alone: a multiple of what calls to
+	// the store take, with a minimum. A leader that waited longer for an answer that is lost
+	// would be replaced before its next attempt.
+	minWriteTimeout    = 400 * time.Millisecond
+	writeTimeoutFactor = 8
 )
 
 // RowKey is the key of the leader row.
--- a/internal/host/leader/takeover.go
+++ b/internal/host/leader/takeover.go
@@ -90,7 +90,9 @@
 func (e *Election) write(ctx context.Context, r Row, version int64) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	res, err := e.store.Commit(ctx, store.Tx{
+	writing, stop := context.WithTimeout(ctx, max(minWriteTimeout, writeTimeoutFactor*e.latency()))
+	defer stop()
+	res, err := e.store.Commit(writing, store.Tx{
 		Expect: []store.Expect{{Key: RowKey, Version: version}},
 		Put:    []store.Put{{Key: RowKey, Value: r.encode()}},
 	})
--- a/internal/standin/rows/link.go
+++ b/internal/standin/rows/link.go
@@ -15,6 +15,7 @@
 type Faults struct {
 	Refuse       bool          // every call is refused and has no effect
 	Unresponsive bool          // no call is answered or has an effect
+	SilentWrites bool          // no write is answered or has an effect
 	Latency      time.Duration // added to each call
 	LostAnswers  float64       // share of the writes that take effect and are not answered
 	LateWrites   float64       // share of the writes that are not answered and take effect LateBy later
@@ -79,6 +80,10 @@
 	if err := l.applyFaults(ctx, f); err != nil {
 		return store.Result{}, err
 	}
+	if f.SilentWrites {
+		<-ctx.Done()
+		return store.Result{}, fmt.Errorf("stand-in link: %w: %w", store.ErrOutcomeUnknown, ctx.Err())
+	}
 	if late < f.LateWrites {
 		time.AfterFunc(f.LateBy, func() { _, _ = l.table.commit(tx) }) // the answer is lost
 		return store.Result{}, fmt.Errorf("stand-in link: %w: %w", store.ErrOutcomeUnknown, errLost)
