--- a/internal/proof/deployment/takeover_test.go
+++ b/internal/proof/deployment/takeover_test.go
@@ -102,6 +102,38 @@
 	}
 }
 
+// disconnectLeaderZone disconnects the leader, together with the targets of the first zone, from the
+// store, the other hosts and the other targets. It returns the ids of these targets, and a function that
+// ends that.
+func (d *deployment) disconnectLeaderZone() (inside map[string]bool, heal func()) {
+	old := d.leader()
+	inside, outside := map[string]bool{}, map[string]bool{}
+	d.pool.Do(func(p *pool.Pool, _ time.Time) {
+		for _, t := range p.Roster() {
+			if t.Zone == "zone0" {
+				inside[t.ID] = true
+			} else {
+				outside[t.ID] = true
+			}
+		}
+	})
+	old.storeLink.SetFaults(rows.Faults{Unresponsive: true})
+	old.transport.SetFaults(pool.Faults{Unreachable: outside})
+	for _, h := range d.hosts {
+		if h != old {
+			d.network.setDisconnected(h.address, old.address, true)
+			h.transport.SetFaults(pool.Faults{Unreachable: inside})
+		}
+	}
+	return inside, func() {
+		old.storeLink.SetFaults(rows.Faults{})
+		for _, h := range d.hosts {
+			d.network.setDisconnected(h.address, old.address, false)
+			h.transport.SetFaults(pool.Faults{})
+		}
+	}
+}
+
 // A zone with the leader and one rack of targets is disconnected. A standby outside
 // takes over and cannot reach that rack; the old leader cannot reach the other targets.
 // The old leader assumes that the leases on those have lapsed, while the new one finds
@@ -113,27 +145,9 @@
 		d.submit(d.singleStepJob(2, graph.Step{Count: 40, Needs: needs(1), Estimate: 9 * time.Second}), succeedsAfter(9*time.Second))
 		d.submit(d.singleStepJob(2, graph.Step{Count: 60, Needs: needs(1), Estimate: 2 * time.Second}), succeedsAfter(2*time.Second))
 		time.Sleep(time.Second)
-		old := d.leader()
-		inside, outside := map[string]bool{}, map[string]bool{}
-		d.pool.Do(func(p *pool.Pool, _ time.Time) {
-			for _, t := range p.Roster() {
-				inside[t.ID], outside[t.ID] = t.Zone == "zone0", t.Zone != "zone0"
-			}
-		})
-		old.storeLink.SetFaults(rows.Faults{Unresponsive: true})
-		old.transport.SetFaults(pool.Faults{Unreachable: outside})
-		for _, h := range d.hosts {
-			if h != old {
-				d.network.setDisconnected(h.address, old.address, true)
-				h.transport.SetFaults(pool.Faults{Unreachable: inside})
-			}
-		}
+		_, heal := d.disconnectLeaderZone()
 		time.Sleep(9 * time.Second)
-		old.storeLink.SetFaults(rows.Faults{})
-		for _, h := range d.hosts {
-			d.network.setDisconnected(h.address, old.address, false)
-			h.transport.SetFaults(pool.Faults{})
-		}
+		heal()
 		d.awaitEnds(60 * time.Second)
 	})
 }
@@ -198,27 +212,9 @@
 			time.Sleep(2 * time.Second)
 			d.submit(d.singleStepJob(2, graph.Step{Count: 40, Needs: needs(1), Estimate: 30 * time.Second}), succeedsAfter(30*time.Second))
 			time.Sleep(time.Second)
-			old := d.leader()
-			inside, outside := map[string]bool{}, map[string]bool{}
-			d.pool.Do(func(p *pool.Pool, _ time.Time) {
-				for _, t := range p.Roster() {
-					inside[t.ID], outside[t.ID] = t.Zone == "zone0", t.Zone != "zone0"
-				}
-			})
-			old.storeLink.SetFaults(rows.Faults{Unresponsive: true})
-			old.transport.SetFaults(pool.Faults{Unreachable: outside})
-			for _, h := range d.hosts {
-				if h != old {
-					d.network.setDisconnected(h.address, old.address, true)
-					h.transport.SetFaults(pool.Faults{Unreachable: inside})
-				}
-			}
+			_, heal := d.disconnectLeaderZone()
 			time.Sleep(22 * time.Second)
-			old.storeLink.SetFaults(rows.Faults{})
-			for _, h := range d.hosts {
-				d.network.setDisconnected(h.address, old.address, false)
-				h.transport.SetFaults(pool.Faults{})
-			}
+			heal()
 			d.awaitEnds(90 * time.Second)
 		})
 	}
@@ -237,35 +233,15 @@
 		), succeedsAfter(3*time.Second))
 		time.Sleep(2 * time.Second)
 		before := startCount(d)
-		old := d.leader()
-		inside, outside := map[string]bool{}, map[string]bool{}
-		d.pool.Do(func(p *pool.Pool, _ time.Time) {
-			for _, t := range p.Roster() {
-				inside[t.ID], outside[t.ID] = t.Zone == "zone0", t.Zone != "zone0"
-			}
-		})
-		old.storeLink.SetFaults(rows.Faults{Unresponsive: true})
-		old.transport.SetFaults(pool.Faults{Unreachable: outside})
-		for _, h := range d.hosts {
-			if h != old {
-				d.network.setDisconnected(h.address, old.address, true)
-				h.transport.SetFaults(pool.Faults{Unreachable: inside})
-			}
-		}
+		inside, heal := d.disconnectLeaderZone()
 		time.Sleep(2500 * time.Millisecond)
 		d.pool.Do(func(p *pool.Pool, now time.Time) {
-			for id, gone := range inside {
-				if gone {
-					p.Kill(id, now)
-				}
+			for id := range inside {
+				p.Kill(id, now)
 			}
 		})
 		time.Sleep(1500 * time.Millisecond)
-		old.storeLink.SetFaults(rows.Faults{})
-		for _, h := range d.hosts {
-			d.network.setDisconnected(h.address, old.address, false)
-			h.transport.SetFaults(pool.Faults{})
-		}
+		heal()
 		is.Equal(before, 64)
 		healedAt := time.Now()
 		d.awaitEnds(40 * time.Second)
