--- a/internal/work/dispatch/ends.go
+++ b/internal/work/dispatch/ends.go
@@ -106,8 +106,8 @@
 	t.unsavedEnds = append(t.unsavedEnds, end)
 }
 
-// settleEnd applies an end to its job. r is nil for a run that was not
-// known; the caller has removed any other from its target.
+// settleEnd applies an end to its job. r is nil for a run that was not known; the caller has
+// removed any other from its target.
 func (m *Machine) settleEnd(j *job, t *target, r *run, e order.Ended, now time.Time) {
 	if x := j.findTask(e.Run.Task); x != nil {
 		m.logOutstandingStart(x, e, now)
--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -44,8 +44,9 @@
 }
 
 // targetSets returns the sets of targets that could hold the whole gang if they were
-// empty but for long-running tasks, the fastest ones for the gang first. A gang that wants one rack may run on
-// several, and one whose data is on a rack may run on another, but slower.
+// empty but for long-running tasks, the fastest ones for the gang first; there is at least
+// one. A gang that wants one rack may run on several, and one whose data is on a rack may run
+// on another, but slower.
 func (m *Machine) targetSets(s *step, now time.Time) []targetSet {
 	m.targetsConsidered += len(m.sortedTargets)
 	var all []*target
