--- a/internal/work/dispatch/hold_test.go
+++ b/internal/work/dispatch/hold_test.go
@@ -285,3 +285,53 @@
 	is.Equal(d.state(id), progress.Completed)
 	is.Equal(d.p.StartsOf(id), 1)
 }
+
+// An urgent task awaits the capacity of a run that is being stopped, on a target that answers polls
+// but refuses stops. Other targets have work that may be preempted, too. Guards against an urgent
+// task that waits for that one target for as long as it refuses.
+func TestUrgentTaskDoesNotAwaitARefusedStop(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 4, DefaultBounds())
+	step := wholeTarget()
+	step.Count, step.Estimate = 4, 20*time.Second
+	d.submit(2, 20*time.Second, step)
+	d.run(time.Second)
+	refusing := ""
+	d.refuse = func(c Command) error {
+		if s, ok := c.(Stop); ok {
+			if refusing == "" {
+				refusing = s.Target.ID
+			}
+			if s.Target.ID == refusing {
+				return order.ErrUnhealthy
+			}
+		}
+		return nil
+	}
+	urgent := wholeTarget()
+	id := d.submit(0, time.Second, urgent)
+	d.runWithListing(10)
+	is.True(refusing != "")
+	is.True(d.duration(id) > 0) // ten seconds after it was submitted, with three other targets to preempt
+	d.refuse = nil
+	d.runWithListing(60)
+	d.check()
+}
+
+// A gang without checkpoints stalls since one of its targets does, and all its members report no
+// progress. Guards against the healthy targets being kept from other work for seconds.
+func TestStalledGangDoesNotQuarantineItsHealthyTargets(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 4, DefaultBounds())
+	step := largeGang(4, 2)
+	step.PerTarget = 1
+	d.submit(1, 8*time.Second, step)
+	d.run(time.Second)
+	for _, x := range d.p.Roster() { // the pool does the work of each member by itself, unlike targets
+		d.p.SetStalled(x.ID, true)
+	}
+	d.run(7200 * time.Millisecond)
+	id := d.submit(2, time.Second, small(1))
+	d.run(3 * time.Second)
+	is.Equal(d.p.StartsOf(id), 1) // three of four targets are healthy and have most of their capacity free
+}
--- a/internal/work/dispatch/restore_test.go
+++ b/internal/work/dispatch/restore_test.go
@@ -156,3 +156,21 @@
 	s.Tick(s.now)
 	is.Equal(len(s.saves()), 1)
 }
+
+// A target reports to a new leader and then ceases to answer. From its report on it has refused the
+// orders of earlier leaders, so no lease there lasts for longer than a whole one from then. Guards against
+// work that is withheld until the earlier leader may act nowhere any more.
+func TestRunIsNotWithheldForLeaderThatItsTargetRefuses(t *testing.T) {
+	is := is.New(t)
+	s := newFixture()
+	id := graph.JobID("00000000000000bc")
+	placed := &progress.Step{Placements: []progress.Placement{{Target: "t1", Run: 1}}, LastRuns: map[int]int{0: 1}}
+	s.Restore(testJob(id, 1), &progress.Job{State: progress.Queued, Steps: map[string]*progress.Step{"0.0": placed}}, 5, false, s.now)
+	s.EnablePlacement(s.now.Add(10*time.Second), s.now)
+	s.report(order.Report{Running: []order.Running{{Run: testRun(id, 0, 1)}}})
+	s.saves()
+	s.PollFailed("t1", Poll{Target: s.targets["t1"].address(), Sent: s.now}, order.ErrUnanswered, s.now)
+	s.now = s.now.Add(longestLease(s.bounds.Lease) + 100*time.Millisecond)
+	s.Tick(s.now)
+	is.Equal(len(s.targets["t1"].runs), 0)
+}
