--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -342,9 +342,10 @@
 	}
 	m.recheckWaiting = false
 	for _, group := range m.waitingGroups() {
-		lost := slices.ContainsFunc(group, func(r *run) bool { return !r.target.acceptsWork(now) || !r.target.canHoldWaiting() })
+		lost := slices.ContainsFunc(group, func(r *run) bool { return !r.target.acceptsWork(now) || !r.target.canHoldWaiting(now) })
 		switch {
 		case lost:
+			m.log.Decided("capacity not awaited any more", "task", group[0].Task, "run", group[0].Number, "target", group[0].target.ID, "runs", len(group), "waitedMS", now.Sub(group[0].placedAt).Milliseconds())
 			for _, r := range group {
 				m.release(r, now)
 			}
--- a/internal/work/dispatch/incarnation.go
+++ b/internal/work/dispatch/incarnation.go
@@ -196,6 +196,6 @@
 		m.stop(r, reason, now)
 		return
 	}
-	r.orderAnsweredAt = time.Time{}
+	r.orderAnsweredAt, r.endDueAt = time.Time{}, time.Time{}
 	m.sendStop(r, now)
 }
--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -228,10 +228,31 @@
 	}
 	m.log.Decided("stop run", "target", r.target.ID, "task", r.Task, "run", r.Number, "reason", reason)
 	r.phase = stopping
-	r.orderAnsweredAt = time.Time{}
+	r.orderAnsweredAt, r.endDueAt = time.Time{}, time.Time{}
 	m.sendStop(r, now)
 }
 
+// endReportMargin is how much later than the longest stop the end of a run may be reported: long
+// enough for a poll that is lost and an extra one.
+const endReportMargin = time.Second
+
+// endsSoon reports whether the run is being stopped, and its target has neither refused that nor taken
+// too long. Other work must not wait for the capacity of a run that its target does not stop. A target
+// that does not answer gets no work anyway.
+func (r *run) endsSoon(now time.Time) bool {
+	return r.phase == stopping && (r.endDueAt.IsZero() || now.Before(r.endDueAt))
+}
+
+// stopOverdue reports whether the target has refused to stop a run, or has not stopped it in time.
+func (t *target) stopOverdue(now time.Time) bool {
+	for _, r := range t.runs {
+		if r.phase == stopping && !r.endsSoon(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // sendStop sends the stop of a run, for the first time or again.
 func (m *Machine) sendStop(r *run, now time.Time) {
 	r.sentAt, r.orderPending = now, true
@@ -286,15 +307,30 @@
 			}
 			outstanding := r.startOutstanding()
 			r.orderAnsweredAt = now
+			r.endDueAt = now.Add(m.bounds.MaxStopTime + endReportMargin)
 			if outstanding {
 				m.startSettled(r.task.step.job, now)
 			}
 		case !isAnswer(err):
 			m.targetMissed(t, r.sentAt, now)
+		default:
+			m.stopRefused(r, err, now)
 		}
 	}
 }
 
+// refusedStopWait is how long after the first refusal of a stop the run's capacity is awaited: until
+// the stop was repeated once, since a refusal may be transient.
+const refusedStopWait = orderRetryInterval + 100*time.Millisecond
+
+// stopRefused handles a stop that the target refused. It is repeated until it is accepted.
+func (m *Machine) stopRefused(r *run, err error, now time.Time) {
+	m.log.Decided("stop refused", "target", r.target.ID, "task", r.Task, "run", r.Number, "error", err.Error())
+	if r.endDueAt.IsZero() {
+		r.endDueAt = now.Add(refusedStopWait)
+	}
+}
+
 // awaitsAnswer reports whether an order for the run may have to be repeated.
 func (r *run) awaitsAnswer() bool { return r.phase == starting || r.phase == stopping }
 
--- a/internal/work/dispatch/preemption.go
+++ b/internal/work/dispatch/preemption.go
@@ -158,7 +158,7 @@
 	if capacity, ok := m.pass.preemptibleCapacity[t]; ok {
 		return capacity
 	}
-	free := t.freeAfterStops()
+	free := t.freeAfterStops(now)
 	for _, v := range m.victimsOn(t, now) {
 		free = free.Plus(v.run.charge)
 	}
@@ -167,11 +167,11 @@
 }
 
 // freeAfterStops returns the free capacity of the target once its stopping runs have
-// ended.
-func (t *target) freeAfterStops() graph.Resources {
+// ended, except for those whose end is overdue.
+func (t *target) freeAfterStops(now time.Time) graph.Resources {
 	free := t.freeCapacity()
 	for _, r := range t.runs {
-		if r.phase == stopping {
+		if r.endsSoon(now) {
 			free = free.Plus(r.charge)
 		}
 	}
@@ -184,7 +184,7 @@
 	if r, ok := p.freeOn[t]; ok {
 		return r
 	}
-	return t.freeAfterStops()
+	return t.freeAfterStops(p.now)
 }
 
 // preemptionOption is a way to fit one more task on a target.
@@ -234,15 +234,17 @@
 }
 
 // victimsOn returns the runs on a target that may be stopped for work of priority 0, those
-// with the smallest losses first.
+// with the smallest losses first. There are none on a target that does not stop its runs: their work
+// would be lost in vain.
 func (m *Machine) victimsOn(t *target, now time.Time) []victim {
 	if list, ok := m.pass.victims[t]; ok {
 		return list
 	}
 	var list []victim
+	overdue := t.stopOverdue(now)
 	for _, r := range t.sortedRuns() {
 		s := r.task.step
-		if (r.phase == running || r.phase == starting) && s.job.spec.Priority > 0 && !s.spec.LongRunning && !s.job.spec.AtMostOnce {
+		if !overdue && (r.phase == running || r.phase == starting) && s.job.spec.Priority > 0 && !s.spec.LongRunning && !s.job.spec.AtMostOnce {
 			list = append(list, victim{run: r, loss: m.lossOf(r, now)})
 		}
 	}
--- a/internal/work/dispatch/run.go
+++ b/internal/work/dispatch/run.go
@@ -36,6 +36,7 @@
 	startsExpired   bool      // that time has passed
 	orderPending    bool      // an order is outstanding
 	orderAnsweredAt time.Time // when the target answered the start or the stop; zero: neither
+	endDueAt        time.Time // when the run should have ended, once its target has accepted or refused its stop; zero: not known
 	resumedFrom     string    // checkpoint that the start carried
 	checkpoint      string    // newest checkpoint reported
 	ticket          string    // advice ticket that the start carries
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -126,11 +126,11 @@
 func (t *target) overCapacity() bool { return !t.used.FitsIn(t.Capacity) }
 
 // canHoldWaiting reports whether there will be capacity for the runs that await it, once the
-// stopping runs have ended.
-func (t *target) canHoldWaiting() bool {
+// stopping runs have ended whose end is not overdue.
+func (t *target) canHoldWaiting(now time.Time) bool {
 	need := t.used.Plus(t.waitingCharge)
 	for _, r := range t.runs {
-		if r.phase == stopping {
+		if r.endsSoon(now) {
 			need = need.Minus(r.charge)
 		}
 	}
