--- a/internal/work/dispatch/ends.go
+++ b/internal/work/dispatch/ends.go
@@ -226,7 +226,7 @@
 	}
 	for _, r := range slices.Clone(x.runs) {
 		if r.phase != unconfirmed { // its target's first report decides
-			m.stop(r, "another run of its task is done", now)
+			m.stop(r, stopFor(stopTaskDone), now)
 		}
 	}
 }
@@ -244,7 +244,7 @@
 					m.runBegan(r, now)
 				}
 			case r.phase != unconfirmed: // its target's first report decides
-				m.stop(r, "another run of its gang is done", now)
+				m.stop(r, stopFor(stopGangDone), now)
 			}
 		}
 	}
@@ -276,7 +276,7 @@
 	}
 	for _, r := range j.sortedLiveRuns() {
 		if !r.endedWithGang(s) {
-			m.stop(r, "its job has ended", now)
+			m.stop(r, stopFor(stopJobEnded), now)
 		}
 	}
 	m.pendingSteps = slices.DeleteFunc(m.pendingSteps, func(s *step) bool { return s.job == j })
@@ -337,11 +337,11 @@
 	if r.phase == starting || r.phase == unconfirmed {
 		m.runBegan(r, now)
 		if r.task.step.job.finished() || r.task.done {
-			m.stop(r, "its job has ended", now)
+			m.stop(r, stopFor(stopJobEnded), now)
 		}
 	}
 	if s := r.task.step; r.phase == running && s.spec.Gang && r.task.done && asked.After(s.doneAt) {
-		m.stop(r, "its gang has ended", now)
+		m.stop(r, stopFor(stopGangEnded), now)
 	}
 	if r.phase == running && reported.Checkpoint != "" {
 		r.checkpoint = reported.Checkpoint
@@ -362,19 +362,19 @@
 	if j != nil {
 		x = j.findTask(reported.Run.Task)
 	}
-	reason := ""
+	reason := stopFor(stopNone)
 	switch {
 	case x == nil:
 		x = &task{step: unknownStep(reported.Run), index: reported.Run.Task.Index}
-		reason = "its job or task is not known"
+		reason = stopFor(stopUnknown)
 	case j.finished():
-		reason = "its job has ended"
+		reason = stopFor(stopJobEnded)
 	case x.done:
-		reason = "its task is done"
+		reason = stopFor(stopDoneBefore)
 	case len(x.runs) > 0 && !x.step.spec.Speculative:
-		reason = "its task runs elsewhere"
+		reason = stopFor(stopElsewhere)
 	case x.step.blockedBy > 0:
-		reason = "its step is not due"
+		reason = stopFor(stopNotDue)
 	}
 	r.task = x
 	r.charge, r.paceShare = x.step.spec.Charge(), initialShare(x.step)
@@ -390,8 +390,8 @@
 	x.step.job.liveRuns[r] = true
 	t.addRun(r)
 	t.used = t.used.Plus(r.charge)
-	m.log.Decided("run found", "target", t.ID, "task", reported.Run.Task, "run", reported.Run.Number, "stop", reason)
-	if reason != "" {
+	m.log.Decided("run found", "target", t.ID, "task", reported.Run.Task, "run", reported.Run.Number, "stop", reason.String())
+	if reason.kind != stopNone {
 		m.stop(r, reason, now)
 		return r
 	}
--- a/internal/work/dispatch/evacuation.go
+++ b/internal/work/dispatch/evacuation.go
@@ -44,7 +44,7 @@
 				continue // dropped with another member of its gang
 			}
 			unsent++
-			m.dropUnsent(r, "its zone is evacuated", now)
+			m.dropUnsent(r, stopFor(stopEvacuated), now)
 		}
 		runs += len(t.runs)
 	}
@@ -64,10 +64,10 @@
 }
 
 // dropUnsent drops a run whose start was not sent, and the other members of its gang.
-func (m *Machine) dropUnsent(r *run, reason string, now time.Time) {
-	m.log.Decided("run given up before it was sent", "target", r.target.ID, "task", r.Task, "run", r.Number, "reason", reason)
+func (m *Machine) dropUnsent(r *run, reason stopReason, now time.Time) {
+	m.log.Decided("run given up before it was sent", "target", r.target.ID, "task", r.Task, "run", r.Number, "reason", reason.String())
 	m.release(r, now)
-	m.stopGang(r, "a member was given up: "+reason, now)
+	m.stopGang(r, reason.withMember(stopMemberGivenUp), now)
 }
 
 // evacuationsAreCurrent reports whether the evacuation status is recent enough to start
--- a/internal/work/dispatch/incarnation.go
+++ b/internal/work/dispatch/incarnation.go
@@ -149,13 +149,13 @@
 		case t.runs[r.Run] != r: // released with another member of its gang
 		case r.hasUnansweredStart():
 			r.sentTo, r.reported, r.blamed = t.incarnation, false, true
-			m.repeatStop(r, "its target started again before a start was answered", now)
+			m.repeatStop(r, stopFor(stopRestartedUnanswered), now)
 		default:
 			m.release(r, now)
 			m.failIfAtMostOnce(r, now)
 		}
 		if !reported { // its gang may wait for it
-			m.stopGang(r, "a member's target started again", now)
+			m.stopGang(r, stopFor(stopMemberRestarted), now)
 		}
 	}
 }
@@ -191,7 +191,7 @@
 }
 
 // repeatStop stops a run, also if the earlier incarnation of its target has answered a stop.
-func (m *Machine) repeatStop(r *run, reason string, now time.Time) {
+func (m *Machine) repeatStop(r *run, reason stopReason, now time.Time) {
 	if r.phase != stopping {
 		m.stop(r, reason, now)
 		return
--- a/internal/work/dispatch/incarnation_test.go
+++ b/internal/work/dispatch/incarnation_test.go
@@ -259,7 +259,7 @@
 	d.run(50 * time.Millisecond)
 	r := d.m.jobs[id].steps[0].tasks[0].runs[0]
 	is.Equal(r.phase, starting)
-	d.m.stop(r, "it is preempted", d.now)
+	d.m.stop(r, preemptedFor(r.task.step.id), d.now)
 	d.p.Restart(r.target.ID, 0, d.now)
 	d.run(30 * time.Millisecond)
 	d.listTargets()
--- a/internal/work/dispatch/long_running.go
+++ b/internal/work/dispatch/long_running.go
@@ -15,7 +15,7 @@
 			continue
 		}
 		if other := m.chooseTarget(r.task, now); other != nil && other != t {
-			m.stop(r, "its target drains", now)
+			m.stop(r, stopFor(stopTargetDrain), now)
 		}
 	}
 }
--- a/internal/work/dispatch/loss.go
+++ b/internal/work/dispatch/loss.go
@@ -18,7 +18,7 @@
 		m.release(r, now)
 		m.failIfAtMostOnce(r, now)
 		if r.phase == awaitingCapacity || r.phase == recorded || r.phase == starting { // the other members must not wait for it
-			m.stopGang(r, "a member's target was lost before it began", now)
+			m.stopGang(r, stopFor(stopMemberLost), now)
 		}
 	}
 	if len(lost) > 0 {
--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -58,12 +58,12 @@
 		switch {
 		case !r.target.acceptsStarts() || !r.target.responsive() || r.target.clockMS == 0 || r.target.overCapacity() || !m.stateIsCurrent(now):
 			m.log.Decided("run given up before it was sent", "target", r.target.ID, "task", r.Task, "run", r.Number, "listed", r.target.listed, "drains", r.target.Draining, "evacuated", r.target.evacuated, "inTouch", r.target.responsive(), "clockMS", r.target.clockMS, "overCapacity", r.target.overCapacity(), "listAgeMS", now.Sub(m.listAsOf).Milliseconds(), "zonesAgeMS", now.Sub(m.evacuated.AsOf).Milliseconds())
-			m.stop(r, "its target accepts no starts, does not answer, has less capacity now or an unknown clock", now)
-			m.stopGang(r, "a member's target accepts no starts, does not answer, has less capacity now or an unknown clock", now)
+			m.stop(r, stopFor(stopNoStarts), now)
+			m.stopGang(r, stopFor(stopMemberNoStarts), now)
 		case r.sentTo != r.target.incarnation: // which may have other labels
-			m.dropUnsent(r, "its target has started again", now)
+			m.dropUnsent(r, stopFor(stopRestarted), now)
 		case len(r.task.runs) > 1 && !r.task.step.spec.Speculative: // its target has reported another one since
-			m.dropUnsent(r, "another run of its task was found", now)
+			m.dropUnsent(r, stopFor(stopOtherFound), now)
 		case !r.gangVerified(): // startVerified or dropUnverified decides
 		default:
 			r.phase = starting
@@ -181,11 +181,11 @@
 	}
 	if r.hasUnansweredStart() {
 		// An earlier copy of the order may still arrive; only a stop rules that out.
-		m.stop(r, "refused after an unanswered start", now)
+		m.stop(r, stopFor(stopRefusedLater), now)
 	} else {
 		m.release(r, now)
 	}
-	m.stopGang(r, "a member was refused", now)
+	m.stopGang(r, stopFor(stopMemberRefused), now)
 }
 
 // Pauses after a target refused a start, each long enough for its next report or its
@@ -197,7 +197,7 @@
 )
 
 // stopGang stops the other members of a run's gang.
-func (m *Machine) stopGang(r *run, reason string, now time.Time) {
+func (m *Machine) stopGang(r *run, reason stopReason, now time.Time) {
 	s := r.task.step
 	if !s.spec.Gang || s.job.liveRuns == nil {
 		return
@@ -218,7 +218,7 @@
 
 // stop ends a run. A run whose start was not sent is released at once; any other is
 // stopped by an order that is repeated until it is answered.
-func (m *Machine) stop(r *run, reason string, now time.Time) {
+func (m *Machine) stop(r *run, reason stopReason, now time.Time) {
 	switch r.phase {
 	case stopping:
 		return
@@ -226,7 +226,7 @@
 		m.release(r, now)
 		return
 	}
-	m.log.Decided("stop run", "target", r.target.ID, "task", r.Task, "run", r.Number, "reason", reason)
+	m.log.Decided("stop run", "target", r.target.ID, "task", r.Task, "run", r.Number, "reason", reason.String())
 	r.phase = stopping
 	r.orderAnsweredAt = time.Time{}
 	m.sendStop(r, now)
@@ -319,11 +319,11 @@
 		}
 	case r.phase == starting && r.hasUnansweredStart():
 		r.task.attempts().avoid(r.target)
-		m.stop(r, "start not answered", now)
-		m.stopGang(r, "a member's start was not answered", now)
+		m.stop(r, stopFor(stopUnanswered), now)
+		m.stopGang(r, stopFor(stopMemberUnanswered), now)
 	case r.phase == starting:
 		m.log.Decided("start not sent", "target", r.target.ID, "task", r.Task, "run", r.Number)
 		m.release(r, now)
-		m.stopGang(r, "a member's target was not reached", now)
+		m.stopGang(r, stopFor(stopMemberUnreached), now)
 	}
 }
--- a/internal/work/dispatch/poll.go
+++ b/internal/work/dispatch/poll.go
@@ -307,7 +307,7 @@
 		if !r.startsExpired || !r.beganAt.IsZero() { // else it has not run
 			m.failIfAtMostOnce(r, now)
 		}
-		m.stopGang(r, "a member is missing on its target", now)
+		m.stopGang(r, stopFor(stopMemberMissing), now)
 	}
 }
 
--- a/internal/work/dispatch/preemption.go
+++ b/internal/work/dispatch/preemption.go
@@ -302,7 +302,7 @@
 	size := coreEquivalents(plan.step.spec.Needs) * plan.step.spec.Estimate.Seconds() * float64(len(plan.targets))
 	m.log.Decided("runs preempted", "step", plan.step.id, "runs", len(list), "lossCoreS", int(plan.totalLoss), "gainCoreS", int(size), "waitedMS", m.wallMS(now)-plan.step.releaseTime())
 	for _, r := range list {
-		m.stop(r, "preempted for "+plan.step.id.String(), now)
+		m.stop(r, preemptedFor(plan.step.id), now)
 		m.pass.invalidate(r.target) // its runs cannot be stopped again in this pass
 	}
 }
--- a/internal/work/dispatch/straggler.go
+++ b/internal/work/dispatch/straggler.go
@@ -35,9 +35,9 @@
 		case r.isStalled(now):
 			m.runStalled(r, now)
 		case m.straggles(r, now):
-			m.moveRun(r, "it runs slowly", now)
+			m.moveRun(r, stopFor(stopSlow), now)
 		case t.Draining && m.outlastsTarget(r, now):
-			m.moveRun(r, "it would outlast its draining target", now)
+			m.moveRun(r, stopFor(stopDraining), now)
 		}
 	}
 }
@@ -54,7 +54,7 @@
 		m.log.Decided("run stalled", "target", r.target.ID, "task", r.Task, "run", r.Number, "percent", r.percent, "sinceMS", since.Milliseconds())
 	}
 	if r.task.step.spec.Checkpointing || since >= longStall {
-		m.moveRun(r, "it stalled", now)
+		m.moveRun(r, stopFor(stopStalled), now)
 	}
 }
 
@@ -236,7 +236,7 @@
 // moveRun ends a run so that its task is started again on another target. A task that
 // allows speculative runs gets a second run instead. Nothing is moved while no other
 // target has capacity for it.
-func (m *Machine) moveRun(r *run, reason string, now time.Time) {
+func (m *Machine) moveRun(r *run, reason stopReason, now time.Time) {
 	x := r.task
 	if x.step.spec.Gang {
 		m.moveGang(r, reason, now)
@@ -254,12 +254,12 @@
 	if len(x.runs) > 1 {
 		return
 	}
-	m.log.Decided("speculative run placed", "task", r.Task, "reason", reason)
+	m.log.Decided("speculative run placed", "task", r.Task, "reason", reason.String())
 	m.recordIfFits([]*run{m.place(x, t, x.highestRun+1, now)}, now)
 }
 
 // moveGang ends a whole gang because one of its members has to move.
-func (m *Machine) moveGang(r *run, reason string, now time.Time) {
+func (m *Machine) moveGang(r *run, reason stopReason, now time.Time) {
 	m.stop(r, reason, now)
-	m.stopGang(r, "another member: "+reason, now)
+	m.stopGang(r, reason.withMember(stopMemberMoved), now)
 }
--- a/internal/work/dispatch/verification.go
+++ b/internal/work/dispatch/verification.go
@@ -83,6 +83,6 @@
 			continue // dropped with another member
 		}
 		m.log.Decided("target did not answer before a start", "target", t.ID, "task", r.Task, "run", r.Number, "waitedMS", now.Sub(r.recordedAt).Milliseconds())
-		m.dropUnsent(r, "its target does not answer", now)
+		m.dropUnsent(r, stopFor(stopSilent), now)
 	}
 }
