--- a/internal/host/dispatcher/execute.go
+++ b/internal/host/dispatcher/execute.go
@@ -33,7 +33,7 @@
 	case dispatch.Save:
 		l.spawn(func() { l.save(c) })
 	case dispatch.JobEnded:
-		l.onJobEnded(c)
+		l.jobEnded(c)
 	case dispatch.JobFailed:
 		l.metrics.Tagged(map[string]string{"cause": string(c.Cause)}).Counter("jobs_failed").Inc(1)
 	case dispatch.TargetLost:
--- a/internal/host/dispatcher/requests.go
+++ b/internal/host/dispatcher/requests.go
@@ -38,12 +38,13 @@
 	return list, err
 }
 
-// History returns a job with the present term's decisions about it, and whether the leader
+// History returns a job with its stages and the present term's decisions about it, and whether the leader
 // knows the job.
 func (d *Dispatcher) History(ctx context.Context, id graph.JobID) (history view.History, known bool, err error) {
 	err = d.onLoop(ctx, func(m *dispatch.Machine, _ time.Time) {
 		history.Job, known = m.Job(id)
 		history.Term = m.Term()
+		history.Stages = viewStages(m, id)
 	})
 	if l := d.current(); l != nil && known {
 		history.Decisions = l.histories.ofJob(id)
--- a/internal/operator/command/jobs.go
+++ b/internal/operator/command/jobs.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 
 	"guavaglade.example/guavaglade/internal/host/api"
+	"guavaglade.example/guavaglade/internal/report/view"
 	"guavaglade.example/guavaglade/internal/work/progress"
 	"guavaglade.example/guavaglade/internal/work/request"
 )
@@ -120,12 +121,27 @@
 		if s.Job.Reason != "" {
 			_, _ = fmt.Fprintln(w, s.Job.Reason)
 		}
+		if len(s.Stages) > 0 {
+			_, _ = fmt.Fprintln(w, formatStages(s.Stages))
+		}
 		for _, l := range s.Decisions {
 			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\n", l.At.Format("15:04:05.000"), l.Message, l.Inputs)
 		}
 	})
 }
 
+// formatStages returns the stages that took time, in one line.
+func formatStages(list []view.Stage) string {
+	var b strings.Builder
+	b.WriteString("stages:")
+	for _, s := range list {
+		if s.MS > 0 {
+			_, _ = fmt.Fprintf(&b, " %s %d ms", s.Name, s.MS)
+		}
+	}
+	return b.String()
+}
+
 type cancelCommand struct {
 	streams
 	hostOptions
--- a/internal/proof/session/session_test.go
+++ b/internal/proof/session/session_test.go
@@ -156,6 +156,7 @@
 	{regexp.MustCompile(` +(\d+(\.\d+)?(ms|s) +){3}`), "  P50  P90  P99  "},
 	{regexp.MustCompile(`("leads"): (true|false)`), "${1}: true for one host"},
 	{regexp.MustCompile(`"(leader|host)": "PEER\d"`), `"${1}": "PEER"`}, // any may lead; the order follows the ports
+	{regexp.MustCompile(`("ms"): \d+`), "${1}: MILLIS"},                 // of a stage
 	{regexp.MustCompile(`("power"): [\d.]+`), "${1}: CORES"},
 	{regexp.MustCompile(`("term"): \d+`), "${1}: TERM"},
 	// A job that is not waited for may be placed before its answer is written.
--- a/internal/report/view/view.go
+++ b/internal/report/view/view.go
@@ -39,11 +39,18 @@
 	Inputs  string    `json:"with,omitempty"` // as key=value
 }
 
+// Stage is a part of the time from a job's acceptance until its end was visible.
+type Stage struct {
+	Name string `json:"stage"`
+	MS   int64  `json:"ms"`
+}
+
 // History is a job with the decisions about it, oldest first. A leader has only the
 // decisions of its own term.
 type History struct {
 	Job       Job        `json:"job"`
 	Term      int64      `json:"term"`
+	Stages    []Stage    `json:"stages,omitempty"` // of a completed job, all of them, in their order
 	Decisions []Decision `json:"lines"`
 }
 
--- a/internal/work/dispatch/accept.go
+++ b/internal/work/dispatch/accept.go
@@ -20,6 +20,7 @@
 	}
 	j := newJob(spec, PartitionOf(spec.ID, m.bounds.Partitions), now)
 	m.jobs[spec.ID] = j
+	m.beginTimeline(j, false, now)
 	m.updateSmallestTask(spec)
 	m.log.Decided("job", "job", spec.ID, "queue", spec.Queue, "account", spec.Account, "priority", spec.Priority, "steps", len(spec.Steps), "tasks", spec.Tasks(), "objectiveMS", j.objective.Milliseconds(), "accepted", spec.AcceptedAt)
 	m.openDueOccurrences(j, now)
@@ -49,6 +50,7 @@
 		m.restoreRuns(j, p, now)
 		return
 	}
+	m.beginTimeline(j, true, now)
 	m.openDueOccurrences(j, now)
 	if p != nil {
 		m.restoreProgress(j, p, now)
@@ -195,6 +197,7 @@
 
 // stepUnblocked enqueues a step that depends on no step that is not done.
 func (m *Machine) stepUnblocked(s *step, now time.Time) {
+	s.beginStep()
 	m.enqueueStep(s, now)
 }
 
--- a/internal/work/dispatch/command.go
+++ b/internal/work/dispatch/command.go
@@ -7,6 +7,7 @@
 	"guavaglade.example/guavaglade/internal/fleet/order"
 	"guavaglade.example/guavaglade/internal/work/graph"
 	"guavaglade.example/guavaglade/internal/work/progress"
+	"guavaglade.example/guavaglade/internal/work/stages"
 )
 
 // Command is an action that the caller executes. It is one of the types below, Advise or
@@ -94,6 +95,13 @@
 	Job   *graph.Job // must not be changed
 	State progress.State
 	Took  time.Duration // from acceptance to end
+	// Stages is the time from acceptance until the end was visible; nil: the job has not
+	// completed. It must not be changed.
+	Stages        *stages.Timeline
+	Starts        int          // runs that were ordered in this term
+	Interruption  stages.Cause // the last in this term
+	InterruptedOn string       // target of that run
+	LastRun       LastRun
 }
 
 // JobFailed reports that a job of any kind has failed, and that this is saved. There is no
--- a/internal/work/dispatch/ends.go
+++ b/internal/work/dispatch/ends.go
@@ -10,6 +10,7 @@
 	"guavaglade.example/guavaglade/internal/fleet/order"
 	"guavaglade.example/guavaglade/internal/work/graph"
 	"guavaglade.example/guavaglade/internal/work/progress"
+	"guavaglade.example/guavaglade/internal/work/stages"
 )
 
 // sortedRuns returns the target's runs in a fixed order.
@@ -45,6 +46,7 @@
 	if t := r.target; t.runs[r.Run] == r && r.startOutstanding() {
 		m.log.Decided("run released, not known to have begun", "target", t.ID, "task", r.Task, "run", r.Number, "phase", int(r.phase), "unanswered", r.unanswered, "leaseLeftMS", t.leaseEnd.Sub(now).Milliseconds())
 	}
+	m.runInterrupted(r, stages.Lost, now)
 	m.removeRun(r, now)
 }
 
@@ -109,6 +111,9 @@
 // settleEnd applies an end to its job. r is nil for a run that was not known; the caller has
 // removed any other from its target.
 func (m *Machine) settleEnd(j *job, t *target, r *run, e order.Ended, now time.Time) {
+	if r != nil && e.Reason != order.Done {
+		m.runInterrupted(r, causeOf(e.Reason), now)
+	}
 	if x := j.findTask(e.Run.Task); x != nil {
 		m.logOutstandingStart(x, e, now)
 		x.highestRun = max(x.highestRun, e.Run.Number)
@@ -148,6 +153,7 @@
 		if r != nil {
 			t.health.ObserveSuccess(r.beganAt, now)
 		}
+		x.recordDone(r, now)
 		m.taskDone(x, e.Run.Number, now)
 		return true
 	}
--- a/internal/work/dispatch/job.go
+++ b/internal/work/dispatch/job.go
@@ -6,6 +6,7 @@
 	"guavaglade.example/guavaglade/internal/work/crashloop"
 	"guavaglade.example/guavaglade/internal/work/graph"
 	"guavaglade.example/guavaglade/internal/work/progress"
+	"guavaglade.example/guavaglade/internal/work/stages"
 )
 
 // job is an accepted job that has not ended, or whose final state clients may still
@@ -35,6 +36,7 @@
 	dirty        bool           // changed since its last save was sent
 	learnedAt    time.Time      // when the machine learned of it
 	objective    time.Duration  // duration from its release within which it earns its full value
+	timing       jobTiming
 }
 
 // step is one step of one occurrence.
@@ -53,20 +55,22 @@
 	doneAt           time.Time // when the machine learned that it was done
 	savedCheckpoint  string    // checkpoint that a gang resumes from
 	permits          permits
-	gangAttempts     attempts        // used for gangs only
-	gangEnd          gangEnd         // used for gangs only
-	gangSuspicion    int             // highest number of suspicious losses under a task of it
-	gangIsolated     bool            // a task of it is isolated
-	lostAt           time.Time       // when the last loss under a task was recorded in this term
-	failedTargets    map[string]bool // targets on which a task failed
-	speeds           stepSpeeds      // speeds of its tasks, as last measured
-	waitingSince     time.Time       // when its turn came, or a run of it was last released
-	pausedUntil      time.Time       // a gang is not placed before
-	nextPreemptionAt time.Time       // earliest time of the next search for work to preempt
-	reservation      []*target       // targets reserved for it until nextPreemptionAt
-	rank             int64           // order among the pending steps in this pass, lowest first
-	criticalPath     time.Duration   // estimated duration of the critical path from this step on
-	queued           bool            // it is in Machine.pendingSteps
+	gangAttempts     attempts                 // used for gangs only
+	gangEnd          gangEnd                  // used for gangs only
+	gangSuspicion    int                      // highest number of suspicious losses under a task of it
+	gangIsolated     bool                     // a task of it is isolated
+	lostAt           time.Time                // when the last loss under a task was recorded in this term
+	failedTargets    map[string]bool          // targets on which a task failed
+	speeds           stepSpeeds               // speeds of its tasks, as last measured
+	waitingSince     time.Time                // when its turn came, or a run of it was last released
+	pausedUntil      time.Time                // a gang is not placed before
+	nextPreemptionAt time.Time                // earliest time of the next search for work to preempt
+	reservation      []*target                // targets reserved for it until nextPreemptionAt
+	rank             int64                    // order among the pending steps in this pass, lowest first
+	criticalPath     time.Duration            // estimated duration of the critical path from this step on
+	queued           bool                     // it is in Machine.pendingSteps
+	timeline         *stages.Timeline         // of the job up to its turn; nil: its turn has not come, it is done, or not measured
+	interrupted      map[int]*stages.Timeline // up to the first start, by task.timelineKey, of tasks that were interrupted
 }
 
 // task is one task of a step.
--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -6,6 +6,7 @@
 
 	"guavaglade.example/guavaglade/internal/fleet/limiter"
 	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/work/stages"
 )
 
 // place assigns a task to a target. The run reduces the target's free capacity at once;
@@ -87,6 +88,7 @@
 // sendStart sends the start of a run, for the first time or again.
 func (m *Machine) sendStart(r *run, now time.Time) {
 	t := r.target
+	r.recordStart(now)
 	r.startsSent++
 	r.unanswered++
 	r.sentAt, r.orderPending, r.sentTo = now, true, t.incarnation
@@ -179,6 +181,7 @@
 	case errors.Is(err, order.ErrInvalid):
 		r.task.pausedUntil = now.Add(invalidPause)
 	}
+	m.runInterrupted(r, stages.Refused, now)
 	if r.hasUnansweredStart() {
 		// An earlier copy of the order may still arrive; only a stop rules that out.
 		m.stop(r, stopFor(stopRefusedLater), now)
@@ -227,6 +230,7 @@
 		return
 	}
 	m.log.Decided("stop run", "target", r.target.ID, "task", r.Task, "run", r.Number, "reason", reason.String())
+	m.runInterrupted(r, reason.cause(), now)
 	r.phase = stopping
 	r.orderAnsweredAt = time.Time{}
 	m.sendStop(r, now)
--- a/internal/work/dispatch/save.go
+++ b/internal/work/dispatch/save.go
@@ -145,7 +145,7 @@
 	p := &m.partitions[partition]
 	for _, j := range p.sending {
 		j.version, j.savedRev = version, j.sentRev
-		m.publish(j, j.sentState)
+		m.publish(j, j.sentState, now)
 		m.startRecorded(j, now)
 	}
 	p.sending = nil
@@ -158,7 +158,7 @@
 }
 
 // publish makes a saved state visible to clients.
-func (m *Machine) publish(j *job, s progress.State) {
+func (m *Machine) publish(j *job, s progress.State, now time.Time) {
 	if j.published == s || j.published.Final() {
 		return
 	}
@@ -170,19 +170,19 @@
 			m.commands = append(m.commands, JobFailed{Cause: j.cause})
 		}
 		m.log.Decided("job ended", kv...)
-		m.reportJobEnded(j, s)
+		m.reportJobEnded(j, s, now)
 	}
 }
 
 // reportJobEnded issues a JobEnded for a job that ended other than by cancellation. A
 // cancelled job says nothing about the quality of service, and a recurring or long-running
 // job has no completion time to meet.
-func (m *Machine) reportJobEnded(j *job, s progress.State) {
+func (m *Machine) reportJobEnded(j *job, s progress.State, now time.Time) {
 	if s == progress.Cancelled || j.spec.Repeat > 0 || j.spec.LongRunning() {
 		return
 	}
 	took := time.Duration(j.endedAt-j.spec.AcceptedAt) * time.Millisecond
-	m.commands = append(m.commands, JobEnded{Job: j.spec, State: s, Took: max(took, 0)})
+	m.commands = append(m.commands, j.timing.report(JobEnded{Job: j.spec, State: s, Took: max(took, 0)}, now))
 }
 
 // SaveFailed requeues the rows of the outstanding save of a partition when the store could
--- a/internal/work/dispatch/simulation_test.go
+++ b/internal/work/dispatch/simulation_test.go
@@ -73,6 +73,7 @@
 	bounds       Bounds
 	specs        map[graph.JobID]*graph.Job // of jobs submitted with submitJob
 	rows         map[graph.JobID][]byte     // saved progress
+	reports      map[graph.JobID]JobEnded   // of jobs that ended
 	orderRate    int                        // orders that the host can send in a second; 0: any number
 	unsent       [limiter.Probe + 1][]Command
 }
@@ -96,7 +97,7 @@
 	d := &simulation{
 		t: t, p: pool.New(targets), now: time.Unix(1000, 0),
 		endedAt: map[graph.JobID]time.Time{}, submittedAt: map[graph.JobID]time.Time{},
-		disconnected: map[string]bool{}, bounds: b, specs: map[graph.JobID]*graph.Job{}, rows: map[graph.JobID][]byte{},
+		disconnected: map[string]bool{}, bounds: b, specs: map[graph.JobID]*graph.Job{}, rows: map[graph.JobID][]byte{}, reports: map[graph.JobID]JobEnded{},
 	}
 	for r := range racks {
 		for i := range perRack {
@@ -297,6 +298,8 @@
 		d.after(oneWay, func() { d.answerPoll(c, c.Order, until.Add(oneWay)) })
 	case Advise:
 		d.answerAdvise(c)
+	case JobEnded:
+		d.recordReport(c)
 	case Save:
 		m := d.m
 		d.after(max(saveTime, d.slowSaveTime), func() {
--- a/internal/work/dispatch/stop_reason.go
+++ b/internal/work/dispatch/stop_reason.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "guavaglade.example/guavaglade/internal/work/graph"
+import (
+	"guavaglade.example/guavaglade/internal/work/graph"
+	"guavaglade.example/guavaglade/internal/work/stages"
+)
 
 // stopKind is what a run is stopped or given up for.
 type stopKind int
@@ -101,3 +104,27 @@
 	}
 	return stopTexts[r.kind]
 }
+
+// cause returns the cause that the stop of a run is counted under.
+func (r stopReason) cause() stages.Cause {
+	switch r.kind {
+	case stopPreempted:
+		return stages.Preempted
+	case stopSlow:
+		return stages.Slow
+	case stopStalled:
+		return stages.Stalled
+	case stopDraining, stopTargetDrain:
+		return stages.Draining
+	case stopRefusedLater:
+		return stages.Refused
+	case stopUnanswered, stopRestartedUnanswered:
+		return stages.Lost
+	case stopTaskDone, stopGangDone, stopJobEnded, stopGangEnded, stopDoneBefore:
+		return stages.JobEnded
+	}
+	if r.kind >= stopMemberMoved {
+		return stages.Gang
+	}
+	return stages.Other
+}
--- a/internal/work/dispatch/straggler.go
+++ b/internal/work/dispatch/straggler.go
@@ -254,6 +254,7 @@
 	if len(x.runs) > 1 {
 		return
 	}
+	x.startsAgain(r, reason.cause(), now)
 	m.log.Decided("speculative run placed", "task", r.Task, "reason", reason.String())
 	m.recordIfFits([]*run{m.place(x, t, x.highestRun+1, now)}, now)
 }
--- /dev/null
+++ b/internal/work/stages/cause.go
@@ -0,0 +1,42 @@
+package stages
+
+import "strconv"
+
+// Cause is why a run ended otherwise than as done.
+type Cause int8
+
+// The causes.
+const (
+	None      Cause = iota // it has not, or that is not known yet
+	Preempted              // more urgent work got its capacity
+	Slow                   // it was slow, and moved
+	Stalled                // it made no progress
+	Draining               // its target drains
+	Failed                 // it failed
+	Gang                   // another member of its gang ended
+	Lapsed                 // its lease lapsed on the target
+	Lost                   // its target was lost, has no such run or did not answer
+	Refused                // its target refused the start
+	JobEnded               // its job or task had ended
+	Other                  // none of these
+	causeCount
+)
+
+var causeNames = [causeCount]string{"none", "preempted", "slow", "stalled", "draining", "failed", "gang", "lapsed", "lost", "refused", "jobEnded", "other"}
+
+// String returns the name of the cause as it stands in metrics, log lines and views.
+func (c Cause) String() string {
+	if c < 0 || c >= causeCount {
+		return strconv.Itoa(int(c))
+	}
+	return causeNames[c]
+}
+
+// Causes returns all causes but None.
+func Causes() []Cause {
+	var list []Cause
+	for c := None + 1; c < causeCount; c++ {
+		list = append(list, c)
+	}
+	return list
+}
