--- a/internal/fleet/health/record.go
+++ b/internal/fleet/health/record.go
@@ -98,6 +98,14 @@
 // ObserveStall records that a run made no progress on the target.
 func (r *Record) ObserveStall(now time.Time) { r.addFault(stallFailures*failureWeight, now) }
 
+// ObserveSharedStall records that a gang made no progress, and that it is not known which of its
+// targets is at fault. It counts as one failure, which makes the target suspect. Runs that began
+// before may still be healthy evidence.
+func (r *Record) ObserveSharedStall(now time.Time) {
+	r.add(failureWeight, now)
+	r.onProbation = r.onProbation || r.Quarantined(now)
+}
+
 // ObserveSuccess records that a run succeeded on the target. It ignores a run that began
 // before the last fault: a target that fails everything it starts keeps running what it
 // started before. Otherwise it also ends the target's probation.
--- a/internal/fleet/health/record_test.go
+++ b/internal/fleet/health/record_test.go
@@ -69,6 +69,22 @@
 	is.True(r.Quarantined(begin))
 }
 
+// A stall that may be another target's fault makes a target suspect, and two of them soon after each
+// other quarantine it. A run that began before is healthy evidence nevertheless.
+func TestSharedStall(t *testing.T) {
+	is := is.New(t)
+	var r Record
+	r.ObserveSharedStall(begin)
+	is.True(r.Suspect(begin))
+	is.True(!r.Quarantined(begin))
+	cleared := r
+	cleared.ObserveSuccess(begin.Add(-time.Second), begin)
+	is.True(!cleared.Suspect(begin))
+	r.ObserveSharedStall(begin.Add(time.Second))
+	is.True(r.Quarantined(begin.Add(time.Second)))
+	is.True(r.OnProbation(begin.Add(time.Second)))
+}
+
 // A target is slow after a slow run, until a fast one or until the measurement is too old.
 // A speed of 0 is ignored.
 func TestSpeed(t *testing.T) {
--- a/internal/work/dispatch/run.go
+++ b/internal/work/dispatch/run.go
@@ -45,6 +45,7 @@
 	percent         int       // progress last reported
 	reportedAt      time.Time // when the progress was last reported
 	progressedAt    time.Time // when the progress last changed
+	progressedAfter time.Time // report before the one that showed that change; zero: not known
 	stalled         bool      // it was found stalled since the progress last changed
 	firstProgressAt time.Time // when progress above 0 was first reported; zero: none yet
 	firstPercent    int       // progress reported then
--- a/internal/work/dispatch/straggler.go
+++ b/internal/work/dispatch/straggler.go
@@ -47,22 +47,71 @@
 func (m *Machine) runStalled(r *run, now time.Time) {
 	since := now.Sub(r.progressedAt)
 	wasQuarantined := r.target.health.Quarantined(now)
-	r.target.health.ObserveStall(now)
+	alone := r.stalledAlone()
+	switch {
+	case alone:
+		r.target.health.ObserveStall(now)
+	case !r.stalled:
+		r.target.health.ObserveSharedStall(now)
+	}
 	m.logIfQuarantined(r.target, wasQuarantined, "a run stalled there", r.Task, now)
 	if !r.stalled {
 		r.stalled = true
-		m.log.Decided("run stalled", "target", r.target.ID, "task", r.Task, "run", r.Number, "percent", r.percent, "sinceMS", since.Milliseconds())
+		m.log.Decided("run stalled", "target", r.target.ID, "task", r.Task, "run", r.Number, "percent", r.percent, "sinceMS", since.Milliseconds(), "alone", alone)
 	}
 	if r.task.step.spec.Checkpointing || since >= longStall {
+		if !alone {
+			r.avoidGangTargets()
+		}
 		m.moveRun(r, "it stalled", now)
 	}
 }
 
+// stallStartShare is the share of its estimate by which a run may have gone on since the report that
+// last showed progress, without another whole percent.
+const stallStartShare = 0.05
+
+// stalledAlone reports whether the stall of a run must be the fault of its own target: it is in no
+// gang, or members of its gang on other targets have progressed since it began, or have no work left. A gang
+// without progress may wait for any of its targets, and would have all of them quarantined.
+func (r *run) stalledAlone() bool {
+	s := r.task.step
+	if !s.spec.Gang {
+		return true
+	}
+	began := r.progressedAt.Add(time.Duration(stallStartShare * float64(s.spec.Estimate)))
+	othersDone := true
+	for _, x := range s.tasks {
+		for _, o := range x.runs {
+			switch {
+			case o.target == r.target || o.Number != r.Number:
+			case o.progressedAfter.After(began):
+				return true
+			default:
+				othersDone = othersDone && o.percent >= 100
+			}
+		}
+	}
+	return othersDone
+}
+
+// avoidGangTargets has the next run of a gang avoid all its targets, one of which stalls it.
+func (r *run) avoidGangTargets() {
+	s := r.task.step
+	for _, x := range s.tasks {
+		for _, o := range x.runs {
+			if o.Number == r.Number {
+				s.gangAttempts.avoid(o.target)
+			}
+		}
+	}
+}
+
 // updateProgress records the percentage that a target reports of a run, and when. Any change
 // of it ends a stall. The speed is measured from the first percentage above 0.
 func (r *run) updateProgress(percent int, now time.Time) {
 	if r.progressedAt.IsZero() || percent != r.percent {
-		r.progressedAt, r.stalled = now, false
+		r.progressedAt, r.progressedAfter, r.stalled = now, r.reportedAt, false
 	}
 	if r.firstProgressAt.IsZero() && percent > 0 {
 		r.firstProgressAt, r.firstPercent = now, percent
