--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -18,6 +18,7 @@
 	Rack            string   // the label that names its rack; empty: none
 	Draining        bool
 	RemainingMS     int64 // while it drains: minimum time until it stops, as last reported
+	ClockMS         int64 // its own clock when it wrote this, in milliseconds; 0: unknown
 	ColdRemainingMS int64 // time for which it is still slow after its start, as last reported
 }
 
@@ -26,8 +27,8 @@
 	return label == "" || slices.Contains(t.Labels, label)
 }
 
-// Same reports whether the targets are equal but for RemainingMS and ColdRemainingMS. The
-// order of labels matters.
+// Same reports whether the targets are equal but for ClockMS, RemainingMS and ColdRemainingMS.
+// The order of labels matters.
 func (t *Target) Same(o *Target) bool {
 	return t.ID == o.ID && t.StartedAt == o.StartedAt && t.Address == o.Address && t.Zone == o.Zone && t.Service == o.Service &&
 		t.Capacity == o.Capacity && t.Rack == o.Rack && t.Draining == o.Draining && slices.Equal(t.Labels, o.Labels)
--- a/internal/report/view/view.go
+++ b/internal/report/view/view.go
@@ -58,7 +58,7 @@
 	MemoryMB     int    `json:"memoryMB"`
 	Free         int    `json:"free"` // accelerators
 	Runs         int    `json:"runs"`
-	State        string `json:"state"` // ready, unheld, silent, draining, evacuated, doubted, unlisted
+	State        string `json:"state"` // ready, unheld, silent, draining, evacuated, stale, doubted, unlisted
 }
 
 // Zone is the leader's view of an availability zone.
--- a/internal/standin/pool/pool.go
+++ b/internal/standin/pool/pool.go
@@ -240,12 +240,14 @@
 	return n
 }
 
-// Roster returns the live targets, sorted by id.
+// Roster returns the live targets, sorted by id, with their clocks as of the last advance.
 func (p *Pool) Roster() []roster.Target {
 	var list []roster.Target
 	for _, t := range p.targets {
 		if !t.dead {
-			list = append(list, t.Target)
+			l := t.Target
+			l.ClockMS = t.clock(p.now)
+			list = append(list, l)
 		}
 	}
 	slices.SortFunc(list, func(a, b roster.Target) int { return strings.Compare(a.ID, b.ID) })
--- a/internal/work/dispatch/bounds.go
+++ b/internal/work/dispatch/bounds.go
@@ -16,6 +16,7 @@
 	Retention      time.Duration // how long clients can query the state of an ended job
 	DrainTime      time.Duration // time after which a draining target gets no work
 	Partitions     int           // number of partitions over which jobs are spread
+	Heartbeat      time.Duration // interval at which targets write their entries in the list; 0: not known, no entry is stale
 	MaxListAge     time.Duration // greatest age of the list of targets for placement; 0: no limit
 	// EvacuateTime is how long work may still start in a zone after its evacuation; 0: no
 	// limit.
--- /dev/null
+++ b/internal/work/dispatch/entry_age.go
@@ -0,0 +1,83 @@
+package dispatch
+
+import (
+	"time"
+
+	"guavaglade.example/guavaglade/internal/fleet/roster"
+)
+
+// A target writes its entry in the list once per heartbeat. While the store is away it cannot, and the
+// first list after an outage holds entries from before it. Since then the target's capacity may have
+// shrunk, its labels may have changed, and it may have begun to drain. So a target whose entry is stale
+// gets no starts until a newer entry was read. Everything else goes on: it is polled, and its runs
+// continue. Runs placed there that were not sent are placed elsewhere, as for a target that left the
+// list, and a start without an answer is not repeated.
+//
+// The age of an entry is that on the target's own clock when the list was read, so it is known to a new
+// leader as well, from the target's first report on. It is a lower bound: the clock may be slow, and its
+// last reading old. An entry without a clock, or on a target whose clock is not known, has no age; the
+// latter gets no starts anyway. An entry of an earlier incarnation, with another clock, is not compared
+// (entryIsCurrent).
+//
+// In a store that delays all writes, every entry is old. Healthy targets must not be left without work
+// for as long as that lasts: an entry is not stale while the reads of the list show that it was
+// stored within the limit.
+
+// maxMissedHeartbeats is the age in heartbeats above which an entry is stale. The store drops the entry
+// of a silent target after the same time, unless it is away itself.
+const maxMissedHeartbeats = 3
+
+// entryReads holds when the list was read that showed a target's entry.
+type entryReads struct {
+	limit  time.Duration // age above which the entry is stale; 0: it never is
+	first  time.Time     // first read that showed the entry
+	latest time.Time     // latest read that showed it
+	before time.Time     // read before the first, which the entry was stored after; zero: none in this term
+}
+
+// entryRead records that the list showed an entry of the target. The list was read as of a time, and the
+// one before it as of another.
+func (t *target) entryRead(l roster.Target, limit time.Duration, asOf, before time.Time) {
+	if t.entry.first.IsZero() || l.ClockMS != t.ClockMS || l.StartedAt != t.Target.StartedAt {
+		t.entry.first, t.entry.before = asOf, before
+	}
+	t.entry.latest, t.entry.limit = asOf, limit
+}
+
+// entryIsStale reports whether the target's entry is too old for starts.
+func (t *target) entryIsStale() bool {
+	e := t.entry
+	if e.limit == 0 || t.ClockMS <= 0 || e.latest.Sub(e.before) <= e.limit {
+		return false
+	}
+	return max(e.latest.Sub(e.first), t.entryAge(e.latest)) > e.limit
+}
+
+// entryAge returns how old the target's entry is at least at a time, by the target's clock; 0: not known.
+func (t *target) entryAge(at time.Time) time.Duration {
+	if t.ClockMS <= 0 || t.clockMS == 0 || !t.entryIsCurrent() {
+		return 0
+	}
+	shown := t.estimatedClock(at)
+	if at.Before(t.clockAt) { // a slow clock has advanced less since
+		shown = t.clockMS - t.clockAt.Sub(at).Milliseconds()
+	}
+	return max(time.Duration(shown-t.ClockMS)*time.Millisecond, 0)
+}
+
+// countStale counts the listed targets whose entries are stale, and logs the number if it has changed.
+func (m *Machine) countStale() {
+	stale, listed := 0, 0
+	for _, t := range m.sortedTargets {
+		if t.listed {
+			listed++
+			if t.entryIsStale() {
+				stale++
+			}
+		}
+	}
+	if stale != m.staleTargets {
+		m.log.Decided("targets with stale entries", "targets", stale, "before", m.staleTargets, "listed", listed)
+	}
+	m.staleTargets = stale
+}
--- a/internal/work/dispatch/evacuation.go
+++ b/internal/work/dispatch/evacuation.go
@@ -83,17 +83,22 @@
 	return m.listIsCurrent(now) && m.evacuationsAreCurrent(now)
 }
 
-// acceptsStarts reports whether starts may be sent to the target: it is listed, so that its
-// capacity is known, it is not draining, and its zone is not evacuated.
-func (t *target) acceptsStarts() bool {
+// acceptsStarts reports whether starts may be sent to the target: it is in service, and its entry
+// is recent, so that its capacity is known.
+func (t *target) acceptsStarts() bool { return t.inService() && !t.entryIsStale() }
+
+// inService reports whether the target is listed and not draining, and its zone is not evacuated.
+func (t *target) inService() bool {
 	return t.listed && !t.Draining && !t.evacuated && t.entryIsCurrent()
 }
 
-// usableAccelerators returns the number of accelerators on targets that may get work.
+// usableAccelerators returns the number of accelerators on targets that are in service. Those with stale
+// entries count: after an outage of the store most are stale for a heartbeat, which would be logged as
+// guarantees that are exceeded.
 func (m *Machine) usableAccelerators() int {
 	n := 0
 	for _, t := range m.sortedTargets {
-		if t.acceptsStarts() {
+		if t.inService() {
 			n += t.Capacity.Accelerators
 		}
 	}
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -30,6 +30,7 @@
 	placementEnabledAt time.Time
 	awaited            *target   // a target whose first report was outstanding when last checked; nil: none
 	listAsOf           time.Time // when the current list of targets was read
+	staleTargets       int       // listed targets whose entries are stale, as last counted
 	pollCandidates     []*target // targets that may be due for a poll
 	newSteps           []*step   // steps enqueued since the last pass
 	nextPassAt         time.Time // earliest start of the next pass
@@ -156,6 +157,7 @@
 		}
 	}
 	m.checkZonesReachable(now)
+	m.countStale()
 	for _, t := range m.sortedTargets {
 		m.considerPoll(t)
 	}
@@ -167,11 +169,12 @@
 // UpdateTargets replaces the list of targets by the platform's complete list as of a
 // time. It is called after each read of that list.
 func (m *Machine) UpdateTargets(list []roster.Target, asOf, now time.Time) {
+	before := m.listAsOf
 	m.listAsOf = asOf
 	present := map[string]bool{}
 	for i := range list {
 		present[list[i].ID] = true
-		m.updateTarget(list[i], now)
+		m.updateTarget(list[i], asOf, before, now)
 	}
 	for _, t := range m.sortedTargets {
 		if t.listed && !present[t.ID] {
@@ -180,6 +183,7 @@
 		}
 	}
 	m.placementDue = true
+	m.countStale()
 	m.checkGuarantees()
 }
 
@@ -190,8 +194,9 @@
 	return m.bounds.MaxListAge == 0 || now.Sub(m.listAsOf) <= m.bounds.MaxListAge
 }
 
-// updateTarget applies the entry of a target in the list.
-func (m *Machine) updateTarget(l roster.Target, now time.Time) {
+// updateTarget applies the entry of a target in the list, which was read as of a time, and the list
+// before it as of another.
+func (m *Machine) updateTarget(l roster.Target, asOf, before, now time.Time) {
 	t := m.targets[l.ID]
 	if t != nil && t.isOutdated(l.StartedAt) {
 		t.listed = true // its new incarnation has not written its entry yet
@@ -220,6 +225,7 @@
 	if t.Rack != l.Rack {
 		m.racks = nil
 	}
+	t.entryRead(l, maxMissedHeartbeats*m.bounds.Heartbeat, asOf, before)
 	t.Target, t.listed, t.evacuated = l, true, m.evacuated.Has(l.Zone)
 	m.considerPoll(t)
 }
--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -57,7 +57,7 @@
 		}
 		switch {
 		case !r.target.acceptsStarts() || !r.target.responsive() || r.target.clockMS == 0 || r.target.overCapacity() || !m.stateIsCurrent(now):
-			m.log.Decided("run given up before it was sent", "target", r.target.ID, "task", r.Task, "run", r.Number, "listed", r.target.listed, "drains", r.target.Draining, "evacuated", r.target.evacuated, "inTouch", r.target.responsive(), "clockMS", r.target.clockMS, "overCapacity", r.target.overCapacity(), "listAgeMS", now.Sub(m.listAsOf).Milliseconds(), "zonesAgeMS", now.Sub(m.evacuated.AsOf).Milliseconds())
+			m.log.Decided("run given up before it was sent", "target", r.target.ID, "task", r.Task, "run", r.Number, "listed", r.target.listed, "drains", r.target.Draining, "evacuated", r.target.evacuated, "inTouch", r.target.responsive(), "clockMS", r.target.clockMS, "overCapacity", r.target.overCapacity(), "staleEntry", r.target.entryIsStale(), "listAgeMS", now.Sub(m.listAsOf).Milliseconds(), "zonesAgeMS", now.Sub(m.evacuated.AsOf).Milliseconds())
 			m.stop(r, "its target accepts no starts, does not answer, has less capacity now or an unknown clock", now)
 			m.stopGang(r, "a member's target accepts no starts, does not answer, has less capacity now or an unknown clock", now)
 		case r.sentTo != r.target.incarnation: // which may have other labels
--- a/internal/work/dispatch/query.go
+++ b/internal/work/dispatch/query.go
@@ -158,6 +158,8 @@
 		return "draining"
 	case t.evacuated:
 		return "evacuated"
+	case t.entryIsStale():
+		return "stale"
 	case t.health.Quarantined(now) || t.health.Suspect(now):
 		return "doubted"
 	}
--- a/internal/work/dispatch/simulation_test.go
+++ b/internal/work/dispatch/simulation_test.go
@@ -55,6 +55,8 @@
 	storeAway bool
 	// hidden holds the addresses whose targets are missing from the list.
 	hidden map[string]bool
+	// unwritten holds entries that their targets do not write again, by address.
+	unwritten map[string]roster.Target
 	// advise answers calls for advice: the targets that may run a step, or an error, after some time.
 	// nil: calls are not answered.
 	advise func(c Advise) (allowed []string, wait time.Duration, err error)
@@ -123,7 +125,13 @@
 
 // roster returns the list of targets, without those that are hidden.
 func (d *simulation) roster() []roster.Target {
-	return slices.DeleteFunc(d.p.Roster(), func(x roster.Target) bool { return d.hidden[x.Address] })
+	list := slices.DeleteFunc(d.p.Roster(), func(x roster.Target) bool { return d.hidden[x.Address] })
+	for i, x := range list {
+		if earlier, ok := d.unwritten[x.Address]; ok {
+			list[i] = earlier
+		}
+	}
+	return list
 }
 
 // runWithListing runs the simulation for some seconds and lists the targets after each.
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -24,6 +24,7 @@
 	incarnation         int64         // latest start of an incarnation that its entry or a report has shown, as roster.Target.StartedAt
 	endedIn             lossSpan      // when the incarnation before ended
 	lastOutage          lossSpan      // when it last ceased to answer before it did again
+	entry               entryReads    // of its entry in the list
 	listed              bool          // it is in the platform's list
 	evacuated           bool          // its zone is evacuated
 	warmUpEnd           time.Time     // end of its warm-up, during which it is slow
