--- a/internal/fleet/speed/fit.go
+++ b/internal/fleet/speed/fit.go
@@ -76,18 +76,23 @@
 	return (freedom + 1) / (freedom + residual*residual/variance)
 }
 
+// varianceOf returns the variance of an observation due to noise and measurement.
+func (m *Model) varianceOf(o *observation) float64 {
+	return m.noise*m.noise*o.noiseShare() + o.variance
+}
+
 // fitFactor updates the factor of a step and the weights of its observations.
 func (m *Model) fitFactor(s *step) {
 	sum, weights := 0.0, 0.0
 	for _, o := range s.observations {
 		o.shown = o.ratio - o.target.slowness
-		o.precision = o.weight / (m.noise*m.noise + o.variance + o.target.variance)
+		o.precision = o.weight / (m.varianceOf(o) + o.target.variance)
 		sum += o.precision * o.shown
 		weights += o.precision
 	}
 	s.factor, s.factorWeight = sum/weights, weights
 	for _, o := range s.observations {
-		variance := m.noise*m.noise + o.variance + o.target.variance
+		variance := m.varianceOf(o) + o.target.variance
 		o.weight = studentWeight(o.shown-s.factor, variance, noiseFreedom)
 	}
 }
@@ -101,7 +106,7 @@
 		return 0, 0
 	}
 	factor := (s.factor*s.factorWeight - o.precision*o.shown) / others
-	variance := m.noise*m.noise + o.variance + 1/others + driftRate*max(now.Sub(o.at).Seconds(), 0)
+	variance := m.varianceOf(o) + 1/others + driftRate*max(now.Sub(o.at).Seconds(), 0)
 	return o.ratio - factor, o.weight / variance
 }
 
@@ -164,7 +169,7 @@
 		for range 2 {
 			sum, weights := 0.0, 0.0
 			for _, o := range s.observations {
-				variance := m.noise*m.noise + o.variance
+				variance := m.varianceOf(o)
 				w := studentWeight(o.ratio-factor, variance, noiseFreedom) / variance
 				sum += w * o.ratio
 				weights += w
@@ -185,19 +190,19 @@
 		for i := 1; i < len(t.observations); i++ {
 			a, b := t.observations[i-1], t.observations[i]
 			if a.step != b.step && a.comparable() && b.comparable() {
-				differences = append(differences, math.Abs(a.baseline-b.baseline))
+				differences = append(differences, math.Abs(a.baseline-b.baseline)/math.Sqrt(a.noiseShare()+b.noiseShare()))
 			}
 		}
 	}
 	if len(differences) < minNoisePairs {
 		return
 	}
-	m.noise = max(madToDeviation*median(differences)/math.Sqrt2, minNoise)
+	m.noise = max(madToDeviation*median(differences), minNoise)
 }
 
-// comparable reports whether the step of an observation has others to compare it with.
+// comparable reports whether the step of an observation has other targets to compare it with.
 func (o *observation) comparable() bool { return len(o.step.observations) >= minCompared }
 
-// minCompared is how many observations of a step are needed for its baseline to tell anything: with
+// minCompared is how many targets of a step are needed for its baseline to tell anything: with
 // two, the median lies between both.
 const minCompared = 3
--- a/internal/fleet/speed/model.go
+++ b/internal/fleet/speed/model.go
@@ -41,12 +41,14 @@
 	Error float64
 }
 
-// observation is an Observation in the model.
+// observation is what the runs of one step on one target show together. They are no independent
+// comparisons of the target with others.
 type observation struct {
 	step     *step
 	target   *target
-	ratio    float64 // natural logarithm of Observation.Ratio
-	variance float64 // square of Observation.Error
+	runs     []measuredRun
+	ratio    float64 // median of the natural logarithms of the ratios of the runs
+	variance float64 // due to the measurement alone
 	at       time.Time
 	weight   float64 // by the t distribution, about 1; less for outliers
 	baseline float64 // ratio minus the factor of the step as if all targets were alike
@@ -55,12 +57,46 @@
 	shown, precision float64
 }
 
+// measuredRun is an Observation in the model.
+type measuredRun struct {
+	run      order.Run
+	ratio    float64 // natural logarithm
+	variance float64
+}
+
+// sharedNoise is the part of the variance of the noise that the runs of one step on one target have in
+// common, as from other work there.
+const sharedNoise = 0.25
+
+// noiseShare returns the variance of the noise of an observation relative to that of one run.
+func (o *observation) noiseShare() float64 {
+	return sharedNoise + (1-sharedNoise)/float64(len(o.runs))
+}
+
+// set adds a run, or replaces it.
+func (o *observation) set(r measuredRun, now time.Time) {
+	o.at = now
+	if i := slices.IndexFunc(o.runs, func(k measuredRun) bool { return k.run == r.run }); i >= 0 {
+		o.runs[i] = r
+	} else {
+		o.runs = append(o.runs, r)
+	}
+	ratios := make([]float64, len(o.runs))
+	o.variance = 0
+	for i, k := range o.runs {
+		ratios[i] = k.ratio
+		o.variance += k.variance
+	}
+	n := float64(len(o.runs))
+	o.ratio, o.variance = median(ratios), o.variance/(n*n)
+}
+
 // step holds the observations of one step.
 type step struct {
 	id           graph.StepID
 	firstAt      time.Time
 	observations []*observation
-	byRun        map[order.Run]*observation
+	byTarget     map[*target]*observation
 	factor       float64 // log of the actual run time on a target with slowness 1, divided by the estimate
 	factorWeight float64 // sum of the precisions of its observations
 }
@@ -103,7 +139,7 @@
 	}
 }
 
-// Observe adds an observation, or replaces the earlier one of the same run. Estimates change with
+// Observe adds an observation, or replaces the earlier one of the same run on the target. Estimates change with
 // the next Fit. It ignores ratios that are not positive and finite.
 func (m *Model) Observe(o Observation, now time.Time) {
 	ratio := math.Log(o.Ratio)
@@ -115,13 +151,15 @@
 		return
 	}
 	m.changed = true
-	if known := s.byRun[o.Run]; known != nil && known.target.name == o.Target {
-		known.ratio, known.variance, known.at = ratio, o.Error*o.Error, now
+	t := m.targetOf(o.Target)
+	run := measuredRun{o.Run, ratio, o.Error * o.Error}
+	if known := s.byTarget[t]; known != nil {
+		known.set(run, now)
 		return
 	}
-	t := m.targetOf(o.Target)
-	added := &observation{step: s, target: t, ratio: ratio, variance: o.Error * o.Error, at: now, weight: 1}
-	s.byRun[o.Run] = added
+	added := &observation{step: s, target: t, weight: 1}
+	added.set(run, now)
+	s.byTarget[t] = added
 	s.observations = append(s.observations, added)
 	t.observations = append(t.observations, added)
 	m.observations++
@@ -137,7 +175,7 @@
 	}
 	s := m.byStep[id]
 	if s == nil {
-		s = &step{id: id, firstAt: now, byRun: map[order.Run]*observation{}}
+		s = &step{id: id, firstAt: now, byTarget: map[*target]*observation{}}
 		m.byStep[id] = s
 		m.steps = append(m.steps, s)
 	}
--- a/internal/fleet/speed/model_test.go
+++ b/internal/fleet/speed/model_test.go
@@ -280,6 +280,31 @@
 	is.True(!m.Changed())
 }
 
+// Several tasks of a step often run on one target. If they were compared with each other, a fast target
+// would appear like the others.
+func TestTasksOfOneStepOnOneTarget(t *testing.T) {
+	is := is.New(t)
+	f := newDrawnFleet(10, 60)
+	f.setFast(5)
+	m := New()
+	for range 60 {
+		f.drawStep(5, func(o Observation, now time.Time) {
+			for k := range 8 {
+				o := o
+				o.Run.Task.Index = 10*o.Run.Task.Index + k
+				o.Ratio *= math.Exp(0.1 * f.random.NormFloat64())
+				m.Observe(o, now)
+			}
+		})
+		m.Fit(f.now)
+		f.now = f.now.Add(time.Second)
+	}
+	fast, told, wrong := f.count(m)
+	t.Logf("%d of %d fast targets told, %d others told wrongly", told, fast, wrong)
+	is.True(told >= fast*3/4)
+	is.True(wrong <= 1)
+}
+
 // A run that is observed again, as its progress is reported, counts once.
 func TestRunCountsOnce(t *testing.T) {
 	is := is.New(t)
--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -71,6 +71,7 @@
 	recovered func() <-chan struct{}
 	// passOn passes what a term has left to the present leader; nil: it is dropped.
 	passOn  func(ctx context.Context, h dispatch.Handover) error
+	speeds  bool // the long-term speeds of targets are learned
 	log     logr.Logger
 	mu      sync.Mutex
 	serving *leadership // nil while another host leads
@@ -123,6 +124,10 @@
 	return func(d *Dispatcher) { d.storeLatency = f }
 }
 
+// WithSpeeds has the leader learn the long-term speeds of targets and decide by them. Without it, all
+// targets count as alike.
+func WithSpeeds() Option { return func(d *Dispatcher) { d.speeds = true } }
+
 // New returns a dispatcher that does not lead yet. It replaces Partitions and MaxListAge of
 // the bounds, and MaxEvacuationAge if WithEvacuations and EvacuateTime are set.
 func New(s store.Store, t order.Transport, r Roster, b dispatch.Bounds, log logr.Logger, opts ...Option) *Dispatcher {
@@ -166,7 +171,7 @@
 		Dispatcher: d, ctx: ctx, term: t, events: make(chan func(time.Time), maxQueuedEvents), histories: newHistories(d.log),
 		limiter: limiter.New(time.Now),
 	}
-	l.machine = dispatch.New(t.Number(), d.bounds, dispatch.WithLog(l.histories))
+	l.machine = dispatch.New(t.Number(), d.bounds, l.machineOptions()...)
 	began := l.clock()
 	if err := l.restore(); err != nil {
 		return fmt.Errorf("term %d: %w", t.Number(), err)
@@ -183,6 +188,15 @@
 	return err
 }
 
+// machineOptions returns the options of the term's machine.
+func (l *leadership) machineOptions() []dispatch.Option {
+	opts := []dispatch.Option{dispatch.WithLog(l.histories)}
+	if l.speeds {
+		opts = append(opts, dispatch.WithSpeeds())
+	}
+	return opts
+}
+
 func (d *Dispatcher) setServing(l *leadership) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/work/dispatch/ends.go
+++ b/internal/work/dispatch/ends.go
@@ -147,6 +147,7 @@
 	if e.Reason == order.Done && !s.spec.LongRunning {
 		if r != nil {
 			t.health.ObserveSuccess(r.beganAt, now)
+			m.learnFromEnd(r, now)
 		}
 		m.taskDone(x, e.Run.Number, now)
 		return true
@@ -350,6 +351,7 @@
 	m.observeLasting(r, now)
 	r.gauge = reported.Gauge
 	r.updateProgress(reported.Percent, now)
+	m.learnFromProgress(r, now)
 }
 
 // adopt adds a run that was not started in this term, or that was believed to have
--- a/internal/work/dispatch/incarnation.go
+++ b/internal/work/dispatch/incarnation.go
@@ -74,6 +74,7 @@
 	m.log.Decided("target started again", "target", t.ID, "started", startedAt, "before", known, "runs", len(t.runs))
 	lost := t.runsWhere(func(r *run) bool { return r.reported })
 	m.recordRunsLost(t, lost, now)
+	m.forgetSpeed(t)
 	t.incarnation = startedAt
 	t.resetIncarnation(now)
 	for _, r := range t.runs {
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -54,6 +54,7 @@
 	verdictsDue        bool                       // a task with losses may have become guilty
 	recentLosses       []recentLoss               // targets lost a short time ago
 	lapsed             []lapsedTarget             // targets on which leases have lapsed a short time ago
+	speeds             *speeds                    // long-term speeds of targets; nil: all count as alike
 }
 
 // Log receives one line for each decision, with alternating keys and values. Its
@@ -160,6 +161,7 @@
 		m.considerPoll(t)
 	}
 	m.forgetEnded(now)
+	m.fitSpeeds(now)
 	m.verdictsDue = len(m.tasksWithLosses) > 0 // an open loss may count by now
 	m.placementDue, m.recheckWaiting = true, true
 }
--- a/internal/work/dispatch/run.go
+++ b/internal/work/dispatch/run.go
@@ -45,6 +45,7 @@
 	reportedAt      time.Time // when the progress was last reported
 	progressedAt    time.Time // when the progress last changed
 	stalled         bool      // it was found stalled since the progress last changed
+	hasStalled      bool      // it was found stalled at any time
 	firstProgressAt time.Time // when progress above 0 was first reported; zero: none yet
 	firstPercent    int       // progress reported then
 	beganAt         time.Time // when it was first known to be on the target; zero: it is not known to have begun
--- a/internal/work/dispatch/straggler.go
+++ b/internal/work/dispatch/straggler.go
@@ -50,7 +50,7 @@
 	r.target.health.ObserveStall(now)
 	m.logIfQuarantined(r.target, wasQuarantined, "a run stalled there", r.Task, now)
 	if !r.stalled {
-		r.stalled = true
+		r.stalled, r.hasStalled = true, true
 		m.log.Decided("run stalled", "target", r.target.ID, "task", r.Task, "run", r.Number, "percent", r.percent, "sinceMS", since.Milliseconds())
 	}
 	if r.task.step.spec.Checkpointing || since >= longStall {
@@ -135,11 +135,13 @@
 // straggles reports whether a run is so slow that it would end earlier from its
 // checkpoint on a healthy target. The speed of the step's other tasks shows how far its
 // estimate is off. Runs without checkpoints are not moved: they would lose more than they
-// gain. The run's speed is recorded as evidence about its target.
+// gain. The run's speed is recorded as evidence about its target. All speeds are relative to the
+// long-term speeds of the targets: one that is steadily slower than the fastest of its step is not
+// at fault.
 func (m *Machine) straggles(r *run, now time.Time) bool {
 	speeds := m.speedsOf(r.task.step, now)
 	slowdown := m.remoteSlowdown(r, speeds.severalRacks)
-	speed := r.speed(slowdown)
+	speed := r.normalizedSpeed(slowdown)
 	if speed == 0 {
 		return false
 	}
@@ -150,9 +152,9 @@
 	}
 	estimate := r.task.step.spec.Estimate.Seconds()
 	remaining := 1 - float64(r.percent)/100
-	remainingHere := remaining * estimate * slowdown / speed
+	remainingHere := remaining * estimate * slowdown * r.target.speed.Expected() / speed
 	// Slowness passes, too: it is expected to last as long again as it has lasted.
-	remainingHere = min(remainingHere, r.target.health.SlowFor(now).Seconds()+remaining*estimate/expected)
+	remainingHere = min(remainingHere, r.target.health.SlowFor(now).Seconds()+remaining*estimate*r.target.speed.Expected()/expected)
 	return remainingHere > moveGain*remaining*estimate/expected+moveCost.Seconds()
 }
 
@@ -160,7 +162,8 @@
 // of targets, and each of their reports would visit all its tasks.
 const speedsMaxAge = 100 * time.Millisecond
 
-// stepSpeeds holds the highest speeds among a step's tasks.
+// stepSpeeds holds the highest speeds among a step's tasks, relative to the long-term speeds of their
+// targets.
 type stepSpeeds struct {
 	asOf                  time.Time
 	severalRacks          bool
@@ -177,7 +180,7 @@
 	for _, x := range s.tasks {
 		for _, r := range x.runs {
 			if r.phase == running {
-				s.speeds.add(r.target, r.speed(m.remoteSlowdown(r, s.speeds.severalRacks)))
+				s.speeds.add(r.target, r.normalizedSpeed(m.remoteSlowdown(r, s.speeds.severalRacks)))
 			}
 		}
 	}
@@ -230,7 +233,7 @@
 	if speed := r.speed(1); speed > 0 {
 		return time.Duration(float64(100-r.percent) / 100 * float64(estimate) / speed)
 	}
-	return max(estimate-now.Sub(r.beganAt), 0)
+	return max(r.target.expectedTime(estimate)-now.Sub(r.beganAt), 0)
 }
 
 // moveRun ends a run so that its task is started again on another target. A task that
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -6,6 +6,7 @@
 	"guavaglade.example/guavaglade/internal/fleet/health"
 	"guavaglade.example/guavaglade/internal/fleet/order"
 	"guavaglade.example/guavaglade/internal/fleet/roster"
+	"guavaglade.example/guavaglade/internal/fleet/speed"
 	"guavaglade.example/guavaglade/internal/work/graph"
 )
 
@@ -60,13 +61,14 @@
 	ackDue              time.Time          // latest time to acknowledge saved ends; zero: none yet
 	unverifiedRuns      bool               // runs that are recorded there may wait for its answer
 	health              health.Record
-	pacedAt             time.Time // when the pace of its best-effort tasks last changed
-	remainingReportedAt time.Time // when it last announced its remaining time
-	suspendedUntil      time.Time // it gets no work until then
-	addedAt             time.Time // when it was first listed; zero: before this term
-	connectionBroke     bool      // the first poll that it missed broke before its wait was over
-	lossRecorded        bool      // it is in Machine.recentLosses, and has not answered since
-	isolatedRuns        []*run    // runs of isolated tasks that were placed there; some may not be new or there any more
+	speed               speed.Estimate // of the present incarnation, as of the last fit
+	pacedAt             time.Time      // when the pace of its best-effort tasks last changed
+	remainingReportedAt time.Time      // when it last announced its remaining time
+	suspendedUntil      time.Time      // it gets no work until then
+	addedAt             time.Time      // when it was first listed; zero: before this term
+	connectionBroke     bool           // the first poll that it missed broke before its wait was over
+	lossRecorded        bool           // it is in Machine.recentLosses, and has not answered since
+	isolatedRuns        []*run         // runs of isolated tasks that were placed there; some may not be new or there any more
 }
 
 // unsavedEnd is an end that may be acknowledged once a revision of its job is saved and, if
