--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -151,6 +151,7 @@
 	configVersion  int64         // version of the configuration that the machine has
 	scannedVersion int64         // version up to which the jobs table was scanned
 	listTimeout    time.Duration // of reading the list of targets next time
+	lostCounted    lostCounts
 	// waitingLoggedAt is when waiting orders were last logged.
 	waitingLoggedAt time.Time
 	wg              sync.WaitGroup
@@ -176,6 +177,7 @@
 	err := l.run(earlier.LeasesEnd(d.bounds.Lease).Add(clockSlack))
 	cancel()
 	d.setServing(nil)
+	l.recordLostWork()
 	l.wg.Wait()
 	if h := l.machine.Handover(); d.passOn != nil && !h.Empty() {
 		go d.handOver(context.WithoutCancel(ctx), t.Number(), h)
@@ -331,6 +333,7 @@
 		l.waitingLoggedAt = now
 		l.log.Info("orders waiting", "waiting", load.Waiting, "oldestMS", load.LongestWait.Milliseconds(), "limit", load.Limit, "perSecond", int(load.Rate), "delayMS", load.Delay.Milliseconds(), "stepsWaiting", c.PendingSteps)
 	}
+	l.recordLostWork()
 	l.metrics.Gauge("orders_limit").Update(float64(load.Limit))
 	l.metrics.Gauge("orders_waiting").Update(float64(load.Waiting))
 	l.metrics.Gauge("orders_rate").Update(load.Rate)
--- a/internal/host/dispatcher/job_stages.go
+++ b/internal/host/dispatcher/job_stages.go
@@ -19,14 +19,6 @@
 	500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second, 10 * time.Second, 20 * time.Second, 60 * time.Second,
 }
 
-// maxPriorityLabel bounds the values of the label priority. The product's own configuration has
-// priorities 0 to 2, the rows of a platform may have others.
-const maxPriorityLabel = 9
-
-func priorityLabel(priority int) string {
-	return strconv.Itoa(max(min(priority, maxPriorityLabel), 0))
-}
-
 // jobEnded records the stages of a job that has ended and, if it missed its objective, what it was
 // late for.
 func (l *leadership) jobEnded(e dispatch.JobEnded) {
@@ -34,7 +26,7 @@
 	if e.Stages == nil {
 		return
 	}
-	priority := priorityLabel(e.Job.Priority)
+	priority := strconv.Itoa(dispatch.MetricPriority(e.Job.Priority))
 	for _, s := range stages.All() {
 		l.metrics.Tagged(map[string]string{"priority": priority, "stage": s.String()}).Histogram("job_stage_seconds", stageBuckets).RecordDuration(e.Stages.Of(s))
 	}
--- a/internal/operator/command/reports.go
+++ b/internal/operator/command/reports.go
@@ -5,6 +5,8 @@
 	"io"
 	"os"
 	"text/tabwriter"
+
+	"guavaglade.example/guavaglade/internal/report/view"
 )
 
 type fleetCommand struct {
@@ -42,9 +44,21 @@
 		for _, a := range f.Accounts {
 			_, _ = fmt.Fprintf(w, "%s\t%d\t%d\n", a.Name, a.Guaranteed, a.Wanted)
 		}
+		printLostWork(w, f.LostWork)
 	})
 }
 
+// printLostWork prints the work that was lost in the leader's term, if any was.
+func printLostWork(w io.Writer, list []view.LostWork) {
+	if len(list) == 0 {
+		return
+	}
+	_, _ = fmt.Fprintln(w, "LOST SINCE THE TERM BEGAN\tPRIORITY\tCORE SECONDS")
+	for _, l := range list {
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\n", l.Cause, l.Priority, l.CoreSeconds)
+	}
+}
+
 type reportCommand struct {
 	streams
 	hostOptions
--- a/internal/report/view/view.go
+++ b/internal/report/view/view.go
@@ -85,6 +85,13 @@
 	Wanted     int    `json:"wanted"`     // by its open urgent jobs
 }
 
+// LostWork is work that was lost since runs ended otherwise than as done.
+type LostWork struct {
+	Cause       string `json:"cause"`
+	Priority    int    `json:"priority"`    // 3 stands for all from 3 on
+	CoreSeconds int64  `json:"coreSeconds"` // an accelerator counts as eight cores
+}
+
 // Fleet is the leader's view of targets, zones and accounts.
 type Fleet struct {
 	Leader       string    `json:"leader"` // address for peers
@@ -97,6 +104,8 @@
 	// targets that may get work. Guarantees can be met if Guaranteed is at most Usable.
 	Guaranteed int `json:"guaranteed"`
 	Usable     int `json:"usable"`
+	// LostWork is what was lost in this term.
+	LostWork []LostWork `json:"lostWork,omitempty"`
 }
 
 // InForce is the configuration version that a host has in force, with the host's state.
--- a/internal/work/dispatch/ends.go
+++ b/internal/work/dispatch/ends.go
@@ -46,7 +46,10 @@
 	if t := r.target; t.runs[r.Run] == r && r.startOutstanding() {
 		m.log.Decided("run released, not known to have begun", "target", t.ID, "task", r.Task, "run", r.Number, "phase", int(r.phase), "unanswered", r.unanswered, "leaseLeftMS", t.leaseEnd.Sub(now).Milliseconds())
 	}
-	m.runInterrupted(r, stages.Lost, now)
+	if r.target.runs[r.Run] == r {
+		m.runInterrupted(r, stages.Lost, now)
+		m.recordReleaseLoss(r)
+	}
 	m.removeRun(r, now)
 }
 
@@ -113,6 +116,7 @@
 func (m *Machine) settleEnd(j *job, t *target, r *run, e order.Ended, now time.Time) {
 	if r != nil && e.Reason != order.Done {
 		m.runInterrupted(r, causeOf(e.Reason), now)
+		m.recordEndLoss(r, e, now)
 	}
 	if x := j.findTask(e.Run.Task); x != nil {
 		m.logOutstandingStart(x, e, now)
@@ -350,7 +354,7 @@
 		m.stop(r, stopFor(stopGangEnded), now)
 	}
 	if r.phase == running && reported.Checkpoint != "" {
-		r.checkpoint = reported.Checkpoint
+		r.noteCheckpoint(reported.Checkpoint, now)
 		r.task.saveCheckpoint(reported.Checkpoint)
 	}
 	m.observeLasting(r, now)
--- a/internal/work/dispatch/job_stages_test.go
+++ b/internal/work/dispatch/job_stages_test.go
@@ -17,6 +17,9 @@
 // happened in between, no time may be counted twice or left out.
 func (d *simulation) recordReport(c JobEnded) {
 	d.reports[c.Job.ID] = c
+	if d.m.lostWork[stages.None] != [Priorities]float64{} {
+		d.t.Errorf("job %s: work was lost without a cause", c.Job.ID)
+	}
 	if c.State != progress.Completed {
 		return
 	}
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -54,6 +54,7 @@
 	verdictsDue        bool                       // a task with losses may have become guilty
 	recentLosses       []recentLoss               // targets lost a short time ago
 	lapsed             []lapsedTarget             // targets on which leases have lapsed a short time ago
+	lostWork           LostWork
 }
 
 // Log receives one line for each decision, with alternating keys and values. Its
--- a/internal/work/dispatch/query.go
+++ b/internal/work/dispatch/query.go
@@ -98,7 +98,7 @@
 func (m *Machine) Fleet(now time.Time) view.Fleet {
 	f := view.Fleet{
 		Term: m.term, PendingSteps: len(m.pendingSteps), Zones: m.zones(), Targets: []view.Target{}, Accounts: []view.Account{},
-		Guaranteed: m.totalGuaranteed(), Usable: m.usableAccelerators(),
+		Guaranteed: m.totalGuaranteed(), Usable: m.usableAccelerators(), LostWork: m.lostWork.view(),
 	}
 	for _, t := range m.sortedTargets {
 		f.Targets = append(f.Targets, view.Target{
--- a/internal/work/dispatch/run.go
+++ b/internal/work/dispatch/run.go
@@ -40,6 +40,7 @@
 	orderAnsweredAt time.Time    // when the target answered the start or the stop; zero: neither
 	resumedFrom     string       // checkpoint that the start carried
 	checkpoint      string       // newest checkpoint reported
+	checkpointAt    time.Time    // when that was first reported
 	ticket          string       // advice ticket that the start carries
 	paceShare       int          // share of full speed that a best-effort run is allowed, in percent
 	gauge           int          // order.Running.Gauge as last reported: tail latency in ms of a serving task
--- a/internal/work/stages/cause.go
+++ b/internal/work/stages/cause.go
@@ -19,14 +19,16 @@
 	Refused                // its target refused the start
 	JobEnded               // its job or task had ended
 	Other                  // none of these
-	causeCount
 )
 
-var causeNames = [causeCount]string{"none", "preempted", "slow", "stalled", "draining", "failed", "gang", "lapsed", "lost", "refused", "jobEnded", "other"}
+// CauseCount is the number of causes, None included.
+const CauseCount = int(Other) + 1
+
+var causeNames = [CauseCount]string{"none", "preempted", "slow", "stalled", "draining", "failed", "gang", "lapsed", "lost", "refused", "jobEnded", "other"}
 
 // String returns the name of the cause as it stands in metrics, log lines and views.
 func (c Cause) String() string {
-	if c < 0 || c >= causeCount {
+	if c < 0 || int(c) >= CauseCount {
 		return strconv.Itoa(int(c))
 	}
 	return causeNames[c]
@@ -35,7 +37,7 @@
 // Causes returns all causes but None.
 func Causes() []Cause {
 	var list []Cause
-	for c := None + 1; c < causeCount; c++ {
+	for c := None + 1; int(c) < CauseCount; c++ {
 		list = append(list, c)
 	}
 	return list
