--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -56,6 +56,7 @@
 	recentLosses       []recentLoss               // targets lost a short time ago
 	lapsed             []lapsedTarget             // targets on which leases have lapsed a short time ago
 	speeds             *speeds                    // long-term speeds of targets; nil: all count as alike
+	lostWork           LostWork
 }
 
 // Log receives one line for each decision, with alternating keys and values. Its
--- a/internal/work/dispatch/run.go
+++ b/internal/work/dispatch/run.go
@@ -41,6 +41,7 @@
 	endDueAt        time.Time    // when the run should have ended, once its target has accepted or refused its stop; zero: not known
 	resumedFrom     string       // checkpoint that the start carried
 	checkpoint      string       // newest checkpoint reported
+	checkpointAt    time.Time    // when that was first reported
 	ticket          string       // advice ticket that the start carries
 	paceShare       int          // share of full speed that a best-effort run is allowed, in percent
 	gauge           int          // order.Running.Gauge as last reported: tail latency in ms of a serving task
