--- a/internal/config/catalog/catalog.go
+++ b/internal/config/catalog/catalog.go
@@ -37,6 +37,7 @@
 	RejectsOverload bool // its targets refuse tasks that exceed their capacity
 	Standby         bool // its machines are powered off and not paid for
 	Objective       Objective
+	Headroom        bool // capacity is kept free for urgent jobs that cannot wait for a preemption
 }
 
 // Objective is a service-level objective: the share of jobs that complete within a
@@ -143,6 +144,17 @@
 	return s, ok
 }
 
+// Headroom returns the services on which capacity is kept free for urgent jobs.
+func (c *Catalog) Headroom() map[string]bool {
+	services := map[string]bool{}
+	for name, s := range c.services {
+		if s.Headroom {
+			services[name] = true
+		}
+	}
+	return services
+}
+
 // Objectives returns the services' objectives by the service's name. Services without
 // one are left out.
 func (c *Catalog) Objectives() map[string]Objective {
--- a/internal/config/text/config.go
+++ b/internal/config/text/config.go
@@ -105,6 +105,7 @@
 	fragmentation float64 // weight of fragmentation, 0 to 1
 	dependsOn     []string
 	objective     Objective
+	headroom      bool
 	kinds         map[string]Kind
 }
 
@@ -130,6 +131,9 @@
 // DependsOn returns the names of the services that this one depends on.
 func (s Service) DependsOn() []string { return s.dependsOn }
 
+// Headroom reports whether capacity is kept free for urgent jobs of the service.
+func (s Service) Headroom() bool { return s.headroom }
+
 // Objective returns the service-level objective.
 func (s Service) Objective() Objective { return s.objective }
 
--- a/internal/config/text/service.go
+++ b/internal/config/text/service.go
@@ -26,6 +26,7 @@
 		completion:    section.Float("completionWeight", 0.5, 0, 1),
 		fragmentation: section.Float("fragmentationWeight", 0.5, 0, 1),
 		dependsOn:     section.List("dependsOn"),
+		headroom:      section.Choice("headroom", "off", "on", "off") == "on",
 		objective: Objective{
 			Target: section.Float("objectiveTarget", 0, minObjectiveTarget, maxObjectiveTarget),
 			Within: section.Duration("objectiveWithin", 0, minObjectiveWithin, maxObjectiveWithin),
--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -322,6 +322,7 @@
 	for name, n := range map[string]int{
 		"jobs": c.Jobs, "targets": c.Targets, "targets_held": c.Reachable, "runs": c.Runs, "steps_waiting": c.PendingSteps,
 		"zones_evacuated": c.Evacuated, "accelerators_usable": usable, "accelerators_guaranteed": guaranteed,
+		"headroom_accelerators": l.machine.HeadroomAccelerators(l.clock()),
 	} {
 		l.metrics.Gauge(name).Update(float64(n))
 	}
@@ -338,8 +339,8 @@
 	l.metrics.Gauge("order_delay_seconds").Update(load.Delay.Seconds())
 }
 
-// applyConfig passes the guarantees of the configuration in force to the machine if its
-// version has changed.
+// applyConfig passes the guarantees of the configuration in force, and the services that keep
+// headroom, to the machine if its version has changed.
 func (l *leadership) applyConfig() {
 	if l.keeper == nil {
 		return
@@ -354,6 +355,7 @@
 		guaranteed[a.Name] = a.Guaranteed
 	}
 	l.machine.SetGuarantees(guaranteed)
+	l.machine.SetHeadroom(now.Headroom())
 	l.log.Info("configuration applied", "version", now.Version(), "accounts", len(guaranteed))
 }
 
--- a/internal/host/dispatcher/execute.go
+++ b/internal/host/dispatcher/execute.go
@@ -39,6 +39,8 @@
 	case dispatch.TargetLost:
 		l.metrics.Counter("targets_lost").Inc(1)
 		l.metrics.Counter("runs_lost").Inc(int64(c.Runs))
+	case dispatch.PlacementWithheld:
+		l.metrics.Tagged(map[string]string{"reason": string(c.Reason)}).Counter("placements_withheld_total").Inc(1)
 	case dispatch.Forget:
 		l.spawn(func() { l.forget(c) })
 	case dispatch.Pace:
--- a/internal/host/dispatcher/history.go
+++ b/internal/host/dispatcher/history.go
@@ -44,6 +44,11 @@
 // kv names.
 func (h *histories) Decided(message string, kv ...any) {
 	h.log.Info(message, kv...)
+	h.Recorded(message, kv...)
+}
+
+// Recorded implements dispatch.Log. It keeps a decision like Decided, without logging it.
+func (h *histories) Recorded(message string, kv ...any) {
 	id, ok := jobOf(kv)
 	if !ok {
 		return
--- a/internal/work/dispatch/accept.go
+++ b/internal/work/dispatch/accept.go
@@ -21,6 +21,7 @@
 	j := newJob(spec, PartitionOf(spec.ID, m.bounds.Partitions), now)
 	m.jobs[spec.ID] = j
 	m.updateSmallestTask(spec)
+	m.jobArrived(j, now)
 	m.log.Decided("job", "job", spec.ID, "queue", spec.Queue, "account", spec.Account, "priority", spec.Priority, "steps", len(spec.Steps), "tasks", spec.Tasks(), "objectiveMS", j.objective.Milliseconds(), "accepted", spec.AcceptedAt)
 	m.openDueOccurrences(j, now)
 	m.placementDue = true
@@ -37,6 +38,7 @@
 	j.version, j.cancelled = version, cancelled
 	m.updateSmallestTask(spec)
 	m.jobs[spec.ID] = j
+	m.jobArrived(j, now)
 	if p != nil {
 		j.state, j.published, j.started, j.endedAt = p.State, p.State, p.Started, p.Ended
 		j.cause, j.reason = p.Cause, p.Reason
@@ -178,6 +180,7 @@
 // openNextOccurrence creates the steps of the next occurrence of a job and enqueues those
 // that depend on no others.
 func (m *Machine) openNextOccurrence(j *job, now time.Time) {
+	m.occurrenceArrived(j, now)
 	for _, s := range j.createOccurrence() {
 		if s.blockedBy == 0 {
 			m.stepUnblocked(s, now)
--- a/internal/work/dispatch/fit.go
+++ b/internal/work/dispatch/fit.go
@@ -38,17 +38,25 @@
 func (m *Machine) chooseTarget(x *task, now time.Time) *target {
 	s := x.step
 	charge := s.spec.Charge()
-	var best *target
+	var best, withheld *target
 	var bestFit fit
 	m.targetsConsidered += len(m.sortedTargets)
+	kept := m.keptFrom(s, now)
 	for _, t := range m.sortedTargets {
 		if !s.eligible(t, now) || x.excludes(t, now) || m.reservedForOther(t, s) || !charge.FitsIn(t.freeCapacity()) || s.perTargetLeft(t) <= 0 || m.startsTooClose(x, t, now) {
 			continue
 		}
+		if !charge.FitsIn(kept.besides(t)) {
+			withheld = t
+			continue
+		}
 		if f := m.fitOf(x, t, t.freeCapacity(), now); best == nil || f.compare(bestFit) < 0 {
 			best, bestFit = t, f
 		}
 	}
+	if best == nil && withheld != nil {
+		m.recordWithheld(s, kept.besides(withheld), now)
+	}
 	return best
 }
 
--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -154,7 +154,7 @@
 		}
 		first = last
 	}
-	m.pass.recordUnplaceable(s, slowdowns)
+	m.pass.recordUnplaceable(s, slowdowns, m.keptFrom(s, now) != nil)
 	if preempt {
 		s.nextPreemptionAt = now.Add(min(time.Duration(m.targetsConsidered-consideredBefore)*preemptionPausePerTarget, maxPreemptionPause))
 	} else {
@@ -180,6 +180,9 @@
 	if best == nil && preempt {
 		return m.preemptForGang(s, sets, now)
 	}
+	if best == nil && !unplaceable {
+		m.recordIfWithheld(s, sets, now)
+	}
 	return best
 }
 
@@ -199,14 +202,16 @@
 // needs more does not fit either.
 type unplaceableGang struct {
 	step      *step
-	slowdowns int // of the slowest sets that were tried
+	slowdowns int  // of the slowest sets that were tried
+	besides   bool // only capacity beside what is kept free was tried
 }
 
 // recordUnplaceable records that a gang did not fit on sets with up to a number of slowdowns,
-// unless it is kept from targets that others may use.
-func (p *pass) recordUnplaceable(s *step, slowdowns int) {
+// unless it is kept from targets that others may use. besides is whether only capacity beside
+// what is kept free was tried.
+func (p *pass) recordUnplaceable(s *step, slowdowns int, besides bool) {
 	if len(s.gangAttempts.avoidedTargets) == 0 && s.spec.PerTarget == 0 && !s.gangIsolated && !s.job.spec.Advised {
-		p.unplaceable = append(p.unplaceable, unplaceableGang{s, slowdowns})
+		p.unplaceable = append(p.unplaceable, unplaceableGang{s, slowdowns, besides})
 	}
 }
 
@@ -217,6 +222,9 @@
 	tried := -1
 	for _, n := range m.pass.unplaceable {
 		o := n.step
+		if n.besides && m.keptFrom(s, now) == nil {
+			continue
+		}
 		similar := o.job.spec.Service == s.job.spec.Service && o.spec.Label == s.spec.Label && o.spec.DataRack == s.spec.DataRack && o.spec.SameRack == s.spec.SameRack
 		if similar && len(o.tasks) <= len(s.tasks) && o.spec.Charge().FitsIn(s.spec.Charge()) {
 			tried = max(tried, n.slowdowns)
@@ -281,9 +289,10 @@
 	free := make([]graph.Resources, len(targets))
 	slots := make([]int, len(targets))
 	total := 0
+	kept := m.keptFrom(s, now)
 	for i, t := range targets {
 		if !m.reservedForOther(t, s) {
-			free[i], slots[i] = t.freeCapacity(), s.perTargetLeft(t)
+			free[i], slots[i] = kept.besides(t), s.perTargetLeft(t)
 		}
 		total += min(tasksThatFit(charge, free[i]), max(slots[i], 0))
 		left += free[i].Accelerators
--- a/internal/work/dispatch/hold_test.go
+++ b/internal/work/dispatch/hold_test.go
@@ -195,6 +195,9 @@
 // Decided implements Log.
 func (h logHook) Decided(message string, _ ...any) { h(message) }
 
+// Recorded implements Log.
+func (logHook) Recorded(string, ...any) {}
+
 // A task of a step is isolated after targets were lost together under it, and no target is quiet.
 // Guards against the step's other tasks, which may begin anywhere, waiting for it.
 func TestTasksBesideAnIsolatedOneAreStarted(t *testing.T) {
--- a/internal/work/dispatch/job.go
+++ b/internal/work/dispatch/job.go
@@ -67,6 +67,7 @@
 	rank             int64           // order among the pending steps in this pass, lowest first
 	criticalPath     time.Duration   // estimated duration of the critical path from this step on
 	queued           bool            // it is in Machine.pendingSteps
+	withheld         bool            // it was withheld for headroom
 }
 
 // task is one task of a step.
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -54,17 +54,21 @@
 	verdictsDue        bool                       // a task with losses may have become guilty
 	recentLosses       []recentLoss               // targets lost a short time ago
 	lapsed             []lapsedTarget             // targets on which leases have lapsed a short time ago
+	headroom           headroomState
 }
 
 // Log receives one line for each decision, with alternating keys and values. Its
 // methods must not block.
 type Log interface {
 	Decided(message string, kv ...any)
+	// Recorded is like Decided, but the line goes to the history of its job only.
+	Recorded(message string, kv ...any)
 }
 
 type discardLog struct{}
 
-func (discardLog) Decided(string, ...any) {}
+func (discardLog) Decided(string, ...any)  {}
+func (discardLog) Recorded(string, ...any) {}
 
 // Option sets one property of a new machine.
 type Option func(*Machine)
@@ -160,6 +164,7 @@
 		m.considerPoll(t)
 	}
 	m.forgetEnded(now)
+	m.checkWithholding(now)
 	m.verdictsDue = len(m.tasksWithLosses) > 0 // an open loss may count by now
 	m.placementDue, m.recheckWaiting = true, true
 }
--- a/internal/work/dispatch/schedule.go
+++ b/internal/work/dispatch/schedule.go
@@ -73,6 +73,8 @@
 	preemptibleCapacity map[*target]graph.Resources
 	unplaceable         []unplaceableGang // gangs that do not fit without preemption
 	idle                map[string]bool   // services of which most accelerators are free
+	// kept is the capacity that is kept free for urgent work, by service.
+	kept map[string]keptFree
 }
 
 // invalidate drops the cached values of a target.
--- a/internal/work/dispatch/simulation_test.go
+++ b/internal/work/dispatch/simulation_test.go
@@ -71,6 +71,7 @@
 	submittedAt  map[graph.JobID]time.Time
 	nextID       int
 	bounds       Bounds
+	options      []Option                   // of the machine of each leader
 	specs        map[graph.JobID]*graph.Job // of jobs submitted with submitJob
 	rows         map[graph.JobID][]byte     // saved progress
 	orderRate    int                        // orders that the host can send in a second; 0: any number
@@ -91,8 +92,9 @@
 	return newSimulationOf(t, racks, perRack, b, pool.DefaultBounds())
 }
 
-// newSimulationOf is newSimulation with the given bounds of the targets.
-func newSimulationOf(t testing.TB, racks, perRack int, b Bounds, targets pool.Bounds) *simulation {
+// newSimulationOf is newSimulation with the given bounds of the targets and options of the
+// machine.
+func newSimulationOf(t testing.TB, racks, perRack int, b Bounds, targets pool.Bounds, opts ...Option) *simulation {
 	d := &simulation{
 		t: t, p: pool.New(targets), now: time.Unix(1000, 0),
 		endedAt: map[graph.JobID]time.Time{}, submittedAt: map[graph.JobID]time.Time{},
@@ -107,7 +109,8 @@
 			}, 1, d.now)
 		}
 	}
-	d.m = New(1, b, WithLog(d))
+	d.options = append(opts, WithLog(d))
+	d.m = New(1, b, d.options...)
 	d.listTargets()
 	d.m.EnablePlacement(d.now, d.now)
 	d.decide()
@@ -139,6 +142,9 @@
 	d.log = append(d.log, fmt.Sprintf("%7.3f %s %v", d.now.Sub(time.Unix(1000, 0)).Seconds(), message, kv))
 }
 
+// Recorded implements Log.
+func (d *simulation) Recorded(message string, kv ...any) { d.Decided(message, kv...) }
+
 // after schedules an event of the present leader.
 func (d *simulation) after(wait time.Duration, f func()) {
 	d.schedule(event{at: d.now.Add(wait), do: f})
@@ -475,7 +481,7 @@
 func (d *simulation) changeLeader() {
 	d.events = slices.DeleteFunc(d.events, func(e event) bool { return !e.outlivesLeader })
 	d.decisionScheduled, d.unsent = false, [limiter.Probe + 1][]Command{}
-	d.m = New(d.m.Term()+1, d.bounds, WithLog(d))
+	d.m = New(d.m.Term()+1, d.bounds, d.options...)
 	for n := 1; n <= d.nextID; n++ {
 		id := graph.JobID(fmt.Sprintf("%016x", n))
 		var p *progress.Job
