--- a/internal/work/dispatch/liveness_test.go
+++ b/internal/work/dispatch/liveness_test.go
@@ -55,6 +55,7 @@
 	slowClocks     bool
 	keepIDs        bool // targets that crash return under their ids
 	orderRate      int  // orders that the host can send in a second; 0: any number
+	headroom       bool // headroom is kept, stops take 900 ms, and urgent jobs have less slack
 	jobs           []scriptedLivenessJob
 	disruptions    []disruption
 }
@@ -242,9 +243,15 @@
 	bounds := DefaultBounds()
 	bounds.MaxListAge = 4 * time.Second
 	targets := pool.DefaultBounds()
+	var opts []Option
+	if s.headroom {
+		bounds, targets = slowStops()
+		bounds.MaxListAge = 4 * time.Second
+		opts = append(opts, WithHeadroom())
+	}
 	targets.KeepIDs = s.keepIDs
 	l := &livenessRun{
-		simulation: newSimulationOf(t, s.racks, s.perRack, bounds, targets), rnd: rand.New(rand.NewPCG(s.seed, 0)),
+		simulation: newSimulationOf(t, s.racks, s.perRack, bounds, targets, opts...), rnd: rand.New(rand.NewPCG(s.seed, 0)),
 		active: map[string]map[string]int{}, leavesAtEnd: map[string]bool{},
 		scripted: map[graph.JobID]scriptedLivenessJob{},
 	}
@@ -267,7 +274,7 @@
 	l.listTargets()
 	l.hook()
 	for _, j := range s.jobs {
-		l.afterAnyLeader(j.at, func() { l.submitScripted(j) })
+		l.afterAnyLeader(j.at, func() { l.submitScripted(j, s.headroom && j.priority == 0) })
 	}
 	end := time.Duration(0)
 	for _, x := range s.disruptions {
@@ -289,9 +296,12 @@
 	return l
 }
 
-// submitScripted submits a job of the script.
-func (l *livenessRun) submitScripted(j scriptedLivenessJob) {
+// submitScripted submits a job of the script, which may have less slack than a stop of 900 ms.
+func (l *livenessRun) submitScripted(j scriptedLivenessJob, littleSlack bool) {
 	spec := &graph.Job{Priority: j.priority, SlackFactor: 3, Allowance: time.Second, Steps: slices.Clone(j.steps), Advised: j.advised, AdviceValid: ticketTime}
+	if littleSlack {
+		spec.SlackFactor, spec.Allowance = 1, 500*time.Millisecond
+	}
 	id := l.submitJob(spec, j.behaviour())
 	l.scripted[id] = j
 	if j.cancel > 0 {
@@ -548,10 +558,30 @@
 	seeded.Check(t, func(rt *rapid.T) { checkLiveness(rt, t, drawLivenessScript(rt, targetKinds, true)) })
 }
 
-func checkLiveness(rt *rapid.T, t testing.TB, s livenessScript) {
+// The same with headroom for urgent jobs that have less slack than a stop takes. Guards against
+// steps that are withheld without end, and against starts that headroom makes violate a guarantee.
+func TestNoStepIsHeldForHeadroom(t *testing.T) {
+	withheld := 0
+	seeded.Check(t, func(rt *rapid.T) {
+		s := drawLivenessScript(rt, targetKinds, rapid.Bool().Draw(rt, "troubled"))
+		s.headroom = true
+		for _, line := range checkLiveness(rt, t, s).log {
+			if strings.Contains(line, "withheld for headroom") {
+				withheld++
+			}
+		}
+	})
+	if withheld == 0 {
+		t.Error("no step was withheld in any script")
+	}
+}
+
+// checkLiveness runs a script, fails the test if it finds a fault, and returns the run.
+func checkLiveness(rt *rapid.T, t testing.TB, s livenessScript) *livenessRun {
 	l := s.run(t)
 	found := append(l.watch.tooLong(), l.faultsFound()...)
 	if len(found) > 0 {
 		rt.Fatalf("%s\n%s\n%s", s, strings.Join(found, "\n"), strings.Join(l.log, "\n"))
 	}
+	return l
 }
