--- a/internal/work/dispatch/accept.go
+++ b/internal/work/dispatch/accept.go
@@ -22,6 +22,7 @@
 	m.jobs[spec.ID] = j
 	m.beginTimeline(j, false, now)
 	m.updateSmallestTask(spec)
+	m.jobArrived(j, now)
 	m.log.Decided("job", "job", spec.ID, "queue", spec.Queue, "account", spec.Account, "priority", spec.Priority, "steps", len(spec.Steps), "tasks", spec.Tasks(), "objectiveMS", j.objective.Milliseconds(), "accepted", spec.AcceptedAt)
 	m.openDueOccurrences(j, now)
 	m.placementDue = true
@@ -38,6 +39,7 @@
 	j.version, j.cancelled = version, cancelled
 	m.updateSmallestTask(spec)
 	m.jobs[spec.ID] = j
+	m.jobArrived(j, now)
 	if p != nil {
 		j.state, j.published, j.started, j.endedAt = p.State, p.State, p.Started, p.Ended
 		j.cause, j.reason = p.Cause, p.Reason
@@ -180,6 +182,7 @@
 // openNextOccurrence creates the steps of the next occurrence of a job and enqueues those
 // that depend on no others.
 func (m *Machine) openNextOccurrence(j *job, now time.Time) {
+	m.occurrenceArrived(j, now)
 	for _, s := range j.createOccurrence() {
 		if s.blockedBy == 0 {
 			m.stepUnblocked(s, now)
--- a/internal/work/dispatch/job.go
+++ b/internal/work/dispatch/job.go
@@ -69,6 +69,7 @@
 	rank             int64                    // order among the pending steps in this pass, lowest first
 	criticalPath     time.Duration            // estimated duration of the critical path from this step on
 	queued           bool                     // it is in Machine.pendingSteps
+	withheld         bool                     // it was withheld for headroom
 	timeline         *stages.Timeline         // of the job up to its turn; nil: its turn has not come, it is done, or not measured
 	interrupted      map[int]*stages.Timeline // up to the first start, by task.timelineKey, of tasks that were interrupted
 }
--- a/internal/work/dispatch/speeds_test.go
+++ b/internal/work/dispatch/speeds_test.go
@@ -61,17 +61,6 @@
 	}
 }
 
-// logged counts the decisions with a text.
-func (d *simulation) logged(text string) int {
-	n := 0
-	for _, l := range d.log {
-		if strings.Contains(l, text) {
-			n++
-		}
-	}
-	return n
-}
-
 // Targets that are steadily slower than the fastest of the same step were taken for stragglers: their
 // runs were stopped again and again, and gangs with them, although nothing was wrong.
 func TestSteadilySlowerTargetsAreNoStragglers(t *testing.T) {
