--- a/internal/work/dispatch/fit.go
+++ b/internal/work/dispatch/fit.go
@@ -61,6 +61,7 @@
 	exposed          int // runs that would be lost with the target, if the task is isolated
 	cold             int // 1 if the target is warming up
 	remote           int // 1 if the task's data is on another rack
+	silent           int // 1 if the target may be cut off like the one with which the task was lost
 	interference     int // number of tasks there that would disturb it or that it would disturb
 	stranded         int // accelerators that other tasks could use now, but not beside this one
 	acceleratorsLeft int // accelerators left free
@@ -69,7 +70,7 @@
 
 func (f fit) compare(o fit) int {
 	return cmp.Or(
-		cmp.Compare(f.risk, o.risk), cmp.Compare(f.exposed, o.exposed), cmp.Compare(f.cold, o.cold), cmp.Compare(f.remote, o.remote), cmp.Compare(f.interference, o.interference), cmp.Compare(f.stranded, o.stranded),
+		cmp.Compare(f.risk, o.risk), cmp.Compare(f.exposed, o.exposed), cmp.Compare(f.cold, o.cold), cmp.Compare(f.remote, o.remote), cmp.Compare(f.silent, o.silent), cmp.Compare(f.interference, o.interference), cmp.Compare(f.stranded, o.stranded),
 		cmp.Compare(f.acceleratorsLeft, o.acceleratorsLeft), cmp.Compare(f.cpuLeft, o.cpuLeft),
 	)
 }
@@ -94,6 +95,9 @@
 	if rack := x.step.spec.DataRack; rack != "" && t.Rack != rack {
 		f.remote = 1
 	}
+	if x.mayBeCutOff(t, now) {
+		f.silent = 1
+	}
 	return f
 }
 
--- a/internal/work/dispatch/job.go
+++ b/internal/work/dispatch/job.go
@@ -80,6 +80,8 @@
 	pausedUntil     time.Time // it is not placed before
 	ownAttempts     attempts  // used unless it is in a gang
 	losses          crashloop.Record
+	lostBefore      bool   // a run of it was lost with its target in this term
+	lostInZone      string // zone of that target
 }
 
 func (t *task) id() graph.TaskID { return t.step.id.Task(t.index) }
--- a/internal/work/dispatch/loss.go
+++ b/internal/work/dispatch/loss.go
@@ -14,6 +14,9 @@
 	m.changeLosses(t.settleLoss)
 	lost := t.runsWhere((*run).mayBeOnTarget)
 	m.recordLosses(t, lost, t.lossSpan(now), time.Time{}, now)
+	for _, r := range lost {
+		r.task.lostBefore, r.task.lostInZone = true, t.Zone
+	}
 	for _, r := range t.sortedRuns() {
 		m.release(r, now)
 		m.failIfAtMostOnce(r, now)
--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -64,7 +64,7 @@
 			m.dropUnsent(r, "its target has started again", now)
 		case len(r.task.runs) > 1 && !r.task.step.spec.Speculative: // its target has reported another one since
 			m.dropUnsent(r, "another run of its task was found", now)
-		case !r.gangVerified(): // startVerified or dropUnverified decides
+		case !r.mayBeSent(): // startVerified or dropUnverified decides
 		default:
 			r.phase = starting
 			r.resumedFrom = r.task.checkpoint()
