--- a/internal/work/dispatch/crash_test.go
+++ b/internal/work/dispatch/crash_test.go
@@ -424,3 +424,51 @@
 		})
 	}
 }
+
+// A task crashes idle targets before they answer its start, and no connection breaks. Guards against a
+// task that is never blamed, since each of its targets may have been lost before it was sent.
+func TestTaskThatSilencesIdleTargetsIsGivenUp(t *testing.T) {
+	for name, keepIDs := range map[string]bool{"targets return under other ids": false, "targets return under their ids": true} {
+		t.Run(name, func(t *testing.T) {
+			bounds := pool.DefaultBounds()
+			bounds.KeepIDs = keepIDs
+			d := newSimulationOf(t, 2, 4, DefaultBounds(), bounds)
+			d.silentCrashes = true
+			d.dropAnswer = func(Command) bool { return true }
+			d.runWithListing(5)
+			crashing := d.submitCrashing(2, small(1))
+			d.runWithListing(60)
+			d.checkCrashes(crashing)
+		})
+	}
+}
+
+// An idle target is cut off, and a task is sent there. Guards against a loss that is recorded under the
+// task, which would isolate it and count towards giving it up, although its target was silent before.
+func TestStartToSilentTargetIsNoSuspect(t *testing.T) {
+	for name, restarts := range map[string]bool{"until its leases have lapsed": false, "until it has started again": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newSimulation(t, 1, 2, DefaultBounds())
+			d.runWithListing(5)
+			for _, x := range d.p.Roster() {
+				d.disconnected[x.Address] = true
+			}
+			id := d.submit(2, time.Second, small(1))
+			d.run(time.Second)
+			x := d.m.jobs[id].steps[0].tasks[0]
+			is.Equal(len(x.runs), 1)
+			if restarts {
+				d.p.Restart(x.runs[0].target.ID, time.Second, d.now)
+				d.run(1500 * time.Millisecond)
+				d.disconnected = map[string]bool{}
+			}
+			d.runWithListing(8)
+			is.True(x.lostBefore || restarts)
+			is.True(x.losses.Empty())
+			d.disconnected = map[string]bool{}
+			d.runWithListing(20)
+			d.check()
+		})
+	}
+}
--- a/internal/work/dispatch/loss.go
+++ b/internal/work/dispatch/loss.go
@@ -14,9 +14,6 @@
 	m.changeLosses(t.settleLoss)
 	lost := t.runsWhere((*run).mayBeOnTarget)
 	m.recordLosses(t, lost, t.lossSpan(now), time.Time{}, now)
-	for _, r := range lost {
-		r.task.lostBefore, r.task.lostInZone = true, t.Zone
-	}
 	for _, r := range t.sortedRuns() {
 		m.release(r, now)
 		m.failIfAtMostOnce(r, now)
@@ -45,6 +42,7 @@
 		kind, suspect := cause.kindFor(r)
 		m.log.Decided("run lost with its target", "target", t.ID, "task", r.Task, "run", r.Number, "beganMSBefore", r.ageAt(span.from).Milliseconds(), "lost", len(lost), "suspect", suspect, "kind", kind, "together", cause.together)
 		x := r.task
+		x.lostBefore, x.lostInZone = true, t.Zone
 		if !suspect || r.blamed || t.Draining || x.done || x.step.job.finished() {
 			continue
 		}
@@ -119,7 +117,7 @@
 	jobs := map[*job]bool{}
 	c.certain = true
 	for _, r := range t.runs {
-		if !r.mayBeOnTarget() || r.sentAfter(span) || !r.newAt(span.from) {
+		if !r.mayBeOnTarget() || r.sentAfter(span) || r.mayFollowLoss() || !r.newAt(span.from) {
 			continue
 		}
 		c.certain = c.certain && r.startsSent > 0
@@ -135,11 +133,17 @@
 	return span.from.Equal(span.to) && r.beganAt.IsZero() && r.startsSent == 1 && r.sentAt.After(span.to)
 }
 
+// mayFollowLoss reports whether the run's target may have been lost before the run was sent: it had
+// answered nothing for longer than between two polls of a target with work, and the run is not known
+// to have begun. An idle target is not polled, so that it may have been lost or disconnected long before.
+func (r *run) mayFollowLoss() bool { return r.sentToSilent && r.beganAt.IsZero() }
+
 // kindFor returns how the loss points at a run's task, and whether it does at all. It does
-// not if the run had not just begun there, and others had or there is a common cause.
+// not if the run may have been sent after it, or had not just begun there, and others had or there is
+// a common cause.
 func (c lossCause) kindFor(r *run) (kind crashloop.Kind, suspect bool) {
 	switch {
-	case r.sentAfter(c.span) || !r.newAt(c.span.from) && (c.newJobs > 0 || c.together):
+	case r.sentAfter(c.span) || r.mayFollowLoss() || !r.newAt(c.span.from) && (c.newJobs > 0 || c.together):
 		return crashloop.Running, false
 	case c.newJobs == 0:
 		return crashloop.Running, true
--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -87,6 +87,9 @@
 // sendStart sends the start of a run, for the first time or again.
 func (m *Machine) sendStart(r *run, now time.Time) {
 	t := r.target
+	if r.startsSent == 0 {
+		r.sentToSilent = now.Sub(t.answeredAt) > maxPollWait+pollOverdue
+	}
 	r.startsSent++
 	r.unanswered++
 	r.sentAt, r.orderPending, r.sentTo = now, true, t.incarnation
--- a/internal/work/dispatch/run.go
+++ b/internal/work/dispatch/run.go
@@ -34,6 +34,7 @@
 	unanswered      int       // number of starts sent that have not been answered
 	startsExpireAt  time.Time // when the target refuses all of them as late; zero: not known
 	startsExpired   bool      // that time has passed
+	sentToSilent    bool      // its target had not answered for long when the first start was sent
 	orderPending    bool      // an order is outstanding
 	orderAnsweredAt time.Time // when the target answered the start or the stop; zero: neither
 	endDueAt        time.Time // when the run should have ended, once its target has accepted or refused its stop; zero: not known
