--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -65,7 +65,7 @@
 			m.dropUnsent(r, stopFor(stopRestarted), now)
 		case len(r.task.runs) > 1 && !r.task.step.spec.Speculative: // its target has reported another one since
 			m.dropUnsent(r, stopFor(stopOtherFound), now)
-		case !r.gangVerified(): // startVerified or dropUnverified decides
+		case !r.mayBeSent(): // startVerified or dropUnverified decides
 		default:
 			r.phase = starting
 			r.resumedFrom = r.task.checkpoint()
@@ -88,6 +88,9 @@
 // sendStart sends the start of a run, for the first time or again.
 func (m *Machine) sendStart(r *run, now time.Time) {
 	t := r.target
+	if r.startsSent == 0 {
+		r.sentToSilent = now.Sub(t.answeredAt) > maxPollWait+pollOverdue
+	}
 	r.recordStart(now)
 	r.startsSent++
 	r.unanswered++
