--- a/internal/work/progress/progress.go
+++ b/internal/work/progress/progress.go
@@ -41,19 +41,22 @@
 	Steps   map[string]*Step `json:"steps,omitempty"`   // by OCCURRENCE.STEP; a step about which nothing is known is left out
 }
 
-// Encode encodes the progress as the value of a row.
+// Encode encodes the progress as the value of a row, in the dense form if the plain one would be large.
 func (j *Job) Encode() ([]byte, error) {
 	b, err := json.Marshal(j)
+	if err == nil && len(b) > maxPlainBytes {
+		b, err = j.encodeDense()
+	}
 	if err != nil {
 		return nil, fmt.Errorf("encode progress: %w", err)
 	}
 	return b, nil
 }
 
-// Decode decodes the value of a row. An unknown state is an error.
+// Decode decodes the value of a row in either form. An unknown state is an error.
 func Decode(value []byte) (*Job, error) {
-	j := &Job{}
-	if err := json.Unmarshal(value, j); err != nil {
+	j, err := decodeForm(value)
+	if err != nil {
 		return nil, fmt.Errorf("decode progress: %w", err)
 	}
 	switch j.State {
@@ -62,3 +65,13 @@
 	}
 	return nil, fmt.Errorf("decode progress: unknown state %q", j.State)
 }
+
+// decodeForm decodes the value of a row by its form.
+func decodeForm(value []byte) (*Job, error) {
+	if len(value) > 0 && value[0] == denseMark {
+		return decodeDense(value[1:])
+	}
+	j := &Job{}
+	err := json.Unmarshal(value, j)
+	return j, err
+}
--- a/internal/work/progress/progress_test.go
+++ b/internal/work/progress/progress_test.go
@@ -77,6 +77,7 @@
 	for _, s := range []string{`{"state":"queued"}`, `{"state":"running","steps":{"0.0":{"done":3,"runs":{"0":1}}}}`, "null", "\x00"} {
 		f.Add([]byte(s))
 	}
+	f.Add(denseRow(`{"state":"running","targets":["t"],"steps":{"0.0":{"done":3,"saved":{"t":[4],"n":[1],"i":[2],"text":"ab"},"on":{"t":[4],"n":[1],"on":[0],"i":[2]}}}}`))
 	f.Fuzz(func(t *testing.T, value []byte) {
 		j, err := progress.Decode(value)
 		if (j == nil) != (err != nil) {
