--- a/internal/config/catalog/catalog_test.go
+++ b/internal/config/catalog/catalog_test.go
@@ -55,6 +55,13 @@
 	is.Equal((*catalog.Catalog)(nil).Objectives(), map[string]catalog.Objective{})
 }
 
+// Only services that the configuration names keep headroom.
+func TestHeadroom(t *testing.T) {
+	is := is.New(t)
+	c := catalog.New(1, nil, nil, []catalog.Service{{Name: "refill", Headroom: true}, {Name: "plan"}}, catalog.Limits{})
+	is.Equal(c.Headroom(), map[string]bool{"refill": true})
+}
+
 // A configuration reaches a host from the store and from its peers, in any order and
 // more than once. Neither an older version nor a malformed one replaces the one in
 // force.
--- a/internal/config/text/parse_test.go
+++ b/internal/config/text/parse_test.go
@@ -43,6 +43,7 @@
 	is.Equal(s.Completion(), 0.8)
 	is.Equal(s.DependsOn(), []string{"catalogue"})
 	is.Equal(s.Objective(), text.Objective{Target: 0.99, Within: 10 * time.Second})
+	is.True(!s.Headroom()) // the default
 	k, ok := s.Kind("order")
 	is.True(ok)
 	is.Equal(k.Shape().String(), "2x8/rack")
@@ -55,6 +56,19 @@
 	is.True(a.Operator())
 }
 
+// Headroom is on only where the text says so; another word than on or off is a fault.
+func TestHeadroom(t *testing.T) {
+	is := is.New(t)
+	for word, want := range map[string]bool{"on": true, "off": false} {
+		c, err := text.Parse([]byte("[service a]\nheadroom = " + word + "\n"))
+		is.NoErr(err)
+		s, _ := c.Service("a")
+		is.Equal(s.Headroom(), want)
+	}
+	_, err := text.Parse([]byte("[service a]\nheadroom = 1\n"))
+	is.True(err != nil)
+}
+
 // Each case replaces a piece of the valid text. One of the faults must have the given
 // line and reason.
 func TestCheckReportsFaultyLine(t *testing.T) {
--- a/internal/config/version/version_test.go
+++ b/internal/config/version/version_test.go
@@ -121,5 +121,9 @@
 		is.Equal(q.MaxAttempts, 1)
 		is.Equal(c.Accounts()[0].Guaranteed, 2*3*2*8)
 		is.Equal(c.Objectives()["refill"].Within, 5*time.Second)
+		is.Equal(c.Headroom(), map[string]bool{})
+		c, err = version.DecodeCatalog([]byte(`{"number":4,"text":"[service refill]\nheadroom = on\n"}`))
+		is.NoErr(err)
+		is.Equal(c.Headroom(), map[string]bool{"refill": true})
 	})
 }
