--- a/internal/fleet/speed/estimate.go
+++ b/internal/fleet/speed/estimate.go
@@ -56,3 +56,20 @@
 
 // Noise returns the standard deviation of the log of the run time of like runs on like targets.
 func (m *Model) Noise() float64 { return m.noise }
+
+// kindStep is the difference of the log of the slowness between two levels: a factor of 1.4. Within a
+// kind, expected slownesses differ by less.
+const kindStep = 0.35
+
+// Level returns the slowness in steps of a factor of 1.4: negative for a target that is known to be
+// faster than the median, positive for one that is known to be slower, otherwise 0.
+func (e Estimate) Level() int {
+	level := int(math.Round(e.log / kindStep))
+	switch {
+	case e.Fast():
+		return min(level, -1)
+	case e.Slow():
+		return max(level, 1)
+	}
+	return 0
+}
--- a/internal/fleet/speed/model_test.go
+++ b/internal/fleet/speed/model_test.go
@@ -318,6 +318,19 @@
 	is.Equal(m.observations, 5)
 }
 
+// Decisions compare levels. A target whose speed is uncertain must not be preferred or avoided.
+func TestLevels(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Estimate{}.Level(), 0)
+	is.Equal(Estimate{log: math.Log(0.5), deviation: 0.1}.Level(), -2)
+	is.Equal(Estimate{log: math.Log(0.5), deviation: 0.5}.Level(), 0)
+	is.Equal(Estimate{log: -0.3, deviation: 0.05}.Level(), -1)
+	is.Equal(Estimate{log: math.Log(2), deviation: 0.1}.Level(), 2)
+	is.Equal(Estimate{log: 0.1, deviation: 0.01}.Level(), 0)
+	is.True(Estimate{log: 0.1, deviation: 0.1}.Lower() < 1)
+	is.True(Estimate{log: -0.1, deviation: 0.1}.Upper() > 1)
+}
+
 func BenchmarkObserve(b *testing.B) {
 	f := newDrawnFleet(1, 6000)
 	f.setFast(5)
--- a/internal/work/dispatch/fit.go
+++ b/internal/work/dispatch/fit.go
@@ -63,6 +63,7 @@
 	remote           int // 1 if the task's data is on another rack
 	interference     int // number of tasks there that would disturb it or that it would disturb
 	stranded         int // accelerators that other tasks could use now, but not beside this one
+	speed            int // by step.speedRank; 0 if all targets are alike
 	acceleratorsLeft int // accelerators left free
 	cpuLeft          int // CPU left free
 }
@@ -70,7 +71,7 @@
 func (f fit) compare(o fit) int {
 	return cmp.Or(
 		cmp.Compare(f.risk, o.risk), cmp.Compare(f.exposed, o.exposed), cmp.Compare(f.cold, o.cold), cmp.Compare(f.remote, o.remote), cmp.Compare(f.interference, o.interference), cmp.Compare(f.stranded, o.stranded),
-		cmp.Compare(f.acceleratorsLeft, o.acceleratorsLeft), cmp.Compare(f.cpuLeft, o.cpuLeft),
+		cmp.Compare(f.speed, o.speed), cmp.Compare(f.acceleratorsLeft, o.acceleratorsLeft), cmp.Compare(f.cpuLeft, o.cpuLeft),
 	)
 }
 
@@ -78,7 +79,7 @@
 func (m *Machine) fitOf(x *task, t *target, free graph.Resources, now time.Time) fit {
 	charge := x.step.spec.Charge()
 	remaining := free.Minus(charge)
-	f := fit{interference: t.interference(x.step), acceleratorsLeft: remaining.Accelerators, cpuLeft: remaining.CPU, stranded: m.stranded(remaining) - m.stranded(free)}
+	f := fit{interference: t.interference(x.step), speed: x.step.speedRank(t), acceleratorsLeft: remaining.Accelerators, cpuLeft: remaining.CPU, stranded: m.stranded(remaining) - m.stranded(free)}
 	switch {
 	case x.attempts().avoids(t) || t.health.Suspect(now) || t.health.Slow(now) || x.suspicion() > 0 && !t.settled(now):
 		f.risk = 2
--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -163,24 +163,24 @@
 	return nil
 }
 
-// planOnSets plans a gang on the set that is left with the fewest free accelerators. If
+// planOnSets plans a gang on the set with the best speed for it, and of equally good ones on the set
+// that is left with the fewest free accelerators. If
 // the gang fits none, or unplaceable says so, and preemption is allowed, it plans on the
 // set where preemption loses the least work.
 func (m *Machine) planOnSets(s *step, sets []targetSet, unplaceable, preempt bool, now time.Time) []*target {
-	var best []*target
-	bestLeft := 0
+	var best gangPlan
 	for _, set := range sets {
 		if unplaceable {
 			break
 		}
-		if plan, left := m.planWithoutPreemption(s, set.targets, now); plan != nil && (best == nil || left < bestLeft) {
-			best, bestLeft = plan, left
+		if plan := m.planOnSet(s, set.targets, now); plan.betterThan(best) {
+			best = plan
 		}
 	}
-	if best == nil && preempt {
+	if best.targets == nil && preempt {
 		return m.preemptForGang(s, sets, now)
 	}
-	return best
+	return best.targets
 }
 
 // Pauses between two searches for work to preempt for a step. Without them, a burst of
--- a/internal/work/dispatch/preemption.go
+++ b/internal/work/dispatch/preemption.go
@@ -10,27 +10,30 @@
 )
 
 // preemptFor preempts work of lower priority for a task of priority 0 on the target where
-// that loses the least work, and returns the target. It returns nil if preemption does not
+// that loses the least work, or on a faster one where it loses about as much, and returns the target. It returns nil if preemption does not
 // free enough on any target, or if the loss is not allowed yet; then the target is
 // reserved.
 func (m *Machine) preemptFor(x *task, now time.Time) *target {
 	s := x.step
 	plan := m.newPreemptionPlan(s, now)
-	var best *target
-	var bestOption preemptionOption
+	var options []preemptionOption
 	m.targetsConsidered += len(m.sortedTargets)
 	for _, t := range m.sortedTargets {
 		if !s.eligible(t, now) || m.reservedForOther(t, s) || x.attempts().avoids(t) || m.startsTooClose(x, t, now) {
 			continue
 		}
-		if o := plan.optionOn(t); o.ok && (best == nil || o.totalLoss < bestOption.totalLoss) {
-			best, bestOption = t, o
+		if o := plan.optionOn(t); o.ok {
+			o.target = t
+			options = append(options, o)
 		}
 	}
-	if best == nil {
+	if len(options) == 0 {
 		return nil
 	}
-	if bestOption.totalLoss > m.allowedLoss(s, 1, now) {
+	allowed := m.allowedLoss(s, 1, now)
+	bestOption := m.bestOption(options, allowed)
+	best := bestOption.target
+	if bestOption.totalLoss > allowed {
 		m.reserve(s, []*target{best})
 		return nil
 	}
@@ -53,25 +56,31 @@
 	}
 }
 
-// preemptForGang preempts work for a gang on the set where that loses the least work, and
-// returns a target for each of its tasks. It returns nil if preemption does not free enough
+// preemptForGang preempts work for a gang on the set where that loses the least work, or on a
+// faster one where it loses about as much, and returns a target for each of its tasks. It returns nil if preemption does not free enough
 // on any set, or if the loss is not allowed yet; then the planned targets are reserved.
 func (m *Machine) preemptForGang(s *step, sets []targetSet, now time.Time) []*target {
-	var best *preemptionPlan
-	for _, set := range sets {
+	allowed := m.allowedLoss(s, len(s.tasks), now)
+	var plans []*preemptionPlan
+	least, limit := math.Inf(1), math.Inf(1)
+	for _, set := range m.preemptionSets(s, sets) {
 		plan := m.newPreemptionPlan(s, now)
-		if best != nil {
-			plan.maxLoss = best.totalLoss
+		plan.maxLoss = limit
+		if !plan.addAllTasks(set.targets) {
+			continue
 		}
-		if plan.addAllTasks(set.targets) {
-			best = plan
+		plans = append(plans, plan)
+		if plan.totalLoss < least {
+			least = plan.totalLoss
+			limit = m.maxComparableLoss(least, allowed)
 		}
 	}
 	s.reservation = nil
+	best := fastestPlan(plans, limit)
 	if best == nil {
 		return nil
 	}
-	if best.totalLoss > m.allowedLoss(s, len(s.tasks), now) {
+	if best.totalLoss > allowed {
 		s.reservation = best.targets
 		m.reserve(s, best.targets)
 		return nil
@@ -191,7 +200,8 @@
 type preemptionOption struct {
 	victims   []victim // runs to stop
 	totalLoss float64
-	ok        bool // the task can fit
+	ok        bool    // the task can fit
+	target    *target // set by preemptFor only
 }
 
 // optionOn returns the runs to stop on a target so that one more task fits. It takes the
--- a/internal/work/dispatch/speeds.go
+++ b/internal/work/dispatch/speeds.go
@@ -39,7 +39,7 @@
 	m.speeds.nextFitAt = now.Add(max(minFitInterval, time.Duration(len(m.sortedTargets))*fitIntervalPerTarget))
 	changed := m.speeds.model.Fit(now)
 	for _, t := range m.sortedTargets {
-		t.speed = m.speeds.model.Of(t.speedName())
+		t.setSpeed(m.speeds.model.Of(t.speedName()))
 	}
 	if changed {
 		m.logSpeeds()
@@ -83,9 +83,11 @@
 // speedName names the incarnation of the target in the model.
 func (t *target) speedName() speed.Target { return speed.Target{ID: t.ID, StartedAt: t.incarnation} }
 
+func (t *target) setSpeed(e speed.Estimate) { t.speed, t.speedLevel = e, e.Level() }
+
 // forgetSpeed drops what is known of the speed of an incarnation that has ended.
 func (m *Machine) forgetSpeed(t *target) {
-	t.speed = speed.Estimate{}
+	t.setSpeed(speed.Estimate{})
 	if m.speeds != nil {
 		m.speeds.model.Forget(t.speedName())
 	}
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -62,6 +62,7 @@
 	unverifiedRuns      bool               // runs that are recorded there may wait for its answer
 	health              health.Record
 	speed               speed.Estimate // of the present incarnation, as of the last fit
+	speedLevel          int            // speed.Level
 	pacedAt             time.Time      // when the pace of its best-effort tasks last changed
 	remainingReportedAt time.Time      // when it last announced its remaining time
 	suspendedUntil      time.Time      // it gets no work until then
