--- a/internal/work/dispatch/advice.go
+++ b/internal/work/dispatch/advice.go
@@ -60,34 +60,135 @@
 // there is none.
 func (s *step) ticket(t *target) string { return s.permits.tickets[t.ID].text }
 
-// hasUnstartedTasks reports whether a task of the step is not done and has no run. A gang is pending
-// until it is done.
-func (s *step) hasUnstartedTasks() bool {
-	return slices.ContainsFunc(s.tasks, func(x *task) bool { return !x.done && len(x.runs) == 0 })
+// nextUnstarted returns the first task of the step that is not done, has no run and is not paused, or
+// nil. A gang is pending until it is done.
+func (s *step) nextUnstarted(now time.Time) *task {
+	for _, x := range s.tasks {
+		if !x.done && len(x.runs) == 0 && !now.Before(x.pausedUntil) {
+			return x
+		}
+	}
+	return nil
 }
 
 // requestAdvice issues an Advise that asks for permission to run a pending step on
-// targets that could take its tasks: those with free capacity first.
+// targets that could take its tasks, if that could have it placed now: those with capacity
+// first. Of the other steps, it keeps the first one of a pass for requestEarlyAdvice.
 func (m *Machine) requestAdvice(s *step, now time.Time) {
-	if !s.job.spec.Advised || m.advicePending || now.Before(m.nextAdviceAt) || !s.hasUnstartedTasks() {
+	if !s.job.spec.Advised || m.advicePending || now.Before(m.nextAdviceAt) {
 		return
 	}
-	var ids []string
-	for _, withCapacity := range []bool{true, false} {
-		for _, t := range m.sortedTargets {
-			if len(ids) == maxAdviceTargets || s.permits.denied[t.ID] || s.permitted(t, now) || !s.eligibleWithoutAdvice(t, now) || !s.spec.Charge().FitsIn(t.Capacity) {
-				continue
-			}
-			if s.spec.Charge().FitsIn(t.freeCapacity()) == withCapacity {
-				ids = append(ids, t.ID)
-			}
-		}
-	}
-	if len(ids) == 0 {
+	x := s.nextUnstarted(now)
+	if x == nil {
 		return
 	}
+	n := m.adviceNeedOf(x, now)
+	ids := n.targets()
+	switch {
+	case len(ids) == 0:
+	case n.helps(s, s.spec.Gang && s.spec.SameRack && !m.takesSlowerSet(s, now)):
+		m.sendAdvise(Advise{Step: s.id, Targets: ids})
+	case m.pass.earlyAdvice == nil:
+		m.pass.earlyAdvice = &Advise{Step: s.id, Targets: ids}
+	}
+}
+
+// requestEarlyAdvice asks for a step that cannot be placed now, if no other step needs advice: it finds
+// its permissions there when capacity is freed. Such steps would use up all calls otherwise, since
+// permissions expire while they wait, and those that could be placed would wait with them.
+func (m *Machine) requestEarlyAdvice() {
+	if a := m.pass.earlyAdvice; a != nil && !m.advicePending {
+		m.sendAdvise(*a)
+	}
+}
+
+// sendAdvise issues an Advise.
+func (m *Machine) sendAdvise(a Advise) {
 	m.advicePending = true
-	m.commands = append(m.commands, Advise{Step: s.id, Targets: ids})
+	m.commands = append(m.commands, a)
+}
+
+// adviceNeed is what advice could change for a step.
+type adviceNeed struct {
+	withCapacity, others []string // targets without a permission that have capacity for a task now, and that have not
+	// How many tasks fit, by rack: now on the targets that are not denied, now on those that are permitted,
+	// and on the former if all runs there had ended that do end.
+	fitting, permitted, ifEmpty map[string]int
+}
+
+// adviceNeedOf returns what advice could change for the step of a task, which is not started.
+func (m *Machine) adviceNeedOf(x *task, now time.Time) adviceNeed {
+	s := x.step
+	n := adviceNeed{fitting: map[string]int{}, permitted: map[string]int{}, ifEmpty: map[string]int{}}
+	m.targetsConsidered += len(m.sortedTargets)
+	for _, t := range m.sortedTargets {
+		if s.permits.denied[t.ID] || !s.eligibleWithoutAdvice(t, now) || !s.spec.Charge().FitsIn(t.Capacity) {
+			continue
+		}
+		fitting := m.tasksThatCouldBePlaced(x, t, now)
+		n.fitting[t.Rack] += fitting
+		n.ifEmpty[t.Rack] += s.tasksThatFitIfEmpty(t)
+		switch {
+		case s.permitted(t, now):
+			n.permitted[t.Rack] += fitting
+		case fitting > 0:
+			n.withCapacity = append(n.withCapacity, t.ID)
+		default:
+			n.others = append(n.others, t.ID)
+		}
+	}
+	return n
+}
+
+// targets returns the targets to ask for in one call.
+func (n adviceNeed) targets() []string {
+	ids := slices.Concat(n.withCapacity, n.others)
+	return ids[:min(len(ids), maxAdviceTargets)]
+}
+
+// helps reports whether the step could be placed now with more permissions, and not with those that it
+// has: then something else keeps it from being placed. A gang that waits for one rack is placed only there,
+// if any could hold it.
+func (n adviceNeed) helps(s *step, awaitsRack bool) bool {
+	needed := 1
+	if s.spec.Gang {
+		needed = len(s.tasks)
+	}
+	enough := sum
+	if awaitsRack && most(n.ifEmpty) >= needed {
+		enough = most
+	}
+	return len(n.withCapacity) > 0 && enough(n.fitting) >= needed && enough(n.permitted) < needed
+}
+
+// sum returns the sum of the counts.
+func sum(counts map[string]int) (n int) {
+	for _, k := range counts {
+		n += k
+	}
+	return n
+}
+
+// most returns the largest of the counts.
+func most(counts map[string]int) (n int) {
+	for _, k := range counts {
+		n = max(n, k)
+	}
+	return n
+}
+
+// tasksThatCouldBePlaced returns how many tasks like this one of its step fit on a target now or, if they
+// are urgent, after preemption.
+func (m *Machine) tasksThatCouldBePlaced(x *task, t *target, now time.Time) int {
+	s := x.step
+	if m.reservedForOther(t, s) || x.excludes(t, now) || m.startsTooClose(x, t, now) {
+		return 0
+	}
+	free := t.freeCapacity()
+	if s.job.spec.Priority == 0 {
+		free = m.preemptibleCapacity(t, now)
+	}
+	return min(tasksThatFit(s.spec.Charge(), free), max(s.perTargetLeft(t), 0))
 }
 
 // Advised applies the answer of the advice service; the caller calls it when a call for
--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -100,13 +100,19 @@
 // fitsIfEmpty reports whether the targets could hold the gang if all runs there had ended that do
 // end.
 func (s *step) fitsIfEmpty(targets []*target) bool {
-	charge, n := s.spec.Charge(), 0
+	n := 0
 	for _, t := range targets {
-		n += min(tasksThatFit(charge, t.Capacity.Minus(t.lasting)), max(s.perTargetLeft(t), 0))
+		n += s.tasksThatFitIfEmpty(t)
 	}
 	return n >= len(s.tasks)
 }
 
+// tasksThatFitIfEmpty returns how many tasks of the step fit on a target if all runs there had ended that do
+// end.
+func (s *step) tasksThatFitIfEmpty(t *target) int {
+	return min(tasksThatFit(s.spec.Charge(), t.Capacity.Minus(t.lasting)), max(s.perTargetLeft(t), 0))
+}
+
 // tasksThatFit returns how many tasks of a charge fit into free capacity.
 func tasksThatFit(charge, free graph.Resources) int {
 	n := maxTasksPerTarget
--- a/internal/work/dispatch/schedule.go
+++ b/internal/work/dispatch/schedule.go
@@ -73,6 +73,7 @@
 	preemptibleCapacity map[*target]graph.Resources
 	unplaceable         []unplaceableGang // gangs that do not fit without preemption
 	idle                map[string]bool   // services of which most accelerators are free
+	earlyAdvice         *Advise           // for the first step that needs advice and could not be placed now
 }
 
 // invalidate drops the cached values of a target.
@@ -139,6 +140,7 @@
 			s.queued = false
 		}
 	}
+	m.requestEarlyAdvice()
 	clear(m.pendingSteps[len(remaining):])
 	m.pendingSteps = remaining
 	m.nextPassAt = now.Add(time.Duration(m.targetsConsidered) * passPausePerTarget)
