--- a/internal/work/dispatch/handover.go
+++ b/internal/work/dispatch/handover.go
@@ -99,13 +99,37 @@
 	t.earlierLeasesLapsed = true
 }
 
+// limitEarlierLeases shortens the wait for leases of earlier leaders on a target that has just reported: its
+// incarnation refuses their orders from now on, so that no lease there outlasts a whole one.
+func (m *Machine) limitEarlierLeases(t *target, now time.Time) {
+	if end := now.Add(longestLease(m.bounds.Lease)); end.Before(t.leaseEnd) {
+		t.leaseEnd = end
+	}
+}
+
+// laterIncarnationMayAct reports whether earlier leaders may still have orders executed on a target that
+// has ceased to answer, since it may have started again under its id: a later incarnation does not know
+// of this term. A list that was read after all leases of the known incarnation ended, and shows no later
+// one, is taken as evidence that there is none; a target whose start is not known has a new id then.
+func (m *Machine) laterIncarnationMayAct(t *target, now time.Time) bool {
+	return t.incarnation != 0 && now.Before(t.earlierLeasesEnd) && m.listAsOf.Before(t.leaseEnd)
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // leasesLapsed reports whether all leases on a target that does not answer have lapsed.
-func (t *target) leasesLapsed(now time.Time) bool {
+func (m *Machine) leasesLapsed(t *target, now time.Time) bool {
 	switch {
 	case t.reach == reachable:
 		return false
 	case !now.Before(t.leaseEnd):
-		return true
+		return !m.laterIncarnationMayAct(t, now)
 	}
 	silent := !t.unansweredSince.IsZero() || !t.listed // a target that is not listed is not polled
 	return t.reach == notPolled && t.earlierLeasesLapsed && silent
--- a/internal/work/dispatch/incarnation.go
+++ b/internal/work/dispatch/incarnation.go
@@ -76,6 +76,7 @@
 	m.recordRunsLost(t, lost, now)
 	t.incarnation = startedAt
 	t.resetIncarnation(now)
+	t.leaseEnd = later(t.leaseEnd, t.earlierLeasesEnd) // it may accept orders of earlier leaders
 	for _, r := range t.runs {
 		r.renewOutstandingStart(now.Add(longestLease(m.bounds.Lease)))
 	}
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -131,7 +131,7 @@
 	runs := 0
 	for _, t := range m.sortedTargets {
 		if t.reach == notPolled {
-			t.leaseEnd = predecessorLeasesEnd
+			t.leaseEnd, t.earlierLeasesEnd = predecessorLeasesEnd, predecessorLeasesEnd
 		}
 		for _, r := range t.runs {
 			r.startsExpireAt = predecessorLeasesEnd
--- a/internal/work/dispatch/poll.go
+++ b/internal/work/dispatch/poll.go
@@ -28,7 +28,7 @@
 // tickTarget sends the polls and order retries that are due for a target, and releases
 // the runs of an unreachable target whose leases have lapsed.
 func (m *Machine) tickTarget(t *target, now time.Time) {
-	if t.leasesLapsed(now) && len(t.runs) > 0 {
+	if m.leasesLapsed(t, now) && len(t.runs) > 0 {
 		m.log.Decided("target unreachable until its leases lapsed", "target", t.ID, "runs", len(t.runs), "reported", t.reported, "silentMS", now.Sub(t.silentSince(m.placementEnabledAt)).Milliseconds())
 		m.recordLapsed(t, now)
 		m.targetLost(t, now)
@@ -227,6 +227,7 @@
 		if t.reported || len(rep.Running) > 0 || len(rep.Ended) > 0 {
 			m.log.Decided("target reachable", "target", t.ID, "running", len(rep.Running), "ended", len(rep.Ended), "first", !t.reported)
 		}
+		m.limitEarlierLeases(t, now)
 		t.reach = reachable
 		m.withdrawLosses(t)
 		m.withdrawLapsed(t)
--- a/internal/work/dispatch/restore_test.go
+++ b/internal/work/dispatch/restore_test.go
@@ -174,3 +174,54 @@
 	s.Tick(s.now)
 	is.Equal(len(s.targets["t1"].runs), 0)
 }
+
+// As above, but the target's start is known: it may start again under its id, and its next incarnation
+// executes orders of the earlier leader. Guards against a second run of a task beside one that begins there;
+// the run is released early only if a list that was read since shows no other incarnation.
+func TestRunIsWithheldForLeaderThatANextIncarnationObeys(t *testing.T) {
+	for name, listed := range map[string]bool{"no list since": false, "listed since": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newFixture()
+			list := []roster.Target{s.targets["t1"].Target}
+			list[0].StartedAt = 500
+			s.UpdateTargets(list, s.now, s.now)
+			id := graph.JobID("00000000000000be")
+			placed := &progress.Step{Placements: []progress.Placement{{Target: incarnationName("t1", 500), Run: 1}}, LastRuns: map[int]int{0: 1}}
+			s.Restore(testJob(id, 1), &progress.Job{State: progress.Queued, Steps: map[string]*progress.Step{"0.0": placed}}, 5, false, s.now)
+			end := s.now.Add(10 * time.Second)
+			s.EnablePlacement(end, s.now)
+			s.report(order.Report{StartedAt: 500, Running: []order.Running{{Run: testRun(id, 0, 1)}}})
+			s.saves()
+			s.PollFailed("t1", Poll{Target: s.targets["t1"].address(), Sent: s.now, Incarnation: 500}, order.ErrUnanswered, s.now)
+			s.now = s.now.Add(longestLease(s.bounds.Lease) + 100*time.Millisecond)
+			if listed {
+				s.UpdateTargets(list, s.now, s.now)
+			}
+			s.Tick(s.now)
+			is.Equal(len(s.targets["t1"].runs) == 0, listed)
+			s.now = end
+			s.Tick(s.now)
+			is.Equal(len(s.targets["t1"].runs), 0)
+		})
+	}
+}
+
+// A target has reported, and its list entry shows that it has started again. Guards against the wait for the
+// leases of earlier leaders being as short on the new incarnation, which has not refused any of them yet.
+func TestNextIncarnationHasAllLeasesOfEarlierLeaders(t *testing.T) {
+	is := is.New(t)
+	s := newFixture()
+	list := []roster.Target{s.targets["t1"].Target}
+	list[0].StartedAt = 500
+	s.UpdateTargets(list, s.now, s.now)
+	end := s.now.Add(10 * time.Second)
+	s.EnablePlacement(end, s.now)
+	s.report(order.Report{StartedAt: 500})
+	is.True(s.targets["t1"].leaseEnd.Before(end))
+	list[0].StartedAt = 600
+	s.UpdateTargets(list, s.now, s.now)
+	is.Equal(s.targets["t1"].leaseEnd, end)
+	s.report(order.Report{StartedAt: 600})
+	is.True(s.targets["t1"].leaseEnd.Before(end))
+}
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -39,6 +39,7 @@
 	clockMS             int64              // its clock as last reported; 0: not known
 	clockAt             time.Time          // when that was received
 	leaseEnd            time.Time          // when all leases granted there have lapsed
+	earlierLeasesEnd    time.Time          // when all leases of earlier leaders have lapsed, also on a later incarnation; zero: none
 	earlierLeasesLapsed bool               // the leader before has seen that; meaningless once it has reported
 	pollCandidate       bool               // it is in Machine.pollCandidates
 	pollPending         bool               // a poll is outstanding
