--- a/internal/work/dispatch/schedule.go
+++ b/internal/work/dispatch/schedule.go
@@ -73,6 +73,7 @@
 	preemptibleCapacity map[*target]graph.Resources
 	unplaceable         []unplaceableGang // gangs that do not fit without preemption
 	idle                map[string]bool   // services of which most accelerators are free
+	earlyAdvice         *Advise           // for the first step that needs advice and could not be placed now
 	// kept is the capacity that is kept free for urgent work, by service.
 	kept map[string]keptFree
 }
@@ -141,6 +142,7 @@
 			s.queued = false
 		}
 	}
+	m.requestEarlyAdvice()
 	clear(m.pendingSteps[len(remaining):])
 	m.pendingSteps = remaining
 	m.nextPassAt = now.Add(time.Duration(m.targetsConsidered) * passPausePerTarget)
