--- a/internal/work/dispatch/headroom_test.go
+++ b/internal/work/dispatch/headroom_test.go
@@ -84,7 +84,7 @@
 func (b *burst) fill() {
 	waiting := 0
 	for _, s := range b.m.pendingSteps {
-		if !s.done && s.job.spec.Priority > 0 && s.hasUnstartedTasks() {
+		if !s.done && s.job.spec.Priority > 0 && s.nextUnstarted(b.now) != nil {
 			waiting++
 		}
 	}
