--- a/internal/work/dispatch/job.go
+++ b/internal/work/dispatch/job.go
@@ -32,9 +32,10 @@
 	savedRev     int64          // newest revision that is saved
 	sentRev      int64          // revision in the outstanding save
 	sentState    progress.State // state in the outstanding save
-	dirty        bool           // changed since its last save was sent
-	learnedAt    time.Time      // when the machine learned of it
-	objective    time.Duration  // duration from its release within which it earns its full value
+	rowFailures  rowFailures
+	dirty        bool          // changed since its last save was sent
+	learnedAt    time.Time     // when the machine learned of it
+	objective    time.Duration // duration from its release within which it earns its full value
 }
 
 // step is one step of one occurrence.
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -25,6 +25,7 @@
 	recurring          []*job  // jobs that recur, in the order of their arrival
 	pendingSteps       []*step // steps with tasks to start, by rank as of the last pass, new ones last
 	partitions         []partition
+	savedAt            time.Time // when a save last succeeded, of any partition
 	commands           []Command // issued since the last Decide
 	placementEnabled   bool      // set by EnablePlacement
 	placementEnabledAt time.Time
--- a/internal/work/dispatch/save.go
+++ b/internal/work/dispatch/save.go
@@ -16,9 +16,12 @@
 
 // partition tracks what is to be saved of the jobs of one partition.
 type partition struct {
-	dirty   []*job    // to be saved, in the order in which they changed, each once
-	sending []*job    // in the outstanding save; nil: none
-	retryAt time.Time // no save before
+	dirty       []*job    // to be saved, in the order in which they changed, each once
+	sending     []*job    // in the outstanding save; nil: none
+	retryAt     time.Time // no save before
+	saveSize    saveSize
+	suspectSize saveSize // of saves of suspects
+	othersFirst bool     // the last save was of suspects and failed
 }
 
 // markDirty marks the job as changed since its last save and returns the revision that
@@ -36,16 +39,19 @@
 func (m *Machine) sendSaves(now time.Time) {
 	for i := range m.partitions {
 		p := &m.partitions[i]
-		if p.sending != nil || len(p.dirty) == 0 || now.Before(p.retryAt) {
+		if p.sending != nil || now.Before(p.retryAt) {
 			continue
 		}
-		n := min(len(p.dirty), maxSaveRows)
-		p.sending, p.dirty = slices.Clone(p.dirty[:n]), slices.Delete(p.dirty, 0, n)
 		save := Save{Partition: i}
-		for _, j := range p.sending {
+		for _, j := range p.nextSave(now) {
 			j.dirty, j.sentRev, j.sentState = false, j.rev, j.state
 			save.Rows = append(save.Rows, j.row())
+			p.sending = append(p.sending, j)
 		}
+		if p.sending == nil {
+			continue
+		}
+		p.dirty = slices.DeleteFunc(p.dirty, func(j *job) bool { return !j.dirty })
 		m.commands = append(m.commands, save)
 	}
 }
@@ -143,6 +149,7 @@
 // the version. It publishes the saved states and sends the starts that waited for the save.
 func (m *Machine) Saved(partition int, version int64, now time.Time) {
 	p := &m.partitions[partition]
+	m.saveSucceeded(p, now)
 	for _, j := range p.sending {
 		j.version, j.savedRev = version, j.sentRev
 		m.publish(j, j.sentState)
@@ -186,11 +193,15 @@
 }
 
 // SaveFailed requeues the rows of the outstanding save of a partition when the store could
-// not be reached or the outcome is not known yet.
+// not be reached, has refused the save, or the outcome is not known yet.
 func (m *Machine) SaveFailed(partition int, now time.Time) {
 	p := &m.partitions[partition]
-	p.retryAt = now.Add(saveRetryPause)
-	m.requeue(p)
+	if p.sending == nil {
+		return
+	}
+	if refused := m.saveFailed(p, now); !refused {
+		p.retryAt = now.Add(saveRetryPause)
+	}
 }
 
 // StoredRow describes a job's stored rows when a save was refused or its outcome was
