--- a/internal/host/dispatcher/execute.go
+++ b/internal/host/dispatcher/execute.go
@@ -174,12 +174,17 @@
 
 // save commits a transaction of progress rows. One whose answer was lost is committed
 // again: its conditions keep it from taking effect twice, and the conflict then returns
-// the stored rows. If the store is unavailable at the first attempt, the machine saves the
-// rows again later.
+// the stored rows. If the store is unavailable at the first attempt, or refuses the save, the machine
+// saves the rows again later, in smaller saves if that goes on. So it does after maxUnavailable attempts in a row
+// of which the store says that it is unavailable: it may mean the rows, and other jobs must not
+// wait for ever.
 func (l *leadership) save(c dispatch.Save) {
 	tx := l.transaction(c)
-	for attempt := 0; ; attempt++ {
+	for attempt, unavailable := 0, 0; ; attempt++ {
 		res, interrupted, err := l.commit(tx, l.writeTimeout(attempt))
+		if unavailable++; !errors.Is(err, store.ErrUnavailable) {
+			unavailable = 0
+		}
 		switch {
 		case interrupted:
 			continue
@@ -189,8 +194,8 @@
 		case errors.Is(err, store.ErrConflict):
 			l.resolveConflict(c, tx, res.Rows)
 			return
-		case errors.Is(err, store.ErrUnavailable) && attempt == 0:
-			l.log.V(1).Info("progress not saved", "part", c.Partition, "rows", len(c.Rows), "error", err.Error())
+		case errors.Is(err, store.ErrRefused), unavailable == 1 && attempt == 0, unavailable == maxUnavailable:
+			l.logNotSaved(c, err)
 			l.post(func(now time.Time) { l.machine.SaveFailed(c.Partition, now) })
 			return
 		case l.ctx.Err() != nil:
@@ -201,6 +206,26 @@
 	}
 }
 
+// maxUnavailable is how often in a row the store answers that it is unavailable before a save whose
+// outcome is not known is given back. The conditions of the next save show what the lost one has done.
+const maxUnavailable = 10
+
+// logNotSaved logs that a save was given back. A refusal names the job if there is only one.
+func (l *leadership) logNotSaved(c dispatch.Save, err error) {
+	if !errors.Is(err, store.ErrRefused) {
+		l.log.V(1).Info("progress not saved", "part", c.Partition, "rows", len(c.Rows), "error", err.Error())
+		return
+	}
+	bytes, job := 0, graph.JobID("")
+	for _, r := range c.Rows {
+		bytes += len(r.Value)
+	}
+	if len(c.Rows) == 1 {
+		job = c.Rows[0].Job
+	}
+	l.log.Info("store refuses progress", "part", c.Partition, "rows", len(c.Rows), "job", job, "bytes", bytes, "error", err.Error())
+}
+
 // writeTimeout returns the timeout of an attempt of a write that may be repeated at will. Its answer
 // may be lost, and work waits for it.
 func (d *Dispatcher) writeTimeout(attempt int) time.Duration {
--- a/internal/platform/store/monitor.go
+++ b/internal/platform/store/monitor.go
@@ -145,12 +145,12 @@
 }
 
 // observe records the outcome of a call. If the store goes down or comes up by it, it
-// wakes Run or closes the channel of Recovered, and calls onChange. Conflicts and
+// wakes Run or closes the channel of Recovered, and calls onChange. Conflicts, refusals and
 // compacted history are answers; a call that its caller cancelled is ignored. A zero start
 // leaves the latency as it is: the duration of a call that waits for changes is not the
 // store's latency.
 func (m *Monitor) observe(ctx context.Context, start time.Time, err error) {
-	failed := errors.Is(err, ErrUnavailable) || errors.Is(err, ErrOutcomeUnknown)
+	failed := errors.Is(err, ErrUnavailable) && !errors.Is(err, ErrRefused) || errors.Is(err, ErrOutcomeUnknown)
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return
 	}
--- a/internal/platform/store/monitor_test.go
+++ b/internal/platform/store/monitor_test.go
@@ -143,3 +143,20 @@
 		is.True(w.TypicalLatency() > 200*time.Millisecond)
 	})
 }
+
+// The store refuses a row that is too large, again and again. Its answers show that it serves this host: if they
+// counted as an outage, the host would refuse requests, and a leader would resign.
+func TestMonitorStaysUpWhileStoreRefusesRow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newMonitored()
+		large := store.Tx{Put: []store.Put{{Key: key, Value: make([]byte, store.MaxBytes+1)}}}
+		for range 5 {
+			_, err := w.Commit(ctx, large)
+			is.True(errors.Is(err, store.ErrRefused))
+			is.True(errors.Is(err, store.ErrUnavailable))
+		}
+		is.True(w.Up())
+		is.Equal(len(w.changes), 0)
+	})
+}
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -14,6 +15,9 @@
 	// ErrUnavailable means that the store refused the call, or was not reached
 	// before anything was sent; nothing was written.
 	ErrUnavailable = errors.New("store unavailable")
+	// ErrRefused means that the store does not take the call as it is, such as a row that is too
+	// large. It is an ErrUnavailable, but says that the store serves this host.
+	ErrRefused = fmt.Errorf("call refused: %w", ErrUnavailable)
 	// ErrOutcomeUnknown means that no answer came; a write may have taken effect,
 	// or may still take effect later.
 	ErrOutcomeUnknown = errors.New("outcome not known")
--- a/internal/standin/rows/table.go
+++ b/internal/standin/rows/table.go
@@ -36,7 +36,7 @@
 // Commit implements store.Store.
 func (t *Table) Commit(ctx context.Context, tx store.Tx) (store.Result, error) {
 	if err := validate(tx); err != nil {
-		return store.Result{}, fmt.Errorf("stand-in store: %w: %w", store.ErrUnavailable, err)
+		return store.Result{}, fmt.Errorf("stand-in store: %w: %w", store.ErrRefused, err)
 	}
 	if err := sleep(ctx, t.latency); err != nil {
 		return store.Result{}, fmt.Errorf("stand-in store: %w: %w", store.ErrOutcomeUnknown, err)
