--- a/internal/work/dispatch/refused_row_test.go
+++ b/internal/work/dispatch/refused_row_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"encoding/base64"
 	"fmt"
 	"slices"
 	"strings"
@@ -10,6 +11,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"guavaglade.example/guavaglade/internal/platform/store"
 	"guavaglade.example/guavaglade/internal/proof/seeded"
 	"guavaglade.example/guavaglade/internal/work/graph"
 )
@@ -159,6 +161,32 @@
 	is.Equal(s.saves, 1)
 }
 
+// The rows of thirty large jobs change at once. One save of all of them would be larger than the store takes in
+// one call, 1 MB in base64, and be refused.
+func TestSavesStayUnderSizeOfCall(t *testing.T) {
+	is := is.New(t)
+	s := newSaver(30)
+	for _, j := range s.jobs {
+		j.reason = strings.Repeat("r", 45<<10)
+	}
+	for range 30 {
+		for _, c := range s.Decide(s.now) {
+			save, ok := c.(Save)
+			if !ok {
+				continue
+			}
+			bytes := 0
+			for _, r := range save.Rows {
+				bytes += base64.StdEncoding.EncodedLen(len(r.Value))
+			}
+			is.True(bytes < store.MaxBytes)
+			s.answer(save)
+		}
+	}
+	is.Equal(len(s.savedAt), 30)
+	is.True(s.saves <= 3)
+}
+
 // Saves fail at random, rows of some jobs always, and jobs change all the time. Once the store
 // only refuses those rows, all other jobs are saved with their latest revision.
 func TestAnySaveFailuresLeaveOtherJobsSaved(t *testing.T) {
--- a/internal/work/dispatch/save.go
+++ b/internal/work/dispatch/save.go
@@ -14,6 +14,10 @@
 // and the conditions on cancellation it stays under the store's limit of 100 entries.
 const maxSaveRows = 30
 
+// maxSaveBytes bounds the rows of a save that has more than one. In base64 they take 83 % of a megabyte; the
+// store refuses a larger call.
+const maxSaveBytes = 640 << 10
+
 // partition tracks what is to be saved of the jobs of one partition.
 type partition struct {
 	dirty       []*job    // to be saved, in the order in which they changed, each once
@@ -43,9 +47,14 @@
 			continue
 		}
 		save := Save{Partition: i}
+		bytes := 0
 		for _, j := range p.nextSave(now) {
+			row := j.row()
+			if bytes += len(row.Value); bytes > maxSaveBytes && p.sending != nil {
+				break
+			}
 			j.dirty, j.sentRev, j.sentState = false, j.rev, j.state
-			save.Rows = append(save.Rows, j.row())
+			save.Rows = append(save.Rows, row)
 			p.sending = append(p.sending, j)
 		}
 		if p.sending == nil {
