--- a/internal/work/dispatch/refused_row.go
+++ b/internal/work/dispatch/refused_row.go
@@ -24,6 +24,9 @@
 	// refusalsBeforePause is how often a row fails alone, with saves of other rows between, before it counts
 	// as refused. In a store that fails half of all calls, one row in sixteen does so by chance.
 	refusalsBeforePause = 3
+	// refusalsBeforeRelease is how often it fails alone before its job gives up the capacity of runs that
+	// wait for it, which takes about 3 s. In a store that fails half of all calls, one row in 128 does so.
+	refusalsBeforeRelease = 6
 	// maxRefusedPause is the longest pause between two tries of a refused row. The row may become smaller
 	// when tasks end.
 	maxRefusedPause = 5 * time.Second
@@ -134,9 +137,37 @@
 	pause := min(saveRetryPause<<min(f.refusals-refusalsBeforePause, 10), maxRefusedPause)
 	f.retryAt = now.Add(pause)
 	m.log.Decided("progress row refused", "job", j.spec.ID, "part", j.partition, "bytes", len(j.row().Value), "times", f.refusals, "retryAfterMS", pause.Milliseconds())
+	if f.refusals >= refusalsBeforeRelease {
+		m.releaseUnsaved(j, now)
+	}
 	return true
 }
 
+// releaseUnsaved drops the runs of a job that were not sent and places none before the next try of its row.
+// They would keep their capacity from other jobs until the row is saved, which may be never.
+func (m *Machine) releaseUnsaved(j *job, now time.Time) {
+	for _, r := range j.sortedLiveRuns() {
+		if j.liveRuns[r] && (r.phase == recorded || r.phase == awaitingCapacity) {
+			m.dropUnsent(r, "the store refuses its job's progress row", now)
+		}
+	}
+	until := j.rowFailures.retryAt.Add(saveRetryPause)
+	for _, s := range j.steps {
+		s.pausedUntil = later(s.pausedUntil, until)
+		for _, x := range s.tasks {
+			x.pausedUntil = later(x.pausedUntil, until)
+		}
+	}
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // saveSucceeded records that the outstanding save of a partition has succeeded.
 func (m *Machine) saveSucceeded(p *partition, now time.Time) {
 	m.savedAt, p.othersFirst = now, false
--- a/internal/work/dispatch/refused_row_test.go
+++ b/internal/work/dispatch/refused_row_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"guavaglade.example/guavaglade/internal/fleet/order"
 	"guavaglade.example/guavaglade/internal/platform/store"
 	"guavaglade.example/guavaglade/internal/proof/seeded"
 	"guavaglade.example/guavaglade/internal/work/graph"
@@ -229,3 +230,45 @@
 	}
 	is.True(!s.savedAt[saverJob(0)].IsZero())
 }
+
+// The store refuses the row of a job that is placed on all capacity there is. Its runs are not sent until
+// the row is saved, which may be never: they must not keep the capacity from other jobs.
+func TestRunsOfRefusedRowDoNotKeepCapacity(t *testing.T) {
+	is := is.New(t)
+	s := newFixture()
+	s.report(order.Report{})
+	s.EnablePlacement(s.now, s.now)
+	refused, other := saverJob(1), saverJob(2)
+	is.True(PartitionOf(refused, s.bounds.Partitions) != PartitionOf(other, s.bounds.Partitions))
+	s.Accept(testJob(refused, 8), s.now)
+	started := 0
+	for i := range 200 {
+		if i == 5 {
+			s.Accept(testJob(other, 8), s.now)
+		}
+		if i%10 == 0 { // other jobs are saved all the time
+			s.markDirty(s.jobs[refused])
+			if j := s.jobs[other]; j != nil {
+				s.markDirty(j)
+			}
+		}
+		s.Tick(s.now)
+		commands := s.Decide(s.now)
+		s.now = s.now.Add(100 * time.Millisecond)
+		for _, c := range commands {
+			switch c := c.(type) {
+			case Start:
+				is.Equal(c.Order.Run.Task.Job, other)
+				started++
+			case Save:
+				if c.Rows[0].Job == refused {
+					s.SaveFailed(c.Partition, s.now)
+				} else {
+					s.Saved(c.Partition, int64(i+1), s.now)
+				}
+			}
+		}
+		s.report(order.Report{})
+	}
+	is.True(started >= 8)
+}
