--- a/internal/work/dispatch/job.go
+++ b/internal/work/dispatch/job.go
@@ -37,6 +37,7 @@
 	learnedAt    time.Time      // when the machine learned of it
 	objective    time.Duration  // duration from its release within which it earns its full value
 	timing       jobTiming
+	rowFailures  rowFailures
 }
 
 // step is one step of one occurrence.
--- a/internal/work/dispatch/stop_reason.go
+++ b/internal/work/dispatch/stop_reason.go
@@ -30,6 +30,7 @@
 	stopSilent
 	stopNoStarts
 	stopRefusedLater
+	stopRowRefused
 	stopUnanswered
 	stopRestartedUnanswered
 	stopMemberMoved   // the kind of the other member stands in origin
@@ -65,6 +66,7 @@
 	stopSilent:              "its target does not answer",
 	stopNoStarts:            "its target accepts no starts, does not answer, has less capacity now or an unknown clock",
 	stopRefusedLater:        "refused after an unanswered start",
+	stopRowRefused:          "the store refuses its job's progress row",
 	stopUnanswered:          "start not answered",
 	stopRestartedUnanswered: "its target started again before a start was answered",
 	stopMemberMoved:         "another member",
