--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -203,6 +203,9 @@
 			t.addedAt = now
 		}
 	}
+	if l.StartedAt > t.incarnation {
+		t.assumeUnansweredStarts(now)
+	}
 	m.observeStart(t, l.StartedAt, now)
 	if l.StartedAt != t.Target.StartedAt { // what is compared below was that of an earlier incarnation
 		t.Draining, t.RemainingMS, t.ColdRemainingMS = false, 0, 0
--- a/internal/work/dispatch/outstanding.go
+++ b/internal/work/dispatch/outstanding.go
@@ -23,6 +23,23 @@
 // for the next one it is outstanding again.
 func (r *run) hasUnansweredStart() bool { return r.unanswered > 0 }
 
+// ofEarlierLeader reports whether the run was started by an earlier leader, as far as this term has shown.
+func (r *run) ofEarlierLeader() bool { return r.startsSent == 0 && r.mayBeOnTarget() }
+
+// assumeUnansweredStarts has a start of each run of earlier leaders count as not answered, since the list
+// shows that the target has started again. This leader does not know whether it was answered, and the new
+// incarnation refuses it only after it has reported to this leader.
+func (t *target) assumeUnansweredStarts(now time.Time) {
+	if !now.Before(t.earlierLeasesEnd) {
+		return
+	}
+	for _, r := range t.runs {
+		if r.ofEarlierLeader() {
+			r.unanswered = max(r.unanswered, 1)
+		}
+	}
+}
+
 // renewOutstandingStart has a start that was not answered count as outstanding again until a time,
 // after the run's target has started again. The new incarnation has neither the run nor its stop.
 func (r *run) renewOutstandingStart(until time.Time) {
--- a/internal/work/dispatch/poll.go
+++ b/internal/work/dispatch/poll.go
@@ -322,6 +322,9 @@
 	if r.sentTo != r.target.incarnation {
 		return false // it may have been sent to either incarnation
 	}
+	if r.ofEarlierLeader() {
+		return true // the incarnation refuses its start from its first report on
+	}
 	return r.reported && r.reportedAt.Before(asked) || r.startsExpired && r.startsExpireAt.Before(asked)
 }
 
