--- a/internal/work/dispatch/job_stages.go
+++ b/internal/work/dispatch/job_stages.go
@@ -35,7 +35,7 @@
 // LastRun describes the run that was done last in a job. Ratios are 0 if they are not known.
 type LastRun struct {
 	Target     string
-	OfEstimate float64 // how long it took, divided by its estimate
+	OfEstimate float64 // how long it took, divided by its estimate; not of a run that resumed
 	// OfMedian is the median speed of the members of its gang, divided by that of the slowest.
 	OfMedian float64
 	Slowest  string // target of that member
@@ -154,7 +154,7 @@
 		return LastRun{}
 	}
 	l := LastRun{Target: r.target.ID}
-	if estimate := r.task.step.spec.Estimate; estimate > 0 && r.startsSent > 0 && !r.beganAt.IsZero() {
+	if estimate := r.task.step.spec.Estimate; estimate > 0 && r.startsSent > 0 && r.resumedFrom == "" && !r.beganAt.IsZero() {
 		l.OfEstimate = float64(now.Sub(r.beganAt)) / float64(estimate)
 	}
 	var speeds []float64
@@ -239,7 +239,6 @@
 		t.timeline.Until(stages.Publish, now)
 		e.Stages = t.timeline
 	}
-	t.interruption.step = nil // the job is kept for a while, its steps need not be
 	return e
 }
 
--- a/internal/work/dispatch/job_stages_test.go
+++ b/internal/work/dispatch/job_stages_test.go
@@ -78,6 +78,25 @@
 	is.True(r.Stages.Of(stages.Rerun) > time.Second)
 	is.True(about(r.Stages.Of(stages.Run), 6*time.Second))
 	is.Equal(r.Starts, 48)
+	is.True(r.LastRun.OfEstimate > 0.95)
+	d.check()
+}
+
+// A run resumes from a checkpoint. Guards against a run that did a part of the work only and seems to
+// have been faster than estimated.
+func TestResumedRunIsNotComparedWithEstimate(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 4, DefaultBounds())
+	s := small(32)
+	s.Checkpointing = true
+	id := d.submit(2, 6*time.Second, s)
+	d.run(3 * time.Second)
+	d.submit(0, 2500*time.Millisecond, urgentGang(2, 8))
+	d.run(25 * time.Second)
+	r := d.reports[id]
+	is.Equal(r.Interruption, stages.Preempted)
+	is.True(r.Stages.Of(stages.Run) < 4*time.Second)
+	is.Equal(r.LastRun.OfEstimate, 0.0)
 	d.check()
 }
 
