--- a/internal/fleet/speed/model.go
+++ b/internal/fleet/speed/model.go
@@ -202,6 +202,23 @@
 	}
 }
 
+// Retain removes the targets that are not known any more and of which no observation is fitted. Those
+// that are missing for a short time keep their estimates.
+func (m *Model) Retain(known func(Target) bool) {
+	m.targets = slices.DeleteFunc(m.targets, func(t *target) bool {
+		if len(t.observations) > 0 || !t.forgotten && known(t.name) {
+			return false
+		}
+		if !t.forgotten {
+			delete(m.byTarget, t.name)
+		}
+		return true
+	})
+}
+
+// Targets returns the number of targets that the model holds.
+func (m *Model) Targets() int { return len(m.targets) }
+
 // summarize adds an observation to the summary of its target and removes it from the list of
 // those that are fitted. It still counts for the factor of its step.
 func (m *Model) summarize(o *observation, now time.Time) {
--- a/internal/work/dispatch/speeds.go
+++ b/internal/work/dispatch/speeds.go
@@ -38,6 +38,10 @@
 	}
 	m.speeds.nextFitAt = now.Add(max(minFitInterval, time.Duration(len(m.sortedTargets))*fitIntervalPerTarget))
 	changed := m.speeds.model.Fit(now)
+	m.speeds.model.Retain(func(name speed.Target) bool {
+		t := m.targets[name.ID]
+		return t != nil && t.speedName() == name
+	})
 	for _, t := range m.sortedTargets {
 		t.setSpeed(m.speeds.model.Of(t.speedName()))
 	}
--- a/internal/work/dispatch/speeds_test.go
+++ b/internal/work/dispatch/speeds_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/matryer/is"
 
+	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/fleet/speed"
 	"guavaglade.example/guavaglade/internal/standin/pool"
 	"guavaglade.example/guavaglade/internal/work/graph"
 )
@@ -141,3 +143,39 @@
 	d.m.fitSpeeds(d.now.Add(time.Minute))
 	is.True(!fast.speed.Fast())
 }
+
+// Targets are replaced for as long as a term lasts. Guards against speeds that are kept of all targets that
+// there ever were: memory and the time of a fit would grow, and the median would be that of targets that
+// have left. One that is missing from the list for a short time must not be learned anew.
+func TestSpeedsOfTargetsThatHaveLeftAreDropped(t *testing.T) {
+	is := is.New(t)
+	d := newTwoKinds(t, true)
+	d.learnSpeeds()
+	d.run(10 * time.Second)
+	name := d.m.sortedTargets[2].speedName()
+	left := d.roster()
+	for range 3 { // each time all are replaced
+		for i := range left {
+			left[i].ID, left[i].StartedAt = left[i].ID+"x", left[i].StartedAt+1000
+		}
+		d.m.UpdateTargets(left, d.now, d.now)
+		d.m.Tick(d.now)
+		is.Equal(len(d.m.targets), 16)
+		observe := func() {
+			for i, x := range d.m.sortedTargets {
+				id := graph.TaskID{StepID: graph.StepID{Step: int(d.now.Unix())}, Index: i}
+				d.m.speeds.model.Observe(speed.Observation{Run: order.Run{Task: id, Number: 1}, Target: x.speedName(), Ratio: 1}, d.now)
+			}
+			d.m.fitSpeeds(d.now)
+		}
+		d.now = d.now.Add(10 * time.Second)
+		observe()
+		if name.ID != "" {
+			is.True(d.m.speeds.model.Of(name).Fast())
+			name = speed.Target{}
+		}
+		d.now = d.now.Add(20 * time.Minute)
+		observe()
+		is.Equal(d.m.speeds.model.Targets(), 16)
+	}
+}
