--- a/internal/work/dispatch/advice.go
+++ b/internal/work/dispatch/advice.go
@@ -121,11 +121,12 @@
 	s := x.step
 	n := adviceNeed{fitting: map[string]int{}, permitted: map[string]int{}, ifEmpty: map[string]int{}}
 	m.targetsConsidered += len(m.sortedTargets)
+	kept := m.keptFrom(s, now)
 	for _, t := range m.sortedTargets {
 		if s.permits.denied[t.ID] || !s.eligibleWithoutAdvice(t, now) || !s.spec.Charge().FitsIn(t.Capacity) {
 			continue
 		}
-		fitting := m.tasksThatCouldBePlaced(x, t, now)
+		fitting := m.tasksThatCouldBePlaced(x, t, kept, now)
 		n.fitting[t.Rack] += fitting
 		n.ifEmpty[t.Rack] += s.tasksThatFitIfEmpty(t)
 		switch {
@@ -177,14 +178,14 @@
 	return n
 }
 
-// tasksThatCouldBePlaced returns how many tasks like this one of its step fit on a target now or, if they
-// are urgent, after preemption.
-func (m *Machine) tasksThatCouldBePlaced(x *task, t *target, now time.Time) int {
+// tasksThatCouldBePlaced returns how many tasks like this one of its step fit on a target now, beside what is
+// kept free for urgent work, or after preemption if they are urgent themselves.
+func (m *Machine) tasksThatCouldBePlaced(x *task, t *target, kept keptFree, now time.Time) int {
 	s := x.step
 	if m.reservedForOther(t, s) || x.excludes(t, now) || m.startsTooClose(x, t, now) {
 		return 0
 	}
-	free := t.freeCapacity()
+	free := kept.besides(t)
 	if s.job.spec.Priority == 0 {
 		free = m.preemptibleCapacity(t, now)
 	}
--- a/internal/work/dispatch/advice_share_test.go
+++ b/internal/work/dispatch/advice_share_test.go
@@ -111,3 +111,28 @@
 	d.runWithListing(3)
 	is.True(d.p.StartsOf(id) > 0)
 }
+
+// Steps that need accelerators are withheld, since all free ones are kept for urgent work. Guards against
+// such steps that use up the calls for advice, and a step behind them that needs a core only and is not
+// asked for.
+func TestWithheldStepsDoNotUseUpAdvice(t *testing.T) {
+	is := is.New(t)
+	f := newFullFleet(t, WithHeadroom())
+	f.adviseAll(map[graph.JobID]int{}) // 460 ms for a call, and permissions last for 3 s
+	f.occupy(24)
+	submit := func(allowance time.Duration, step graph.Step) graph.JobID {
+		j := &graph.Job{Priority: 2, SlackFactor: 3, Allowance: allowance, Steps: []graph.Step{step}, Advised: true, AdviceValid: 3 * time.Second}
+		return f.submitJob(j, fixedWork(time.Second))
+	}
+	var withheld []graph.JobID
+	for range 8 {
+		withheld = append(withheld, submit(20*time.Second, small(4)))
+	}
+	core := graph.Step{Count: 1, Needs: graph.Resources{CPU: 1000}, Estimate: time.Second}
+	id := submit(time.Minute, core)
+	f.keepArriving(3 * time.Second)
+	for _, w := range withheld {
+		is.True(!f.started(w))
+	}
+	is.True(f.started(id))
+}
