--- a/internal/config/catalog/catalog.go
+++ b/internal/config/catalog/catalog.go
@@ -37,6 +37,7 @@
 	RejectsOverload bool // its targets refuse tasks that exceed their capacity
 	Standby         bool // its machines are powered off and not paid for
 	Objective       Objective
+	LearnsSpeeds    bool // its targets may be of several speeds, which are learned; otherwise they are alike
 }
 
 // Objective is a service-level objective: the share of jobs that complete within a
@@ -143,6 +144,21 @@
 	return s, ok
 }
 
+// LearnsSpeeds returns the names of the services that learn the speeds of their targets. It may be called
+// on a nil Catalog.
+func (c *Catalog) LearnsSpeeds() map[string]bool {
+	names := map[string]bool{}
+	if c == nil {
+		return names
+	}
+	for name, s := range c.services {
+		if s.LearnsSpeeds {
+			names[name] = true
+		}
+	}
+	return names
+}
+
 // Objectives returns the services' objectives by the service's name. Services without
 // one are left out.
 func (c *Catalog) Objectives() map[string]Objective {
--- a/internal/config/text/config.go
+++ b/internal/config/text/config.go
@@ -105,6 +105,7 @@
 	fragmentation float64 // weight of fragmentation, 0 to 1
 	dependsOn     []string
 	objective     Objective
+	learnsSpeeds  bool
 	kinds         map[string]Kind
 }
 
@@ -133,6 +134,10 @@
 // Objective returns the service-level objective.
 func (s Service) Objective() Objective { return s.objective }
 
+// LearnsSpeeds reports whether the long-term speeds of the service's targets are learned. Otherwise they
+// are taken to be alike.
+func (s Service) LearnsSpeeds() bool { return s.learnsSpeeds }
+
 // Kind returns a job kind of the service by name; ok is false if there is none.
 func (s Service) Kind(name string) (k Kind, ok bool) {
 	k, ok = s.kinds[name]
--- a/internal/config/text/parse_test.go
+++ b/internal/config/text/parse_test.go
@@ -20,6 +20,24 @@
 //go:embed testdata/valid.ini
 var valid string
 
+// A service whose targets are of several speeds learns them only if its text says so.
+func TestSpeeds(t *testing.T) {
+	for value, want := range map[string]bool{"": false, "speeds = alike\n": false, "speeds = learned\n": true} {
+		is := is.New(t)
+		c, err := text.Parse([]byte(strings.Replace(valid, "objectiveTarget", value+"objectiveTarget", 1)))
+		is.NoErr(err)
+		learned := 0
+		for _, name := range c.Services() {
+			if s, _ := c.Service(name); s.LearnsSpeeds() {
+				learned++
+			}
+		}
+		is.Equal(learned == 1, want)
+	}
+	_, err := text.Parse([]byte(strings.Replace(valid, "objectiveTarget", "speeds = fast\nobjectiveTarget", 1)))
+	is.New(t).True(err != nil)
+}
+
 // Weights in a job's section apply to that kind; an unknown kind has the service's.
 func TestJobWeightsOverrideService(t *testing.T) {
 	is := is.New(t)
--- a/internal/config/text/service.go
+++ b/internal/config/text/service.go
@@ -18,6 +18,12 @@
 // may wait for its start.
 const maxDuration = 30 * 24 * time.Hour
 
+// Values of the key speeds.
+const (
+	speedsAlike   = "alike"
+	speedsLearned = "learned"
+)
+
 // service reads a section [service NAME] and adds the service to the configuration
 // unless its name is invalid. Its dependencies are checked once all sections are read.
 func (r *reader) service(name string, section *document.Section) {
@@ -30,7 +36,8 @@
 			Target: section.Float("objectiveTarget", 0, minObjectiveTarget, maxObjectiveTarget),
 			Within: section.Duration("objectiveWithin", 0, minObjectiveWithin, maxObjectiveWithin),
 		},
-		kinds: map[string]Kind{},
+		learnsSpeeds: section.Choice("speeds", speedsAlike, speedsAlike, speedsLearned) == speedsLearned,
+		kinds:        map[string]Kind{},
 	}
 	if section.Has("objectiveTarget") != section.Has("objectiveWithin") {
 		section.Fault("", "objectiveTarget and objectiveWithin must be set together")
--- a/internal/config/version/version.go
+++ b/internal/config/version/version.go
@@ -75,7 +75,7 @@
 	var services []catalog.Service
 	for _, name := range c.Services() {
 		s, _ := c.Service(name)
-		services = append(services, catalog.Service{Name: name, Objective: catalog.Objective(s.Objective())})
+		services = append(services, catalog.Service{Name: name, Objective: catalog.Objective(s.Objective()), LearnsSpeeds: s.LearnsSpeeds()})
 		for _, kind := range s.Kinds() {
 			k, _ := s.Kind(kind)
 			queues = append(queues, Queue(s, k))
--- a/internal/fleet/speed/model.go
+++ b/internal/fleet/speed/model.go
@@ -216,6 +216,23 @@
 	t.observations = slices.Delete(t.observations, at, at+1)
 }
 
+// targetRetention is how long a target is kept without observations. It may be away for a while, and
+// return as the same incarnation.
+const targetRetention = 24 * time.Hour
+
+// removeTargets removes the targets that are forgotten or were not observed for long.
+func (m *Model) removeTargets(now time.Time) {
+	m.targets = slices.DeleteFunc(m.targets, func(t *target) bool {
+		if len(t.observations) > 0 || !t.forgotten && now.Sub(t.summary.at) <= targetRetention {
+			return false
+		}
+		if m.byTarget[t.name] == t {
+			delete(m.byTarget, t.name)
+		}
+		return true
+	})
+}
+
 // removeOldSteps removes the steps that are too old or too many.
 func (m *Model) removeOldSteps(now time.Time) {
 	limit := max(minObservations, maxPerTarget*len(m.targets))
@@ -231,10 +248,10 @@
 		n++
 	}
 	m.steps = slices.Delete(m.steps, 0, n)
-	m.targets = slices.DeleteFunc(m.targets, func(t *target) bool { return t.forgotten && len(t.observations) == 0 })
 	if n == 0 {
 		return
 	}
+	m.removeTargets(now)
 	for id, at := range m.closed {
 		if now.Sub(at) > closedAge {
 			delete(m.closed, id)
--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -71,7 +71,6 @@
 	recovered func() <-chan struct{}
 	// passOn passes what a term has left to the present leader; nil: it is dropped.
 	passOn  func(ctx context.Context, h dispatch.Handover) error
-	speeds  bool // the long-term speeds of targets are learned
 	log     logr.Logger
 	mu      sync.Mutex
 	serving *leadership // nil while another host leads
@@ -124,10 +123,6 @@
 	return func(d *Dispatcher) { d.storeLatency = f }
 }
 
-// WithSpeeds has the leader learn the long-term speeds of targets and decide by them. Without it, all
-// targets count as alike.
-func WithSpeeds() Option { return func(d *Dispatcher) { d.speeds = true } }
-
 // New returns a dispatcher that does not lead yet. It replaces Partitions and MaxListAge of
 // the bounds, and MaxEvacuationAge if WithEvacuations and EvacuateTime are set.
 func New(s store.Store, t order.Transport, r Roster, b dispatch.Bounds, log logr.Logger, opts ...Option) *Dispatcher {
@@ -153,9 +148,11 @@
 	starts         waitingStarts
 	events         chan func(now time.Time) // for the main loop
 	fences         [Partitions]int64
-	configVersion  int64         // version of the configuration that the machine has
-	scannedVersion int64         // version up to which the jobs table was scanned
-	listTimeout    time.Duration // of reading the list of targets next time
+	configVersion  int64                     // version of the configuration that the machine has
+	scannedVersion int64                     // version up to which the jobs table was scanned
+	listTimeout    time.Duration             // of reading the list of targets next time
+	speedServices  map[string]bool           // of which speeds are learned
+	speedRows      chan []dispatch.SpeedsRow // for the main loop
 	// waitingLoggedAt is when waiting orders were last logged.
 	waitingLoggedAt time.Time
 	wg              sync.WaitGroup
@@ -169,9 +166,12 @@
 	defer cancel()
 	l := &leadership{
 		Dispatcher: d, ctx: ctx, term: t, events: make(chan func(time.Time), maxQueuedEvents), histories: newHistories(d.log),
-		limiter: limiter.New(time.Now),
+		limiter: limiter.New(time.Now), speedRows: make(chan []dispatch.SpeedsRow, 1),
+	}
+	l.machine = dispatch.New(t.Number(), d.bounds, dispatch.WithLog(l.histories))
+	if d.keeper != nil {
+		l.learnSpeeds(d.keeper.Current().LearnsSpeeds()) // read while jobs are
 	}
-	l.machine = dispatch.New(t.Number(), d.bounds, l.machineOptions()...)
 	began := l.clock()
 	if err := l.restore(); err != nil {
 		return fmt.Errorf("term %d: %w", t.Number(), err)
@@ -188,15 +188,6 @@
 	return err
 }
 
-// machineOptions returns the options of the term's machine.
-func (l *leadership) machineOptions() []dispatch.Option {
-	opts := []dispatch.Option{dispatch.WithLog(l.histories)}
-	if l.speeds {
-		opts = append(opts, dispatch.WithSpeeds())
-	}
-	return opts
-}
-
 func (d *Dispatcher) setServing(l *leadership) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -291,6 +282,7 @@
 	l.setServing(l)
 	l.runEvery(l.bounds.DrainTime/2, listed, l.refreshTargets) // the list is most of what an idle leader reads
 	l.runEvery(scanInterval, l.clock(), l.scan)
+	l.restoreSpeedsIfRead()
 	l.machine.EnablePlacement(predecessorLeasesEnd, l.clock())
 	tick := time.NewTicker(tickInterval)
 	defer tick.Stop()
@@ -317,6 +309,8 @@
 			return l.ctx.Err()
 		case f := <-l.events:
 			f(l.clock())
+		case rows := <-l.speedRows:
+			l.restoreSpeeds(rows)
 		case <-due:
 		case <-tick.C:
 			l.applyConfig()
@@ -339,6 +333,7 @@
 	} {
 		l.metrics.Gauge(name).Update(float64(n))
 	}
+	l.updateSpeedMetrics()
 	l.metrics.Gauge("term").Update(float64(l.term.Number()))
 	load := l.limiter.Stats()
 	if now := l.clock(); load.Waiting > 0 && now.Sub(l.waitingLoggedAt) >= time.Second {
@@ -368,6 +363,7 @@
 		guaranteed[a.Name] = a.Guaranteed
 	}
 	l.machine.SetGuarantees(guaranteed)
+	l.learnSpeeds(now.LearnsSpeeds())
 	l.log.Info("configuration applied", "version", now.Version(), "accounts", len(guaranteed))
 }
 
--- a/internal/host/dispatcher/execute.go
+++ b/internal/host/dispatcher/execute.go
@@ -32,6 +32,8 @@
 		l.spawnDetached(func() { l.poll(c) })
 	case dispatch.Save:
 		l.spawn(func() { l.save(c) })
+	case dispatch.SaveSpeeds:
+		l.spawn(func() { l.saveSpeeds(c) })
 	case dispatch.JobEnded:
 		l.onJobEnded(c)
 	case dispatch.JobFailed:
--- a/internal/host/scheduler/scheduler.go
+++ b/internal/host/scheduler/scheduler.go
@@ -83,7 +83,6 @@
 	peerTLS     peer.ClientTLS // nil: peers are reached without TLS
 	unreadyTime time.Duration
 	applyTime   time.Duration
-	speeds      bool
 }
 
 // WithMetrics sets the scope of the metrics, by default none.
@@ -105,10 +104,6 @@
 // WithBounds sets the bounds of dispatching, by default dispatch.DefaultBounds.
 func WithBounds(b dispatch.Bounds) Option { return func(o *options) { o.bounds = b } }
 
-// WithSpeeds has the leader learn the long-term speeds of targets and decide by them, by default it does
-// not.
-func WithSpeeds() Option { return func(o *options) { o.speeds = true } }
-
 const (
 	defaultStopTimeout = 6 * time.Second
 	defaultApplyTime   = 2 * time.Second
@@ -134,9 +129,6 @@
 		dispatcher.WithEvacuations(s.Evacuations), dispatcher.WithRecovered(s.store.Recovered), dispatcher.WithStoreLatency(s.store.TypicalLatency),
 		dispatcher.WithHandover(func(ctx context.Context, h dispatch.Handover) error { return s.endpoint.Handover(ctx, h) }),
 	}
-	if set.speeds {
-		dispatcherOpts = append(dispatcherOpts, dispatcher.WithSpeeds())
-	}
 	if p.Adviser != nil {
 		dispatcherOpts = append(dispatcherOpts, dispatcher.WithAdviser(p.Adviser))
 	}
--- a/internal/operator/command/reports.go
+++ b/internal/operator/command/reports.go
@@ -4,7 +4,10 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"text/tabwriter"
+
+	"guavaglade.example/guavaglade/internal/report/view"
 )
 
 type fleetCommand struct {
@@ -34,10 +37,7 @@
 		for _, z := range f.Zones {
 			_, _ = fmt.Fprintf(w, "%s\t%d\t%d of %d\t%d\t%t\n", z.Name, z.Targets, z.Free, z.Accelerators, z.Runs, z.Evacuated)
 		}
-		_, _ = fmt.Fprintln(w, "TARGET\tSERVICE\tZONE\tRACK\tFREE\tRUNS\tSTATE")
-		for _, t := range f.Targets {
-			_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d of %d\t%d\t%s\n", t.ID, t.Service, t.Zone, t.Rack, t.Free, t.Accelerators, t.Runs, t.State)
-		}
+		printTargets(w, f.Targets)
 		_, _ = fmt.Fprintln(w, "ACCOUNT\tGUARANTEED\tWANTED")
 		for _, a := range f.Accounts {
 			_, _ = fmt.Fprintf(w, "%s\t%d\t%d\n", a.Name, a.Guaranteed, a.Wanted)
@@ -45,6 +45,26 @@
 	})
 }
 
+// printTargets prints the targets of a fleet, with their speeds if some differ.
+func printTargets(w io.Writer, targets []view.Target) {
+	speeds := slices.ContainsFunc(targets, func(t view.Target) bool { return t.Slowness != 0 })
+	header := "TARGET\tSERVICE\tZONE\tRACK\tFREE\tRUNS\tSTATE"
+	if speeds {
+		header += "\tSLOWNESS"
+	}
+	_, _ = fmt.Fprintln(w, header)
+	for _, t := range targets {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d of %d\t%d\t%s", t.ID, t.Service, t.Zone, t.Rack, t.Free, t.Accelerators, t.Runs, t.State)
+		switch {
+		case t.Slowness != 0:
+			_, _ = fmt.Fprintf(w, "\t%.2f", t.Slowness)
+		case speeds:
+			_, _ = fmt.Fprint(w, "\t-")
+		}
+		_, _ = fmt.Fprintln(w)
+	}
+}
+
 type reportCommand struct {
 	streams
 	hostOptions
--- a/internal/report/view/view.go
+++ b/internal/report/view/view.go
@@ -58,7 +58,10 @@
 	MemoryMB     int    `json:"memoryMB"`
 	Free         int    `json:"free"` // accelerators
 	Runs         int    `json:"runs"`
-	State        string `json:"state"` // ready, unheld, silent, draining, evacuated, doubted, unlisted
+	// Slowness is how many times longer runs are expected to take there than on the median target of
+	// the service; 0 if it counts as alike.
+	Slowness float64 `json:"slowness,omitempty"`
+	State    string  `json:"state"` // ready, unheld, silent, draining, evacuated, doubted, unlisted
 }
 
 // Zone is the leader's view of an availability zone.
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -54,7 +54,7 @@
 	verdictsDue        bool                       // a task with losses may have become guilty
 	recentLosses       []recentLoss               // targets lost a short time ago
 	lapsed             []lapsedTarget             // targets on which leases have lapsed a short time ago
-	speeds             *speeds                    // long-term speeds of targets; nil: all count as alike
+	speeds             speeds                     // long-term speeds of targets
 }
 
 // Log receives one line for each decision, with alternating keys and values. Its
@@ -162,6 +162,7 @@
 	}
 	m.forgetEnded(now)
 	m.fitSpeeds(now)
+	m.saveSpeeds(now)
 	m.verdictsDue = len(m.tasksWithLosses) > 0 // an open loss may count by now
 	m.placementDue, m.recheckWaiting = true, true
 }
--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -97,7 +97,11 @@
 		Run: r.Run, Spec: r.task.step.job.spec.Spec, Deadline: min(latest, t.estimatedClock(now)+startValidity.Milliseconds()),
 		Term: m.term, Checkpoint: r.resumedFrom, Ticket: r.ticket,
 	}, Class: t.class(m.startClass(r.task.step, now)), Incarnation: t.incarnation, DecidedAt: now, LatestDeadline: latest})
-	m.log.Decided("start run", "target", t.ID, "task", r.Task, "run", r.Number, "try", r.startsSent, "checkpoint", r.resumedFrom)
+	kv := []any{"target", t.ID, "task", r.Task, "run", r.Number, "try", r.startsSent, "checkpoint", r.resumedFrom}
+	if slowness := t.viewSlowness(); slowness != 0 {
+		kv = append(kv, "slowness", slowness)
+	}
+	m.log.Decided("start run", kv...)
 }
 
 // StartAnswered applies the outcome of a Start, once it is known; err is nil or wraps one
--- a/internal/work/dispatch/preemption.go
+++ b/internal/work/dispatch/preemption.go
@@ -31,7 +31,7 @@
 		return nil
 	}
 	allowed := m.allowedLoss(s, 1, now)
-	bestOption := m.bestOption(options, allowed)
+	bestOption := m.bestOption(s, options, allowed)
 	best := bestOption.target
 	if bestOption.totalLoss > allowed {
 		m.reserve(s, []*target{best})
@@ -72,7 +72,7 @@
 		plans = append(plans, plan)
 		if plan.totalLoss < least {
 			least = plan.totalLoss
-			limit = m.maxComparableLoss(least, allowed)
+			limit = m.maxComparableLoss(s, least, allowed)
 		}
 	}
 	s.reservation = nil
--- a/internal/work/dispatch/query.go
+++ b/internal/work/dispatch/query.go
@@ -105,6 +105,7 @@
 			ID: t.ID, Zone: t.Zone, Rack: t.Rack, Service: t.Service, Accelerators: t.Capacity.Accelerators,
 			Cores: t.Capacity.CPU / 1000, MemoryMB: t.Capacity.MemoryMB,
 			Free: t.freeCapacity().Accelerators, Runs: len(t.runs), State: t.viewState(now),
+			Slowness: t.viewSlowness(),
 		})
 	}
 	wanted := m.wantedByAccount()
--- a/internal/work/dispatch/speed_placement.go
+++ b/internal/work/dispatch/speed_placement.go
@@ -11,8 +11,11 @@
 // are planned on targets of one speed first, and fast targets are left to urgent work while there are
 // others. Targets are compared by speed.Estimate.Level, which is 0 for all if they count as alike.
 
-// speedsDiffer reports whether the targets count as unequally fast.
-func (m *Machine) speedsDiffer() bool { return m.speeds != nil && m.speeds.model.Spread() > 0 }
+// speedsDiffer reports whether the targets for a step count as unequally fast.
+func (m *Machine) speedsDiffer(s *step) bool {
+	of := m.speeds.byService[s.job.spec.Service]
+	return of != nil && of.model.Spread() > 0
+}
 
 // speedRank rates the speed of a target for the step, lower is better. Urgent single tasks take the
 // fastest targets. A gang that takes targets of several speeds takes the slowest first, since it gains
@@ -146,7 +149,7 @@
 // preemptionSets returns the sets on which preemption is planned for an urgent gang: the given ones, and
 // then their faster parts.
 func (m *Machine) preemptionSets(s *step, sets []targetSet) []targetSet {
-	if !m.speedsDiffer() {
+	if !m.speedsDiffer(s) {
 		return sets
 	}
 	all := slices.Clone(sets)
@@ -161,9 +164,9 @@
 
 // maxComparableLoss returns the loss up to which a plan may be chosen for its speed if another costs the
 // least loss. It is not allowed to cost more than is allowed, unless all do.
-func (m *Machine) maxComparableLoss(least, allowed float64) float64 {
+func (m *Machine) maxComparableLoss(s *step, least, allowed float64) float64 {
 	limit := least
-	if m.speedsDiffer() {
+	if m.speedsDiffer(s) {
 		limit *= comparableLoss
 	}
 	if least <= allowed {
@@ -174,12 +177,12 @@
 
 // bestOption returns the option on the fastest target of those that cost about the least loss, the first
 // of several that are alike.
-func (m *Machine) bestOption(options []preemptionOption, allowed float64) preemptionOption {
+func (m *Machine) bestOption(s *step, options []preemptionOption, allowed float64) preemptionOption {
 	least := math.Inf(1)
 	for _, o := range options {
 		least = min(least, o.totalLoss)
 	}
-	limit := m.maxComparableLoss(least, allowed)
+	limit := m.maxComparableLoss(s, least, allowed)
 	options = slices.DeleteFunc(options, func(o preemptionOption) bool { return o.totalLoss > limit })
 	return slices.MinFunc(options, func(a, b preemptionOption) int {
 		return cmp.Or(cmp.Compare(a.target.speedLevel, b.target.speedLevel), cmp.Compare(a.totalLoss, b.totalLoss))
--- a/internal/work/dispatch/speed_placement_test.go
+++ b/internal/work/dispatch/speed_placement_test.go
@@ -52,7 +52,7 @@
 		d.run(time.Duration(action) * 100 * time.Millisecond)
 	}
 	d.run(10 * time.Second)
-	if learns && d.m.Speeds() != (SpeedCounts{}) {
+	if learns && d.m.Speeds()["s"] != (SpeedCounts{}) {
 		t.Fatalf("targets that are alike are told apart: %+v", d.m.Speeds())
 	}
 	return commands
--- a/internal/work/dispatch/speeds.go
+++ b/internal/work/dispatch/speeds.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"maps"
 	"math"
+	"slices"
 	"time"
 
 	"guavaglade.example/guavaglade/internal/fleet/speed"
@@ -13,14 +15,60 @@
 
 // speeds holds what a machine learns of the long-term speeds of its targets.
 type speeds struct {
+	all       bool            // of all services
+	learned   map[string]bool // names of the services of which they are learned
+	byService map[string]*serviceSpeeds
+	restored  bool // the rows of earlier leaders were read
+}
+
+// serviceSpeeds holds the speeds of one service. Targets of different services are never compared.
+type serviceSpeeds struct {
 	model     *speed.Model
 	nextFitAt time.Time // earliest time of the next fit
+	row       speedsRow
+}
+
+// WithSpeeds has the machine learn the long-term speeds of the targets of all services and decide by
+// them. Without it, SetLearnedSpeeds says of which.
+func WithSpeeds() Option { return func(m *Machine) { m.speeds.all = true } }
+
+// SetLearnedSpeeds sets of which services the long-term speeds of targets are learned. The targets of all
+// others count as alike, unless WithSpeeds was used. It keeps the map. It is called for each new version
+// of the configuration.
+func (m *Machine) SetLearnedSpeeds(services map[string]bool) {
+	m.speeds.learned = services
+	for name := range m.speeds.byService {
+		if !m.learnsSpeeds(name) {
+			delete(m.speeds.byService, name)
+		}
+	}
+	for _, t := range m.sortedTargets {
+		if !m.learnsSpeeds(t.Service) {
+			t.setSpeed(speed.Estimate{})
+		}
+	}
 }
 
-// WithSpeeds has the machine learn the long-term speeds of targets and decide by them. Without it,
-// all targets count as alike.
-func WithSpeeds() Option {
-	return func(m *Machine) { m.speeds = &speeds{model: speed.New()} }
+func (m *Machine) learnsSpeeds(service string) bool {
+	return m.speeds.all || m.speeds.learned[service]
+}
+
+// speedsOfService returns the speeds of a service; nil if they are not learned.
+func (m *Machine) speedsOfService(name string) *serviceSpeeds {
+	if !m.learnsSpeeds(name) {
+		return nil
+	}
+	s := m.speeds.byService[name]
+	if s == nil {
+		s = &serviceSpeeds{model: speed.New()}
+		m.speeds.byService = put(m.speeds.byService, name, s)
+	}
+	return s
+}
+
+// speedServices returns the services with speeds, by name.
+func (m *Machine) speedServices() []string {
+	return slices.Sorted(maps.Keys(m.speeds.byService))
 }
 
 // Intervals between two fits. A fit takes less than 10 us for each target, so fits take at most a
@@ -30,54 +78,79 @@
 	fitIntervalPerTarget = time.Millisecond
 )
 
-// fitSpeeds updates the targets' speeds if that is due, and logs when targets begin or cease to
-// differ.
+// fitSpeeds updates the targets' speeds where that is due, and logs when the targets of a service begin
+// or cease to differ.
 func (m *Machine) fitSpeeds(now time.Time) {
-	if m.speeds == nil || !m.speeds.model.Changed() || now.Before(m.speeds.nextFitAt) {
-		return
+	for _, name := range m.speedServices() {
+		s := m.speeds.byService[name]
+		if !s.model.Changed() || now.Before(s.nextFitAt) {
+			continue
+		}
+		s.nextFitAt = now.Add(max(minFitInterval, time.Duration(len(m.sortedTargets))*fitIntervalPerTarget))
+		changed := s.model.Fit(now)
+		m.updateSpeeds(name)
+		if changed {
+			m.logSpeeds(name)
+		}
 	}
-	m.speeds.nextFitAt = now.Add(max(minFitInterval, time.Duration(len(m.sortedTargets))*fitIntervalPerTarget))
-	changed := m.speeds.model.Fit(now)
+}
+
+// updateSpeeds passes the estimates of a service to its targets.
+func (m *Machine) updateSpeeds(service string) {
+	model := m.speeds.byService[service].model
 	for _, t := range m.sortedTargets {
-		t.setSpeed(m.speeds.model.Of(t.speedName()))
-	}
-	if changed {
-		m.logSpeeds()
+		if t.Service == service {
+			t.setSpeed(model.Of(t.speedName()))
+		}
 	}
 }
 
-func (m *Machine) logSpeeds() {
-	c := m.Speeds()
+func (m *Machine) logSpeeds(service string) {
+	c := m.Speeds()[service]
 	if c.Spread == 0 {
-		m.log.Decided("target speeds alike")
+		m.log.Decided("target speeds alike", "service", service)
 		return
 	}
-	m.log.Decided("target speeds differ", "spread", c.Spread, "fast", c.Fast, "slow", c.Slow, "noise", m.speeds.model.Noise())
+	m.log.Decided("target speeds differ", "service", service, "spread", round(c.Spread), "fast", c.Fast, "slow", c.Slow, "noise", round(m.speeds.byService[service].model.Noise()))
 }
 
-// SpeedCounts says how much the speeds of a machine's targets differ.
+// round rounds a figure for a log line.
+func round(x float64) float64 { return math.Round(100*x) / 100 }
+
+// SpeedCounts says how much the speeds of a service's targets differ.
 type SpeedCounts struct {
 	Spread     float64 // standard deviation of the log of the slowness; 0: all targets count as alike
-	Fast, Slow int     // targets known to be faster or slower than the median
+	Fast, Slow int     // listed targets known to be faster or slower than the median
 }
 
-// Speeds returns how much the speeds of the listed targets differ.
-func (m *Machine) Speeds() SpeedCounts {
-	var c SpeedCounts
-	if m.speeds == nil {
-		return c
+// Speeds returns how much the speeds of targets differ, by service. It leaves out services of which no
+// speeds are learned.
+func (m *Machine) Speeds() map[string]SpeedCounts {
+	counts := map[string]SpeedCounts{}
+	for name, s := range m.speeds.byService {
+		counts[name] = SpeedCounts{Spread: s.model.Spread()}
 	}
-	c.Spread = m.speeds.model.Spread()
 	for _, t := range m.sortedTargets {
+		c, known := counts[t.Service]
 		switch {
-		case !t.listed:
+		case !known || !t.listed:
+			continue
 		case t.speed.Fast():
 			c.Fast++
 		case t.speed.Slow():
 			c.Slow++
 		}
+		counts[t.Service] = c
+	}
+	return counts
+}
+
+// viewSlowness returns the expected slowness of the target, rounded; 0 if it counts as alike.
+func (t *target) viewSlowness() float64 {
+	if t.speed.Log() == 0 {
+		return 0
 	}
-	return c
+	return round(t.speed.Expected())
 }
 
 // speedName names the incarnation of the target in the model.
@@ -88,8 +161,8 @@
 // forgetSpeed drops what is known of the speed of an incarnation that has ended.
 func (m *Machine) forgetSpeed(t *target) {
 	t.setSpeed(speed.Estimate{})
-	if m.speeds != nil {
-		m.speeds.model.Forget(t.speedName())
+	if s := m.speeds.byService[t.Service]; s != nil {
+		s.model.Forget(t.speedName())
 	}
 }
 
@@ -124,7 +197,7 @@
 // below 100. A gang ends with its slowest member, but each member's progress grows at the speed of
 // its own target.
 func (m *Machine) learnFromProgress(r *run, now time.Time) {
-	if m.speeds == nil || r.percent >= 100 || r.progressedAt != now || !m.showsSpeed(r) {
+	if !m.learnsSpeeds(r.target.Service) || r.percent >= 100 || r.progressedAt != now || !m.showsSpeed(r) {
 		return
 	}
 	span, done := now.Sub(r.firstProgressAt), r.percent-r.firstPercent
@@ -138,7 +211,7 @@
 // learnFromEnd learns from a run of a single task that is done, if it is known when it began. A run
 // that has resumed did only a part of its work.
 func (m *Machine) learnFromEnd(r *run, now time.Time) {
-	if m.speeds == nil || r.task.step.spec.Gang || r.resumedFrom != "" || r.phase != running || !m.showsSpeed(r) {
+	if !m.learnsSpeeds(r.target.Service) || r.task.step.spec.Gang || r.resumedFrom != "" || r.phase != running || !m.showsSpeed(r) {
 		return
 	}
 	took := now.Sub(r.beganAt)
@@ -153,7 +226,7 @@
 	s := r.task.step
 	slowdown := m.remoteSlowdown(r, s.spec.SameRack && s.onSeveralRacks())
 	ratio := took.Seconds() / s.spec.Estimate.Seconds() / slowdown
-	m.speeds.model.Observe(speed.Observation{Run: r.Run, Target: r.target.speedName(), Ratio: ratio, Error: deviation}, now)
+	m.speedsOfService(r.target.Service).model.Observe(speed.Observation{Run: r.Run, Target: r.target.speedName(), Ratio: ratio, Error: deviation}, now)
 }
 
 // showsSpeed reports whether the time that a run takes shows the long-term speed of its target:
--- a/internal/work/dispatch/speeds_test.go
+++ b/internal/work/dispatch/speeds_test.go
@@ -83,6 +83,10 @@
 		is.True(!x.speed.Slow())
 	}
 	is.Equal(d.logged("target speeds differ"), 1)
+	is.Equal(d.m.Speeds()["s"].Fast, 4)
+	for _, v := range d.m.Fleet(d.now).Targets {
+		is.Equal(v.Slowness > 0 && v.Slowness < 0.6, strings.Contains(v.ID, "-2#") || strings.Contains(v.ID, "-5#"))
+	}
 	d.submitTasks(20 * time.Second)
 	d.run(25 * time.Second)
 	is.Equal(d.logged("it runs slowly"), 0)
@@ -100,7 +104,7 @@
 	for _, x := range d.m.sortedTargets {
 		is.Equal(x.speed.Expected(), 1.0)
 	}
-	is.Equal(d.m.Speeds(), SpeedCounts{})
+	is.Equal(len(d.m.Speeds()), 0)
 }
 
 // A fast target that fails to half the speed of the others is faulty, like any other. Without regard
