--- a/internal/fleet/speed/drawn_test.go
+++ b/internal/fleet/speed/drawn_test.go
@@ -19,6 +19,7 @@
 	noise    func(r *rand.Rand) float64      // of the log of one run time
 	drift    func(i int, s float64) float64  // log slowness of target i after s seconds; nil: slowness
 	fault    func(i int, at float64) float64 // added to the log of runs that end then; nil: none
+	apart    func(r *rand.Rand) bool         // whether a step runs on fast targets or on others only; nil: it never does
 	now      time.Time
 	steps    int
 	due      float64 // steps that are due
@@ -49,7 +50,7 @@
 	f.steps++
 	factor := math.Log(5) * (2*f.random.Float64() - 1)
 	id := graph.StepID{Job: graph.JobID(fmt.Sprintf("j%d", f.steps))}
-	for k, i := range f.random.Perm(len(f.slowness))[:tasks] {
+	for k, i := range f.draw(tasks) {
 		at := f.now.Sub(begin).Seconds()
 		s := f.slowness[i]
 		if f.drift != nil {
@@ -62,6 +63,18 @@
 	}
 }
 
+// draw returns the targets of a step.
+func (f *drawnFleet) draw(tasks int) []int {
+	var list []int
+	apart, fast := f.apart != nil && f.apart(f.random), f.random.IntN(3) == 0
+	for _, i := range f.random.Perm(len(f.slowness)) {
+		if len(list) < tasks && (!apart || (f.slowness[i] < -0.3) == fast) {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
 // run draws steps of 5 to 39 tasks at a rate for some seconds, and fits the model each second.
 func (f *drawnFleet) run(m *Model, seconds int, stepsPerSecond float64) {
 	for range seconds {
--- a/internal/fleet/speed/fit.go
+++ b/internal/fleet/speed/fit.go
@@ -13,6 +13,10 @@
 	// targets among many would be drawn halfway to the others.
 	noiseFreedom    = 4
 	slownessFreedom = 2
+	// fadingRuns is the number of runs on a target from which on the distribution of slownesses counts
+	// with minPriorShare only, which keeps the fit defined.
+	fadingRuns    = 6
+	minPriorShare = 1e-6
 	// sweeps is the number of iterations of a fit, which starts from the one before.
 	sweeps = 2
 	// firstSweeps is the number of iterations of the first fit with a spread.
@@ -112,8 +116,6 @@
 
 // fitSlowness updates the slowness of a target.
 func (m *Model) fitSlowness(t *target, now time.Time) {
-	scale := m.spread.variance
-	prior := studentWeight(t.slowness, scale, slownessFreedom) / scale
 	known := t.summary.asOf(now)
 	sum, weights := known.mean*known.precision, known.precision
 	for _, o := range t.observations {
@@ -121,16 +123,27 @@
 		sum += value * precision
 		weights += precision
 	}
+	prior := m.prior(t.slowness, weights)
 	t.slowness = sum / (weights + prior)
 	t.variance = 1 / (weights + prior)
 }
 
+// prior returns the precision with which the distribution of slownesses over the fleet counts for a
+// target, beside evidence of a precision. It fades with the evidence: if fast targets are seldom compared
+// with others, their slownesses depend on each other, and even a weak pull would move all of them to the
+// median over time.
+func (m *Model) prior(slowness, evidence float64) float64 {
+	runs := evidence * m.noise * m.noise
+	scale := m.spread.variance
+	return studentWeight(slowness, scale, slownessFreedom) / scale * max(1-runs/fadingRuns, minPriorShare)
+}
+
 // center shifts the slownesses so that their median over the targets is 0, and the factors
 // against it.
 func (m *Model) center() {
 	values := make([]float64, 0, len(m.targets))
 	for _, t := range m.targets {
-		if len(t.observations) > 0 || t.summary.precision > 0 {
+		if t.known() {
 			values = append(values, t.slowness)
 		}
 	}
@@ -165,19 +178,20 @@
 		for _, o := range s.observations {
 			values = append(values, o.ratio)
 		}
-		factor := median(values)
+		factor, predicted := median(values), 0.0
 		for range 2 {
-			sum, weights := 0.0, 0.0
+			sum, slowness, weights := 0.0, 0.0, 0.0
 			for _, o := range s.observations {
 				variance := m.varianceOf(o)
 				w := studentWeight(o.ratio-factor, variance, noiseFreedom) / variance
 				sum += w * o.ratio
+				slowness += w * o.target.slowness
 				weights += w
 			}
-			factor = sum / weights
+			factor, predicted = sum/weights, slowness/weights
 		}
 		for _, o := range s.observations {
-			o.baseline = o.ratio - factor
+			o.baseline, o.predicted = o.ratio-factor, o.target.slowness-predicted
 		}
 	}
 }
@@ -190,7 +204,10 @@
 		for i := 1; i < len(t.observations); i++ {
 			a, b := t.observations[i-1], t.observations[i]
 			if a.step != b.step && a.comparable() && b.comparable() {
-				differences = append(differences, math.Abs(a.baseline-b.baseline)/math.Sqrt(a.noiseShare()+b.noiseShare()))
+				// What the fitted slownesses predict is 0 while targets count as alike. Otherwise a fast
+				// target appears to vary between steps that run beside others and beside its like.
+				difference := (a.baseline - a.predicted) - (b.baseline - b.predicted)
+				differences = append(differences, math.Abs(difference)/math.Sqrt(a.noiseShare()+b.noiseShare()))
 			}
 		}
 	}
--- a/internal/fleet/speed/model.go
+++ b/internal/fleet/speed/model.go
@@ -52,6 +52,9 @@
 	at       time.Time
 	weight   float64 // by the t distribution, about 1; less for outliers
 	baseline float64 // ratio minus the factor of the step as if all targets were alike
+	// predicted is the baseline by the fitted slownesses: that of the target, minus the average over the
+	// targets of the step.
+	predicted float64
 	// shown and precision are the factor of the step that it showed in the last fit, and the weight
 	// that it had there; 0: it was not fitted yet.
 	shown, precision float64
@@ -111,6 +114,9 @@
 	forgotten    bool           // it is kept for the steps of its observations only
 }
 
+// known reports whether anything is known of the target.
+func (t *target) known() bool { return len(t.observations) > 0 || t.summary.precision > 0 }
+
 // belief is a normal distribution of the log of a slowness.
 type belief struct {
 	mean      float64
--- a/internal/fleet/speed/snapshot.go
+++ b/internal/fleet/speed/snapshot.go
@@ -29,7 +29,7 @@
 		return s
 	}
 	for _, t := range m.targets {
-		if !t.forgotten && (len(t.observations) > 0 || t.summary.precision > 0) {
+		if !t.forgotten && t.known() {
 			s.Targets = append(s.Targets, Known{Target: t.name, Log: t.slowness, Deviation: math.Sqrt(t.variance)})
 		}
 	}
@@ -56,12 +56,12 @@
 
 // withoutPrior returns the part of what is known that comes from observations, to which the fit adds the
 // distribution over the fleet again. The precision is not positive if there is none.
-func (k Known) withoutPrior(variance float64) (mean, precision float64) {
+func (k Known) withoutPrior(m *Model) (mean, precision float64) {
 	if k.Deviation <= 0 || math.IsNaN(k.Deviation) || math.IsNaN(k.Log) || math.IsInf(k.Log, 0) {
 		return 0, 0
 	}
 	whole := 1 / (k.Deviation * k.Deviation)
-	precision = whole - studentWeight(k.Log, variance, slownessFreedom)/variance
+	precision = whole - m.prior(k.Log, whole)
 	return k.Log * whole / precision, precision
 }
 
@@ -79,7 +79,7 @@
 	}
 	for _, k := range s.Targets {
 		t := m.targetOf(k.Target)
-		mean, precision := k.withoutPrior(m.spread.variance)
+		mean, precision := k.withoutPrior(m)
 		if t.summary.precision > 0 || precision <= 0 {
 			continue
 		}
--- a/internal/fleet/speed/snapshot_test.go
+++ b/internal/fleet/speed/snapshot_test.go
@@ -1,6 +1,7 @@
 package speed
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -47,6 +48,31 @@
 	is.True(f.allAlike(m))
 }
 
+// Once speeds are known, urgent steps run on fast targets and others on the rest, and hardly any step shows
+// the difference. The spread must not cease for that: decisions would change back and forth.
+func TestSpreadLastsIfSpeedsAreSeldomCompared(t *testing.T) {
+	for seldom, name := range []string{"never", "seldom"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newDrawnFleet(16, 350)
+			f.setFast(5)
+			m := New()
+			f.run(m, 90, 1)
+			fast, told, _ := f.count(m)
+			is.True(told >= fast*3/4)
+			f.apart = func(r *rand.Rand) bool { return seldom == 0 || r.IntN(20) > 0 }
+			for range 30 {
+				f.run(m, 60, 1)
+				_, told, wrong := f.count(m)
+				is.True(told >= fast*3/4)
+				is.True(wrong <= 350/50)
+			}
+			_, told, wrong := f.count(m)
+			t.Logf("%d of %d fast targets told, %d others told wrongly; spread %.2f, noise %.2f", told, fast, wrong, m.Spread(), m.Noise())
+		})
+	}
+}
+
 // A snapshot of targets that are alike must not make them differ.
 func TestSnapshotOfAlikeTargets(t *testing.T) {
 	is := is.New(t)
--- a/internal/fleet/speed/spread.go
+++ b/internal/fleet/speed/spread.go
@@ -21,8 +21,8 @@
 	// minSpread is the least standard deviation of log slowness that counts. Less than 7 % does
 	// not matter for any decision.
 	minSpread = 0.07
-	// A spread ceases to be significant if the average product is below a quarter of its
-	// value by ceaseMargin standard errors.
+	// A spread ceases to be significant if the products are below a quarter of what is expected by
+	// ceaseMargin standard errors, or the fitted spread is far below minSpread.
 	ceaseShare  = 0.25
 	ceaseMargin = 2
 )
@@ -36,38 +36,95 @@
 // update tests whether targets differ and estimates how much. Residuals of one target in different
 // steps are independent if targets are alike, so their products have mean 0 and the standard
 // deviation of the residuals' variance.
+//
+// Once targets are known to differ, work is placed by that, and most steps may run on targets of one
+// speed, which show no difference. So only steps that ran on targets that differ by the fitted
+// slownesses can show that they do not differ any more.
 func (s *spread) update(m *Model) {
-	sum, pairs, squares, n := 0.0, 0, 0.0, 0
+	p := m.sumProducts()
+	if s.significant {
+		square, errors := m.slownessSquares()
+		if p.ceased() || square-errors < ceaseShare*minSpread*minSpread {
+			*s = spread{}
+			return
+		}
+		s.variance = max(square, minSpread*minSpread)
+		return
+	}
+	if p.pairs < minPairs {
+		return
+	}
+	deviation := p.variance() / math.Sqrt(float64(p.pairs))
+	estimate := p.sum / float64(p.pairs)
+	if estimate > significance*deviation && estimate > minSpread*minSpread {
+		*s = spread{significant: true, variance: estimate}
+	}
+}
+
+// products are sums over pairs of observations of one target in different steps.
+type products struct {
+	sum            float64 // of the products of their baselines
+	pairs          int
+	expected       float64 // of the products that the fitted slownesses let expect, of pairs that differ
+	differing      float64 // of the products of the baselines of these pairs
+	differingPairs int
+	squares        float64 // of the baselines of all observations
+	observations   int
+}
+
+// variance returns the variance of the baselines.
+func (p products) variance() float64 { return p.squares / float64(p.observations) }
+
+// ceased reports whether the pairs that should show a difference do not.
+func (p products) ceased() bool {
+	if p.differingPairs < minPairs {
+		return false
+	}
+	deviation := p.variance() * math.Sqrt(float64(p.differingPairs))
+	return p.differing+ceaseMargin*deviation < ceaseShare*p.expected
+}
+
+// sumProducts sums over all pairs of observations that may be compared.
+func (m *Model) sumProducts() products {
+	var p products
 	for _, t := range m.targets {
 		for i, a := range t.observations {
 			if !a.comparable() {
 				continue
 			}
 			ra := clamp(a.baseline)
-			squares += ra * ra
-			n++
+			p.squares += ra * ra
+			p.observations++
 			for _, b := range t.observations[:i] {
 				if !b.comparable() || a.step == b.step || a.at.Sub(b.at) < minSeparation && b.at.Sub(a.at) < minSeparation {
 					continue
 				}
-				sum += ra * clamp(b.baseline)
-				pairs++
+				product := ra * clamp(b.baseline)
+				p.sum += product
+				p.pairs++
+				if math.Abs(a.predicted) >= kindMargin && math.Abs(b.predicted) >= kindMargin {
+					p.expected += clamp(a.predicted) * clamp(b.predicted)
+					p.differing += product
+					p.differingPairs++
+				}
 			}
 		}
 	}
-	if pairs < minPairs {
-		return
-	}
-	estimate := sum / float64(pairs)
-	deviation := squares / float64(n) / math.Sqrt(float64(pairs))
-	switch {
-	case s.significant && estimate+ceaseMargin*deviation < ceaseShare*s.variance:
-		*s = spread{}
-	case s.significant && estimate > minSpread*minSpread:
-		s.variance = estimate
-	case !s.significant && estimate > significance*deviation && estimate > minSpread*minSpread:
-		*s = spread{significant: true, variance: estimate}
+	return p
+}
+
+// slownessSquares returns the averages of the squares of the slownesses of the known targets, and of
+// their errors.
+func (m *Model) slownessSquares() (square, errors float64) {
+	n := 0.0
+	for _, t := range m.targets {
+		if t.known() {
+			square += t.slowness * t.slowness
+			errors += t.variance
+			n++
+		}
 	}
+	return square / max(n, 1), errors / max(n, 1)
 }
 
 // clamp returns a residual within maxResidual.
