--- a/internal/config/catalog/catalog.go
+++ b/internal/config/catalog/catalog.go
@@ -38,6 +38,7 @@
 	Standby         bool // its machines are powered off and not paid for
 	Objective       Objective
 	LearnsSpeeds    bool // its targets may be of several speeds, which are learned; otherwise they are alike
+	Headroom        bool // capacity is kept free for urgent jobs that cannot wait for a preemption
 }
 
 // Objective is a service-level objective: the share of jobs that complete within a
@@ -159,6 +160,17 @@
 	return names
 }
 
+// Headroom returns the services on which capacity is kept free for urgent jobs.
+func (c *Catalog) Headroom() map[string]bool {
+	services := map[string]bool{}
+	for name, s := range c.services {
+		if s.Headroom {
+			services[name] = true
+		}
+	}
+	return services
+}
+
 // Objectives returns the services' objectives by the service's name. Services without
 // one are left out.
 func (c *Catalog) Objectives() map[string]Objective {
--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -153,6 +153,7 @@
 	listTimeout    time.Duration             // of reading the list of targets next time
 	speedServices  map[string]bool           // of which speeds are learned
 	speedRows      chan []dispatch.SpeedsRow // for the main loop
+	lostCounted    lostCounts
 	// waitingLoggedAt is when waiting orders were last logged.
 	waitingLoggedAt time.Time
 	wg              sync.WaitGroup
@@ -181,6 +182,7 @@
 	err := l.run(earlier.LeasesEnd(d.bounds.Lease).Add(clockSlack))
 	cancel()
 	d.setServing(nil)
+	l.recordLostWork()
 	l.wg.Wait()
 	if h := l.machine.Handover(); d.passOn != nil && !h.Empty() {
 		go d.handOver(context.WithoutCancel(ctx), t.Number(), h)
@@ -330,6 +332,7 @@
 	for name, n := range map[string]int{
 		"jobs": c.Jobs, "targets": c.Targets, "targets_held": c.Reachable, "runs": c.Runs, "steps_waiting": c.PendingSteps,
 		"zones_evacuated": c.Evacuated, "accelerators_usable": usable, "accelerators_guaranteed": guaranteed,
+		"headroom_accelerators": l.machine.HeadroomAccelerators(l.clock()),
 	} {
 		l.metrics.Gauge(name).Update(float64(n))
 	}
@@ -340,6 +343,7 @@
 		l.waitingLoggedAt = now
 		l.log.Info("orders waiting", "waiting", load.Waiting, "oldestMS", load.LongestWait.Milliseconds(), "limit", load.Limit, "perSecond", int(load.Rate), "delayMS", load.Delay.Milliseconds(), "stepsWaiting", c.PendingSteps)
 	}
+	l.recordLostWork()
 	l.metrics.Gauge("orders_limit").Update(float64(load.Limit))
 	l.metrics.Gauge("orders_waiting").Update(float64(load.Waiting))
 	l.metrics.Gauge("orders_rate").Update(load.Rate)
@@ -347,8 +351,8 @@
 	l.metrics.Gauge("order_delay_seconds").Update(load.Delay.Seconds())
 }
 
-// applyConfig passes the guarantees of the configuration in force to the machine if its
-// version has changed.
+// applyConfig passes the guarantees of the configuration in force, and the services that keep
+// headroom, to the machine if its version has changed.
 func (l *leadership) applyConfig() {
 	if l.keeper == nil {
 		return
@@ -364,6 +368,7 @@
 	}
 	l.machine.SetGuarantees(guaranteed)
 	l.learnSpeeds(now.LearnsSpeeds())
+	l.machine.SetHeadroom(now.Headroom())
 	l.log.Info("configuration applied", "version", now.Version(), "accounts", len(guaranteed))
 }
 
--- a/internal/operator/command/reports.go
+++ b/internal/operator/command/reports.go
@@ -42,6 +42,7 @@
 		for _, a := range f.Accounts {
 			_, _ = fmt.Fprintf(w, "%s\t%d\t%d\n", a.Name, a.Guaranteed, a.Wanted)
 		}
+		printLostWork(w, f.LostWork)
 	})
 }
 
@@ -65,6 +66,17 @@
 	}
 }
 
+// printLostWork prints the work that was lost in the leader's term, if any was.
+func printLostWork(w io.Writer, list []view.LostWork) {
+	if len(list) == 0 {
+		return
+	}
+	_, _ = fmt.Fprintln(w, "LOST SINCE THE TERM BEGAN\tPRIORITY\tCORE SECONDS")
+	for _, l := range list {
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%d\n", l.Cause, l.Priority, l.CoreSeconds)
+	}
+}
+
 type reportCommand struct {
 	streams
 	hostOptions
--- a/internal/report/view/view.go
+++ b/internal/report/view/view.go
@@ -39,11 +39,18 @@
 	Inputs  string    `json:"with,omitempty"` // as key=value
 }
 
+// Stage is a part of the time from a job's acceptance until its end was visible.
+type Stage struct {
+	Name string `json:"stage"`
+	MS   int64  `json:"ms"`
+}
+
 // History is a job with the decisions about it, oldest first. A leader has only the
 // decisions of its own term.
 type History struct {
 	Job       Job        `json:"job"`
 	Term      int64      `json:"term"`
+	Stages    []Stage    `json:"stages,omitempty"` // of a completed job, all of them, in their order
 	Decisions []Decision `json:"lines"`
 }
 
@@ -61,7 +68,7 @@
 	// Slowness is how many times longer runs are expected to take there than on the median target of
 	// the service; 0 if it counts as alike.
 	Slowness float64 `json:"slowness,omitempty"`
-	State    string  `json:"state"` // ready, unheld, silent, draining, evacuated, doubted, unlisted
+	State    string  `json:"state"` // ready, unheld, silent, draining, evacuated, stale, doubted, unlisted
 }
 
 // Zone is the leader's view of an availability zone.
@@ -81,6 +88,13 @@
 	Wanted     int    `json:"wanted"`     // by its open urgent jobs
 }
 
+// LostWork is work that was lost since runs ended otherwise than as done.
+type LostWork struct {
+	Cause       string `json:"cause"`
+	Priority    int    `json:"priority"`    // 3 stands for all from 3 on
+	CoreSeconds int64  `json:"coreSeconds"` // an accelerator counts as eight cores
+}
+
 // Fleet is the leader's view of targets, zones and accounts.
 type Fleet struct {
 	Leader       string    `json:"leader"` // address for peers
@@ -93,6 +107,8 @@
 	// targets that may get work. Guarantees can be met if Guaranteed is at most Usable.
 	Guaranteed int `json:"guaranteed"`
 	Usable     int `json:"usable"`
+	// LostWork is what was lost in this term.
+	LostWork []LostWork `json:"lostWork,omitempty"`
 }
 
 // InForce is the configuration version that a host has in force, with the host's state.
--- a/internal/work/dispatch/evacuation.go
+++ b/internal/work/dispatch/evacuation.go
@@ -44,7 +44,7 @@
 				continue // dropped with another member of its gang
 			}
 			unsent++
-			m.dropUnsent(r, "its zone is evacuated", now)
+			m.dropUnsent(r, stopFor(stopEvacuated), now)
 		}
 		runs += len(t.runs)
 	}
@@ -64,10 +64,10 @@
 }
 
 // dropUnsent drops a run whose start was not sent, and the other members of its gang.
-func (m *Machine) dropUnsent(r *run, reason string, now time.Time) {
-	m.log.Decided("run given up before it was sent", "target", r.target.ID, "task", r.Task, "run", r.Number, "reason", reason)
+func (m *Machine) dropUnsent(r *run, reason stopReason, now time.Time) {
+	m.log.Decided("run given up before it was sent", "target", r.target.ID, "task", r.Task, "run", r.Number, "reason", reason.String())
 	m.release(r, now)
-	m.stopGang(r, "a member was given up: "+reason, now)
+	m.stopGang(r, reason.withMember(stopMemberGivenUp), now)
 }
 
 // evacuationsAreCurrent reports whether the evacuation status is recent enough to start
@@ -83,17 +83,22 @@
 	return m.listIsCurrent(now) && m.evacuationsAreCurrent(now)
 }
 
-// acceptsStarts reports whether starts may be sent to the target: it is listed, so that its
-// capacity is known, it is not draining, and its zone is not evacuated.
-func (t *target) acceptsStarts() bool {
+// acceptsStarts reports whether starts may be sent to the target: it is in service, and its entry
+// is recent, so that its capacity is known.
+func (t *target) acceptsStarts() bool { return t.inService() && !t.entryIsStale() }
+
+// inService reports whether the target is listed and not draining, and its zone is not evacuated.
+func (t *target) inService() bool {
 	return t.listed && !t.Draining && !t.evacuated && t.entryIsCurrent()
 }
 
-// usableAccelerators returns the number of accelerators on targets that may get work.
+// usableAccelerators returns the number of accelerators on targets that are in service. Those with stale
+// entries count: after an outage of the store most are stale for a heartbeat, which would be logged as
+// guarantees that are exceeded.
 func (m *Machine) usableAccelerators() int {
 	n := 0
 	for _, t := range m.sortedTargets {
-		if t.acceptsStarts() {
+		if t.inService() {
 			n += t.Capacity.Accelerators
 		}
 	}
--- a/internal/work/dispatch/fit.go
+++ b/internal/work/dispatch/fit.go
@@ -38,17 +38,25 @@
 func (m *Machine) chooseTarget(x *task, now time.Time) *target {
 	s := x.step
 	charge := s.spec.Charge()
-	var best *target
+	var best, withheld *target
 	var bestFit fit
 	m.targetsConsidered += len(m.sortedTargets)
+	kept := m.keptFrom(s, now)
 	for _, t := range m.sortedTargets {
 		if !s.eligible(t, now) || x.excludes(t, now) || m.reservedForOther(t, s) || !charge.FitsIn(t.freeCapacity()) || s.perTargetLeft(t) <= 0 || m.startsTooClose(x, t, now) {
 			continue
 		}
+		if kept != nil && !charge.FitsIn(kept.besides(t)) {
+			withheld = t
+			continue
+		}
 		if f := m.fitOf(x, t, t.freeCapacity(), now); best == nil || f.compare(bestFit) < 0 {
 			best, bestFit = t, f
 		}
 	}
+	if best == nil && withheld != nil {
+		m.recordWithheld(s, kept.besides(withheld), now)
+	}
 	return best
 }
 
@@ -61,6 +69,7 @@
 	exposed          int // runs that would be lost with the target, if the task is isolated
 	cold             int // 1 if the target is warming up
 	remote           int // 1 if the task's data is on another rack
+	silent           int // 1 if the target may be cut off like the one with which the task was lost
 	interference     int // number of tasks there that would disturb it or that it would disturb
 	stranded         int // accelerators that other tasks could use now, but not beside this one
 	speed            int // by step.speedRank; 0 if all targets are alike
@@ -70,7 +79,7 @@
 
 func (f fit) compare(o fit) int {
 	return cmp.Or(
-		cmp.Compare(f.risk, o.risk), cmp.Compare(f.exposed, o.exposed), cmp.Compare(f.cold, o.cold), cmp.Compare(f.remote, o.remote), cmp.Compare(f.interference, o.interference), cmp.Compare(f.stranded, o.stranded),
+		cmp.Compare(f.risk, o.risk), cmp.Compare(f.exposed, o.exposed), cmp.Compare(f.cold, o.cold), cmp.Compare(f.remote, o.remote), cmp.Compare(f.silent, o.silent), cmp.Compare(f.interference, o.interference), cmp.Compare(f.stranded, o.stranded),
 		cmp.Compare(f.speed, o.speed), cmp.Compare(f.acceleratorsLeft, o.acceleratorsLeft), cmp.Compare(f.cpuLeft, o.cpuLeft),
 	)
 }
@@ -95,6 +104,9 @@
 	if rack := x.step.spec.DataRack; rack != "" && t.Rack != rack {
 		f.remote = 1
 	}
+	if x.mayBeCutOff(t, now) {
+		f.silent = 1
+	}
 	return f
 }
 
--- a/internal/work/dispatch/incarnation.go
+++ b/internal/work/dispatch/incarnation.go
@@ -77,6 +77,7 @@
 	m.forgetSpeed(t)
 	t.incarnation = startedAt
 	t.resetIncarnation(now)
+	t.leaseEnd = later(t.leaseEnd, t.earlierLeasesEnd) // it may accept orders of earlier leaders
 	for _, r := range t.runs {
 		r.renewOutstandingStart(now.Add(longestLease(m.bounds.Lease)))
 	}
@@ -150,13 +151,13 @@
 		case t.runs[r.Run] != r: // released with another member of its gang
 		case r.hasUnansweredStart():
 			r.sentTo, r.reported, r.blamed = t.incarnation, false, true
-			m.repeatStop(r, "its target started again before a start was answered", now)
+			m.repeatStop(r, stopFor(stopRestartedUnanswered), now)
 		default:
 			m.release(r, now)
 			m.failIfAtMostOnce(r, now)
 		}
 		if !reported { // its gang may wait for it
-			m.stopGang(r, "a member's target started again", now)
+			m.stopGang(r, stopFor(stopMemberRestarted), now)
 		}
 	}
 }
@@ -192,11 +193,11 @@
 }
 
 // repeatStop stops a run, also if the earlier incarnation of its target has answered a stop.
-func (m *Machine) repeatStop(r *run, reason string, now time.Time) {
+func (m *Machine) repeatStop(r *run, reason stopReason, now time.Time) {
 	if r.phase != stopping {
 		m.stop(r, reason, now)
 		return
 	}
-	r.orderAnsweredAt = time.Time{}
+	r.orderAnsweredAt, r.endDueAt = time.Time{}, time.Time{}
 	m.sendStop(r, now)
 }
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -25,11 +25,13 @@
 	recurring          []*job  // jobs that recur, in the order of their arrival
 	pendingSteps       []*step // steps with tasks to start, by rank as of the last pass, new ones last
 	partitions         []partition
+	savedAt            time.Time // when a save last succeeded, of any partition
 	commands           []Command // issued since the last Decide
 	placementEnabled   bool      // set by EnablePlacement
 	placementEnabledAt time.Time
 	awaited            *target   // a target whose first report was outstanding when last checked; nil: none
 	listAsOf           time.Time // when the current list of targets was read
+	staleTargets       int       // listed targets whose entries are stale, as last counted
 	pollCandidates     []*target // targets that may be due for a poll
 	newSteps           []*step   // steps enqueued since the last pass
 	nextPassAt         time.Time // earliest start of the next pass
@@ -55,17 +57,22 @@
 	recentLosses       []recentLoss               // targets lost a short time ago
 	lapsed             []lapsedTarget             // targets on which leases have lapsed a short time ago
 	speeds             speeds                     // long-term speeds of targets
+	lostWork           LostWork
+	headroom           headroomState
 }
 
 // Log receives one line for each decision, with alternating keys and values. Its
 // methods must not block.
 type Log interface {
 	Decided(message string, kv ...any)
+	// Recorded is like Decided, but the line goes to the history of its job only.
+	Recorded(message string, kv ...any)
 }
 
 type discardLog struct{}
 
-func (discardLog) Decided(string, ...any) {}
+func (discardLog) Decided(string, ...any)  {}
+func (discardLog) Recorded(string, ...any) {}
 
 // Option sets one property of a new machine.
 type Option func(*Machine)
@@ -132,7 +139,7 @@
 	runs := 0
 	for _, t := range m.sortedTargets {
 		if t.reach == notPolled {
-			t.leaseEnd = predecessorLeasesEnd
+			t.leaseEnd, t.earlierLeasesEnd = predecessorLeasesEnd, predecessorLeasesEnd
 		}
 		for _, r := range t.runs {
 			r.startsExpireAt = predecessorLeasesEnd
@@ -157,12 +164,14 @@
 		}
 	}
 	m.checkZonesReachable(now)
+	m.countStale()
 	for _, t := range m.sortedTargets {
 		m.considerPoll(t)
 	}
 	m.forgetEnded(now)
 	m.fitSpeeds(now)
 	m.saveSpeeds(now)
+	m.checkWithholding(now)
 	m.verdictsDue = len(m.tasksWithLosses) > 0 // an open loss may count by now
 	m.placementDue, m.recheckWaiting = true, true
 }
@@ -170,11 +179,12 @@
 // UpdateTargets replaces the list of targets by the platform's complete list as of a
 // time. It is called after each read of that list.
 func (m *Machine) UpdateTargets(list []roster.Target, asOf, now time.Time) {
+	before := m.listAsOf
 	m.listAsOf = asOf
 	present := map[string]bool{}
 	for i := range list {
 		present[list[i].ID] = true
-		m.updateTarget(list[i], now)
+		m.updateTarget(list[i], asOf, before, now)
 	}
 	for _, t := range m.sortedTargets {
 		if t.listed && !present[t.ID] {
@@ -183,6 +193,7 @@
 		}
 	}
 	m.placementDue = true
+	m.countStale()
 	m.checkGuarantees()
 }
 
@@ -193,8 +204,9 @@
 	return m.bounds.MaxListAge == 0 || now.Sub(m.listAsOf) <= m.bounds.MaxListAge
 }
 
-// updateTarget applies the entry of a target in the list.
-func (m *Machine) updateTarget(l roster.Target, now time.Time) {
+// updateTarget applies the entry of a target in the list, which was read as of a time, and the list
+// before it as of another.
+func (m *Machine) updateTarget(l roster.Target, asOf, before, now time.Time) {
 	t := m.targets[l.ID]
 	if t != nil && t.isOutdated(l.StartedAt) {
 		t.listed = true // its new incarnation has not written its entry yet
@@ -206,6 +218,9 @@
 			t.addedAt = now
 		}
 	}
+	if l.StartedAt > t.incarnation {
+		t.assumeUnansweredStarts(now)
+	}
 	m.observeStart(t, l.StartedAt, now)
 	if l.StartedAt != t.Target.StartedAt { // what is compared below was that of an earlier incarnation
 		t.Draining, t.RemainingMS, t.ColdRemainingMS = false, 0, 0
@@ -223,6 +238,7 @@
 	if t.Rack != l.Rack {
 		m.racks = nil
 	}
+	t.entryRead(l, maxMissedHeartbeats*m.bounds.Heartbeat, asOf, before)
 	t.Target, t.listed, t.evacuated = l, true, m.evacuated.Has(l.Zone)
 	m.considerPoll(t)
 }
--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -6,6 +6,7 @@
 
 	"guavaglade.example/guavaglade/internal/fleet/limiter"
 	"guavaglade.example/guavaglade/internal/fleet/order"
+	"guavaglade.example/guavaglade/internal/work/stages"
 )
 
 // place assigns a task to a target. The run reduces the target's free capacity at once;
@@ -57,14 +58,14 @@
 		}
 		switch {
 		case !r.target.acceptsStarts() || !r.target.responsive() || r.target.clockMS == 0 || r.target.overCapacity() || !m.stateIsCurrent(now):
-			m.log.Decided("run given up before it was sent", "target", r.target.ID, "task", r.Task, "run", r.Number, "listed", r.target.listed, "drains", r.target.Draining, "evacuated", r.target.evacuated, "inTouch", r.target.responsive(), "clockMS", r.target.clockMS, "overCapacity", r.target.overCapacity(), "listAgeMS", now.Sub(m.listAsOf).Milliseconds(), "zonesAgeMS", now.Sub(m.evacuated.AsOf).Milliseconds())
-			m.stop(r, "its target accepts no starts, does not answer, has less capacity now or an unknown clock", now)
-			m.stopGang(r, "a member's target accepts no starts, does not answer, has less capacity now or an unknown clock", now)
+			m.log.Decided("run given up before it was sent", "target", r.target.ID, "task", r.Task, "run", r.Number, "listed", r.target.listed, "drains", r.target.Draining, "evacuated", r.target.evacuated, "inTouch", r.target.responsive(), "clockMS", r.target.clockMS, "overCapacity", r.target.overCapacity(), "staleEntry", r.target.entryIsStale(), "listAgeMS", now.Sub(m.listAsOf).Milliseconds(), "zonesAgeMS", now.Sub(m.evacuated.AsOf).Milliseconds())
+			m.stop(r, stopFor(stopNoStarts), now)
+			m.stopGang(r, stopFor(stopMemberNoStarts), now)
 		case r.sentTo != r.target.incarnation: // which may have other labels
-			m.dropUnsent(r, "its target has started again", now)
+			m.dropUnsent(r, stopFor(stopRestarted), now)
 		case len(r.task.runs) > 1 && !r.task.step.spec.Speculative: // its target has reported another one since
-			m.dropUnsent(r, "another run of its task was found", now)
-		case !r.gangVerified(): // startVerified or dropUnverified decides
+			m.dropUnsent(r, stopFor(stopOtherFound), now)
+		case !r.mayBeSent(): // startVerified or dropUnverified decides
 		default:
 			r.phase = starting
 			r.resumedFrom = r.task.checkpoint()
@@ -87,6 +88,10 @@
 // sendStart sends the start of a run, for the first time or again.
 func (m *Machine) sendStart(r *run, now time.Time) {
 	t := r.target
+	if r.startsSent == 0 {
+		r.sentToSilent = now.Sub(t.answeredAt) > maxPollWait+pollOverdue
+	}
+	r.recordStart(now)
 	r.startsSent++
 	r.unanswered++
 	r.sentAt, r.orderPending, r.sentTo = now, true, t.incarnation
@@ -183,13 +188,14 @@
 	case errors.Is(err, order.ErrInvalid):
 		r.task.pausedUntil = now.Add(invalidPause)
 	}
+	m.runInterrupted(r, stages.Refused, now)
 	if r.hasUnansweredStart() {
 		// An earlier copy of the order may still arrive; only a stop rules that out.
-		m.stop(r, "refused after an unanswered start", now)
+		m.stop(r, stopFor(stopRefusedLater), now)
 	} else {
 		m.release(r, now)
 	}
-	m.stopGang(r, "a member was refused", now)
+	m.stopGang(r, stopFor(stopMemberRefused), now)
 }
 
 // Pauses after a target refused a start, each long enough for its next report or its
@@ -201,7 +207,7 @@
 )
 
 // stopGang stops the other members of a run's gang.
-func (m *Machine) stopGang(r *run, reason string, now time.Time) {
+func (m *Machine) stopGang(r *run, reason stopReason, now time.Time) {
 	s := r.task.step
 	if !s.spec.Gang || s.job.liveRuns == nil {
 		return
@@ -222,7 +228,7 @@
 
 // stop ends a run. A run whose start was not sent is released at once; any other is
 // stopped by an order that is repeated until it is answered.
-func (m *Machine) stop(r *run, reason string, now time.Time) {
+func (m *Machine) stop(r *run, reason stopReason, now time.Time) {
 	switch r.phase {
 	case stopping:
 		return
@@ -230,12 +236,34 @@
 		m.release(r, now)
 		return
 	}
-	m.log.Decided("stop run", "target", r.target.ID, "task", r.Task, "run", r.Number, "reason", reason)
+	m.log.Decided("stop run", "target", r.target.ID, "task", r.Task, "run", r.Number, "reason", reason.String())
+	m.runInterrupted(r, reason.cause(), now)
 	r.phase = stopping
-	r.orderAnsweredAt = time.Time{}
+	r.orderAnsweredAt, r.endDueAt = time.Time{}, time.Time{}
 	m.sendStop(r, now)
 }
 
+// endReportMargin is how much later than the longest stop the end of a run may be reported: long
+// enough for a poll that is lost and an extra one.
+const endReportMargin = time.Second
+
+// endsSoon reports whether the run is being stopped, and its target has neither refused that nor taken
+// too long. Other work must not wait for the capacity of a run that its target does not stop. A target
+// that does not answer gets no work anyway.
+func (r *run) endsSoon(now time.Time) bool {
+	return r.phase == stopping && (r.endDueAt.IsZero() || now.Before(r.endDueAt))
+}
+
+// stopOverdue reports whether the target has refused to stop a run, or has not stopped it in time.
+func (t *target) stopOverdue(now time.Time) bool {
+	for _, r := range t.runs {
+		if r.phase == stopping && !r.endsSoon(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // sendStop sends the stop of a run, for the first time or again.
 func (m *Machine) sendStop(r *run, now time.Time) {
 	r.sentAt, r.orderPending = now, true
@@ -290,15 +318,30 @@
 			}
 			outstanding := r.startOutstanding()
 			r.orderAnsweredAt = now
+			r.endDueAt = now.Add(m.bounds.MaxStopTime + endReportMargin)
 			if outstanding {
 				m.startSettled(r.task.step.job, now)
 			}
 		case !isAnswer(err):
 			m.targetMissed(t, r.sentAt, now)
+		default:
+			m.stopRefused(r, err, now)
 		}
 	}
 }
 
+// refusedStopWait is how long after the first refusal of a stop the run's capacity is awaited: until
+// the stop was repeated once, since a refusal may be transient.
+const refusedStopWait = orderRetryInterval + 100*time.Millisecond
+
+// stopRefused handles a stop that the target refused. It is repeated until it is accepted.
+func (m *Machine) stopRefused(r *run, err error, now time.Time) {
+	m.log.Decided("stop refused", "target", r.target.ID, "task", r.Task, "run", r.Number, "error", err.Error())
+	if r.endDueAt.IsZero() {
+		r.endDueAt = now.Add(refusedStopWait)
+	}
+}
+
 // awaitsAnswer reports whether an order for the run may have to be repeated.
 func (r *run) awaitsAnswer() bool { return r.phase == starting || r.phase == stopping }
 
@@ -323,11 +366,11 @@
 		}
 	case r.phase == starting && r.hasUnansweredStart():
 		r.task.attempts().avoid(r.target)
-		m.stop(r, "start not answered", now)
-		m.stopGang(r, "a member's start was not answered", now)
+		m.stop(r, stopFor(stopUnanswered), now)
+		m.stopGang(r, stopFor(stopMemberUnanswered), now)
 	case r.phase == starting:
 		m.log.Decided("start not sent", "target", r.target.ID, "task", r.Task, "run", r.Number)
 		m.release(r, now)
-		m.stopGang(r, "a member's target was not reached", now)
+		m.stopGang(r, stopFor(stopMemberUnreached), now)
 	}
 }
--- a/internal/work/dispatch/preemption.go
+++ b/internal/work/dispatch/preemption.go
@@ -167,7 +167,7 @@
 	if capacity, ok := m.pass.preemptibleCapacity[t]; ok {
 		return capacity
 	}
-	free := t.freeAfterStops()
+	free := t.freeAfterStops(now)
 	for _, v := range m.victimsOn(t, now) {
 		free = free.Plus(v.run.charge)
 	}
@@ -176,11 +176,11 @@
 }
 
 // freeAfterStops returns the free capacity of the target once its stopping runs have
-// ended.
-func (t *target) freeAfterStops() graph.Resources {
+// ended, except for those whose end is overdue.
+func (t *target) freeAfterStops(now time.Time) graph.Resources {
 	free := t.freeCapacity()
 	for _, r := range t.runs {
-		if r.phase == stopping {
+		if r.endsSoon(now) {
 			free = free.Plus(r.charge)
 		}
 	}
@@ -193,7 +193,7 @@
 	if r, ok := p.freeOn[t]; ok {
 		return r
 	}
-	return t.freeAfterStops()
+	return t.freeAfterStops(p.now)
 }
 
 // preemptionOption is a way to fit one more task on a target.
@@ -244,15 +244,17 @@
 }
 
 // victimsOn returns the runs on a target that may be stopped for work of priority 0, those
-// with the smallest losses first.
+// with the smallest losses first. There are none on a target that does not stop its runs: their work
+// would be lost in vain.
 func (m *Machine) victimsOn(t *target, now time.Time) []victim {
 	if list, ok := m.pass.victims[t]; ok {
 		return list
 	}
 	var list []victim
+	overdue := t.stopOverdue(now)
 	for _, r := range t.sortedRuns() {
 		s := r.task.step
-		if (r.phase == running || r.phase == starting) && s.job.spec.Priority > 0 && !s.spec.LongRunning && !s.job.spec.AtMostOnce {
+		if !overdue && (r.phase == running || r.phase == starting) && s.job.spec.Priority > 0 && !s.spec.LongRunning && !s.job.spec.AtMostOnce {
 			list = append(list, victim{run: r, loss: m.lossOf(r, now)})
 		}
 	}
@@ -312,7 +314,7 @@
 	size := coreEquivalents(plan.step.spec.Needs) * plan.step.spec.Estimate.Seconds() * float64(len(plan.targets))
 	m.log.Decided("runs preempted", "step", plan.step.id, "runs", len(list), "lossCoreS", int(plan.totalLoss), "gainCoreS", int(size), "waitedMS", m.wallMS(now)-plan.step.releaseTime())
 	for _, r := range list {
-		m.stop(r, "preempted for "+plan.step.id.String(), now)
+		m.stop(r, preemptedFor(plan.step.id), now)
 		m.pass.invalidate(r.target) // its runs cannot be stopped again in this pass
 	}
 }
--- a/internal/work/dispatch/query.go
+++ b/internal/work/dispatch/query.go
@@ -98,7 +98,7 @@
 func (m *Machine) Fleet(now time.Time) view.Fleet {
 	f := view.Fleet{
 		Term: m.term, PendingSteps: len(m.pendingSteps), Zones: m.zones(), Targets: []view.Target{}, Accounts: []view.Account{},
-		Guaranteed: m.totalGuaranteed(), Usable: m.usableAccelerators(),
+		Guaranteed: m.totalGuaranteed(), Usable: m.usableAccelerators(), LostWork: m.lostWork.view(),
 	}
 	for _, t := range m.sortedTargets {
 		f.Targets = append(f.Targets, view.Target{
@@ -159,6 +159,8 @@
 		return "draining"
 	case t.evacuated:
 		return "evacuated"
+	case t.entryIsStale():
+		return "stale"
 	case t.health.Quarantined(now) || t.health.Suspect(now):
 		return "doubted"
 	}
--- a/internal/work/dispatch/save.go
+++ b/internal/work/dispatch/save.go
@@ -14,11 +14,18 @@
 // and the conditions on cancellation it stays under the store's limit of 100 entries.
 const maxSaveRows = 30
 
+// maxSaveBytes bounds the rows of a save that has more than one. In base64 they take 83 % of a megabyte; the
+// store refuses a larger call.
+const maxSaveBytes = 640 << 10
+
 // partition tracks what is to be saved of the jobs of one partition.
 type partition struct {
-	dirty   []*job    // to be saved, in the order in which they changed, each once
-	sending []*job    // in the outstanding save; nil: none
-	retryAt time.Time // no save before
+	dirty       []*job    // to be saved, in the order in which they changed, each once
+	sending     []*job    // in the outstanding save; nil: none
+	retryAt     time.Time // no save before
+	saveSize    saveSize
+	suspectSize saveSize // of saves of suspects
+	othersFirst bool     // the last save was of suspects and failed
 }
 
 // markDirty marks the job as changed since its last save and returns the revision that
@@ -36,16 +43,24 @@
 func (m *Machine) sendSaves(now time.Time) {
 	for i := range m.partitions {
 		p := &m.partitions[i]
-		if p.sending != nil || len(p.dirty) == 0 || now.Before(p.retryAt) {
+		if p.sending != nil || now.Before(p.retryAt) {
 			continue
 		}
-		n := min(len(p.dirty), maxSaveRows)
-		p.sending, p.dirty = slices.Clone(p.dirty[:n]), slices.Delete(p.dirty, 0, n)
 		save := Save{Partition: i}
-		for _, j := range p.sending {
+		bytes := 0
+		for _, j := range p.nextSave(now) {
+			row := j.row()
+			if bytes += len(row.Value); bytes > maxSaveBytes && p.sending != nil {
+				break
+			}
 			j.dirty, j.sentRev, j.sentState = false, j.rev, j.state
-			save.Rows = append(save.Rows, j.row())
+			save.Rows = append(save.Rows, row)
+			p.sending = append(p.sending, j)
+		}
+		if p.sending == nil {
+			continue
 		}
+		p.dirty = slices.DeleteFunc(p.dirty, func(j *job) bool { return !j.dirty })
 		m.commands = append(m.commands, save)
 	}
 }
@@ -143,9 +158,10 @@
 // the version. It publishes the saved states and sends the starts that waited for the save.
 func (m *Machine) Saved(partition int, version int64, now time.Time) {
 	p := &m.partitions[partition]
+	m.saveSucceeded(p, now)
 	for _, j := range p.sending {
 		j.version, j.savedRev = version, j.sentRev
-		m.publish(j, j.sentState)
+		m.publish(j, j.sentState, now)
 		m.startRecorded(j, now)
 	}
 	p.sending = nil
@@ -158,7 +174,7 @@
 }
 
 // publish makes a saved state visible to clients.
-func (m *Machine) publish(j *job, s progress.State) {
+func (m *Machine) publish(j *job, s progress.State, now time.Time) {
 	if j.published == s || j.published.Final() {
 		return
 	}
@@ -170,27 +186,31 @@
 			m.commands = append(m.commands, JobFailed{Cause: j.cause})
 		}
 		m.log.Decided("job ended", kv...)
-		m.reportJobEnded(j, s)
+		m.reportJobEnded(j, s, now)
 	}
 }
 
 // reportJobEnded issues a JobEnded for a job that ended other than by cancellation. A
 // cancelled job says nothing about the quality of service, and a recurring or long-running
 // job has no completion time to meet.
-func (m *Machine) reportJobEnded(j *job, s progress.State) {
+func (m *Machine) reportJobEnded(j *job, s progress.State, now time.Time) {
 	if s == progress.Cancelled || j.spec.Repeat > 0 || j.spec.LongRunning() {
 		return
 	}
 	took := time.Duration(j.endedAt-j.spec.AcceptedAt) * time.Millisecond
-	m.commands = append(m.commands, JobEnded{Job: j.spec, State: s, Took: max(took, 0)})
+	m.commands = append(m.commands, j.timing.report(JobEnded{Job: j.spec, State: s, Took: max(took, 0)}, now))
 }
 
 // SaveFailed requeues the rows of the outstanding save of a partition when the store could
-// not be reached or the outcome is not known yet.
+// not be reached, has refused the save, or the outcome is not known yet.
 func (m *Machine) SaveFailed(partition int, now time.Time) {
 	p := &m.partitions[partition]
-	p.retryAt = now.Add(saveRetryPause)
-	m.requeue(p)
+	if p.sending == nil {
+		return
+	}
+	if refused := m.saveFailed(p, now); !refused {
+		p.retryAt = now.Add(saveRetryPause)
+	}
 }
 
 // StoredRow describes a job's stored rows when a save was refused or its outcome was
--- a/internal/work/dispatch/simulation_test.go
+++ b/internal/work/dispatch/simulation_test.go
@@ -55,6 +55,8 @@
 	storeAway bool
 	// hidden holds the addresses whose targets are missing from the list.
 	hidden map[string]bool
+	// unwritten holds entries that their targets do not write again, by address.
+	unwritten map[string]roster.Target
 	// advise answers calls for advice: the targets that may run a step, or an error, after some time.
 	// nil: calls are not answered.
 	advise func(c Advise) (allowed []string, wait time.Duration, err error)
@@ -71,8 +73,10 @@
 	submittedAt  map[graph.JobID]time.Time
 	nextID       int
 	bounds       Bounds
+	options      []Option                   // of the machine of each leader
 	specs        map[graph.JobID]*graph.Job // of jobs submitted with submitJob
 	rows         map[graph.JobID][]byte     // saved progress
+	reports      map[graph.JobID]JobEnded   // of jobs that ended
 	orderRate    int                        // orders that the host can send in a second; 0: any number
 	unsent       [limiter.Probe + 1][]Command
 }
@@ -91,12 +95,13 @@
 	return newSimulationOf(t, racks, perRack, b, pool.DefaultBounds())
 }
 
-// newSimulationOf is newSimulation with the given bounds of the targets.
-func newSimulationOf(t testing.TB, racks, perRack int, b Bounds, targets pool.Bounds) *simulation {
+// newSimulationOf is newSimulation with the given bounds of the targets and options of the
+// machine.
+func newSimulationOf(t testing.TB, racks, perRack int, b Bounds, targets pool.Bounds, opts ...Option) *simulation {
 	d := &simulation{
 		t: t, p: pool.New(targets), now: time.Unix(1000, 0),
 		endedAt: map[graph.JobID]time.Time{}, submittedAt: map[graph.JobID]time.Time{},
-		disconnected: map[string]bool{}, bounds: b, specs: map[graph.JobID]*graph.Job{}, rows: map[graph.JobID][]byte{},
+		disconnected: map[string]bool{}, bounds: b, specs: map[graph.JobID]*graph.Job{}, rows: map[graph.JobID][]byte{}, reports: map[graph.JobID]JobEnded{},
 	}
 	for r := range racks {
 		for i := range perRack {
@@ -107,7 +112,8 @@
 			}, 1, d.now)
 		}
 	}
-	d.m = New(1, b, WithLog(d))
+	d.options = append(opts, WithLog(d))
+	d.m = New(1, b, d.options...)
 	d.listTargets()
 	d.m.EnablePlacement(d.now, d.now)
 	d.decide()
@@ -123,7 +129,13 @@
 
 // roster returns the list of targets, without those that are hidden.
 func (d *simulation) roster() []roster.Target {
-	return slices.DeleteFunc(d.p.Roster(), func(x roster.Target) bool { return d.hidden[x.Address] })
+	list := slices.DeleteFunc(d.p.Roster(), func(x roster.Target) bool { return d.hidden[x.Address] })
+	for i, x := range list {
+		if earlier, ok := d.unwritten[x.Address]; ok {
+			list[i] = earlier
+		}
+	}
+	return list
 }
 
 // runWithListing runs the simulation for some seconds and lists the targets after each.
@@ -139,6 +151,9 @@
 	d.log = append(d.log, fmt.Sprintf("%7.3f %s %v", d.now.Sub(time.Unix(1000, 0)).Seconds(), message, kv))
 }
 
+// Recorded implements Log.
+func (d *simulation) Recorded(message string, kv ...any) { d.Decided(message, kv...) }
+
 // after schedules an event of the present leader.
 func (d *simulation) after(wait time.Duration, f func()) {
 	d.schedule(event{at: d.now.Add(wait), do: f})
@@ -297,6 +312,8 @@
 		d.after(oneWay, func() { d.answerPoll(c, c.Order, until.Add(oneWay)) })
 	case Advise:
 		d.answerAdvise(c)
+	case JobEnded:
+		d.recordReport(c)
 	case Save:
 		m := d.m
 		d.after(max(saveTime, d.slowSaveTime), func() {
@@ -475,7 +492,7 @@
 func (d *simulation) changeLeader() {
 	d.events = slices.DeleteFunc(d.events, func(e event) bool { return !e.outlivesLeader })
 	d.decisionScheduled, d.unsent = false, [limiter.Probe + 1][]Command{}
-	d.m = New(d.m.Term()+1, d.bounds, WithLog(d))
+	d.m = New(d.m.Term()+1, d.bounds, d.options...)
 	for n := 1; n <= d.nextID; n++ {
 		id := graph.JobID(fmt.Sprintf("%016x", n))
 		var p *progress.Job
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -25,6 +25,7 @@
 	incarnation         int64         // latest start of an incarnation that its entry or a report has shown, as roster.Target.StartedAt
 	endedIn             lossSpan      // when the incarnation before ended
 	lastOutage          lossSpan      // when it last ceased to answer before it did again
+	entry               entryReads    // of its entry in the list
 	listed              bool          // it is in the platform's list
 	evacuated           bool          // its zone is evacuated
 	warmUpEnd           time.Time     // end of its warm-up, during which it is slow
@@ -40,6 +41,7 @@
 	clockMS             int64              // its clock as last reported; 0: not known
 	clockAt             time.Time          // when that was received
 	leaseEnd            time.Time          // when all leases granted there have lapsed
+	earlierLeasesEnd    time.Time          // when all leases of earlier leaders have lapsed, also on a later incarnation; zero: none
 	earlierLeasesLapsed bool               // the leader before has seen that; meaningless once it has reported
 	pollCandidate       bool               // it is in Machine.pollCandidates
 	pollPending         bool               // a poll is outstanding
@@ -129,11 +131,11 @@
 func (t *target) overCapacity() bool { return !t.used.FitsIn(t.Capacity) }
 
 // canHoldWaiting reports whether there will be capacity for the runs that await it, once the
-// stopping runs have ended.
-func (t *target) canHoldWaiting() bool {
+// stopping runs have ended whose end is not overdue.
+func (t *target) canHoldWaiting(now time.Time) bool {
 	need := t.used.Plus(t.waitingCharge)
 	for _, r := range t.runs {
-		if r.phase == stopping {
+		if r.endsSoon(now) {
 			need = need.Minus(r.charge)
 		}
 	}
