--- a/internal/config/catalog/catalog.go
+++ b/internal/config/catalog/catalog.go
@@ -37,6 +37,7 @@
 	RejectsOverload bool // its targets refuse tasks that exceed their capacity
 	Standby         bool // its machines are powered off and not paid for
 	Objective       Objective
+	LearnsSpeeds    bool // its targets may be of several speeds, which are learned; otherwise they are alike
 	Headroom        bool // capacity is kept free for urgent jobs that cannot wait for a preemption
 }
 
@@ -144,6 +145,21 @@
 	return s, ok
 }
 
+// LearnsSpeeds returns the names of the services that learn the speeds of their targets. It may be called
+// on a nil Catalog.
+func (c *Catalog) LearnsSpeeds() map[string]bool {
+	names := map[string]bool{}
+	if c == nil {
+		return names
+	}
+	for name, s := range c.services {
+		if s.LearnsSpeeds {
+			names[name] = true
+		}
+	}
+	return names
+}
+
 // Headroom returns the services on which capacity is kept free for urgent jobs.
 func (c *Catalog) Headroom() map[string]bool {
 	services := map[string]bool{}
--- a/internal/fleet/speed/model.go
+++ b/internal/fleet/speed/model.go
@@ -52,6 +52,9 @@
 	at       time.Time
 	weight   float64 // by the t distribution, about 1; less for outliers
 	baseline float64 // ratio minus the factor of the step as if all targets were alike
+	// predicted is the baseline by the fitted slownesses: that of the target, minus the average over the
+	// targets of the step.
+	predicted float64
 	// shown and precision are the factor of the step that it showed in the last fit, and the weight
 	// that it had there; 0: it was not fitted yet.
 	shown, precision float64
@@ -111,6 +114,9 @@
 	forgotten    bool           // it is kept for the steps of its observations only
 }
 
+// known reports whether anything is known of the target.
+func (t *target) known() bool { return len(t.observations) > 0 || t.summary.precision > 0 }
+
 // belief is a normal distribution of the log of a slowness.
 type belief struct {
 	mean      float64
@@ -233,6 +239,23 @@
 	t.observations = slices.Delete(t.observations, at, at+1)
 }
 
+// targetRetention is how long a target is kept without observations. It may be away for a while, and
+// return as the same incarnation.
+const targetRetention = 24 * time.Hour
+
+// removeTargets removes the targets that are forgotten or were not observed for long.
+func (m *Model) removeTargets(now time.Time) {
+	m.targets = slices.DeleteFunc(m.targets, func(t *target) bool {
+		if len(t.observations) > 0 || !t.forgotten && now.Sub(t.summary.at) <= targetRetention {
+			return false
+		}
+		if m.byTarget[t.name] == t {
+			delete(m.byTarget, t.name)
+		}
+		return true
+	})
+}
+
 // removeOldSteps removes the steps that are too old or too many.
 func (m *Model) removeOldSteps(now time.Time) {
 	limit := max(minObservations, maxPerTarget*len(m.targets))
@@ -248,10 +271,10 @@
 		n++
 	}
 	m.steps = slices.Delete(m.steps, 0, n)
-	m.targets = slices.DeleteFunc(m.targets, func(t *target) bool { return t.forgotten && len(t.observations) == 0 })
 	if n == 0 {
 		return
 	}
+	m.removeTargets(now)
 	for id, at := range m.closed {
 		if now.Sub(at) > closedAge {
 			delete(m.closed, id)
--- a/internal/work/dispatch/entry_age.go
+++ b/internal/work/dispatch/entry_age.go
@@ -20,37 +20,42 @@
 // (entryIsCurrent).
 //
 // In a store that delays all writes, every entry is old. Healthy targets must not be left without work
-// for as long as that lasts: an entry is not stale while the reads of the list show that it was
-// stored within the limit.
+// for as long as that lasts: an entry is not stale while the list is read at its usual interval and
+// shows that it was stored since the read before. Across an outage, reads lie further apart.
 
-// maxMissedHeartbeats is the age in heartbeats above which an entry is stale. The store drops the entry
-// of a silent target after the same time, unless it is away itself.
-const maxMissedHeartbeats = 3
+const (
+	// staleAfter is the age in heartbeats above which an entry is stale. The store drops the entry of a
+	// silent target after three, and the list is used for some time after it was read.
+	staleAfter = 2.5
+	// maxReadGap is how many heartbeats two reads lie apart at most that show when an entry was stored.
+	maxReadGap = 2
+)
 
 // entryReads holds when the list was read that showed a target's entry.
 type entryReads struct {
-	limit  time.Duration // age above which the entry is stale; 0: it never is
-	first  time.Time     // first read that showed the entry
-	latest time.Time     // latest read that showed it
-	before time.Time     // read before the first, which the entry was stored after; zero: none in this term
+	heartbeat time.Duration // interval at which the target writes it; 0: not known, and it is never stale
+	first     time.Time     // first read that showed the entry
+	latest    time.Time     // latest read that showed it
+	before    time.Time     // read before the first, which the entry was stored after; zero: none in this term
 }
 
 // entryRead records that the list showed an entry of the target. The list was read as of a time, and the
 // one before it as of another.
-func (t *target) entryRead(l roster.Target, limit time.Duration, asOf, before time.Time) {
+func (t *target) entryRead(l roster.Target, heartbeat time.Duration, asOf, before time.Time) {
 	if t.entry.first.IsZero() || l.ClockMS != t.ClockMS || l.StartedAt != t.Target.StartedAt {
 		t.entry.first, t.entry.before = asOf, before
 	}
-	t.entry.latest, t.entry.limit = asOf, limit
+	t.entry.latest, t.entry.heartbeat = asOf, heartbeat
 }
 
 // entryIsStale reports whether the target's entry is too old for starts.
 func (t *target) entryIsStale() bool {
 	e := t.entry
-	if e.limit == 0 || t.ClockMS <= 0 || e.latest.Sub(e.before) <= e.limit {
+	if e.heartbeat == 0 || t.ClockMS <= 0 || e.latest.Sub(e.before) <= maxReadGap*e.heartbeat {
 		return false
 	}
-	return max(e.latest.Sub(e.first), t.entryAge(e.latest)) > e.limit
+	limit := time.Duration(staleAfter * float64(e.heartbeat))
+	return max(e.latest.Sub(e.first), t.entryAge(e.latest)) > limit
 }
 
 // entryAge returns how old the target's entry is at least at a time, by the target's clock; 0: not known.
--- a/internal/work/dispatch/entry_age_test.go
+++ b/internal/work/dispatch/entry_age_test.go
@@ -15,7 +15,7 @@
 	"guavaglade.example/guavaglade/internal/work/progress"
 )
 
-// boundsWithHeartbeat returns bounds under which an entry is stale when it is older than 4.5 s.
+// boundsWithHeartbeat returns bounds under which an entry is stale when it is older than 3.75 s.
 func boundsWithHeartbeat() Bounds {
 	b := DefaultBounds()
 	b.Heartbeat = 1500 * time.Millisecond
@@ -192,7 +192,7 @@
 		want        bool
 	}{
 		"a new leader's first list, written before the outage":       {1500 * time.Millisecond, []read{{0, clock - 8000, 0}}, clock + 20, 20, 0, true},
-		"a new leader's first list, written lately":                  {1500 * time.Millisecond, []read{{0, clock - 4000, 0}}, clock + 20, 20, 0, false},
+		"a new leader's first list, written lately":                  {1500 * time.Millisecond, []read{{0, clock - 3500, 0}}, clock + 20, 20, 0, false},
 		"written after the read began":                               {1500 * time.Millisecond, []read{{0, clock + 500, 0}}, clock + 600, 600, 0, false},
 		"the clock is not known yet":                                 {1500 * time.Millisecond, []read{{0, clock - 8000, 0}}, 0, 0, 0, false},
 		"an entry without a clock":                                   {1500 * time.Millisecond, []read{{0, 0, 0}, {9000, 0, 0}}, clock, 0, 0, false},
@@ -206,6 +206,7 @@
 		"a store that delays all writes by 20 s, first list":         {1500 * time.Millisecond, []read{{0, clock - 20_000, 0}}, clock, 0, 0, true},
 		"a store that delays all writes by 20 s, second list":        {1500 * time.Millisecond, []read{{0, clock - 20_000, 0}, {1500, clock - 18_500, 0}}, clock, 0, 0, false},
 		"a store that stops taking writes after that":                {1500 * time.Millisecond, []read{{0, clock - 20_000, 0}, {1500, clock - 18_500, 0}, {6100, clock - 18_500, 0}}, clock, 0, 0, true},
+		"stored late across a short outage of the store":             {1500 * time.Millisecond, []read{{0, clock - 500, 0}, {3400, clock - 200, 0}, {3600, clock - 200, 0}}, clock, 0, 0, true},
 		"started again, its clock anew":                              {1500 * time.Millisecond, []read{{0, clock, 1}, {9000, 1200, 2}}, 1300, 9100, 2, false},
 		"started again and not written since before the next outage": {1500 * time.Millisecond, []read{{0, clock, 1}, {1500, 1200, 2}, {9000, 1200, 2}}, 1300, 1600, 2, true},
 	} {
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -56,7 +56,7 @@
 	verdictsDue        bool                       // a task with losses may have become guilty
 	recentLosses       []recentLoss               // targets lost a short time ago
 	lapsed             []lapsedTarget             // targets on which leases have lapsed a short time ago
-	speeds             *speeds                    // long-term speeds of targets; nil: all count as alike
+	speeds             speeds                     // long-term speeds of targets
 	lostWork           LostWork
 	headroom           headroomState
 }
@@ -170,6 +170,7 @@
 	}
 	m.forgetEnded(now)
 	m.fitSpeeds(now)
+	m.saveSpeeds(now)
 	m.checkWithholding(now)
 	m.verdictsDue = len(m.tasksWithLosses) > 0 // an open loss may count by now
 	m.placementDue, m.recheckWaiting = true, true
@@ -237,7 +238,7 @@
 	if t.Rack != l.Rack {
 		m.racks = nil
 	}
-	t.entryRead(l, maxMissedHeartbeats*m.bounds.Heartbeat, asOf, before)
+	t.entryRead(l, m.bounds.Heartbeat, asOf, before)
 	t.Target, t.listed, t.evacuated = l, true, m.evacuated.Has(l.Zone)
 	m.considerPoll(t)
 }
--- a/internal/work/dispatch/speeds_test.go
+++ b/internal/work/dispatch/speeds_test.go
@@ -74,6 +74,10 @@
 		is.True(!x.speed.Slow())
 	}
 	is.Equal(d.logged("target speeds differ"), 1)
+	is.Equal(d.m.Speeds()["s"].Fast, 4)
+	for _, v := range d.m.Fleet(d.now).Targets {
+		is.Equal(v.Slowness > 0 && v.Slowness < 0.6, strings.Contains(v.ID, "-2#") || strings.Contains(v.ID, "-5#"))
+	}
 	d.submitTasks(20 * time.Second)
 	d.run(25 * time.Second)
 	is.Equal(d.logged("it runs slowly"), 0)
@@ -91,7 +95,7 @@
 	for _, x := range d.m.sortedTargets {
 		is.Equal(x.speed.Expected(), 1.0)
 	}
-	is.Equal(d.m.Speeds(), SpeedCounts{})
+	is.Equal(len(d.m.Speeds()), 0)
 }
 
 // A fast target that fails to half the speed of the others is faulty, like any other. Without regard
@@ -164,18 +168,18 @@
 		observe := func() {
 			for i, x := range d.m.sortedTargets {
 				id := graph.TaskID{StepID: graph.StepID{Step: int(d.now.Unix())}, Index: i}
-				d.m.speeds.model.Observe(speed.Observation{Run: order.Run{Task: id, Number: 1}, Target: x.speedName(), Ratio: 1}, d.now)
+				d.m.speeds.byService["s"].model.Observe(speed.Observation{Run: order.Run{Task: id, Number: 1}, Target: x.speedName(), Ratio: 1}, d.now)
 			}
 			d.m.fitSpeeds(d.now)
 		}
 		d.now = d.now.Add(10 * time.Second)
 		observe()
 		if name.ID != "" {
-			is.True(d.m.speeds.model.Of(name).Fast())
+			is.True(d.m.speeds.byService["s"].model.Of(name).Fast())
 			name = speed.Target{}
 		}
 		d.now = d.now.Add(20 * time.Minute)
 		observe()
-		is.Equal(d.m.speeds.model.Targets(), 16)
+		is.Equal(d.m.speeds.byService["s"].model.Targets(), 16)
 	}
 }
