--- a/internal/fleet/speed/spread.go
+++ b/internal/fleet/speed/spread.go
@@ -21,6 +21,9 @@
 	// minSpread is the least standard deviation of log slowness that counts. Less than 7 % does
 	// not matter for any decision.
 	minSpread = 0.07
+	// joinedShare is the share of the known targets with a single observation from which the fitted
+	// spread is not taken as evidence, as after the targets of a service were replaced.
+	joinedShare = 0.25
 	// A spread ceases to be significant if the products are below a quarter of what is expected by
 	// ceaseMargin standard errors, or the fitted spread is far below minSpread.
 	ceaseShare  = 0.25
@@ -43,8 +46,8 @@
 func (s *spread) update(m *Model) {
 	p := m.sumProducts()
 	if s.significant {
-		square, errors := m.slownessSquares()
-		if p.ceased() || square-errors < ceaseShare*minSpread*minSpread {
+		square, errors, joined := m.slownessSquares()
+		if p.ceased() || !joined && square-errors < ceaseShare*minSpread*minSpread {
 			*s = spread{}
 			return
 		}
@@ -114,17 +117,21 @@
 }
 
 // slownessSquares returns the averages of the squares of the slownesses of the known targets, and of
-// their errors.
-func (m *Model) slownessSquares() (square, errors float64) {
-	n := 0.0
+// their errors. joined reports whether many of them have just joined: each of these has an error as large
+// as the spread, so the averages say nothing about it.
+func (m *Model) slownessSquares() (square, errors float64, joined bool) {
+	n, recent := 0.0, 0.0
 	for _, t := range m.targets {
 		if t.known() {
 			square += t.slowness * t.slowness
 			errors += t.variance
 			n++
+			if len(t.observations) == 1 && t.summary.precision == 0 {
+				recent++
+			}
 		}
 	}
-	return square / max(n, 1), errors / max(n, 1)
+	return square / max(n, 1), errors / max(n, 1), recent > joinedShare*n
 }
 
 // clamp returns a residual within maxResidual.
