--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -57,8 +57,8 @@
 	recentLosses       []recentLoss               // targets lost a short time ago
 	lapsed             []lapsedTarget             // targets on which leases have lapsed a short time ago
 	speeds             speeds                     // long-term speeds of targets
-	lostWork           LostWork
-	headroom           headroomState
+	lostWork           LostWork                   // work lost in this term, by cause
+	headroom           headroomState              // what is kept free for urgent work
 }
 
 // Log receives one line for each decision, with alternating keys and values. Its
