work/dispatch, host/dispatcher: lines and metrics of capacity changes and of starts that wait

Logs could not tell a start by a capacity that has shrunk since from one beside runs that nobody knew of: a change of capacity left no line, nor did the age of the entry on which a start relies or its wait in the leader's queue.

No decision changes. TestCapacityChangeIsLogged is new.

--- a/internal/host/dispatcher/dispatcher.go
+++ b/internal/host/dispatcher/dispatcher.go
@@ -330,7 +330,7 @@
 	c := l.machine.Counts()
 	guaranteed, usable := l.machine.Guarantees()
 	for name, n := range map[string]int{
-		"jobs": c.Jobs, "targets": c.Targets, "targets_held": c.Reachable, "runs": c.Runs, "steps_waiting": c.PendingSteps,
+		"jobs": c.Jobs, "targets": c.Targets, "targets_held": c.Reachable, "targets_over_capacity": c.OverCapacity, "runs": c.Runs, "steps_waiting": c.PendingSteps,
 		"zones_evacuated": c.Evacuated, "accelerators_usable": usable, "accelerators_guaranteed": guaranteed,
 		"headroom_accelerators": l.machine.HeadroomAccelerators(l.clock()),
 	} {
--- a/internal/host/dispatcher/execute.go
+++ b/internal/host/dispatcher/execute.go
@@ -11,6 +11,7 @@
 	"guavaglade.example/guavaglade/internal/fleet/limiter"
 	"guavaglade.example/guavaglade/internal/fleet/order"
 	"guavaglade.example/guavaglade/internal/platform/store"
+	"guavaglade.example/guavaglade/internal/report/metrics"
 	"guavaglade.example/guavaglade/internal/work/dispatch"
 	"guavaglade.example/guavaglade/internal/work/graph"
 )
@@ -80,6 +81,7 @@
 			l.metrics.Counter("starts_withheld").Inc(1)
 			return 0, fmt.Errorf("start on %s in zone %s: %w", c.Target.ID, c.Zone, order.ErrWithheld)
 		}
+		l.recordStartWait(c)
 		return l.transport.Start(ctx, c.Target, c.OrderAt(l.clock()))
 	})
 	if w.ctx.Err() != nil && l.ctx.Err() == nil {
@@ -88,6 +90,19 @@
 	l.post(func(now time.Time) { l.machine.StartAnswered(c, clock, err, now) })
 }
 
+// longStartWait is how long a start waits at least to be logged when it is sent. What was known of its target
+// when it was decided may have changed meanwhile.
+const longStartWait = time.Second
+
+// recordStartWait records how long a start that is sent now has waited since it was decided.
+func (l *leadership) recordStartWait(c dispatch.Start) {
+	waited := l.clock().Sub(c.DecidedAt)
+	l.metrics.Histogram("start_wait_seconds", metrics.LatencyBuckets).RecordDuration(waited)
+	if waited >= longStartWait {
+		l.log.Info("start waited", "target", c.Target.ID, "task", c.Order.Run.Task.String(), "run", c.Order.Run.Number, "waitedMS", waited.Milliseconds(), "class", int(c.Class))
+	}
+}
+
 func (l *leadership) stop(c dispatch.Stop) {
 	clock, err := l.send(l.ctx, c.Class, 0, func(ctx context.Context) (int64, error) {
 		return l.transport.Stop(ctx, c.Target, c.Run, l.term.Number())
--- a/internal/work/dispatch/capacity_test.go
+++ b/internal/work/dispatch/capacity_test.go
@@ -121,3 +121,20 @@
 	d.runWithListing(60)
 	d.check()
 }
+
+// A target's capacity shrinks below what runs there need. Without a line, operators could not tell a start by
+// the capacity of before from one beside runs that nobody knew of.
+func TestCapacityChangeIsLogged(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 1, DefaultBounds())
+	d.submit(2, 3*time.Second, small(8))
+	d.run(time.Second)
+	d.p.SetCapacity("r0-0#1", halfCapacity, d.now)
+	d.listTargets()
+	is.Equal(d.logged("target capacity changed [target r0-0#1 before 64000/262144/8 now 32000/131072/4 inUse 44800/232000/8 runs 8"), 1)
+	is.Equal(d.m.Counts().OverCapacity, 1)
+	d.runWithListing(10)
+	is.Equal(d.logged("target capacity changed"), 1)
+	is.Equal(d.m.Counts().OverCapacity, 0)
+	d.check()
+}
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -238,6 +238,9 @@
 	if t.Rack != l.Rack {
 		m.racks = nil
 	}
+	if l.Capacity != t.Capacity && l.StartedAt == t.Target.StartedAt {
+		m.log.Decided("target capacity changed", "target", t.ID, "before", formatResources(t.Capacity), "now", formatResources(l.Capacity), "inUse", formatResources(t.used), "runs", len(t.runs), "ordersPending", t.ordersPending(), "entryAgeMS", t.entryAge(now).Milliseconds())
+	}
 	t.entryRead(l, m.bounds.Heartbeat, asOf, before)
 	t.Target, t.listed, t.evacuated = l, true, m.evacuated.Has(l.Zone)
 	m.considerPoll(t)
--- a/internal/work/dispatch/query.go
+++ b/internal/work/dispatch/query.go
@@ -170,6 +170,7 @@
 // Counts are the sizes of a machine's collections.
 type Counts struct {
 	Jobs, Targets, Reachable, Runs, PendingSteps, Evacuated int
+	OverCapacity                                            int // targets whose capacity has shrunk below what runs there need
 }
 
 // Counts returns the current sizes of the machine's collections.
@@ -179,6 +180,9 @@
 		if t.reach == reachable {
 			c.Reachable++
 		}
+		if t.listed && t.overCapacity() {
+			c.OverCapacity++
+		}
 		c.Runs += len(t.runs)
 	}
 	return c
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"time"
 
 	"guavaglade.example/guavaglade/internal/fleet/health"
@@ -130,6 +131,11 @@
 // capacity may have shrunk since they were placed.
 func (t *target) overCapacity() bool { return !t.used.FitsIn(t.Capacity) }
 
+// formatResources returns resources for a log line, as CPU/memory/accelerators.
+func formatResources(r graph.Resources) string {
+	return fmt.Sprintf("%d/%d/%d", r.CPU, r.MemoryMB, r.Accelerators)
+}
+
 // canHoldWaiting reports whether there will be capacity for the runs that await it, once the
 // stopping runs have ended whose end is not overdue.
 func (t *target) canHoldWaiting(now time.Time) bool {
