work/dispatch: the age of an entry is judged when a start is decided

Callers saw starts over the capacity of targets that had shrunk. An entry was judged when the list was read: one of up to 3.75 s, or one that a regular read showed to be new, then counted for as long as the list was used, 2.8 s more in deployments of that size.

An entry now has an expiry, three heartbeats after it was written, as the store itself drops the entry of a silent target then, and starts are decided, sent and repeated before that only. It was written after the read before the first that showed it, and its clock tells when in between. The limit at the read stays.

In TestStaleEntry and TestNewTargetsInEvacuatedZoneGetNoWork only the time is passed on, that of the last read.

--- a/internal/work/dispatch/entry_age.go
+++ b/internal/work/dispatch/entry_age.go
@@ -19,6 +19,9 @@
 // latter gets no starts anyway. An entry of an earlier incarnation, with another clock, is not compared
 // (entryIsCurrent).
 //
+// An entry that is recent when it is read ages in the list: starts may rely on it until entryExpiry, which
+// is judged when a start is decided, so that the ages of entry and list do not add up.
+//
 // In a store that delays all writes, every entry is old. Healthy targets must not be left without work
 // for as long as that lasts: an entry is not stale while the list is read at its usual interval and
 // shows that it was stored since the read before. Across an outage, reads lie further apart.
@@ -27,6 +30,9 @@
 	// staleAfter is the age in heartbeats above which an entry is stale. The store drops the entry of a
 	// silent target after three, and the list is used for some time after it was read.
 	staleAfter = 2.5
+	// maxEntryAge is the age in heartbeats up to which starts may rely on an entry. The store drops the
+	// entry of a silent target then.
+	maxEntryAge = 3
 	// maxReadGap is how many heartbeats two reads lie apart at most that show when an entry was stored.
 	maxReadGap = 2
 )
@@ -70,6 +76,26 @@
 	return max(time.Duration(shown-t.ClockMS)*time.Millisecond, 0)
 }
 
+// entryExpiry returns when the target's entry is too old for starts; zero: never. An entry is not older than
+// the read before the first that showed it, and not newer than that one. In between its clock tells.
+func (t *target) entryExpiry() time.Time {
+	e := t.entry
+	if e.heartbeat == 0 || t.ClockMS <= 0 {
+		return time.Time{}
+	}
+	written := e.latest.Add(-t.entryAge(e.latest))
+	if written.After(e.first) {
+		written = e.first
+	}
+	return later(written, e.before).Add(maxEntryAge * e.heartbeat)
+}
+
+// entryExpired reports whether the target's entry is too old for starts by now.
+func (t *target) entryExpired(now time.Time) bool {
+	expiry := t.entryExpiry()
+	return !expiry.IsZero() && !now.Before(expiry)
+}
+
 // countStale counts the listed targets whose entries are stale, and logs the number if it has changed.
 func (m *Machine) countStale() {
 	stale, listed := 0, 0
--- a/internal/work/dispatch/entry_age_test.go
+++ b/internal/work/dispatch/entry_age_test.go
@@ -222,7 +222,7 @@
 				m.Polled("t", Poll{}, order.Report{Clock: c.clock, StartedAt: c.incarnation}, at(c.clockAt))
 			}
 			is.Equal(m.targets["t"].entryIsStale(), c.want)
-			is.Equal(m.targets["t"].acceptsStarts(), !c.want)
+			is.Equal(m.targets["t"].acceptsStarts(at(c.reads[len(c.reads)-1].asOf)), !c.want)
 		})
 	}
 }
--- a/internal/work/dispatch/evacuation.go
+++ b/internal/work/dispatch/evacuation.go
@@ -85,7 +85,9 @@
 
 // acceptsStarts reports whether starts may be sent to the target: it is in service, and its entry
 // is recent, so that its capacity is known.
-func (t *target) acceptsStarts() bool { return t.inService() && !t.entryIsStale() }
+func (t *target) acceptsStarts(now time.Time) bool {
+	return t.inService() && !t.entryIsStale() && !t.entryExpired(now)
+}
 
 // inService reports whether the target is listed and not draining, and its zone is not evacuated.
 func (t *target) inService() bool {
--- a/internal/work/dispatch/evacuation_test.go
+++ b/internal/work/dispatch/evacuation_test.go
@@ -171,8 +171,8 @@
 	now := time.Unix(1000, 0)
 	m.SetEvacuated(evacuation.Status{AsOf: now}.With("z0"), now)
 	m.UpdateTargets([]roster.Target{{ID: "a", Zone: "z0"}, {ID: "b", Zone: "z1"}}, now, now)
-	is.True(!m.targets["a"].acceptsStarts())
-	is.True(m.targets["b"].acceptsStarts())
+	is.True(!m.targets["a"].acceptsStarts(now))
+	is.True(m.targets["b"].acceptsStarts(now))
 	is.Equal(m.targets["a"].viewState(now), "unheld")
 }
 
--- a/internal/work/dispatch/gang.go
+++ b/internal/work/dispatch/gang.go
@@ -263,7 +263,7 @@
 	if m.guaranteeDue(s, now) || nowMS > s.latestStartForValue() {
 		return true
 	}
-	return now.Sub(s.waitingSince) >= min(s.spec.Estimate, maxIdleWait) && m.mostlyIdle(s.job.spec.Service)
+	return now.Sub(s.waitingSince) >= min(s.spec.Estimate, maxIdleWait) && m.mostlyIdle(s.job.spec.Service, now)
 }
 
 // maxIdleWait bounds how long a gang waits for a faster set while most capacity is free: what
@@ -272,13 +272,13 @@
 
 // mostlyIdle reports whether under half of each resource of a service's targets that may get work is
 // in use in this pass.
-func (m *Machine) mostlyIdle(service string) bool {
+func (m *Machine) mostlyIdle(service string, now time.Time) bool {
 	if idle, ok := m.pass.idle[service]; ok {
 		return idle
 	}
 	var used, usable graph.Resources
 	for _, t := range m.sortedTargets {
-		if t.Service == service && t.acceptsStarts() {
+		if t.Service == service && t.acceptsStarts(now) {
 			used = used.Plus(t.used).Plus(t.waitingCharge)
 			usable = usable.Plus(t.Capacity)
 		}
--- a/internal/work/dispatch/headroom.go
+++ b/internal/work/dispatch/headroom.go
@@ -85,7 +85,7 @@
 	}
 	usable := 0
 	for _, t := range m.sortedTargets {
-		if t.Service == service && t.acceptsStarts() {
+		if t.Service == service && t.acceptsStarts(now) {
 			usable += t.Capacity.Accelerators
 		}
 	}
@@ -135,7 +135,7 @@
 // gathers there.
 func (m *Machine) keepFree(service string, now time.Time) keptFree {
 	want := m.expectedUrgent(service, now)
-	if want.Accelerators == 0 || m.mostlyIdle(service) {
+	if want.Accelerators == 0 || m.mostlyIdle(service, now) {
 		return nil
 	}
 	m.targetsConsidered += len(m.sortedTargets)
--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -57,8 +57,8 @@
 			continue // not live: its gang was stopped in this loop
 		}
 		switch {
-		case !r.target.acceptsStarts() || !r.target.responsive() || r.target.clockMS == 0 || r.target.overCapacity() || !m.stateIsCurrent(now):
-			m.log.Decided("run given up before it was sent", "target", r.target.ID, "task", r.Task, "run", r.Number, "listed", r.target.listed, "drains", r.target.Draining, "evacuated", r.target.evacuated, "inTouch", r.target.responsive(), "clockMS", r.target.clockMS, "overCapacity", r.target.overCapacity(), "staleEntry", r.target.entryIsStale(), "listAgeMS", now.Sub(m.listAsOf).Milliseconds(), "zonesAgeMS", now.Sub(m.evacuated.AsOf).Milliseconds())
+		case !r.target.acceptsStarts(now) || !r.target.responsive() || r.target.clockMS == 0 || r.target.overCapacity() || !m.stateIsCurrent(now):
+			m.log.Decided("run given up before it was sent", "target", r.target.ID, "task", r.Task, "run", r.Number, "listed", r.target.listed, "drains", r.target.Draining, "evacuated", r.target.evacuated, "inTouch", r.target.responsive(), "clockMS", r.target.clockMS, "overCapacity", r.target.overCapacity(), "staleEntry", r.target.entryIsStale(), "entryExpired", r.target.entryExpired(now), "listAgeMS", now.Sub(m.listAsOf).Milliseconds(), "zonesAgeMS", now.Sub(m.evacuated.AsOf).Milliseconds())
 			m.stop(r, stopFor(stopNoStarts), now)
 			m.stopGang(r, stopFor(stopMemberNoStarts), now)
 		case r.sentTo != r.target.incarnation: // which may have other labels
@@ -363,7 +363,7 @@
 	switch {
 	case r.phase == stopping && r.orderAnsweredAt.IsZero():
 		m.sendStop(r, now)
-	case r.phase == starting && r.startsSent < maxStartsSent && r.target.acceptsStarts() && !r.target.overCapacity():
+	case r.phase == starting && r.startsSent < maxStartsSent && r.target.acceptsStarts(now) && !r.target.overCapacity():
 		if r.target.clockMS != 0 {
 			m.sendStart(r, now)
 		}
--- a/internal/work/dispatch/query.go
+++ b/internal/work/dispatch/query.go
@@ -159,7 +159,7 @@
 		return "draining"
 	case t.evacuated:
 		return "evacuated"
-	case t.entryIsStale():
+	case t.entryIsStale() || t.entryExpired(now):
 		return "stale"
 	case t.health.Quarantined(now) || t.health.Suspect(now):
 		return "doubted"
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -112,7 +112,7 @@
 
 // acceptsWork reports whether new work may be given to the target.
 func (t *target) acceptsWork(now time.Time) bool {
-	return t.reach == reachable && t.responsive() && t.clockMS != 0 && t.acceptsStarts() && !now.Before(t.suspendedUntil) && !t.health.Quarantined(now)
+	return t.reach == reachable && t.responsive() && t.clockMS != 0 && t.acceptsStarts(now) && !now.Before(t.suspendedUntil) && !t.health.Quarantined(now)
 }
 
 // removable reports whether the target can be removed: it has left the list, nothing
