work/dispatch, host/dispatcher: a start expires with the entry that it relies on

Callers saw starts over the capacity of targets that had shrunk.

A start carries the expiry of its target's entry. The host does not send it from then on, and its deadline is no later, so that the target refuses it if it is executed late. Starts are decided up to 0.5 s before the expiry only: a run whose lease ends before the poll that renews it would lapse.

TestExpiredStartIsNotSent is new: without the check in the host the second case is sent.

--- a/internal/fleet/order/order.go
+++ b/internal/fleet/order/order.go
@@ -20,7 +20,7 @@
 	ErrUnhealthy        = errors.New("the target accepts no work now")
 	ErrOtherIncarnation = errors.New("another incarnation runs at the address")
 	ErrUnreached        = errors.New("the target was not reached")
-	ErrWithheld         = errors.New("not sent: the target's zone is evacuated, or may be")
+	ErrWithheld         = errors.New("not sent: the target may not accept starts any more")
 	ErrUnanswered       = errors.New("no answer; the order may have been executed")
 )
 
--- a/internal/host/dispatcher/execute.go
+++ b/internal/host/dispatcher/execute.go
@@ -69,14 +69,18 @@
 	return !status.Has(zone) && (l.bounds.MaxEvacuationAge == 0 || age <= l.bounds.MaxEvacuationAge)
 }
 
-// start sends a start, unless by the time that the limiter admits it its run was stopped, its zone
-// is evacuated or the evacuation status too old.
+// start sends a start, unless by the time that the limiter admits it its run was stopped, its target's entry
+// or the evacuation status is too old, or its zone is evacuated.
 func (l *leadership) start(c dispatch.Start, w *waitingStart) {
 	defer w.end()
 	clock, err := l.send(w.ctx, c.Class, 0, func(ctx context.Context) (int64, error) {
 		if !w.take() {
 			return 0, errWithdrawn
 		}
+		if c.Expired(l.clock()) {
+			l.metrics.Counter("starts_withheld").Inc(1)
+			return 0, fmt.Errorf("start on %s, decided %d ms ago: %w", c.Target.ID, l.clock().Sub(c.DecidedAt).Milliseconds(), order.ErrWithheld)
+		}
 		if !l.mayStartIn(c.Zone) {
 			l.metrics.Counter("starts_withheld").Inc(1)
 			return 0, fmt.Errorf("start on %s in zone %s: %w", c.Target.ID, c.Zone, order.ErrWithheld)
--- a/internal/host/dispatcher/waiting_test.go
+++ b/internal/host/dispatcher/waiting_test.go
@@ -57,3 +57,20 @@
 		list = append(list, f)
 	}
 }
+
+// A start waits for its turn until the entry by which it was decided is too old. Guards against one that is
+// sent by a capacity that its target may not have any more.
+func TestExpiredStartIsNotSent(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	for _, c := range []struct {
+		expiry time.Time
+		starts int
+	}{{now.Add(time.Millisecond), 1}, {now, 0}, {time.Time{}, 1}} {
+		counter := &orderCounter{}
+		l := newLeadership(rows.New(0), counter, now, now)
+		l.startNow(dispatch.Start{Expiry: c.expiry})
+		is.Equal(counter.starts, c.starts)
+		is.Equal(len(l.events), 1)
+	}
+}
--- a/internal/work/dispatch/command.go
+++ b/internal/work/dispatch/command.go
@@ -27,8 +27,13 @@
 	// LatestDeadline is the deadline that it may have at most, however long it queues, in
 	// milliseconds on the target's clock.
 	LatestDeadline int64
+	// Expiry is when it is too late to send it, since what it relies on is too old; zero: never.
+	Expiry time.Time
 }
 
+// Expired reports whether the start must not be sent any more.
+func (s Start) Expired(now time.Time) bool { return !s.Expiry.IsZero() && !now.Before(s.Expiry) }
+
 // OrderAt returns the order with its deadline if it is sent at a time.
 func (s Start) OrderAt(sent time.Time) order.Start {
 	o := s.Order
--- a/internal/work/dispatch/entry_age.go
+++ b/internal/work/dispatch/entry_age.go
@@ -33,6 +33,9 @@
 	// maxEntryAge is the age in heartbeats up to which starts may rely on an entry. The store drops the
 	// entry of a silent target then.
 	maxEntryAge = 3
+	// minEntryTime is the shortest time until an entry's expiry that starts are decided in. The deadline of a
+	// start is no later, and the poll that renews its lease must have arrived by then.
+	minEntryTime = 500 * time.Millisecond
 	// maxReadGap is how many heartbeats two reads lie apart at most that show when an entry was stored.
 	maxReadGap = 2
 )
@@ -90,10 +93,10 @@
 	return later(written, e.before).Add(maxEntryAge * e.heartbeat)
 }
 
-// entryExpired reports whether the target's entry is too old for starts by now.
+// entryExpired reports whether the target's entry is too old for starts by now, or is about to be.
 func (t *target) entryExpired(now time.Time) bool {
 	expiry := t.entryExpiry()
-	return !expiry.IsZero() && !now.Before(expiry)
+	return !expiry.IsZero() && expiry.Sub(now) < minEntryTime
 }
 
 // countStale counts the listed targets whose entries are stale, and logs the number if it has changed.
--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -97,11 +97,15 @@
 	r.sentAt, r.orderPending, r.sentTo = now, true, t.incarnation
 	m.considerPoll(t)
 	latest, _ := m.grantLease(t, now)
+	expiry := t.entryExpiry()
+	if !expiry.IsZero() { // the target refuses it from then on, if it executes it late
+		latest = min(latest, t.estimatedClock(now)+expiry.Sub(now).Milliseconds())
+	}
 	r.startsExpireAt = now.Add(longestLease(m.bounds.Lease))
 	m.commands = append(m.commands, Start{Target: t.address(), Zone: t.Zone, Order: order.Start{
 		Run: r.Run, Spec: r.task.step.job.spec.Spec, Deadline: min(latest, t.estimatedClock(now)+startValidity.Milliseconds()),
 		Term: m.term, Checkpoint: r.resumedFrom, Ticket: r.ticket,
-	}, Class: t.class(m.startClass(r.task.step, now)), Incarnation: t.incarnation, DecidedAt: now, LatestDeadline: latest})
+	}, Class: t.class(m.startClass(r.task.step, now)), Incarnation: t.incarnation, DecidedAt: now, LatestDeadline: latest, Expiry: expiry})
 	kv := []any{"target", t.ID, "task", r.Task, "run", r.Number, "try", r.startsSent, "checkpoint", r.resumedFrom}
 	if slowness := t.viewSlowness(); slowness != 0 {
 		kv = append(kv, "slowness", slowness)
--- a/internal/work/dispatch/simulation_test.go
+++ b/internal/work/dispatch/simulation_test.go
@@ -267,6 +267,10 @@
 // execute executes an order or save, whose outcome reaches the machine after the simulated
 // delays. It ignores other commands.
 func (d *simulation) execute(c Command) {
+	if s, ok := c.(Start); ok && s.Expired(d.now) {
+		d.refuseOrder(c, order.ErrWithheld)
+		return
+	}
 	if s, ok := c.(Start); ok && d.startsQueued {
 		s.Order.Deadline = s.LatestDeadline
 		c = s
