work/dispatch, host/dispatcher: starts that wait are withdrawn when their target changes

Callers saw starts over the capacity of targets that had shrunk. A start that is recorded and not sent is given up if its target shrinks, drains, leaves or starts again; once it was handed to the host's queue, only a stop of its run withdrew it.

With each list, and when a new incarnation shows, the machine takes back the starts that may still wait for a target that accepts none any more, has less capacity now or has started again. The host drops them if they wait; they count as refused and their tasks are placed anew. What was sent is left as before.

TestWithdrawnStartIsNotSent fails if the host ignores the command.

--- a/internal/host/dispatcher/execute.go
+++ b/internal/host/dispatcher/execute.go
@@ -29,6 +29,8 @@
 	case dispatch.Stop:
 		l.starts.withdraw(c.Target.ID, c.Run)
 		l.spawnDetached(func() { l.stop(c) })
+	case dispatch.Withdraw:
+		l.starts.withdraw(c.Target, c.Run)
 	case dispatch.Poll:
 		l.spawnDetached(func() { l.poll(c) })
 	case dispatch.Save:
--- a/internal/host/dispatcher/waiting.go
+++ b/internal/host/dispatcher/waiting.go
@@ -9,13 +9,13 @@
 	"guavaglade.example/guavaglade/internal/work/dispatch"
 )
 
-// errWithdrawn is returned for a start that was not sent, since its run was stopped while it
-// waited for its turn.
-var errWithdrawn = fmt.Errorf("its run was stopped before it was sent: %w", order.ErrWithheld)
+// errWithdrawn is returned for a start that was not sent, since it was withdrawn or its run was stopped
+// while it waited for its turn.
+var errWithdrawn = fmt.Errorf("withdrawn while it waited: %w", order.ErrWithheld)
 
 // waitingStarts holds the starts that wait to be sent. A stop withdraws the start of its run: sent
-// after the stop, it could still be executed long after the stop was decided. The zero value is
-// empty. It is safe for concurrent use.
+// after the stop, it could still be executed long after the stop was decided. So does a change of its
+// target by which it would not be decided now. The zero value is empty. It is safe for concurrent use.
 type waitingStarts struct {
 	mu    sync.Mutex
 	byRun map[startKey]*waitingStart
--- a/internal/host/dispatcher/waiting_test.go
+++ b/internal/host/dispatcher/waiting_test.go
@@ -44,6 +44,31 @@
 	})
 }
 
+// A start waits for its turn while its target changes so that it would not be decided now. Guards against one
+// that is sent nevertheless, and against a machine that waits for its answer.
+func TestWithdrawnStartIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		now := time.Unix(1000, 0)
+		counter := &orderCounter{}
+		l := newLeadership(rows.New(0), counter, now, now)
+		inFlight := l.fillLimiter()
+		run := order.Run{Task: graph.StepID{Job: someJob}.Task(0), Number: 1}
+		l.execute(dispatch.Start{Target: order.Address{ID: "t1"}, Order: order.Start{Run: run}, Class: limiter.Start}, now)
+		l.execute(dispatch.Start{Target: order.Address{ID: "t2"}, Order: order.Start{Run: run}, Class: limiter.Start}, now)
+		synctest.Wait()
+		l.execute(dispatch.Withdraw{Target: "t1", Run: run}, now)
+		synctest.Wait()
+		is.Equal(len(l.events), 1) // its outcome is known at once
+		for _, f := range inFlight {
+			f.Done(true)
+		}
+		synctest.Wait()
+		is.Equal(counter.starts, 1) // on the other target
+		is.Equal(len(l.starts.byRun), 0)
+	})
+}
+
 // fillLimiter has the limiter admit orders until the next one would wait, and returns them.
 func (l *leadership) fillLimiter() []*limiter.InFlight {
 	full, cancel := context.WithCancel(context.Background())
--- a/internal/work/dispatch/command.go
+++ b/internal/work/dispatch/command.go
@@ -50,6 +50,13 @@
 	Incarnation int64
 }
 
+// Withdraw takes back the start of a run if it has not been sent yet. Then the answer goes to
+// Machine.StartAnswered, with order.ErrWithheld; otherwise there is none.
+type Withdraw struct {
+	Target string // its id
+	Run    order.Run
+}
+
 // Poll requests a report from a target. The answer goes to Machine.Polled or
 // Machine.PollFailed. A target has at most one poll and one extra poll outstanding.
 type Poll struct {
@@ -123,6 +130,7 @@
 
 func (Start) command()      {}
 func (Stop) command()       {}
+func (Withdraw) command()   {}
 func (Poll) command()       {}
 func (Save) command()       {}
 func (Forget) command()     {}
--- a/internal/work/dispatch/incarnation.go
+++ b/internal/work/dispatch/incarnation.go
@@ -89,6 +89,7 @@
 		m.sendExtraPoll(t, 0, now) // the earlier incarnation does not answer the outstanding one
 	}
 	m.considerPoll(t)
+	m.withdrawStarts(t, now)
 	m.placementDue = true
 }
 
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -192,6 +192,9 @@
 			m.log.Decided("target left the list", "target", t.ID, "runs", len(t.runs))
 		}
 	}
+	for _, t := range m.sortedTargets {
+		m.withdrawStarts(t, now)
+	}
 	m.placementDue = true
 	m.countStale()
 	m.checkGuarantees()
--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -277,6 +277,17 @@
 	m.commands = append(m.commands, Stop{Target: r.target.address(), Run: r.Run, Class: r.target.class(limiter.Stop), Incarnation: r.target.incarnation})
 }
 
+// withdrawStarts takes back the starts that may still wait in the host for a target that accepts no starts any
+// more, has less capacity now or has started again. What has been sent is left to the target's next report.
+func (m *Machine) withdrawStarts(t *target, now time.Time) {
+	refuses := !t.acceptsStarts(now) || t.overCapacity()
+	for _, r := range t.runsWhere(func(r *run) bool { return r.phase == starting && r.orderPending }) {
+		if refuses || r.sentTo != t.incarnation {
+			m.commands = append(m.commands, Withdraw{Target: t.ID, Run: r.Run})
+		}
+	}
+}
+
 // startClass returns the limiter class of a step's starts on targets that answer.
 func (m *Machine) startClass(s *step, now time.Time) limiter.Class {
 	if m.guaranteeDue(s, now) {
--- a/internal/work/dispatch/simulation_test.go
+++ b/internal/work/dispatch/simulation_test.go
@@ -258,6 +258,20 @@
 	}
 }
 
+// withdraw removes the start of a run from those that wait in the host.
+func (d *simulation) withdraw(w Withdraw) {
+	for class := range d.unsent {
+		d.unsent[class] = slices.DeleteFunc(d.unsent[class], func(c Command) bool {
+			s, ok := c.(Start)
+			found := ok && s.Target.ID == w.Target && s.Order.Run == w.Run
+			if found {
+				d.after(0, func() { d.m.StartAnswered(s, 0, order.ErrWithheld, d.now) })
+			}
+			return found
+		})
+	}
+}
+
 // Times after which an order without an answer fails.
 const (
 	orderTimeout = 350 * time.Millisecond
@@ -291,6 +305,8 @@
 	}
 	term := d.m.Term()
 	switch c := c.(type) {
+	case Withdraw:
+		d.withdraw(c)
 	case Start:
 		if answerLost {
 			d.after(oneWay, func() { _, _ = d.p.Start(c.Target, c.OrderAt(d.now), d.now) })
