--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -110,7 +110,7 @@
 	if slowness := t.viewSlowness(); slowness != 0 {
 		kv = append(kv, "slowness", slowness)
 	}
-	if age := t.entryAge(now); age > maxReadGap*t.entry.heartbeat {
+	if age := t.entryAge(now); t.entry.heartbeat > 0 && age > maxReadGap*t.entry.heartbeat {
 		kv = append(kv, "entryAgeMS", age.Milliseconds())
 	}
 	m.log.Decided("start run", kv...)
