work/dispatch: a property test of starts on targets that shrink

TestOrdersExecutedLate drew no targets of less capacity and showed the list as the targets were at that moment; no test had entries of any age together with late orders, lost targets and takeovers. TestNoStartExceedsShrunkCapacity draws shrinkings around outages of the store, with targets that write their entries at heartbeats.

--- a/internal/work/dispatch/capacity_test.go
+++ b/internal/work/dispatch/capacity_test.go
@@ -12,8 +12,11 @@
 	"guavaglade.example/guavaglade/internal/work/progress"
 )
 
-// halfCapacity is half of what the targets of a simulation have.
-var halfCapacity = graph.Resources{CPU: 32000, MemoryMB: 131072, Accelerators: 4}
+// Capacities of the targets of a simulation, as they are and halved.
+var (
+	fullCapacity = graph.Resources{CPU: 64000, MemoryMB: 262144, Accelerators: 8}
+	halfCapacity = graph.Resources{CPU: 32000, MemoryMB: 131072, Accelerators: 4}
+)
 
 // Starts wait to be saved while the store is slow, and their target's capacity shrinks in
 // the meantime. They must not be sent any more once that is known.
--- a/internal/work/dispatch/late_orders_test.go
+++ b/internal/work/dispatch/late_orders_test.go
@@ -39,7 +39,7 @@
 	at, until time.Duration // since the start of the script
 	// kind is "late": the target executes a share of its orders late; "disconnected"; "crash":
 	// the next incarnation starts; "drain": it drains, and ends at until; "takeover" of the
-	// leader.
+	// leader; "shrink": it has half its capacity until then; "outage" of the store.
 	kind   string
 	target int // place in the sorted list of addresses, modulo their number; allTargets
 	share  float64
@@ -53,6 +53,7 @@
 	seed           uint64 // of the choice of late orders and their delays
 	racks, perRack int
 	keepIDs        bool
+	heartbeats     bool // targets write their entries at heartbeats; otherwise the list shows them as they are
 	jobs           []scriptedJob
 	faults         []fault
 }
@@ -157,7 +158,11 @@
 func (s script) run(t testing.TB) *simulation {
 	bounds := pool.DefaultBounds()
 	bounds.KeepIDs = s.keepIDs
-	d := newSimulationOf(t, s.racks, s.perRack, DefaultBounds(), bounds)
+	hostBounds := DefaultBounds()
+	if s.heartbeats {
+		hostBounds = boundsWithLongListAge()
+	}
+	d := newSimulationOf(t, s.racks, s.perRack, hostBounds, bounds)
 	began := d.now
 	d.refusesEarlier = true // otherwise a start may begin a second run before anything shows the new incarnation
 	rnd := rand.New(rand.NewPCG(s.seed, 0))
@@ -226,12 +231,27 @@
 			})
 			d.afterAnyLeader(f.until, func() { d.p.Crash(drains, d.now) })
 		case "takeover":
-			d.afterAnyLeader(f.at, d.changeLeader)
+			d.afterAnyLeader(f.at, func() {
+				if !d.storeAway {
+					d.changeLeader()
+				}
+			})
+		case "shrink":
+			d.afterAnyLeader(f.at, func() { d.resize(address, halfCapacity) })
+			d.afterAnyLeader(f.until, func() { d.resize(address, fullCapacity) })
+		case "outage":
+			d.afterAnyLeader(f.at, func() { d.storeAway = true })
+			d.afterAnyLeader(f.until, func() { d.storeAway = false })
 		}
 	}
+	if s.heartbeats {
+		d.writeEntries(hostBounds.Heartbeat)
+	}
 	for d.now.Before(began.Add(end+time.Minute)) && (d.now.Before(began.Add(end+maxLateBy)) || !d.allEnded() || len(d.submittedAt) < len(s.jobs)) {
 		d.run(time.Second)
-		d.listTargets()
+		if !s.heartbeats {
+			d.listTargets()
+		}
 	}
 	return d
 }
