work/dispatch: a test of starts on idle targets whose clocks are not known well

An allowance for the error of an idle target's estimated clock was tried in the expiry of entries and left out: the deadline of a start is on the target's own clock, and the target refuses a start whose entry is older than it seems. The test passes with and without it.

--- a/internal/work/dispatch/capacity_age_test.go
+++ b/internal/work/dispatch/capacity_age_test.go
@@ -171,3 +171,24 @@
 		d.unsent[class] = nil
 	}
 }
+
+// A target was idle for a minute, so its clock may show 1.2 s more than is estimated, and shrinks just after it
+// has written its entry, before an outage of the store. Guards against a start by an entry that seems younger
+// than it is: the deadline is on the target's own clock, so that the target refuses it.
+func TestStartOnIdleTargetIsRefusedOnceItsEntryIsOld(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 2, boundsWithLongListAge())
+	d.runWithListing(60)
+	d.run(100 * time.Millisecond)
+	d.holdEntries("r0-0")
+	d.p.SetCapacity("r0-0#1", halfCapacity, d.now)
+	d.run(3600 * time.Millisecond)
+	d.listTargets()
+	d.run(1200 * time.Millisecond)
+	id := d.submit(2, 3*time.Second, small(16))
+	d.run(100 * time.Millisecond)
+	d.unwritten = nil
+	d.runWithListing(20)
+	d.check()
+	is.Equal(d.state(id), progress.Completed)
+}
