--- a/internal/work/dispatch/capacity_age_test.go
+++ b/internal/work/dispatch/capacity_age_test.go
@@ -21,6 +21,15 @@
 	return b
 }
 
+// shrinkAfterEntry halves the capacity of target r0-0 just after it has written its entry, which the list shows
+// until it is deleted from unwritten.
+func (d *simulation) shrinkAfterEntry() {
+	d.listTargets()
+	d.run(100 * time.Millisecond)
+	d.holdEntries("r0-0")
+	d.p.SetCapacity("r0-0#1", halfCapacity, d.now)
+}
+
 // A target's capacity shrinks just after it has written its entry, and the store is away for three
 // seconds. Guards against a start by that entry 4.8 s after the shrinking: neither the entry nor the list
 // that holds it was too old by itself.
@@ -29,10 +38,7 @@
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			d := newSimulation(t, 1, 2, boundsWithLongListAge())
-			d.listTargets()
-			d.run(100 * time.Millisecond)
-			d.holdEntries("r0-0")
-			d.p.SetCapacity("r0-0#1", halfCapacity, d.now)
+			d.shrinkAfterEntry()
 			d.run(3600 * time.Millisecond)
 			if takeover {
 				d.changeLeader()
@@ -56,10 +62,7 @@
 func TestNoStartReliesOnRecentEntryInOldList(t *testing.T) {
 	is := is.New(t)
 	d := newSimulation(t, 1, 2, boundsWithLongListAge())
-	d.listTargets()
-	d.run(100 * time.Millisecond)
-	d.holdEntries("r0-0")
-	d.p.SetCapacity("r0-0#1", halfCapacity, d.now)
+	d.shrinkAfterEntry()
 	d.run(2 * time.Second)
 	d.listTargets()
 	d.run(2700 * time.Millisecond)
@@ -77,10 +80,7 @@
 func TestLateStartIsRefusedOnceItsEntryIsOld(t *testing.T) {
 	is := is.New(t)
 	d := newSimulation(t, 1, 1, boundsWithLongListAge())
-	d.listTargets()
-	d.run(100 * time.Millisecond)
-	d.holdEntries("r0-0")
-	d.p.SetCapacity("r0-0#1", halfCapacity, d.now)
+	d.shrinkAfterEntry()
 	d.run(1400 * time.Millisecond)
 	d.listTargets()
 	d.run(1300 * time.Millisecond)
@@ -179,9 +179,7 @@
 	is := is.New(t)
 	d := newSimulation(t, 1, 2, boundsWithLongListAge())
 	d.runWithListing(60)
-	d.run(100 * time.Millisecond)
-	d.holdEntries("r0-0")
-	d.p.SetCapacity("r0-0#1", halfCapacity, d.now)
+	d.shrinkAfterEntry()
 	d.run(3600 * time.Millisecond)
 	d.listTargets()
 	d.run(1200 * time.Millisecond)
--- a/internal/work/dispatch/entry_age.go
+++ b/internal/work/dispatch/entry_age.go
@@ -33,9 +33,9 @@
 	// maxEntryAge is the age in heartbeats up to which starts may rely on an entry. The store drops the
 	// entry of a silent target then.
 	maxEntryAge = 3
-	// minEntryTime is the shortest time until an entry's expiry that starts are decided in. The deadline of a
-	// start is no later, and the poll that renews its lease must have arrived by then.
-	minEntryTime = 500 * time.Millisecond
+	// minStartValidity is how long before an entry's expiry starts are decided at the latest. Their deadline is
+	// no later than that, and the poll that renews the lease must have arrived by then.
+	minStartValidity = 500 * time.Millisecond
 	// maxReadGap is how many heartbeats two reads lie apart at most that show when an entry was stored.
 	maxReadGap = 2
 )
@@ -96,7 +96,7 @@
 // entryExpired reports whether the target's entry is too old for starts by now, or is about to be.
 func (t *target) entryExpired(now time.Time) bool {
 	expiry := t.entryExpiry()
-	return !expiry.IsZero() && expiry.Sub(now) < minEntryTime
+	return !expiry.IsZero() && expiry.Sub(now) < minStartValidity
 }
 
 // countStale counts the listed targets whose entries are stale, and logs the number if it has changed.
--- a/internal/work/dispatch/query.go
+++ b/internal/work/dispatch/query.go
@@ -170,7 +170,8 @@
 // Counts are the sizes of a machine's collections.
 type Counts struct {
 	Jobs, Targets, Reachable, Runs, PendingSteps, Evacuated int
-	OverCapacity                                            int // targets whose capacity has shrunk below what runs there need
+	// OverCapacity is the number of listed targets whose capacity is less than what runs there need.
+	OverCapacity int
 }
 
 // Counts returns the current sizes of the machine's collections.
