--- a/internal/work/dispatch/capacity_age_test.go
+++ b/internal/work/dispatch/capacity_age_test.go
@@ -48,6 +48,7 @@
 			d.run(1200 * time.Millisecond)
 			id := d.submit(2, 3*time.Second, small(16))
 			d.run(100 * time.Millisecond)
+			is.Equal(d.logged("start run [target r0-0#1"), 0)
 			is.Equal(d.p.StartsOn("r0-1#1"), 8)
 			d.unwritten = nil
 			d.runWithListing(20)
@@ -57,21 +58,27 @@
 	}
 }
 
-// The list is read at its usual interval and then not for a while. Guards against a start by an entry
-// that a read has shown to be recent, when that read is 2.8 s old.
+// The list is read at its usual interval and then not for a while. Guards against a start by an entry that
+// a read has shown to be recent, when that read is 2.8 s old, and against one whose lease would end before
+// the poll that renews it.
 func TestNoStartReliesOnRecentEntryInOldList(t *testing.T) {
-	is := is.New(t)
-	d := newSimulation(t, 1, 2, boundsWithLongListAge())
-	d.shrinkAfterEntry()
-	d.run(2 * time.Second)
-	d.listTargets()
-	d.run(2700 * time.Millisecond)
-	id := d.submit(2, 3*time.Second, small(16))
-	d.run(50 * time.Millisecond)
-	d.unwritten = nil
-	d.runWithListing(20)
-	d.check()
-	is.Equal(d.state(id), progress.Completed)
+	for name, listAge := range map[string]time.Duration{"too old": 2700 * time.Millisecond, "about to be": 2200 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newSimulation(t, 1, 2, boundsWithLongListAge())
+			d.shrinkAfterEntry()
+			d.run(2 * time.Second)
+			d.listTargets()
+			d.run(listAge)
+			id := d.submit(2, 3*time.Second, small(16))
+			d.run(50 * time.Millisecond)
+			is.Equal(d.logged("start run [target r0-0#1"), 0)
+			d.unwritten = nil
+			d.runWithListing(20)
+			d.check()
+			is.Equal(d.state(id), progress.Completed)
+		})
+	}
 }
 
 // A target executes starts 2.5 s late and stops later still, and its capacity shrinks just after it has
@@ -145,21 +152,29 @@
 	is.Equal(d.state(id), progress.Completed)
 }
 
-// Starts wait in the leader's queue while the list shows that their target has started again under its id,
-// with less capacity. Guards against starts by the capacity of the earlier incarnation.
+// Starts wait in the leader's queue while the list, or a report, shows that their target has started again under
+// its id, with less capacity. Guards against starts by the capacity of the earlier incarnation.
 func TestQueuedStartsAreNotSentToNextIncarnation(t *testing.T) {
-	is := is.New(t)
-	d := newSimulation(t, 1, 1, DefaultBounds())
-	id := d.startsInQueue()
-	d.p.Restart("r0-0#1", 0, d.now)
-	d.run(50 * time.Millisecond)
-	d.p.SetCapacity("r0-0#1", halfCapacity, d.now.Add(-5*time.Second))
-	d.listTargets()
-	d.orderRate = 0
-	d.sendAllQueued()
-	d.runWithListing(30)
-	d.check()
-	is.Equal(d.state(id), progress.Completed)
+	for name, show := range map[string]func(d *simulation){
+		"listed":   (*simulation).listTargets,
+		"reported": func(d *simulation) { d.run(3 * time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := newSimulation(t, 1, 1, DefaultBounds())
+			id := d.startsInQueue()
+			d.p.Restart("r0-0#1", 0, d.now)
+			d.run(50 * time.Millisecond)
+			d.p.SetCapacity("r0-0#1", halfCapacity, d.now.Add(-5*time.Second))
+			show(d)
+			is.Equal(d.logged("target started again"), 1)
+			d.orderRate = 0
+			d.sendAllQueued()
+			d.runWithListing(30)
+			d.check()
+			is.Equal(d.state(id), progress.Completed)
+		})
+	}
 }
 
 // sendAllQueued sends all orders that wait in the host.
