work/dispatch: failing test of starts on an entry that was stored late

The read before did not show it, so it counts as current however old it is, which is meant for a store that delays all writes.

--- a/internal/work/dispatch/capacity_age_test.go
+++ b/internal/work/dispatch/capacity_age_test.go
@@ -205,3 +205,26 @@
 	d.check()
 	is.Equal(d.state(id), progress.Completed)
 }
+
+// A target cannot reach the store, its capacity shrinks, and the entry that it wrote before is stored when it
+// reaches the store again, six seconds late. Guards against starts by an entry that is new in the list only.
+func TestNoStartReliesOnEntryThatWasStoredLate(t *testing.T) {
+	is := is.New(t)
+	d := newSimulation(t, 1, 2, boundsWithLongListAge())
+	d.runWithListing(1)
+	d.run(100 * time.Millisecond)
+	d.holdEntries("r0-0")
+	d.hidden = map[string]bool{"r0-0": true}
+	d.run(400 * time.Millisecond)
+	d.p.SetCapacity("r0-0#1", halfCapacity, d.now)
+	d.runWithListing(6)
+	id := d.submit(2, 3*time.Second, small(16))
+	d.hidden = nil
+	d.listTargets()
+	d.run(100 * time.Millisecond)
+	is.Equal(d.p.StartsOn("r0-1#1"), 8)
+	d.unwritten = nil
+	d.runWithListing(20)
+	d.check()
+	is.Equal(d.state(id), progress.Completed)
+}
