work/dispatch: an entry that is stored late is no newer for it

Cause: an entry that the list had not shown at its last regular read counted as current however old its clock says it is. That is meant for a store that delays all writes, where healthy targets would get no work otherwise; but it was decided for each target by itself. Now it holds only while no entry in the list is recent. If any is, the store is not what delays the others, and their age is that of their clock.

TestWorkGoesOnWhileAllEntriesAreLate and TestStaleEntry pass as they are.

--- a/internal/work/dispatch/entry_age.go
+++ b/internal/work/dispatch/entry_age.go
@@ -24,7 +24,9 @@
 //
 // In a store that delays all writes, every entry is old. Healthy targets must not be left without work
 // for as long as that lasts: an entry is not stale while the list is read at its usual interval and
-// shows that it was stored since the read before. Across an outage, reads lie further apart.
+// shows that it was stored since the read before. Across an outage, reads lie further apart. If any entry
+// is recent, the store is not what delays the others: one that is stored late was held up on its way, as
+// behind a cut, and may name a capacity of long ago.
 
 const (
 	// staleAfter is the age in heartbeats above which an entry is stale. The store drops the entry of a
@@ -46,21 +48,53 @@
 	first     time.Time     // first read that showed the entry
 	latest    time.Time     // latest read that showed it
 	before    time.Time     // read before the first, which the entry was stored after; zero: none in this term
+	list      *entryAges    // of the list that showed it; nil: none has
+}
+
+// entryAges counts the entries of a list whose age when it was read is known.
+type entryAges struct {
+	known  int // entries whose age is known
+	recent int // of them, those that are no older than a heartbeat
+}
+
+// allLate reports whether no entry is recent: the store delays all writes.
+func (a *entryAges) allLate() bool { return a != nil && a.known > 0 && a.recent == 0 }
+
+// add counts a target's entry, if its age is known.
+func (a *entryAges) add(t *target) {
+	if !t.listed || t.ClockMS <= 0 || t.clockMS == 0 || !t.entryIsCurrent() {
+		return
+	}
+	a.known++
+	if t.entryAge(t.entry.latest) <= t.entry.heartbeat {
+		a.recent++
+	}
+}
+
+// countEntryAges counts the entries of the current list by age.
+func (m *Machine) countEntryAges() {
+	m.entryAges = entryAges{}
+	for _, t := range m.sortedTargets {
+		m.entryAges.add(t)
+	}
 }
 
 // entryRead records that the list showed an entry of the target. The list was read as of a time, and the
 // one before it as of another.
-func (t *target) entryRead(l roster.Target, heartbeat time.Duration, asOf, before time.Time) {
+func (m *Machine) entryRead(t *target, l roster.Target, asOf, before time.Time) {
 	if t.entry.first.IsZero() || l.ClockMS != t.ClockMS || l.StartedAt != t.Target.StartedAt {
 		t.entry.first, t.entry.before = asOf, before
 	}
-	t.entry.latest, t.entry.heartbeat = asOf, heartbeat
+	t.entry.latest, t.entry.heartbeat, t.entry.list = asOf, m.bounds.Heartbeat, &m.entryAges
 }
 
 // entryIsStale reports whether the target's entry is too old for starts.
 func (t *target) entryIsStale() bool {
 	e := t.entry
-	if e.heartbeat == 0 || t.ClockMS <= 0 || e.latest.Sub(e.before) <= maxReadGap*e.heartbeat {
+	if e.heartbeat == 0 || t.ClockMS <= 0 {
+		return false
+	}
+	if e.list.allLate() && e.latest.Sub(e.before) <= maxReadGap*e.heartbeat {
 		return false
 	}
 	limit := time.Duration(staleAfter * float64(e.heartbeat))
@@ -79,8 +113,9 @@
 	return max(time.Duration(shown-t.ClockMS)*time.Millisecond, 0)
 }
 
-// entryExpiry returns when the target's entry is too old for starts; zero: never. An entry is not older than
-// the read before the first that showed it, and not newer than that one. In between its clock tells.
+// entryExpiry returns when the target's entry is too old for starts; zero: never. It is not newer than the
+// first read that showed it, and its clock tells how much older. In a store that delays all writes, it counts
+// from the read before.
 func (t *target) entryExpiry() time.Time {
 	e := t.entry
 	if e.heartbeat == 0 || t.ClockMS <= 0 {
@@ -90,7 +125,10 @@
 	if written.After(e.first) {
 		written = e.first
 	}
-	return later(written, e.before).Add(maxEntryAge * e.heartbeat)
+	if e.list.allLate() {
+		written = later(written, e.before)
+	}
+	return written.Add(maxEntryAge * e.heartbeat)
 }
 
 // entryExpired reports whether the target's entry is too old for starts by now, or is about to be.
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -32,6 +32,7 @@
 	awaited            *target   // a target whose first report was outstanding when last checked; nil: none
 	listAsOf           time.Time // when the current list of targets was read
 	staleTargets       int       // listed targets whose entries are stale, as last counted
+	entryAges          entryAges // of the current list
 	pollCandidates     []*target // targets that may be due for a poll
 	newSteps           []*step   // steps enqueued since the last pass
 	nextPassAt         time.Time // earliest start of the next pass
@@ -192,6 +193,7 @@
 			m.log.Decided("target left the list", "target", t.ID, "runs", len(t.runs))
 		}
 	}
+	m.countEntryAges()
 	for _, t := range m.sortedTargets {
 		m.withdrawStarts(t, now)
 	}
@@ -244,7 +246,7 @@
 	if l.Capacity != t.Capacity && l.StartedAt == t.Target.StartedAt {
 		m.log.Decided("target capacity changed", "target", t.ID, "before", formatResources(t.Capacity), "now", formatResources(l.Capacity), "inUse", formatResources(t.used), "runs", len(t.runs), "ordersPending", t.ordersPending(), "entryAgeMS", t.entryAge(now).Milliseconds())
 	}
-	t.entryRead(l, m.bounds.Heartbeat, asOf, before)
+	m.entryRead(t, l, asOf, before)
 	t.Target, t.listed, t.evacuated = l, true, m.evacuated.Has(l.Zone)
 	m.considerPoll(t)
 }
--- a/internal/work/dispatch/poll.go
+++ b/internal/work/dispatch/poll.go
@@ -219,7 +219,11 @@
 	t.reportedAt = now
 	wasUnresponsive := !t.responsive()
 	m.targetAnswered(t, now)
+	clockKnown := t.clockMS != 0
 	t.updateClock(rep.Clock, now)
+	if !clockKnown {
+		m.entryAges.add(t)
+	}
 	if p.Incarnation == 0 || p.Incarnation == t.incarnation {
 		t.confirmedAck = max(t.confirmedAck, p.Order.Acked)
 	}
