work/dispatch: targets that are cut off from the store in the property test of shrinkings

TestNoStartExceedsShrunkCapacity had targets that write on time or not at all. They now also lose their path to the store, their entries lapse, and what they wrote first is stored when the path is back.

--- a/internal/work/dispatch/late_orders_test.go
+++ b/internal/work/dispatch/late_orders_test.go
@@ -39,7 +39,8 @@
 	at, until time.Duration // since the start of the script
 	// kind is "late": the target executes a share of its orders late; "disconnected"; "crash":
 	// the next incarnation starts; "drain": it drains, and ends at until; "takeover" of the
-	// leader; "shrink": it has half its capacity until then; "outage" of the store.
+	// leader; "shrink": it has half its capacity until then; "outage" of the store;
+	// "cut off": the target has no path to the store.
 	kind   string
 	target int // place in the sorted list of addresses, modulo their number; allTargets
 	share  float64
@@ -196,6 +197,10 @@
 	for _, j := range s.jobs {
 		d.afterAnyLeader(j.at, func() { d.submit(j.priority, j.work, j.step) })
 	}
+	var entries *entryWriter
+	if s.heartbeats {
+		entries = d.writeEntries(hostBounds.Heartbeat)
+	}
 	end := time.Duration(0)
 	for _, f := range s.faults {
 		address := ""
@@ -239,14 +244,14 @@
 		case "shrink":
 			d.afterAnyLeader(f.at, func() { d.resize(address, halfCapacity) })
 			d.afterAnyLeader(f.until, func() { d.resize(address, fullCapacity) })
+		case "cut off":
+			d.afterAnyLeader(f.at, func() { entries.cutOff(address) })
+			d.afterAnyLeader(f.until, func() { entries.reconnect(address) })
 		case "outage":
 			d.afterAnyLeader(f.at, func() { d.storeAway = true })
 			d.afterAnyLeader(f.until, func() { d.storeAway = false })
 		}
 	}
-	if s.heartbeats {
-		d.writeEntries(hostBounds.Heartbeat)
-	}
 	for d.now.Before(began.Add(end+time.Minute)) && (d.now.Before(began.Add(end+maxLateBy)) || !d.allEnded() || len(d.submittedAt) < len(s.jobs)) {
 		d.run(time.Second)
 		if !s.heartbeats {
