--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -100,6 +100,7 @@
 	GPU          int    `json:"gpu,omitempty"`
 	Estimate     int    `json:"estimatedMs"`
 	Requirements string `json:"requirements,omitempty"`
+	Affinity     string `json:"affinity,omitempty"`
 }
 
 // job returns the body of a submission.
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -59,6 +59,7 @@
 	barred   map[string]int // highest run that was stopped or has ended, by task
 	changed  chan struct{}  // closed and replaced at each end
 	dead     bool
+	dark     chan struct{} // closed when the worker has crashed without a sign: its connections are silent
 	seq      int
 }
 
@@ -150,7 +151,7 @@
 	}
 	w := &worker{
 		fleet: f, name: name, id: fmt.Sprintf("w-%s-%d", name, life), life: life, zone: zone, labels: labels, address: l.Addr().String(),
-		listener: l, began: time.Now(), runs: map[string]*taskRun{}, barred: map[string]int{}, changed: make(chan struct{}),
+		listener: l, began: time.Now(), runs: map[string]*taskRun{}, barred: map[string]int{}, changed: make(chan struct{}), dark: make(chan struct{}),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /run-start", w.serveStart)
@@ -158,7 +159,7 @@
 	mux.HandleFunc("POST /hold", w.serveHold)
 	mux.HandleFunc("POST /pace", w.servePace)
 	mux.HandleFunc("GET /health", func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusOK) })
-	w.server = &http.Server{Handler: mux}
+	w.server = &http.Server{Handler: w.silentOnceDark(mux)}
 	f.mu.Lock()
 	f.workers[name] = w
 	f.mu.Unlock()
@@ -189,6 +190,44 @@
 	f.rec.line("worker %s crashed; ran there: %s", w.id, strings.Join(tasks, ", "))
 }
 
+// darken ends a worker at once without a sign, for good: all that runs there is gone, and its connections stay
+// open and silent.
+func (f *fleet) darken(name string) {
+	f.mu.Lock()
+	w := f.workers[name]
+	f.gone[w.id] = time.Now()
+	f.mu.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.dead = true
+	for _, r := range w.runs {
+		f.ended(r.task, "crash")
+	}
+	w.runs = map[string]*taskRun{}
+	close(w.dark)
+	f.rec.line("worker %s is gone without a sign", w.id)
+}
+
+// silentOnceDark passes calls on until the worker has gone dark; those that come later, and those that wait
+// then, get no answer.
+func (w *worker) silentOnceDark(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		select {
+		case <-w.dark:
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		default:
+		}
+		next.ServeHTTP(rw, r)
+		select {
+		case <-w.dark:
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		default:
+		}
+	})
+}
+
 // began and ended keep what runs now.
 func (f *fleet) began(w *worker, r *taskRun, token int64) {
 	f.mu.Lock()
