--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -101,6 +101,7 @@
 	Estimate     int    `json:"estimatedMs"`
 	Requirements string `json:"requirements,omitempty"`
 	Affinity     string `json:"affinity,omitempty"`
+	LongRunning  bool   `json:"longRunning,omitempty"`
 }
 
 // job returns the body of a submission.
