work/dispatch, work/progress: a recorded start does not show that a job has begun

Cause: restoreRun marked the job as started. A record is saved before the start is sent; it says that a start may have been sent. The leader that makes it sets `started` when a target accepts or reports the run, so the answer changed with the leader, and the next save handed it on to every later one and to hosts that answer from rows.

Change: only an accepted start, a reported run or a listed end shows that a job has begun; the last was missing for a run whose end arrives before the answer to its start. In rows, ends and checkpoints count as well. The latest start of a job was protected by the fault: a job of which a lost run may have begun would now be given up as not run. So that is kept apart as mayHaveStarted, set where an at-most-once job fails for the same reason, and saved, so that later leaders know it too.

--- a/internal/host/entry/entry.go
+++ b/internal/host/entry/entry.go
@@ -315,7 +315,7 @@
 			return view.JobStatus{}, err
 		}
 	}
-	status.State = stateOf(p.State, p.Started, cancelled)
+	status.State = stateOf(p.State, p.HasStarted(), cancelled)
 	if status.State == progress.Failed {
 		status.Reason = p.Reason
 	}
--- a/internal/work/dispatch/accept.go
+++ b/internal/work/dispatch/accept.go
@@ -41,7 +41,8 @@
 	m.jobs[spec.ID] = j
 	m.jobArrived(j, now)
 	if p != nil {
-		j.state, j.published, j.started, j.endedAt = p.State, p.State, p.Started, p.Ended
+		j.state, j.published, j.endedAt = p.State, p.State, p.Ended
+		j.started, j.mayHaveStarted = p.HasStarted(), p.MayHaveStarted
 		j.cause, j.reason = p.Cause, p.Reason
 	}
 	if j.cancelled && !j.state.Final() {
@@ -149,7 +150,7 @@
 
 // restoreRun adds a run that an earlier leader recorded. It may exist until its target
 // reports without it or its leases have lapsed. Of a task that is done, it is one that may
-// still begin.
+// still begin. That its start may have been sent does not show that it has begun.
 func (m *Machine) restoreRun(x *task, p progress.Placement, now time.Time) {
 	id, incarnation := parseIncarnation(p.Target)
 	t := m.targets[id]
@@ -163,7 +164,6 @@
 	}
 	x.runs = append(x.runs, r)
 	x.step.job.liveRuns[r] = true
-	x.step.job.started = true
 	t.addRun(r)
 	t.used = t.used.Plus(r.charge)
 }
--- a/internal/work/dispatch/ends.go
+++ b/internal/work/dispatch/ends.go
@@ -75,11 +75,15 @@
 	}
 }
 
-// failIfAtMostOnce fails an at-most-once job after a run that may have begun has ended
-// without completing its task, which must not be started again.
-func (m *Machine) failIfAtMostOnce(r *run, now time.Time) {
+// mayHaveRun records that a run that may have begun has ended without completing its task.
+// It fails an at-most-once job, which must not be started again.
+func (m *Machine) mayHaveRun(r *run, now time.Time) {
 	j := r.task.step.job
-	if !j.spec.AtMostOnce || r.task.done || j.finished() || r.phase == awaitingCapacity || r.phase == recorded {
+	if !r.mayBeOnTarget() {
+		return
+	}
+	j.mayHaveStarted = true
+	if !j.spec.AtMostOnce || r.task.done || j.finished() {
 		return
 	}
 	m.log.Decided("at-most-once job failed: it may have run", "job", j.spec.ID, "task", r.Task, "run", r.Number)
@@ -119,6 +123,7 @@
 		m.recordEndLoss(r, e, now)
 	}
 	if x := j.findTask(e.Run.Task); x != nil {
+		j.started = true // also if the start was not answered
 		m.logOutstandingStart(x, e, now)
 		x.highestRun = max(x.highestRun, e.Run.Number)
 		x.step.highestGangRun = max(x.step.highestGangRun, e.Run.Number)
@@ -127,7 +132,7 @@
 		}
 	}
 	if r != nil {
-		m.failIfAtMostOnce(r, now)
+		m.mayHaveRun(r, now)
 		if e.Reason == order.GangBroken {
 			m.recordBrokenMember(r, now)
 		}
--- a/internal/work/dispatch/gang_end.go
+++ b/internal/work/dispatch/gang_end.go
@@ -53,7 +53,7 @@
 	m.recordLosses(t, presumed, t.lossSpan(now), t.leaseEnd, now)
 	for _, o := range presumed {
 		m.release(o, now)
-		m.failIfAtMostOnce(o, now)
+		m.mayHaveRun(o, now)
 	}
 }
 
--- a/internal/work/dispatch/incarnation.go
+++ b/internal/work/dispatch/incarnation.go
@@ -155,7 +155,7 @@
 			m.repeatStop(r, stopFor(stopRestartedUnanswered), now)
 		default:
 			m.release(r, now)
-			m.failIfAtMostOnce(r, now)
+			m.mayHaveRun(r, now)
 		}
 		if !reported { // its gang may wait for it
 			m.stopGang(r, stopFor(stopMemberRestarted), now)
--- a/internal/work/dispatch/job.go
+++ b/internal/work/dispatch/job.go
@@ -23,8 +23,10 @@
 	cause     progress.Cause // why it failed
 	reason    string         // the same for its client, with the task and targets
 	endedAt   int64          // when it reached a final state, in milliseconds since 1970; 0: it has not
-	started   bool           // a task has started
-	liveRuns  map[*run]bool  // runs that may exist
+	started   bool           // a task is known to have started
+	// mayHaveStarted is set once a run has ended that may have begun, whether or not it is known to have.
+	mayHaveStarted bool
+	liveRuns       map[*run]bool // runs that may exist
 	// withheldEnds are the targets with ends of the job that are not acknowledged since another
 	// run may still begin.
 	withheldEnds []*target
--- a/internal/work/dispatch/loss.go
+++ b/internal/work/dispatch/loss.go
@@ -16,7 +16,7 @@
 	m.recordLosses(t, lost, t.lossSpan(now), time.Time{}, now)
 	for _, r := range t.sortedRuns() {
 		m.release(r, now)
-		m.failIfAtMostOnce(r, now)
+		m.mayHaveRun(r, now)
 		if r.phase == awaitingCapacity || r.phase == recorded || r.phase == starting { // the other members must not wait for it
 			m.stopGang(r, stopFor(stopMemberLost), now)
 		}
--- a/internal/work/dispatch/poll.go
+++ b/internal/work/dispatch/poll.go
@@ -310,7 +310,7 @@
 		m.log.Decided("run not on its target", "target", t.ID, "task", r.Task, "run", r.Number, "phase", int(r.phase))
 		m.release(r, now)
 		if !r.startsExpired || !r.beganAt.IsZero() { // else it has not run
-			m.failIfAtMostOnce(r, now)
+			m.mayHaveRun(r, now)
 		}
 		m.stopGang(r, stopFor(stopMemberMissing), now)
 	}
--- a/internal/work/dispatch/schedule.go
+++ b/internal/work/dispatch/schedule.go
@@ -153,9 +153,10 @@
 }
 
 // expireUnstarted ends a job whose latest start time has passed before it started, and
-// reports whether it did.
+// reports whether it did. A job that may have started goes on: its client would be told that
+// nothing of it has run.
 func (m *Machine) expireUnstarted(j *job, nowMS int64) bool {
-	if j.spec.StartBy == 0 || nowMS < j.spec.StartBy || j.started || len(j.liveRuns) > 0 {
+	if j.spec.StartBy == 0 || nowMS < j.spec.StartBy || j.started || j.mayHaveStarted || len(j.liveRuns) > 0 {
 		return false
 	}
 	m.log.Decided("job expired before it started", "job", j.spec.ID, "startBy", j.spec.StartBy)
--- a/internal/work/progress/progress.go
+++ b/internal/work/progress/progress.go
@@ -33,12 +33,28 @@
 
 // Job is the durable progress of a job.
 type Job struct {
-	State   State            `json:"state"`
-	Ended   int64            `json:"ended,omitempty"`   // when a final state was reached: milliseconds since 1970 on the leader's clock
-	Started bool             `json:"started,omitempty"` // a task has started
-	Cause   Cause            `json:"cause,omitempty"`   // why it failed; rows of earlier versions have none
-	Reason  string           `json:"reason,omitempty"`  // the same for its client
-	Steps   map[string]*Step `json:"steps,omitempty"`   // by OCCURRENCE.STEP; a step about which nothing is known is left out
+	State   State `json:"state"`
+	Ended   int64 `json:"ended,omitempty"`   // when a final state was reached: milliseconds since 1970 on the leader's clock
+	Started bool  `json:"started,omitempty"` // a task is known to have started
+	// MayHaveStarted is set if a run has ended that may have begun, whether or not it is known to have.
+	MayHaveStarted bool             `json:"mayHaveStarted,omitempty"`
+	Cause          Cause            `json:"cause,omitempty"`  // why it failed; rows of earlier versions have none
+	Reason         string           `json:"reason,omitempty"` // the same for its client
+	Steps          map[string]*Step `json:"steps,omitempty"`  // by OCCURRENCE.STEP; a step about which nothing is known is left out
+}
+
+// HasStarted reports whether a task is known to have started. A placement does not show it: it is saved
+// before the start is sent.
+func (j *Job) HasStarted() bool {
+	if j.Started {
+		return true
+	}
+	for _, s := range j.Steps {
+		if s.Done != nil && s.Done.Sign() > 0 || len(s.FailedRuns) > 0 || len(s.Checkpoints) > 0 {
+			return true
+		}
+	}
+	return false
 }
 
 // Encode encodes the progress as the value of a row, in the dense form if the plain one would be large.
