work/dispatch: memory, takeovers and passes follow the occurrences at hand

Cause: Restore created the tasks of every occurrence of a job that had ended, 1.66 million here, in case a target still reports one; each due occurrence was opened however many were; and one that was done stayed in memory and in the progress row for good.

Change: of a job that has ended only occurrences with recorded runs are created, and a run of another is stopped by way of a placeholder that has the needs of its step. Of a recurring job one due occurrence is always open, more within limits on the job (what its row holds) and on all jobs. A done occurrence is closed once no run of it may exist; one bit of it remains, in the row as well. Keys of saved steps must be canonical, and a task number in a recorded run is checked; either led to a panic.

--- a/internal/work/dispatch/accept.go
+++ b/internal/work/dispatch/accept.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"strings"
@@ -23,11 +24,19 @@
 	m.beginTimeline(j, false, now)
 	m.updateSmallestTask(spec)
 	m.jobArrived(j, now)
+	m.addRecurring(j)
 	m.log.Decided("job", "job", spec.ID, "queue", spec.Queue, "account", spec.Account, "priority", spec.Priority, "steps", len(spec.Steps), "tasks", spec.Tasks(), "objectiveMS", j.objective.Milliseconds(), "accepted", spec.AcceptedAt)
-	m.openDueOccurrences(j, now)
+	m.openFirst(j, now)
 	m.placementDue = true
 }
 
+// addRecurring adds a job to the recurring ones if it is one.
+func (m *Machine) addRecurring(j *job) {
+	if j.spec.Repeat > 0 {
+		m.recurring = append(m.recurring, j)
+	}
+}
+
 // Restore adds a job that was accepted before this term, with its saved progress (nil:
 // none) and the version of that row. The caller restores all jobs before
 // EnablePlacement.
@@ -44,28 +53,21 @@
 		j.state, j.published, j.endedAt = p.State, p.State, p.Ended
 		j.started, j.mayHaveStarted = p.HasStarted(), p.MayHaveStarted
 		j.cause, j.reason = p.Cause, p.Reason
+		m.restoreClosed(j, p.ClosedOccurrences)
 	}
 	if j.cancelled && !j.state.Final() {
 		j.state, j.published, j.endedAt = progress.Cancelled, progress.Cancelled, m.wallMS(now)
 	}
 	if j.state.Final() {
-		j.createAllOccurrences()
 		m.restoreRuns(j, p, now)
 		return
 	}
+	m.addRecurring(j)
 	m.beginTimeline(j, true, now)
-	m.openDueOccurrences(j, now)
 	if p != nil {
 		m.restoreProgress(j, p, now)
 	}
-}
-
-// createAllOccurrences creates the steps of every occurrence without queueing them, so
-// that runs of them that a target reports can be identified.
-func (j *job) createAllOccurrences() {
-	for j.opened < j.spec.Occurrences() {
-		j.createOccurrence()
-	}
+	m.openFirst(j, now)
 }
 
 // restoreRuns restores the runs that are recorded of a job that has ended. Some may still begin.
@@ -73,13 +75,18 @@
 	if p == nil {
 		return
 	}
-	for _, s := range j.steps {
-		k := p.Steps[stepKey(s.id)]
-		if k == nil {
+	for _, id := range m.savedSteps(j, p) {
+		k := p.Steps[stepKey(id)]
+		if len(k.Placements) == 0 {
 			continue
 		}
+		steps := j.openSteps(id.Occurrence)
+		if steps == nil {
+			steps = j.createOccurrence(id.Occurrence)
+		}
+		s := steps[id.Step]
 		for _, placed := range k.Placements {
-			if placed.Task < len(s.tasks) {
+			if placed.Task >= 0 && placed.Task < len(s.tasks) {
 				m.restoreRun(s.tasks[placed.Task], placed, now)
 			}
 		}
@@ -89,22 +96,35 @@
 // restoreProgress applies saved progress. It opens occurrences with saved progress even
 // if they are not due yet, since something of them has ended.
 func (m *Machine) restoreProgress(j *job, p *progress.Job, now time.Time) {
-	keys := make([]string, 0, len(p.Steps))
-	for k := range p.Steps {
-		keys = append(keys, k)
+	for _, id := range m.savedSteps(j, p) {
+		for j.opened <= id.Occurrence {
+			if j.isClosed(j.opened) {
+				j.opened++
+				continue
+			}
+			m.openNextOccurrence(j, now)
+		}
+		if steps := j.openSteps(id.Occurrence); steps != nil {
+			m.restoreStep(steps[id.Step], p.Steps[stepKey(id)], now)
+		}
 	}
-	slices.Sort(keys)
-	for _, k := range keys {
+}
+
+// savedSteps returns the job's steps that have saved progress, in order.
+func (m *Machine) savedSteps(j *job, p *progress.Job) []graph.StepID {
+	var ids []graph.StepID
+	for k, saved := range p.Steps {
 		occurrence, index, ok := parseStepKey(k)
-		if !ok || index >= len(j.spec.Steps) || occurrence >= j.spec.Occurrences() {
+		if !ok || saved == nil || index >= len(j.spec.Steps) || occurrence >= j.spec.Occurrences() {
 			m.log.Decided("saved step ignored", "job", j.spec.ID, "step", k)
 			continue
 		}
-		for j.opened <= occurrence {
-			m.openNextOccurrence(j, now)
-		}
-		m.restoreStep(j.steps[occurrence*len(j.spec.Steps)+index], p.Steps[k], now)
+		ids = append(ids, graph.StepID{Job: j.spec.ID, Occurrence: occurrence, Step: index})
 	}
+	slices.SortFunc(ids, func(a, b graph.StepID) int {
+		return cmp.Or(cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step))
+	})
+	return ids
 }
 
 // parseStepKey parses a key that stepKey has made.
@@ -112,7 +132,8 @@
 	a, b, found := strings.Cut(k, ".")
 	occurrence, err1 := strconv.Atoi(a)
 	step, err2 := strconv.Atoi(b)
-	return occurrence, step, found && err1 == nil && err2 == nil && occurrence >= 0 && step >= 0
+	canonical := k == stepKey(graph.StepID{Occurrence: occurrence, Step: step})
+	return occurrence, step, found && err1 == nil && err2 == nil && occurrence >= 0 && step >= 0 && canonical
 }
 
 // restoreStep applies the saved progress of a step.
@@ -162,42 +183,11 @@
 		phase: unconfirmed, placedAt: now, orderAnsweredAt: now, paceShare: initialShare(x.step),
 		sentTo: incarnation,
 	}
-	x.runs = append(x.runs, r)
-	x.step.job.liveRuns[r] = true
+	x.addRun(r)
 	t.addRun(r)
 	t.used = t.used.Plus(r.charge)
 }
 
-// openDueOccurrences opens the due occurrences of a job. Of a recurring job, openRecurring
-// opens the later ones.
-func (m *Machine) openDueOccurrences(j *job, now time.Time) {
-	if j.spec.Repeat > 0 && j.opened == 0 && !slices.Contains(m.recurring, j) {
-		m.recurring = append(m.recurring, j)
-	}
-	for j.opened < j.spec.Occurrences() && j.spec.Due(j.opened) <= m.wallMS(now) {
-		m.openNextOccurrence(j, now)
-	}
-}
-
-// openNextOccurrence creates the steps of the next occurrence of a job and enqueues those
-// that depend on no others.
-func (m *Machine) openNextOccurrence(j *job, now time.Time) {
-	m.occurrenceArrived(j, now)
-	for _, s := range j.createOccurrence() {
-		if s.blockedBy == 0 {
-			m.stepUnblocked(s, now)
-		}
-	}
-}
-
-// openRecurring opens the due occurrences of recurring jobs.
-func (m *Machine) openRecurring(now time.Time) {
-	m.recurring = slices.DeleteFunc(m.recurring, (*job).finished)
-	for _, j := range m.recurring {
-		m.openDueOccurrences(j, now)
-	}
-}
-
 // stepUnblocked enqueues a step that depends on no step that is not done.
 func (m *Machine) stepUnblocked(s *step, now time.Time) {
 	s.beginStep()
@@ -237,6 +227,17 @@
 	m.endJob(j, progress.Cancelled, now)
 }
 
+// closedTask returns a placeholder for a task of the job that is not open, nil if there is no such task
+// or it may still be opened.
+func (j *job) closedTask(id graph.TaskID) *task {
+	if !j.finished() && !j.isClosed(id.Occurrence) || id.Occurrence >= j.spec.Occurrences() || id.Step >= len(j.spec.Steps) || id.Index >= j.spec.Steps[id.Step].Count {
+		return nil
+	}
+	spec := j.spec.Steps[id.Step]
+	spec.Gang = false // its other members are not known
+	return &task{step: &step{job: j, id: id.StepID, spec: &spec, done: true}, index: id.Index, done: true}
+}
+
 // unknownStep returns a placeholder for the step of a run whose job or task is not known.
 func unknownStep(r order.Run) *step {
 	spec := &graph.Job{ID: r.Task.Job, Steps: []graph.Step{{}}}
--- a/internal/work/dispatch/ends.go
+++ b/internal/work/dispatch/ends.go
@@ -66,13 +66,13 @@
 	} else {
 		t.used = t.used.Minus(r.charge)
 	}
-	r.task.runs = removeFrom(r.task.runs, r)
-	delete(r.task.step.job.liveRuns, r)
+	r.task.removeRun(r)
 	m.placementDue, m.recheckWaiting = true, true
 	m.enqueueStep(r.task.step, now)
 	if outstanding {
 		m.startSettled(r.task.step.job, now)
 	}
+	r.task.step.job.closeIfDone(r.task.step)
 }
 
 // mayHaveRun records that a run that may have begun has ended without completing its task.
@@ -227,6 +227,7 @@
 		}
 	}
 	m.completeIfDone(s.job, now)
+	s.job.closeIfDone(s)
 }
 
 // markTaskDone marks a task as done, unless it is already, and stops its other runs. Those of
@@ -377,11 +378,14 @@
 	j := m.jobs[reported.Run.Task.Job]
 	var x *task
 	if j != nil {
-		x = j.findTask(reported.Run.Task)
+		if x = j.findTask(reported.Run.Task); x == nil {
+			x = j.closedTask(reported.Run.Task)
+		}
 	}
+	unknown := x == nil
 	reason := stopFor(stopNone)
 	switch {
-	case x == nil:
+	case unknown:
 		x = &task{step: unknownStep(reported.Run), index: reported.Run.Task.Index}
 		reason = stopFor(stopUnknown)
 	case j.finished():
@@ -395,7 +399,7 @@
 	}
 	r.task = x
 	r.charge, r.paceShare = x.step.spec.Charge(), initialShare(x.step)
-	if j == nil || j.findTask(reported.Run.Task) == nil {
+	if unknown {
 		r.charge = graph.Resources{} // its needs are not known: no other work is placed beside it
 		if !t.overCapacity() {
 			r.charge = t.Capacity.Minus(t.used)
@@ -403,8 +407,7 @@
 	}
 	x.highestRun = max(x.highestRun, reported.Run.Number)
 	x.step.highestGangRun = max(x.step.highestGangRun, reported.Run.Number)
-	x.runs = append(x.runs, r)
-	x.step.job.liveRuns[r] = true
+	x.addRun(r)
 	t.addRun(r)
 	t.used = t.used.Plus(r.charge)
 	m.log.Decided("run found", "target", t.ID, "task", reported.Run.Task, "run", reported.Run.Number, "stop", reason.String())
--- a/internal/work/dispatch/job.go
+++ b/internal/work/dispatch/job.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"math/big"
+	"slices"
 	"time"
 
 	"guavaglade.example/guavaglade/internal/work/crashloop"
@@ -14,8 +16,9 @@
 type job struct {
 	spec      *graph.Job
 	partition int
-	steps     []*step        // of the open occurrences, in order
-	opened    int            // number of occurrences opened so far
+	steps     []*step        // of the open occurrences, in order, all steps of each
+	opened    int            // number of the next occurrence to open; those before it are open or closed
+	closed    *big.Int       // with a bit for each occurrence that is done and closed; nil: none
 	stepsLeft int            // open steps that are not done
 	cancelled bool           // by its client
 	state     progress.State // as decided; may not be saved yet
@@ -51,6 +54,7 @@
 	dependents       []*step // steps that depend on this one
 	tasks            []*task
 	tasksLeft        int // tasks that are not done
+	liveRuns         int // runs of its tasks that may exist
 	done             bool
 	dueAt            int64     // when its occurrence is due, in milliseconds since 1970; 0: no due time
 	highestGangRun   int       // highest run number of its tasks; used for gangs only
@@ -94,6 +98,20 @@
 
 func (t *task) id() graph.TaskID { return t.step.id.Task(t.index) }
 
+// addRun adds a run that may exist.
+func (t *task) addRun(r *run) {
+	t.runs = append(t.runs, r)
+	t.step.liveRuns++
+	t.step.job.liveRuns[r] = true
+}
+
+// removeRun removes a run that can no longer exist.
+func (t *task) removeRun(r *run) {
+	t.runs = removeFrom(t.runs, r)
+	t.step.liveRuns--
+	delete(t.step.job.liveRuns, r)
+}
+
 // checkpoint returns the checkpoint from which a new run of the task resumes.
 func (t *task) checkpoint() string {
 	if t.step.spec.Gang {
@@ -110,27 +128,27 @@
 	}
 }
 
-// createOccurrence creates the steps of the next occurrence and returns them.
-func (j *job) createOccurrence() []*step {
-	first := len(j.steps)
+// createOccurrence creates the steps of an occurrence that is not open and returns them.
+func (j *job) createOccurrence(number int) []*step {
+	opened := make([]*step, 0, len(j.spec.Steps))
 	for i := range j.spec.Steps {
 		s := &step{
-			job: j, id: graph.StepID{Job: j.spec.ID, Occurrence: j.opened, Step: i}, spec: &j.spec.Steps[i],
-			dueAt: j.spec.Due(j.opened), tasksLeft: j.spec.Steps[i].Count,
+			job: j, id: graph.StepID{Job: j.spec.ID, Occurrence: number, Step: i}, spec: &j.spec.Steps[i],
+			dueAt: j.spec.Due(number), tasksLeft: j.spec.Steps[i].Count,
 		}
 		for k := range s.spec.Count {
 			s.tasks = append(s.tasks, &task{step: s, index: k})
 		}
 		for _, a := range s.spec.After {
-			before := j.steps[first+a]
+			before := opened[a]
 			before.dependents = append(before.dependents, s)
 			s.blockedBy++
 		}
-		j.steps = append(j.steps, s)
+		opened = append(opened, s)
 	}
-	j.opened++
-	j.stepsLeft += len(j.spec.Steps)
-	opened := j.steps[first:]
+	at, _ := j.occurrenceAt(number)
+	j.steps = slices.Insert(j.steps, at, opened...)
+	j.stepsLeft += len(opened)
 	for i := len(opened) - 1; i >= 0; i-- {
 		s := opened[i]
 		for _, n := range s.dependents {
@@ -144,15 +162,11 @@
 // findTask returns the task, or nil if the job has no such task or the occurrence is
 // not open.
 func (j *job) findTask(id graph.TaskID) *task {
-	stepsPerOccurrence := len(j.spec.Steps)
-	if id.Occurrence >= j.opened || id.Step >= stepsPerOccurrence {
-		return nil
-	}
-	s := j.steps[id.Occurrence*stepsPerOccurrence+id.Step]
-	if id.Index >= len(s.tasks) {
+	steps := j.openSteps(id.Occurrence)
+	if id.Step >= len(steps) || id.Index >= len(steps[id.Step].tasks) {
 		return nil
 	}
-	return s.tasks[id.Index]
+	return steps[id.Step].tasks[id.Index]
 }
 
 // finished reports whether the job is cancelled or in a final state, so that nothing
--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -17,8 +17,7 @@
 		charge: x.step.spec.Charge(), phase: awaitingCapacity, placedAt: now, ticket: x.step.ticket(t), paceShare: 100,
 	}
 	x.highestRun = max(x.highestRun, number)
-	x.runs = append(x.runs, r)
-	x.step.job.liveRuns[r] = true
+	x.addRun(r)
 	t.addRun(r)
 	t.waitingCharge = t.waitingCharge.Plus(r.charge)
 	if x.isolated() {
--- a/internal/work/dispatch/query.go
+++ b/internal/work/dispatch/query.go
@@ -87,6 +87,8 @@
 	if j.endedAt != 0 {
 		v.Ended = time.UnixMilli(j.endedAt).UTC()
 	}
+	v.Done = j.closedCount() * j.spec.Tasks()
+	v.Tasks = v.Done
 	for _, s := range j.steps {
 		v.Tasks += len(s.tasks)
 		v.Done += len(s.tasks) - s.tasksLeft
--- a/internal/work/dispatch/save.go
+++ b/internal/work/dispatch/save.go
@@ -67,7 +67,7 @@
 
 // row returns the job's progress row for a save.
 func (j *job) row() SaveRow {
-	p := progress.Job{State: j.state, Started: j.started, MayHaveStarted: j.mayHaveStarted, Ended: j.endedAt, Cause: j.cause, Reason: j.reason}
+	p := progress.Job{State: j.state, Started: j.started, MayHaveStarted: j.mayHaveStarted, Ended: j.endedAt, Cause: j.cause, Reason: j.reason, ClosedOccurrences: j.closed}
 	for _, s := range j.steps {
 		if j.state.Final() && !s.startOutstanding() {
 			continue
--- a/internal/work/progress/dense.go
+++ b/internal/work/progress/dense.go
@@ -47,12 +47,13 @@
 
 // plainJob is Job without its methods and steps.
 type plainJob struct {
-	State          State  `json:"state"`
-	Ended          int64  `json:"ended,omitempty"`
-	Started        bool   `json:"started,omitempty"`
-	MayHaveStarted bool   `json:"mayHaveStarted,omitempty"`
-	Cause          Cause  `json:"cause,omitempty"`
-	Reason         string `json:"reason,omitempty"`
+	State          State    `json:"state"`
+	Ended          int64    `json:"ended,omitempty"`
+	Started        bool     `json:"started,omitempty"`
+	MayHaveStarted bool     `json:"mayHaveStarted,omitempty"`
+	Closed         *big.Int `json:"closed,omitempty"`
+	Cause          Cause    `json:"cause,omitempty"`
+	Reason         string   `json:"reason,omitempty"`
 }
 
 // denseStep is a step in a dense row.
@@ -138,7 +139,7 @@
 
 // encodeDense encodes the progress in the dense form.
 func (j *Job) encodeDense() ([]byte, error) {
-	d := denseJob{plainJob: plainJob{State: j.State, Ended: j.Ended, Started: j.Started, MayHaveStarted: j.MayHaveStarted, Cause: j.Cause, Reason: j.Reason}, Targets: j.targets()}
+	d := denseJob{plainJob: plainJob{State: j.State, Ended: j.Ended, Started: j.Started, MayHaveStarted: j.MayHaveStarted, Closed: j.ClosedOccurrences, Cause: j.Cause, Reason: j.Reason}, Targets: j.targets()}
 	position := make(map[string]int, len(d.Targets))
 	for i, name := range d.Targets {
 		position[name] = i
@@ -240,7 +241,7 @@
 	if err := json.Unmarshal(text, &d); err != nil {
 		return nil, err
 	}
-	j := &Job{State: d.State, Ended: d.Ended, Started: d.Started, MayHaveStarted: d.MayHaveStarted, Cause: d.Cause, Reason: d.Reason}
+	j := &Job{State: d.State, Ended: d.Ended, Started: d.Started, MayHaveStarted: d.MayHaveStarted, ClosedOccurrences: d.Closed, Cause: d.Cause, Reason: d.Reason}
 	for key, s := range d.Steps {
 		if s == nil {
 			return nil, fmt.Errorf("step %s: %w", key, errMalformedDense)
--- a/internal/work/progress/dense_test.go
+++ b/internal/work/progress/dense_test.go
@@ -69,8 +69,9 @@
 			State:   rapid.SampledFrom([]progress.State{progress.Queued, progress.Running, progress.Failed}).Draw(t, "state"),
 			Ended:   rapid.Int64().Draw(t, "ended"),
 			Started: rapid.Bool().Draw(t, "started"), MayHaveStarted: rapid.Bool().Draw(t, "mayHaveStarted"),
-			Cause:  rapid.SampledFrom([]progress.Cause{"", progress.CrashLoop}).Draw(t, "cause"),
-			Reason: rapid.SampledFrom([]string{"", largeReason}).Draw(t, "reason"),
+			ClosedOccurrences: rapid.SampledFrom([]*big.Int{nil, big.NewInt(5), new(big.Int).Lsh(big.NewInt(3), 9998)}).Draw(t, "closed"),
+			Cause:             rapid.SampledFrom([]progress.Cause{"", progress.CrashLoop}).Draw(t, "cause"),
+			Reason:            rapid.SampledFrom([]string{"", largeReason}).Draw(t, "reason"),
 		}
 		for _, key := range rapid.SliceOfNDistinct(rapid.SampledFrom([]string{"0.0", "0.1", "3.0"}), 0, 3, rapid.ID).Draw(t, "steps") {
 			if j.Steps == nil {
--- a/internal/work/progress/progress.go
+++ b/internal/work/progress/progress.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/big"
 )
 
 // State is the state of a job that clients see.
@@ -37,20 +38,22 @@
 	Ended   int64 `json:"ended,omitempty"`   // when a final state was reached: milliseconds since 1970 on the leader's clock
 	Started bool  `json:"started,omitempty"` // a task is known to have started
 	// MayHaveStarted is set if a run has ended that may have begun, whether or not it is known to have.
-	MayHaveStarted bool             `json:"mayHaveStarted,omitempty"`
-	Cause          Cause            `json:"cause,omitempty"`  // why it failed; rows of earlier versions have none
-	Reason         string           `json:"reason,omitempty"` // the same for its client
-	Steps          map[string]*Step `json:"steps,omitempty"`  // by OCCURRENCE.STEP; a step about which nothing is known is left out
+	MayHaveStarted bool `json:"mayHaveStarted,omitempty"`
+	// ClosedOccurrences has a bit for each occurrence that is done. Such occurrences have no steps here.
+	ClosedOccurrences *big.Int         `json:"closed,omitempty"`
+	Cause             Cause            `json:"cause,omitempty"`  // why it failed; rows of earlier versions have none
+	Reason            string           `json:"reason,omitempty"` // the same for its client
+	Steps             map[string]*Step `json:"steps,omitempty"`  // by OCCURRENCE.STEP; a step about which nothing is known is left out
 }
 
 // HasStarted reports whether a task is known to have started. A placement does not show it: it is saved
 // before the start is sent.
 func (j *Job) HasStarted() bool {
-	if j.Started {
+	if j.Started || j.ClosedOccurrences != nil && j.ClosedOccurrences.Sign() > 0 {
 		return true
 	}
 	for _, s := range j.Steps {
-		if s.Done != nil && s.Done.Sign() > 0 || len(s.FailedRuns) > 0 || len(s.Checkpoints) > 0 {
+		if s != nil && (s.Done != nil && s.Done.Sign() > 0 || len(s.FailedRuns) > 0 || len(s.Checkpoints) > 0) {
 			return true
 		}
 	}
