host/leader: leases of a replaced leader are awaited for a lease, not for 10 s

Cause: a leader that could not write its row acted on for 10 s, for outages of the store for all hosts, and its successor expected that of any leader, although the store had been available to the successor all the time.

Change: a leader acts without its row for one lease. It acts on, for 10 s at most, only while each host that watches it reports in its watch that the store is unavailable to it. The report echoes the mark of the leader's last answer, so that a message which is late counts from its cause. A host that takes over awaits a lease from the row that it replaces, or from its own last report; one that the leader may not have known awaits 10 s. The row says how long leases last, with those of earlier leaders, for the next term.

--- a/internal/host/leader/election.go
+++ b/internal/host/leader/election.go
@@ -17,7 +17,7 @@
 	// Watch asks the host at an address whether it still leads in a term, and returns the
 	// leader row that the host knows. A leader answers after a delay. The call fails if the
 	// host's process is gone, or if it does not lead and knows of no newer term.
-	Watch(ctx context.Context, address string, term int64) (Row, error)
+	Watch(ctx context.Context, address string, w Watch) (Answer, error)
 	// Candidates returns the addresses of hosts with at least minCores cores that
 	// watch this host and have just read the leader row, ordered by cores, largest
 	// first.
@@ -30,6 +30,21 @@
 	TransferLeadership(ctx context.Context, address string, r Row, version int64) bool
 }
 
+// Watch is what a host tells a leader that it watches.
+type Watch struct {
+	Term int64 // of the leader, as the host knows
+	// StoreAwayAt is the mark in the leader's last answer, if the store is unavailable to the host; 0: it is
+	// not, or there is no mark. The leader may act for longer on that word: if the host takes over later, it
+	// awaits leases for as long from when it sent the watch.
+	StoreAwayAt int64
+}
+
+// Answer is the answer to a watch.
+type Answer struct {
+	Row  Row
+	Mark int64 // time of the answer on the leader's clock, in a unit of its own; 0: the host does not lead
+}
+
 // Lead is called when a term of this host begins. It returns when the context ends, or
 // earlier if it finds that a newer term has begun. earlier says until when leaders of earlier
 // terms may act.
@@ -45,13 +60,20 @@
 	randN       func(n int64) int64  // a random number in [0, n)
 	latency     func() time.Duration // how long calls to the store take
 	cores       float64              // of this host
+	lease       time.Duration        // longest lease that a leader grants
+	acting      time.Duration        // for which a leader may act without the store, unless it is away for all hosts
+	startedAt   time.Time            // marks count from then
 	log         logr.Logger
 	mu          sync.Mutex
-	row         Row           // leader row as last read, written or reported by a peer
-	version     int64         // of row in the store; 0 if a peer reported the row
-	seenAt      time.Time     // when this host first saw that row
-	changedAt   time.Time     // the same, or when it last reset the lease
-	storeDownAt time.Time     // when the store last became unavailable to this host
+	row         Row       // leader row as last read, written or reported by a peer
+	version     int64     // of row in the store; 0 if a peer reported the row
+	contact     contact   // with the leader that the row names
+	changedAt   time.Time // when this host first saw the row, or last reset the lease
+	mark        int64     // in the last answer of the leader of markTerm
+	markTerm    int64
+	storeDown   bool          // the store is unavailable to this host
+	storeDownAt time.Time     // when it last became so
+	rowUnread   bool          // the last read of the row has failed, and no change of it was seen since
 	term        *Term         // nil while another host leads
 	following   bool          // another host leads, and this one could
 	transfers   chan transfer // terms that a leader transferred to this host
@@ -77,16 +99,39 @@
 // they are taken to be slow.
 func WithStoreLatency(f func() time.Duration) Option { return func(e *Election) { e.latency = f } }
 
+// WithLease sets the longest lease on a target that a leader grants. The default is Grace.
+func WithLease(d time.Duration) Option {
+	return func(e *Election) { e.lease, e.acting = d, min(max(d, minActing), Grace) }
+}
+
 // New returns an election for the host with the given holder name and address for
 // peers.
 func New(s store.Store, p Peers, lead Lead, holder, address string, log logr.Logger, opts ...Option) *Election {
-	e := &Election{store: s, peers: p, lead: lead, own: Row{Holder: holder, Address: address}, clock: boottime.Now, randN: rand.Int64N, log: log, transfers: make(chan transfer), latency: func() time.Duration { return storeTimeout }}
+	e := &Election{store: s, peers: p, lead: lead, own: Row{Holder: holder, Address: address}, clock: boottime.Now, randN: rand.Int64N, log: log, transfers: make(chan transfer), latency: func() time.Duration { return storeTimeout }, lease: Grace, acting: Grace}
 	for _, o := range opts {
 		o(e)
 	}
+	e.startedAt = e.clock()
 	return e
 }
 
+// Watched records that the host at an address watches this one, if this one leads in the term that
+// the watch names.
+func (e *Election) Watched(address string, w Watch) {
+	t, now := e.OwnTerm(), e.clock()
+	if t == nil || t.number != w.Term {
+		return
+	}
+	awayAt := time.Time{}
+	if at := e.startedAt.Add(time.Duration(w.StoreAwayAt) * time.Millisecond); w.StoreAwayAt > 0 && !at.After(now) {
+		awayAt = at
+	}
+	t.watched(address, awayAt, now)
+}
+
+// Mark returns the Answer.Mark of an answer that is sent now.
+func (e *Election) Mark() int64 { return max(e.clock().Sub(e.startedAt).Milliseconds(), 1) }
+
 // Leader returns the last known leader row. Its holder is empty if no leader is known.
 func (e *Election) Leader() Row {
 	e.mu.Lock()
--- a/internal/host/leader/following.go
+++ b/internal/host/leader/following.go
@@ -13,7 +13,7 @@
 func (e *Election) follow(ctx context.Context) bool {
 	row := e.Leader()
 	if row.Holder != "" && row.Address != e.own.Address {
-		next, err := e.peers.Watch(ctx, row.Address, row.Term)
+		next, err := e.watch(ctx, row)
 		if err == nil {
 			e.observe(next, 0)
 			if !e.leaseExpired() {
@@ -43,6 +43,36 @@
 	return false
 }
 
+// watch watches the leader that a row names, and returns the row that it knows. While the store is
+// unavailable, the watch reports that.
+func (e *Election) watch(ctx context.Context, row Row) (Row, error) {
+	e.mu.Lock()
+	sent, w := e.clock(), Watch{Term: row.Term}
+	if e.storeDown || e.rowUnread {
+		w.StoreAwayAt = e.markOf(row.Term)
+		e.contact.reportedAt = sent
+	}
+	e.mu.Unlock()
+	a, err := e.peers.Watch(ctx, row.Address, w)
+	if err != nil {
+		return Row{}, err
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if a.Row.Term == row.Term && a.Row.Holder == row.Holder {
+		e.contact.watchedAt, e.mark, e.markTerm = sent, a.Mark, row.Term
+	}
+	return a.Row, nil
+}
+
+// markOf returns the mark in the last answer of the leader of a term; 0: there is none. The caller holds e.mu.
+func (e *Election) markOf(term int64) int64 {
+	if e.markTerm != term {
+		return 0
+	}
+	return e.mark
+}
+
 // sleepJittered sleeps for 0.5 to 1.5 times d, so that hosts that lost the leader
 // together do not keep reading the row at the same time.
 func (e *Election) sleepJittered(ctx context.Context, d time.Duration) {
@@ -60,9 +90,11 @@
 	began := e.clock()
 	found, err := store.Get(ctx, e.store, RowKey)
 	if err != nil {
+		e.setRowUnread()
 		return err
 	}
 	e.mu.Lock()
+	e.rowUnread = false
 	e.readTime = e.clock().Sub(began)
 	e.mu.Unlock()
 	row, err := DecodeRow(found.Value)
@@ -73,6 +105,12 @@
 	return nil
 }
 
+func (e *Election) setRowUnread() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.rowUnread = true
+}
+
 // observe records the row as last known, unless its term is older. A changed row restarts
 // the lease. Version 0 means that a peer reported the row.
 func (e *Election) observe(r Row, version int64) {
@@ -82,11 +120,13 @@
 		return
 	}
 	if r.Term > e.row.Term || r.Holder != e.row.Holder {
+		e.contact.watchedAt = time.Time{}
 		e.log.Info("leader changed", "holder", r.Holder, "term", r.Term, "address", r.Address)
 	}
 	if r != e.row {
-		e.seenAt = e.clock()
-		e.changedAt = e.seenAt
+		e.changedAt = e.clock()
+		e.contact.seenAt = e.changedAt
+		e.rowUnread = false
 	}
 	e.row, e.version = r, version
 }
@@ -117,6 +157,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock()
+	e.storeDown = !up
 	switch {
 	case !up:
 		e.storeDownAt = now
--- a/internal/host/leader/predecessors.go
+++ b/internal/host/leader/predecessors.go
@@ -20,9 +20,13 @@
 }
 
 // afterResignation returns the Predecessors of a term that follows one whose leader has ceased to
-// act, and whose row was last r. A leader before that one may act for Grace from when that one
-// began; how long ago that was, the number of attempts to renew the row tells.
+// act, and whose row was last r.
 func (r Row) afterResignation(now time.Time) Predecessors {
+	if r.Leases > 0 {
+		return Predecessors{leasesEnd: now.Add(r.leases())}
+	}
+	// A leader before that one may act for Grace from when that one began; how long ago that was, the
+	// number of attempts to renew the row tells.
 	const unpaced = 2 // the first write of a term and the resignation are not paced
 	lasted := time.Duration(max(r.Heartbeat-unpaced, 0)) * RenewInterval
 	if !r.Limited {
@@ -32,10 +36,39 @@
 }
 
 // afterTakeover returns the Predecessors of a term that follows one whose leader may not know that
-// it has been replaced. Its row was last r, which was first seen at a time.
-func (r Row) afterTakeover(seen time.Time) Predecessors {
-	if !r.Limited {
-		return Predecessors{ordersEnd: seen.Add(Grace)}
+// it has been replaced. Its row was last r.
+func (r Row) afterTakeover(k contact) Predecessors {
+	latest := k.seenAt.Add(Grace)
+	switch {
+	case r.Leases == 0 && !r.Limited:
+		return Predecessors{ordersEnd: latest}
+	case r.Leases == 0:
+		return Predecessors{leasesEnd: latest}
+	}
+	end := k.seenAt.Add(r.leases())
+	latest = later(latest, end)
+	if r.Heartbeat <= newTermBeats {
+		return Predecessors{leasesEnd: end}
+	}
+	if !k.watchedAt.After(k.seenAt.Add(-watchMemory)) { // the leader may not have known this host
+		return Predecessors{leasesEnd: latest}
+	}
+	if reported := k.reportedAt.Add(r.leases()); reported.Before(latest) {
+		return Predecessors{leasesEnd: later(end, reported)}
 	}
-	return Predecessors{leasesEnd: seen.Add(Grace)}
+	return Predecessors{leasesEnd: latest}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// contact is what a host knows of its contact with the leader whose row it may take over.
+type contact struct {
+	seenAt     time.Time // when it first saw the present row
+	watchedAt  time.Time // when it sent the last watch that this leader has answered
+	reportedAt time.Time // when it last reported to any leader that the store is unavailable to it
 }
--- a/internal/host/leader/row.go
+++ b/internal/host/leader/row.go
@@ -16,9 +16,12 @@
 	// Lease is how long the row must be unchanged before it may be taken over. It
 	// allows for two lost or late renewals.
 	Lease = 1300 * time.Millisecond
-	// Grace is how long a leader that cannot write its row keeps sending orders. Most
+	// Grace is how long a leader that cannot write its row keeps sending orders at most. Most
 	// outages of the store are shorter.
 	Grace = 10 * time.Second
+	// minActing is how long a leader keeps sending orders without its row at least, however short
+	// the leases on targets are: its watchers have found by then that the store is away for all.
+	minActing = 5 * time.Second
 	// ReadInterval is the time between two reads of the row by a host whose calls to
 	// the leader are not answered.
 	ReadInterval = 300 * time.Millisecond
@@ -40,11 +43,18 @@
 	Holder    string `json:"holder"`            // host name with incarnation; empty after a resignation
 	Address   string `json:"address,omitempty"` // of the holder, for peers
 	Heartbeat int64  `json:"beat"`              // incremented by each attempt to renew it
+	// Leases is in milliseconds. No lease that the holder or an earlier leader grants lasts for longer
+	// than that after the row was written, or after the last host that could take the row over has
+	// reported to the holder that the store is unavailable to it. 0: not known, the row is of an earlier
+	// version.
+	Leases int64 `json:"leases,omitempty"`
 	// Limited is set if neither the holder nor an earlier leader that may still act grants a lease
 	// beyond Grace after the row was written.
 	Limited bool `json:"limited,omitempty"`
 }
 
+func (r Row) leases() time.Duration { return time.Duration(r.Leases) * time.Millisecond }
+
 func (r Row) encode() []byte {
 	b, err := json.Marshal(r)
 	if err != nil {
--- a/internal/host/leader/takeover.go
+++ b/internal/host/leader/takeover.go
@@ -17,12 +17,15 @@
 		return
 	}
 	e.mu.Lock()
-	before, version, earlier := e.row, e.version, e.row.afterTakeover(e.seenAt)
+	before, version, earlier := e.row, e.version, e.row.afterTakeover(e.contact)
 	e.mu.Unlock()
-	if t, next, version, err := e.acquire(ctx, before, version); err == nil {
-		if before.vacant(next) {
-			earlier = before.afterResignation(e.clock())
-		}
+	switch {
+	case version == 0: // there is no row unless the write fails
+		earlier = Predecessors{}
+	case before.vacant(e.own):
+		earlier = before.afterResignation(e.clock())
+	}
+	if t, next, version, err := e.acquire(ctx, before, version, earlier); err == nil {
 		e.serveTerm(ctx, t, next, version, earlier)
 		return
 	}
@@ -31,16 +34,17 @@
 
 // acquire replaces the given row by one that names this host, with the next term. If that
 // succeeds, this host leads: OwnTerm returns the new term from then on.
-func (e *Election) acquire(ctx context.Context, before Row, version int64) (*Term, Row, int64, error) {
-	next := e.own
-	next.Term, next.Heartbeat, next.Limited = before.Term+1, 1, before.Limited || version == 0
+func (e *Election) acquire(ctx context.Context, before Row, version int64, earlier Predecessors) (*Term, Row, int64, error) {
 	sent := e.clock()
+	t := NewTerm(before.Term+1, sent)
+	t.acting, t.earlierEnd = e.acting, earlier.LeasesEnd(e.lease)
+	next := e.own
+	next.Term, next.Heartbeat, next.Limited, next.Leases = t.number, 1, before.Limited || version == 0, t.leases(sent)
 	version, err := e.write(ctx, next, version)
 	if err != nil {
 		e.log.Info("leader row not acquired", "term", next.Term, "error", err.Error())
 		return nil, Row{}, 0, err
 	}
-	t := NewTerm(next.Term, sent)
 	e.setOwnRow(next, version, t)
 	e.log.Info("leading", "term", next.Term, "before", before.Holder, "power", e.cores)
 	return t, next, version, nil
@@ -56,12 +60,13 @@
 	if !accepted {
 		return false
 	}
-	t, next, version, err := e.acquire(ctx, r, version)
+	earlier := r.afterResignation(e.clock())
+	t, next, version, err := e.acquire(ctx, r, version, earlier)
 	if err != nil {
 		return false
 	}
 	select {
-	case e.transfers <- transfer{t, next, version, r.afterResignation(e.clock())}:
+	case e.transfers <- transfer{t, next, version, earlier}:
 		return true
 	case <-time.After(storeTimeout): // Run ended, or this host took the row over without a transfer
 		return false
@@ -81,7 +86,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.row, e.version, e.term, e.changedAt = r, version, t, e.clock()
-	e.seenAt = e.changedAt
+	e.contact.seenAt = e.changedAt
 }
 
 // write replaces the row at the given version and returns its new version. After a conflict
--- a/internal/host/leader/term.go
+++ b/internal/host/leader/term.go
@@ -8,18 +8,40 @@
 
 // Term is a term of leadership that this host holds or held.
 type Term struct {
-	number    int64
-	done      chan struct{} // closed when the term ends
-	beganAt   time.Time
-	mu        sync.Mutex
-	renewedAt time.Time           // when the last successful write of the row was sent
-	attempts  map[int64]time.Time // when each later write was sent, by its heartbeat
+	number      int64
+	done        chan struct{} // closed when the term ends
+	beganAt     time.Time
+	acting      time.Duration // for which it may act without the store, unless it is away for all hosts
+	earlierEnd  time.Time     // when the leases of earlier leaders end
+	mu          sync.Mutex
+	renewedAt   time.Time           // when the last successful write of the row was sent
+	renewedBeat int64               // heartbeat of that write
+	attempts    map[int64]time.Time // when each later write was sent, by its heartbeat
+	watchers    map[string]watcher  // by address
+	storeAwayAt time.Time           // a time at or after which the store was unavailable to each watcher
 }
 
+// watcher is what a leader knows of a host that watches it.
+type watcher struct {
+	heardAt     time.Time
+	storeAwayAt time.Time // a time at or after which the store was unavailable to it
+}
+
+// watchMemory is for how much longer than it may act without the store a leader remembers a host. A host
+// whose watch it has answered within that time knows that the leader awaits its reports.
+const watchMemory = 2 * time.Second
+
+// newTermBeats is the heartbeat up to which a row is that of a new term, which not all hosts may watch yet. Its
+// leader does not use their reports.
+const newTermBeats = 4
+
 // NewTerm returns a term that began with a write of the leader row sent at the
-// given time.
+// given time. Its leader may act for Grace without the store.
 func NewTerm(number int64, sent time.Time) *Term {
-	return &Term{number: number, beganAt: sent, renewedAt: sent, done: make(chan struct{}), attempts: map[int64]time.Time{}}
+	return &Term{
+		number: number, beganAt: sent, renewedAt: sent, acting: Grace, done: make(chan struct{}), attempts: map[int64]time.Time{},
+		watchers: map[string]watcher{},
+	}
 }
 
 // Number returns the number of the term, which is the fencing token of its orders.
@@ -28,9 +50,50 @@
 // Done returns a channel that is closed when the term ends.
 func (t *Term) Done() <-chan struct{} { return t.done }
 
-// Deadline returns when the leader must cease to send orders unless it renews the row before:
-// Grace after the last renewal. The leases that it grants end by then as well.
-func (t *Term) Deadline() time.Time { return t.lastRenewal().Add(Grace) }
+// Deadline returns when the leader must cease to send orders unless it renews the row before. The
+// leases that it grants end by then as well. Any host to which the store is available may have taken the
+// row over, so this is as long after the last renewal as leases last, and later only if
+// each host that watches has reported since that it could not, at most Grace after the renewal.
+func (t *Term) Deadline() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.deadline()
+}
+
+// deadline is Deadline for callers that hold t.mu.
+func (t *Term) deadline() time.Time {
+	end, latest := later(t.renewedAt, t.storeAwayAt).Add(t.acting), t.renewedAt.Add(Grace)
+	if end.After(latest) {
+		return latest
+	}
+	return end
+}
+
+// watched records that a host watches the leader. awayAt is a time at or after which the store was
+// unavailable to that host; zero: it did not report that.
+func (t *Term) watched(host string, awayAt, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.watchers[host] = watcher{heardAt: now, storeAwayAt: later(t.watchers[host].storeAwayAt, awayAt)}
+	if awayAt.IsZero() || t.renewedBeat <= newTermBeats || !now.Before(t.deadline()) { // after its end others may act
+		return
+	}
+	oldest := now
+	for host, w := range t.watchers {
+		switch {
+		case now.Sub(w.heardAt) > t.acting+watchMemory:
+			delete(t.watchers, host)
+		case w.storeAwayAt.Before(oldest):
+			oldest = w.storeAwayAt
+		}
+	}
+	t.storeAwayAt = later(t.storeAwayAt, oldest)
+}
+
+// leases returns Row.Leases of a row that is written at a time.
+func (t *Term) leases(now time.Time) int64 {
+	return max(t.acting, t.earlierEnd.Sub(now)).Milliseconds() + 1 // rounded up
+}
 
 // Valid reports whether the leader may still send orders.
 func (t *Term) Valid(now time.Time) bool { return now.Before(t.Deadline()) }
@@ -61,7 +124,7 @@
 	if !ok {
 		return
 	}
-	t.renewedAt = sent
+	t.renewedAt, t.renewedBeat = sent, heartbeat
 	maps.DeleteFunc(t.attempts, func(h int64, _ time.Time) bool { return h <= heartbeat })
 }
 
--- a/internal/host/rpc/endpoint.go
+++ b/internal/host/rpc/endpoint.go
@@ -68,6 +68,8 @@
 	OwnTerm() *leader.Term
 	ReadRow(ctx context.Context) error
 	AcceptTransfer(ctx context.Context, r leader.Row, version int64) bool
+	Watched(address string, w leader.Watch)
+	Mark() int64
 }
 
 // JobWriter is the part of an entry that peers use.
--- a/internal/host/rpc/watch.go
+++ b/internal/host/rpc/watch.go
@@ -21,6 +21,7 @@
 	Peers   []peerInfo   `json:"peers,omitempty"` // hosts to which the store is available, as the leader knows them, largest first
 	Zone    string       `json:"zone,omitempty"`  // availability zone of the watcher
 	Reach   reachability `json:"reach,omitzero"`  // of the leader
+	Mark    int64        `json:"mark,omitempty"`  // leader.Answer.Mark, or leader.Watch.StoreAwayAt in a request
 }
 
 // reachability describes what a leader reaches.
@@ -55,6 +56,7 @@
 // configuration if that is newer.
 func (e *Endpoint) handleWatch(ctx context.Context, in watchMessage) (any, error) {
 	e.recordWatcher(in)
+	e.election.Watched(in.From, leader.Watch{Term: in.Row.Term, StoreAwayAt: in.Mark})
 	if in.Version > e.keeper.Version() && in.From != "" {
 		go e.fetchConfiguration(context.WithoutCancel(ctx), in.From)
 	}
@@ -68,7 +70,7 @@
 		return e.redirect(in.Row.Term)
 	case <-time.After(watchDelay):
 	}
-	return watchMessage{Row: e.election.Leader(), Version: e.keeper.Version(), Peers: e.listPeers(), Reach: e.ownReach()}, nil
+	return watchMessage{Row: e.election.Leader(), Version: e.keeper.Version(), Peers: e.listPeers(), Reach: e.ownReach(), Mark: e.election.Mark()}, nil
 }
 
 // redirect names the current leader to a host that watches this one for the given term, or
@@ -177,17 +179,17 @@
 // Watch implements leader.Peers. It also reports this host's state to the leader, and records
 // what the leader reports. If the host at the address does not lead, and the store is
 // unavailable to this host, it asks other hosts which leader they watch.
-func (e *Endpoint) Watch(ctx context.Context, address string, term int64) (leader.Row, error) {
-	row, err := e.watch(ctx, address, term)
+func (e *Endpoint) Watch(ctx context.Context, address string, w leader.Watch) (leader.Answer, error) {
+	a, err := e.watch(ctx, address, w)
 	if err == nil || e.storeUp() {
-		return row, err
+		return a, err
 	}
 	for _, other := range e.otherPeers(address) {
-		if row, otherErr := e.watch(ctx, other, term); otherErr == nil && row.Term > term {
-			return row, nil
+		if a, otherErr := e.watch(ctx, other, leader.Watch{Term: w.Term}); otherErr == nil && a.Row.Term > w.Term {
+			return a, nil
 		}
 	}
-	return leader.Row{}, err
+	return leader.Answer{}, err
 }
 
 // otherPeers returns the addresses of the largest hosts that the last leader listed, at most
@@ -207,19 +209,19 @@
 // reachability, and fetches the leader's configuration if that is newer. A host that does
 // not lead may name the leader, which is returned, but reports nothing else. If there is no
 // answer, the leader's last report is no longer used.
-func (e *Endpoint) watch(ctx context.Context, address string, term int64) (leader.Row, error) {
+func (e *Endpoint) watch(ctx context.Context, address string, w leader.Watch) (leader.Answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	var out watchMessage
-	in := watchMessage{Row: leader.Row{Term: term}, Version: e.keeper.Version(), From: e.address, StoreUp: e.storeUp(), Cores: e.cores, Zone: e.zone}
+	in := watchMessage{Row: leader.Row{Term: w.Term}, Mark: w.StoreAwayAt, Version: e.keeper.Version(), From: e.address, StoreUp: e.storeUp(), Cores: e.cores, Zone: e.zone}
 	if err := e.transport.Call(ctx, address, methodWatch, in, &out); err != nil {
 		if !peer.Answered(err) {
 			e.leaderLost()
 		}
-		return leader.Row{}, err
+		return leader.Answer{}, err
 	}
 	if out.Row.Address != address {
-		return out.Row, nil
+		return leader.Answer{Row: out.Row}, nil
 	}
 	e.mu.Lock()
 	e.peers, e.reach, e.leaderReportedAt = out.Peers, out.Reach, time.Now()
@@ -231,7 +233,7 @@
 	if out.Version > e.keeper.Version() {
 		go e.fetchConfiguration(context.WithoutCancel(ctx), address)
 	}
-	return out.Row, nil
+	return leader.Answer{Row: out.Row, Mark: out.Mark}, nil
 }
 
 // leaderLost records that the leader is unreachable, so that its last report is no longer
