work/dispatch: rows show that a job has started with the next save of their partition

After a takeover callers would see a running job as `queued`, and in `pending`, until its target has reported to the new leader: its row was saved with the placement, before the start, and again only when something of it ended. The hosts that answer from rows while no leader is known said `queued` of such jobs all along.

Now such rows fill the room that the next save of their partition has, unless saves have failed and are split.

TestRowShowsStartWithNextSaveOfItsPartition failed before (1 row of 2).

--- a/internal/work/dispatch/ends.go
+++ b/internal/work/dispatch/ends.go
@@ -123,7 +123,7 @@
 		m.recordEndLoss(r, e, now)
 	}
 	if x := j.findTask(e.Run.Task); x != nil {
-		j.started = true // also if the start was not answered
+		m.jobStarted(j) // also if the start was not answered
 		m.logOutstandingStart(x, e, now)
 		x.highestRun = max(x.highestRun, e.Run.Number)
 		x.step.highestGangRun = max(x.step.highestGangRun, e.Run.Number)
@@ -415,6 +415,6 @@
 		m.stop(r, reason, now)
 		return r
 	}
-	j.started = true
+	m.jobStarted(j)
 	return r
 }
--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -174,7 +174,20 @@
 func (m *Machine) runBegan(r *run, now time.Time) {
 	r.phase = running
 	r.beganAt, r.reportedAt = now, now
-	r.task.step.job.started = true
+	m.jobStarted(r.task.step.job)
+}
+
+// jobStarted records that a task of a job has started. The row shows it with the next save of its partition that has
+// room: no call is made for it alone.
+func (m *Machine) jobStarted(j *job) {
+	if j.started {
+		return
+	}
+	j.started = true
+	if m.jobs[j.spec.ID] == j {
+		p := &m.partitions[j.partition]
+		p.started = append(p.started, j)
+	}
 }
 
 // startRefused handles a start that the target refused and will not execute later. If the
--- a/internal/work/dispatch/save.go
+++ b/internal/work/dispatch/save.go
@@ -21,6 +21,7 @@
 // partition tracks what is to be saved of the jobs of one partition.
 type partition struct {
 	dirty       []*job    // to be saved, in the order in which they changed, each once
+	started     []*job    // of which the row may not show yet that they have started
 	sending     []*job    // in the outstanding save; nil: none
 	retryAt     time.Time // no save before
 	saveSize    saveSize
@@ -48,7 +49,7 @@
 		}
 		save := Save{Partition: i}
 		bytes := 0
-		for _, j := range p.nextSave(now) {
+		for _, j := range p.withStarted(p.nextSave(now)) {
 			row := j.row()
 			if bytes += len(row.Value); bytes > maxSaveBytes && p.sending != nil {
 				break
@@ -60,11 +61,29 @@
 		if p.sending == nil {
 			continue
 		}
+		p.started = slices.DeleteFunc(p.started, func(j *job) bool { return j.dirty || j.finished() || slices.Contains(p.sending, j) })
 		p.dirty = slices.DeleteFunc(p.dirty, func(j *job) bool { return !j.dirty })
 		m.commands = append(m.commands, save)
 	}
 }
 
+// withStarted adds jobs that have started to those of the next save, as far as it has room. A save that was
+// split since others have failed holds nothing else.
+func (p *partition) withStarted(jobs []*job) []*job {
+	if len(jobs) == 0 || p.saveSize != (saveSize{}) || p.suspectSize != (saveSize{}) {
+		return jobs
+	}
+	for _, j := range p.started {
+		if len(jobs) >= maxSaveRows {
+			break
+		}
+		if !j.dirty && !j.finished() && !j.rowFailures.suspect() {
+			jobs = append(jobs, j)
+		}
+	}
+	return jobs
+}
+
 // row returns the job's progress row for a save.
 func (j *job) row() SaveRow {
 	p := progress.Job{State: j.state, Started: j.started, MayHaveStarted: j.mayHaveStarted, Ended: j.endedAt, Cause: j.cause, Reason: j.reason, ClosedOccurrences: j.closed}
--- a/internal/work/dispatch/started_test.go
+++ b/internal/work/dispatch/started_test.go
@@ -115,3 +115,31 @@
 	s.saves()
 	is.Equal(s.jobs[j.ID].state, progress.NotRun)
 }
+
+// The row that records a start is saved before a target begins it. Guards against a job that runs and is pending again
+// after a takeover, since nothing of it has ended yet.
+func TestRowShowsStartWithNextSaveOfItsPartition(t *testing.T) {
+	is := is.New(t)
+	s := newFixture()
+	s.EnablePlacement(s.now, s.now)
+	j := testJob("00000000000000e4", 1)
+	s.Accept(j, s.now)
+	s.report(order.Report{})
+	started := commands[Start](s)
+	is.Equal(len(started), 1)
+	s.StartAnswered(started[0], s.now.UnixMilli(), nil, s.now)
+	is.Equal(len(commands[Save](s)), 0) // no call for it alone
+	other := graph.JobID("")
+	for n := 0; other == "" || PartitionOf(other, s.bounds.Partitions) != PartitionOf(j.ID, s.bounds.Partitions); n++ {
+		other = graph.JobID("00000000000000f" + string("0123456789abcdef"[n]))
+	}
+	s.Accept(testJob(other, 1), s.now)
+	rows := s.saves()
+	is.Equal(len(rows), 2)
+	for _, r := range rows {
+		p, err := progress.Decode(r.Value)
+		is.NoErr(err)
+		is.Equal(p.HasStarted(), r.Job == j.ID)
+	}
+	is.Equal(len(s.partitions[PartitionOf(j.ID, s.bounds.Partitions)].started), 0)
+}
