work/dispatch: search open occurrences with the standard library, log no negative wait

The binary search is sort.Search, passing over closed occurrences has one name, and the line `placement enabled` of a fleet's first leader shows earlierLeasesMS=0 in the place of a number that is the smallest of its type.

--- a/internal/work/dispatch/accept.go
+++ b/internal/work/dispatch/accept.go
@@ -97,11 +97,7 @@
 // if they are not due yet, since something of them has ended.
 func (m *Machine) restoreProgress(j *job, p *progress.Job, now time.Time) {
 	for _, id := range m.savedSteps(j, p) {
-		for j.opened <= id.Occurrence {
-			if j.isClosed(j.opened) {
-				j.opened++
-				continue
-			}
+		for j.skipClosed(); j.opened <= id.Occurrence; j.skipClosed() {
 			m.openNextOccurrence(j, now)
 		}
 		if steps := j.openSteps(id.Occurrence); steps != nil {
--- a/internal/work/dispatch/machine.go
+++ b/internal/work/dispatch/machine.go
@@ -147,7 +147,7 @@
 		}
 		runs += len(t.runs)
 	}
-	m.log.Decided("placement enabled", "term", m.term, "targets", len(m.sortedTargets), "recordedRuns", runs, "earlierLeasesMS", predecessorLeasesEnd.Sub(now).Milliseconds())
+	m.log.Decided("placement enabled", "term", m.term, "targets", len(m.sortedTargets), "recordedRuns", runs, "earlierLeasesMS", max(predecessorLeasesEnd.Sub(now), 0).Milliseconds())
 	m.orderFirstPolls()
 }
 
--- a/internal/work/dispatch/occurrence.go
+++ b/internal/work/dispatch/occurrence.go
@@ -5,6 +5,7 @@
 	"math/big"
 	"math/bits"
 	"slices"
+	"sort"
 	"time"
 
 	"guavaglade.example/guavaglade/internal/work/graph"
@@ -37,17 +38,9 @@
 // and whether it is open.
 func (j *job) occurrenceAt(number int) (at int, open bool) {
 	n := len(j.spec.Steps)
-	starts := len(j.steps) / n
-	low, high := 0, starts
-	for low < high {
-		middle := (low + high) / 2
-		if j.steps[middle*n].id.Occurrence < number {
-			low = middle + 1
-		} else {
-			high = middle
-		}
-	}
-	return low * n, low < starts && j.steps[low*n].id.Occurrence == number
+	count := len(j.steps) / n
+	i := sort.Search(count, func(i int) bool { return j.steps[i*n].id.Occurrence >= number })
+	return i * n, i < count && j.steps[i*n].id.Occurrence == number
 }
 
 // openSteps returns the steps of an occurrence, or nil if it is not open.
@@ -106,11 +99,16 @@
 	j.steps = slices.Delete(j.steps, at, end)
 }
 
-// nextDue reports whether the next occurrence of the job that is not done is due.
-func (j *job) nextDue(nowMS int64) bool {
+// skipClosed passes over occurrences that a saved row shows as closed, so that they are not opened.
+func (j *job) skipClosed() {
 	for j.opened < j.spec.Occurrences() && j.isClosed(j.opened) {
 		j.opened++
 	}
+}
+
+// nextDue reports whether the next occurrence to open is due.
+func (j *job) nextDue(nowMS int64) bool {
+	j.skipClosed()
 	return j.opened < j.spec.Occurrences() && j.spec.Due(j.opened) <= nowMS
 }
 
@@ -150,12 +148,8 @@
 // openNextOccurrence opens the next occurrence of a job and enqueues the steps that depend on no others.
 func (m *Machine) openNextOccurrence(j *job, now time.Time) {
 	m.occurrenceArrived(j, now)
+	steps := j.createOccurrence(j.opened)
 	j.opened++
-	m.enqueueFirstSteps(j.createOccurrence(j.opened-1), now)
-}
-
-// enqueueFirstSteps enqueues the steps of a new occurrence that depend on no others.
-func (m *Machine) enqueueFirstSteps(steps []*step, now time.Time) {
 	for _, s := range steps {
 		if s.blockedBy == 0 {
 			m.stepUnblocked(s, now)
