host/leader: a leader forgets hosts that it need not await any more with each renewal

A term that lasts for weeks would have kept an entry for each host that was ever replaced: only reports of an outage removed them.

--- a/internal/host/leader/term.go
+++ b/internal/host/leader/term.go
@@ -78,18 +78,21 @@
 	if awayAt.IsZero() || t.renewedBeat <= newTermBeats || !now.Before(t.deadline()) { // after its end others may act
 		return
 	}
+	t.forgetSilent(now)
 	oldest := now
-	for host, w := range t.watchers {
-		switch {
-		case now.Sub(w.heardAt) > t.acting+watchMemory:
-			delete(t.watchers, host)
-		case w.storeAwayAt.Before(oldest):
+	for _, w := range t.watchers {
+		if w.storeAwayAt.Before(oldest) {
 			oldest = w.storeAwayAt
 		}
 	}
 	t.storeAwayAt = later(t.storeAwayAt, oldest)
 }
 
+// forgetSilent forgets hosts that the leader need not await any more. The caller holds t.mu.
+func (t *Term) forgetSilent(now time.Time) {
+	maps.DeleteFunc(t.watchers, func(_ string, w watcher) bool { return now.Sub(w.heardAt) > t.acting+watchMemory })
+}
+
 // leases returns Row.Leases of a row that is written at a time.
 func (t *Term) leases(now time.Time) int64 {
 	return max(t.acting, t.earlierEnd.Sub(now)).Milliseconds() + 1 // rounded up
@@ -126,6 +129,7 @@
 	}
 	t.renewedAt, t.renewedBeat = sent, heartbeat
 	maps.DeleteFunc(t.attempts, func(h int64, _ time.Time) bool { return h <= heartbeat })
+	t.forgetSilent(sent)
 }
 
 // olderThan reports whether the term began more than a time ago.
--- a/internal/host/leader/term_test.go
+++ b/internal/host/leader/term_test.go
@@ -72,4 +72,8 @@
 	is.Equal(term.Deadline(), at(10)) // it is over
 	renew(newTermBeats+2, at(11))
 	is.Equal(term.Deadline(), at(17))
+	renew(newTermBeats+3, at(12))
+	is.Equal(len(term.watchers), 1+1)
+	renew(newTermBeats+4, at(18.1))
+	is.Equal(len(term.watchers), 0) // neither was heard since
 }
