work/dispatch: leaders grant leases of 6 s at most

Cause: a leader granted the longest lease that a target takes. What is lost without a sign is waited for until that is over, by each leader.

Change: a leader grants 6 s at most, as on the other deployments. TestWorkOfLostTargetAwaitsNoLongerLeaseThanIsGranted failed before (run 1 in the place of 2) and passes.

--- a/internal/host/leader/election.go
+++ b/internal/host/leader/election.go
@@ -60,7 +60,7 @@
 	randN       func(n int64) int64  // a random number in [0, n)
 	latency     func() time.Duration // how long calls to the store take
 	cores       float64              // of this host
-	lease       time.Duration        // longest lease that a leader grants
+	lease       time.Duration        // longest that a target grants
 	acting      time.Duration        // for which a leader may act without the store, unless it is away for all hosts
 	startedAt   time.Time            // marks count from then
 	log         logr.Logger
@@ -99,9 +99,10 @@
 // they are taken to be slow.
 func WithStoreLatency(f func() time.Duration) Option { return func(e *Election) { e.latency = f } }
 
-// WithLease sets the longest lease on a target that a leader grants. The default is Grace.
-func WithLease(d time.Duration) Option {
-	return func(e *Election) { e.lease, e.acting = d, min(max(d, minActing), Grace) }
+// WithLease sets the longest lease that a leader grants, and the longest that a target does, which leaders of
+// earlier versions grant. The default of both is Grace.
+func WithLease(granted, longest time.Duration) Option {
+	return func(e *Election) { e.lease, e.acting = longest, min(max(granted, minActing), Grace) }
 }
 
 // New returns an election for the host with the given holder name and address for
--- a/internal/host/leader/election_test.go
+++ b/internal/host/leader/election_test.go
@@ -124,7 +124,7 @@
 	}
 	randN := rand.New(rand.NewPCG(seed, 2)).Int64N
 	monitor := store.NewMonitor(h.link, leader.RowKey, func(up bool, _ error) { h.StoreChanged(up) })
-	h.Election = leader.New(monitor, peers, lead, name+"#1", name, logr.Discard(), leader.WithClock(time.Now), leader.WithRandom(randN), leader.WithLease(longestLease), leader.WithCores(1), leader.WithStoreLatency(monitor.TypicalLatency))
+	h.Election = leader.New(monitor, peers, lead, name+"#1", name, logr.Discard(), leader.WithClock(time.Now), leader.WithRandom(randN), leader.WithLease(longestLease, longestLease), leader.WithCores(1), leader.WithStoreLatency(monitor.TypicalLatency))
 	go monitor.Run(ctx)
 	go func() {
 		h.Run(ctx)
--- a/internal/host/scheduler/scheduler.go
+++ b/internal/host/scheduler/scheduler.go
@@ -139,7 +139,7 @@
 		rpc.WithAdopted(s.logAdopted), rpc.WithBurnSnapshot(func() burn.Snapshot { return s.burn.Snapshot(time.Now()) }),
 	)
 	s.peerTransport = peer.New(s.endpoint.Handle, set.peerTLS, nil, log)
-	s.election = leader.New(s.store, s.endpoint, s.dispatcher.Lead, holder, id.PeerAddress, log, leader.WithCores(id.Cores), leader.WithLease(set.bounds.Lease), leader.WithStoreLatency(s.store.TypicalLatency))
+	s.election = leader.New(s.store, s.endpoint, s.dispatcher.Lead, holder, id.PeerAddress, log, leader.WithCores(id.Cores), leader.WithLease(set.bounds.GrantedLease(), set.bounds.Lease), leader.WithStoreLatency(s.store.TypicalLatency))
 	s.entry = entry.New(s.store, s.endpoint, s.endpoint, log)
 	s.endpoint.Bind(s.peerTransport, s.election, s.entry)
 	return s
--- a/internal/proof/deployment/deployment_test.go
+++ b/internal/proof/deployment/deployment_test.go
@@ -141,7 +141,7 @@
 		dispatcher.WithHandover(func(ctx context.Context, h dispatch.Handover) error { return endpoint.Handover(ctx, h) }))
 	endpoint = rpc.New(h.address, disp, catalog.NewKeeper(nil), monitor.Up, rpc.WithCores(1))
 	h.peerTransport = peer.New(endpoint.Handle, nil, d.network.dial(h.address), logr.Discard())
-	h.election = leader.New(monitor, endpoint, disp.Lead, fmt.Sprintf("%s#%d", name, incarnation), h.address, log, leader.WithClock(time.Now), leader.WithLease(dispatch.DefaultBounds().Lease), leader.WithRandom(d.randomSource()), leader.WithStoreLatency(monitor.TypicalLatency))
+	h.election = leader.New(monitor, endpoint, disp.Lead, fmt.Sprintf("%s#%d", name, incarnation), h.address, log, leader.WithClock(time.Now), leader.WithLease(dispatch.DefaultBounds().GrantedLease(), dispatch.DefaultBounds().Lease), leader.WithRandom(d.randomSource()), leader.WithStoreLatency(monitor.TypicalLatency))
 	h.entry = entry.New(monitor, endpoint, endpoint, log)
 	endpoint.Bind(h.peerTransport, h.election, h.entry)
 	go monitor.Run(ctx)
--- a/internal/work/dispatch/bounds.go
+++ b/internal/work/dispatch/bounds.go
@@ -26,6 +26,13 @@
 	MaxEvacuationAge time.Duration
 }
 
+// maxGrantedLease bounds the leases that a leader grants. The work of a target that is lost without a sign waits
+// for them, also where targets would grant longer ones; a target that is cut off for longer loses its runs.
+const maxGrantedLease = 6 * time.Second
+
+// GrantedLease returns the longest lease that a leader grants.
+func (b Bounds) GrantedLease() time.Duration { return min(b.Lease, maxGrantedLease) }
+
 // DefaultBounds returns bounds for tests and small deployments.
 func DefaultBounds() Bounds {
 	return Bounds{
--- a/internal/work/dispatch/hold_test.go
+++ b/internal/work/dispatch/hold_test.go
@@ -338,3 +338,21 @@
 	d.run(3 * time.Second)
 	is.Equal(d.p.StartsOf(id), 1) // three of four targets are healthy and have most of their capacity free
 }
+
+// Targets would grant leases of 10 s. Guards against work of a target that is lost without a sign which waits for
+// as long.
+func TestWorkOfLostTargetAwaitsNoLongerLeaseThanIsGranted(t *testing.T) {
+	is := is.New(t)
+	bounds, targets := DefaultBounds(), pool.DefaultBounds()
+	bounds.Lease, targets.Lease = 10*time.Second, 10*time.Second
+	d := newSimulationOf(t, 2, 4, bounds, targets)
+	id := d.submit(2, 20*time.Second, small(1))
+	d.run(3 * time.Second)
+	d.disconnected[d.m.jobs[id].steps[0].tasks[0].runs[0].target.Address] = true
+	d.run(maxGrantedLease + time.Second)
+	runs := d.m.jobs[id].steps[0].tasks[0].runs
+	is.Equal(len(runs), 1)
+	is.Equal(runs[0].Number, 2)
+	d.run(25 * time.Second)
+	d.check()
+}
--- a/internal/work/dispatch/orders.go
+++ b/internal/work/dispatch/orders.go
@@ -100,7 +100,7 @@
 	if !expiry.IsZero() { // the target refuses it from then on, if it executes it late
 		latest = min(latest, t.estimatedClock(now)+expiry.Sub(now).Milliseconds())
 	}
-	r.startsExpireAt = now.Add(longestLease(m.bounds.Lease))
+	r.startsExpireAt = now.Add(longestLease(m.bounds.GrantedLease()))
 	m.commands = append(m.commands, Start{Target: t.address(), Zone: t.Zone, Order: order.Start{
 		Run: r.Run, Spec: r.task.step.job.spec.Spec, Deadline: min(latest, t.estimatedClock(now)+startValidity.Milliseconds()),
 		Term: m.term, Checkpoint: r.resumedFrom, Ticket: r.ticket,
--- a/internal/work/dispatch/target.go
+++ b/internal/work/dispatch/target.go
@@ -170,7 +170,7 @@
 // grantLease returns the deadline of an order that is sent to a target now, on the target's clock,
 // and the lease that it grants. It extends leaseEnd for a target clock that is slow by clockDrift.
 func (m *Machine) grantLease(t *target, now time.Time) (deadline int64, lease time.Duration) {
-	lease = m.bounds.Lease
+	lease = m.bounds.GrantedLease()
 	if !m.leaseLimit.IsZero() {
 		lease = max(min(lease, m.leaseLimit.Sub(now)), 0)
 	}
