host/leader: a leader that hears from all its watchers acts on, whether the store is away or not

The hosts in the zone had not found the store away yet when they were cut off, so no watch of theirs had named an answer.

Now each watch names the last answer, and a host that takes over awaits leases from the arrival of its last answer on, so that the state of the store does not matter: what the leader does on the word of a watch, that host awaits. A dead or frozen leader answers nothing, so that the wait behind one is as short as before. Less state is kept.

TestWatchesKeepLeasesAwaited (150 seeds of late and lost messages, outages and restarts) and the tests of single rules pass.

--- a/internal/host/leader/doc.go
+++ b/internal/host/leader/doc.go
@@ -9,9 +9,9 @@
 // unavailable to all hosts, no host can take over and the leader continues.
 //
 // A leader that cannot write its row may be the only disconnected host. It keeps sending orders for
-// as long as a lease on a target lasts, and grants none beyond that. While each host that watches it reports
-// that the store is unavailable to it, the leader goes on, for at most Grace. A host that reports this promises to
-// await the leases that the leader may grant on its word, if it takes over. The first order of the next
+// as long as a lease on a target lasts, and grants none beyond that. While it hears from each host that watches
+// it, the leader goes on, for at most Grace: a watch names the last answer that has arrived, and a host that
+// takes over awaits leases for as long as they last after that arrival. The first order of the next
 // leader to a target fences off the old one there. On targets that the next leader does not reach, no
-// lease is left a lease after it first saw the row that it replaced, or after its own last report.
+// lease is left a lease after it first saw the row that it replaced, or after the last answer to its watches.
 package leader
--- a/internal/host/leader/election.go
+++ b/internal/host/leader/election.go
@@ -33,10 +33,9 @@
 // Watch is what a host tells a leader that it watches.
 type Watch struct {
 	Term int64 // of the leader, as the host knows
-	// StoreAwayAt is the mark in the leader's last answer, if the store is unavailable to the host; 0: it is
-	// not, or there is no mark. The leader may act for longer on that word: if the host takes over later, it
-	// awaits leases for as long from when it sent the watch.
-	StoreAwayAt int64
+	// Mark is that of the leader's last answer; 0: there was none. The leader may act for longer since that
+	// answer has arrived: if the host takes over, it awaits leases for as long from its arrival on.
+	Mark int64
 }
 
 // Answer is the answer to a watch.
@@ -61,7 +60,7 @@
 	latency     func() time.Duration // how long calls to the store take
 	cores       float64              // of this host
 	lease       time.Duration        // longest that a target grants
-	acting      time.Duration        // for which a leader may act without the store, unless it is away for all hosts
+	acting      time.Duration        // for which a leader may act without the store or a word from its watchers
 	startedAt   time.Time            // marks count from then
 	log         logr.Logger
 	mu          sync.Mutex
@@ -71,9 +70,7 @@
 	changedAt   time.Time // when this host first saw the row, or last reset the lease
 	mark        int64     // in the last answer of the leader of markTerm
 	markTerm    int64
-	storeDown   bool          // the store is unavailable to this host
-	storeDownAt time.Time     // when it last became so
-	rowUnread   bool          // the last read of the row has failed, and no change of it was seen since
+	storeDownAt time.Time     // when the store last became unavailable to this host
 	term        *Term         // nil while another host leads
 	following   bool          // another host leads, and this one could
 	transfers   chan transfer // terms that a leader transferred to this host
@@ -123,11 +120,11 @@
 	if t == nil || t.number != w.Term {
 		return
 	}
-	awayAt := time.Time{}
-	if at := e.startedAt.Add(time.Duration(w.StoreAwayAt) * time.Millisecond); w.StoreAwayAt > 0 && !at.After(now) {
-		awayAt = at
+	answeredAt := time.Time{}
+	if at := e.startedAt.Add(time.Duration(w.Mark) * time.Millisecond); w.Mark > 0 && !at.After(now) {
+		answeredAt = at
 	}
-	t.watched(address, awayAt, now)
+	t.watched(address, answeredAt, now)
 }
 
 // Mark returns the Answer.Mark of an answer that is sent now.
--- a/internal/host/leader/following.go
+++ b/internal/host/leader/following.go
@@ -43,15 +43,10 @@
 	return false
 }
 
-// watch watches the leader that a row names, and returns the row that it knows. While the store is
-// unavailable, the watch reports that.
+// watch watches the leader that a row names, and returns the row that it knows.
 func (e *Election) watch(ctx context.Context, row Row) (Row, error) {
 	e.mu.Lock()
-	sent, w := e.clock(), Watch{Term: row.Term}
-	if e.storeDown || e.rowUnread {
-		w.StoreAwayAt = e.markOf(row.Term)
-		e.contact.reportedAt = sent
-	}
+	sent, w := e.clock(), Watch{Term: row.Term, Mark: e.markOf(row.Term)}
 	e.mu.Unlock()
 	a, err := e.peers.Watch(ctx, row.Address, w)
 	if err != nil {
@@ -59,6 +54,9 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	if a.Mark > 0 { // it may be that of another leader by now
+		e.contact.answeredAt = e.clock()
+	}
 	if sameTerm(a.Row, row) && sameTerm(e.row, row) { // another row may have been read meanwhile
 		e.contact.watchedAt, e.mark, e.markTerm = sent, a.Mark, row.Term
 	}
@@ -93,11 +91,9 @@
 	began := e.clock()
 	found, err := store.Get(ctx, e.store, RowKey)
 	if err != nil {
-		e.setRowUnread()
 		return err
 	}
 	e.mu.Lock()
-	e.rowUnread = false
 	e.readTime = e.clock().Sub(began)
 	e.mu.Unlock()
 	row, err := DecodeRow(found.Value)
@@ -108,12 +104,6 @@
 	return nil
 }
 
-func (e *Election) setRowUnread() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.rowUnread = true
-}
-
 // observe records the row as last known, unless its term is older. A changed row restarts
 // the lease. Version 0 means that a peer reported the row.
 func (e *Election) observe(r Row, version int64) {
@@ -129,7 +119,6 @@
 	if r != e.row {
 		e.changedAt = e.clock()
 		e.contact.seenAt = e.changedAt
-		e.rowUnread = false
 	}
 	e.row, e.version = r, version
 }
@@ -160,7 +149,6 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := e.clock()
-	e.storeDown = !up
 	switch {
 	case !up:
 		e.storeDownAt = now
--- a/internal/host/leader/predecessors.go
+++ b/internal/host/leader/predecessors.go
@@ -53,8 +53,8 @@
 	if !k.watchedAt.After(k.seenAt.Add(-watchMemory)) { // the leader may not have known this host
 		return Predecessors{leasesEnd: latest}
 	}
-	if reported := k.reportedAt.Add(r.leases()); reported.Before(latest) {
-		return Predecessors{leasesEnd: later(end, reported)}
+	if answered := k.answeredAt.Add(r.leases()); answered.Before(latest) {
+		return Predecessors{leasesEnd: later(end, answered)}
 	}
 	return Predecessors{leasesEnd: latest}
 }
@@ -70,5 +70,5 @@
 type contact struct {
 	seenAt     time.Time // when it first saw the present row
 	watchedAt  time.Time // when it sent the last watch that this leader has answered
-	reportedAt time.Time // when it last reported to any leader that the store is unavailable to it
+	answeredAt time.Time // when the last answer of any leader to a watch arrived
 }
--- a/internal/host/leader/predecessors_test.go
+++ b/internal/host/leader/predecessors_test.go
@@ -89,9 +89,9 @@
 }
 
 // The store is unavailable to all hosts for longer than leases last. Guards against a leader that ends all leases
-// although no other host can lead: it acts on for Grace, but only if it hears that from all hosts.
+// although no other host can lead: it acts on for Grace, but only if it hears from all hosts.
 func TestLeaderActsOnWhileTheStoreIsAwayForAll(t *testing.T) {
-	for name, lose := range map[string]bool{"all report it": false, "one host is silent": true} {
+	for name, lose := range map[string]bool{"all hosts watch it": false, "one host is silent": true} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
@@ -157,7 +157,7 @@
 
 // The store goes away for all hosts or for some, messages between hosts are lost or late, and hosts start again at
 // their addresses. No leader may take a lease of an earlier one to have lapsed that may be in force.
-func TestReportsOfOutagesKeepLeasesAwaited(t *testing.T) {
+func TestWatchesKeepLeasesAwaited(t *testing.T) {
 	for seed := range uint64(150) {
 		synctest.Test(t, func(t *testing.T) {
 			rnd := rand.New(rand.NewPCG(seed, 11))
--- a/internal/host/leader/row.go
+++ b/internal/host/leader/row.go
@@ -20,7 +20,7 @@
 	// outages of the store are shorter.
 	Grace = 10 * time.Second
 	// minActing is how long a leader keeps sending orders without its row at least, however short
-	// the leases on targets are: its watchers have found by then that the store is away for all.
+	// the leases on targets are. Most takeovers and short outages are over by then.
 	minActing = 5 * time.Second
 	// ReadInterval is the time between two reads of the row by a host whose calls to
 	// the leader are not answered.
@@ -44,9 +44,8 @@
 	Address   string `json:"address,omitempty"` // of the holder, for peers
 	Heartbeat int64  `json:"beat"`              // incremented by each attempt to renew it
 	// Leases is in milliseconds. No lease that the holder or an earlier leader grants lasts for longer
-	// than that after the row was written, or after the last host that could take the row over has
-	// reported to the holder that the store is unavailable to it. 0: not known, the row is of an earlier
-	// version.
+	// than that after the row was written, or after an answer of the holder has arrived at the host that
+	// takes the row over. 0: not known, the row is of an earlier version.
 	Leases int64 `json:"leases,omitempty"`
 	// Limited is set if neither the holder nor an earlier leader that may still act grants a lease
 	// beyond Grace after the row was written.
--- a/internal/host/leader/term.go
+++ b/internal/host/leader/term.go
@@ -11,28 +11,28 @@
 	number      int64
 	done        chan struct{} // closed when the term ends
 	beganAt     time.Time
-	acting      time.Duration // for which it may act without the store, unless it is away for all hosts
+	acting      time.Duration // for which it may act without the store or a word from its watchers
 	earlierEnd  time.Time     // when the leases of earlier leaders end
 	mu          sync.Mutex
 	renewedAt   time.Time           // when the last successful write of the row was sent
 	renewedBeat int64               // heartbeat of that write
 	attempts    map[int64]time.Time // when each later write was sent, by its heartbeat
 	watchers    map[string]watcher  // by address
-	storeAwayAt time.Time           // a time at or after which the store was unavailable to each watcher
+	answeredAt  time.Time           // an answer that was sent then or later has arrived at each watcher
 }
 
 // watcher is what a leader knows of a host that watches it.
 type watcher struct {
-	heardAt     time.Time
-	storeAwayAt time.Time // a time at or after which the store was unavailable to it
+	heardAt    time.Time
+	answeredAt time.Time // an answer that was sent then has arrived there; zero: none is known to have
 }
 
 // watchMemory is for how much longer than it may act without the store a leader remembers a host. A host
-// whose watch it has answered within that time knows that the leader awaits its reports.
+// whose watch it has answered within that time knows that the leader awaits it.
 const watchMemory = 2 * time.Second
 
 // newTermBeats is the heartbeat up to which a row is that of a new term, which not all hosts may watch yet. Its
-// leader does not use their reports.
+// leader does not act for longer on their word.
 const newTermBeats = 4
 
 // NewTerm returns a term that began with a write of the leader row sent at the
@@ -51,9 +51,10 @@
 func (t *Term) Done() <-chan struct{} { return t.done }
 
 // Deadline returns when the leader must cease to send orders unless it renews the row before. The
-// leases that it grants end by then as well. Any host to which the store is available may have taken the
-// row over, so this is as long after the last renewal as leases last, and later only if
-// each host that watches has reported since that it could not, at most Grace after the renewal.
+// leases that it grants end by then as well. Any host may have taken the row over, and awaits leases for as
+// long as they last after it last saw a renewal, or after an answer of this leader has arrived. So this is as long
+// after the last renewal, or after an answer that is known to have arrived at each watcher, but at most
+// Grace after the renewal.
 func (t *Term) Deadline() time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -62,30 +63,33 @@
 
 // deadline is Deadline for callers that hold t.mu.
 func (t *Term) deadline() time.Time {
-	end, latest := later(t.renewedAt, t.storeAwayAt).Add(t.acting), t.renewedAt.Add(Grace)
+	end, latest := later(t.renewedAt, t.answeredAt).Add(t.acting), t.renewedAt.Add(Grace)
 	if end.After(latest) {
 		return latest
 	}
 	return end
 }
 
-// watched records that a host watches the leader. awayAt is a time at or after which the store was
-// unavailable to that host; zero: it did not report that.
-func (t *Term) watched(host string, awayAt, now time.Time) {
+// watched records that a host watches the leader, and that an answer which was sent at a time has arrived there;
+// zero: none is known to have.
+func (t *Term) watched(host string, answeredAt, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.watchers[host] = watcher{heardAt: now, storeAwayAt: later(t.watchers[host].storeAwayAt, awayAt)}
-	if awayAt.IsZero() || t.renewedBeat <= newTermBeats || !now.Before(t.deadline()) { // after its end others may act
+	t.watchers[host] = watcher{heardAt: now, answeredAt: later(t.watchers[host].answeredAt, answeredAt)}
+	switch {
+	case now.Sub(t.renewedAt) < 2*RenewInterval: // the row is renewed, nothing else matters
+		return
+	case t.renewedBeat <= newTermBeats || !now.Before(t.deadline()): // after its end others may act
 		return
 	}
 	t.forgetSilent(now)
 	oldest := now
 	for _, w := range t.watchers {
-		if w.storeAwayAt.Before(oldest) {
-			oldest = w.storeAwayAt
+		if w.answeredAt.Before(oldest) {
+			oldest = w.answeredAt
 		}
 	}
-	t.storeAwayAt = later(t.storeAwayAt, oldest)
+	t.answeredAt = later(t.answeredAt, oldest)
 }
 
 // forgetSilent forgets hosts that the leader need not await any more. The caller holds t.mu.
--- a/internal/host/leader/term_test.go
+++ b/internal/host/leader/term_test.go
@@ -23,19 +23,19 @@
 		k    contact
 		want time.Duration // after seen
 	}{
-		"watched":                          {row, contact{watchedAt: seen}, lease},
-		"reported before":                  {row, contact{watchedAt: seen, reportedAt: seen.Add(-time.Second)}, lease},
-		"reported since":                   {row, contact{watchedAt: seen, reportedAt: seen.Add(time.Second)}, lease + time.Second},
-		"reported for long":                {row, contact{watchedAt: seen, reportedAt: seen.Add(9 * time.Second)}, Grace},
-		"not watched":                      {row, contact{}, Grace},
-		"not watched for long":             {row, contact{watchedAt: seen.Add(-watchMemory)}, Grace},
-		"not watched, of a new term":       {newTerm, contact{}, lease},
-		"leases of an earlier leader":      {earlier, contact{watchedAt: seen}, 13 * time.Second},
-		"the same, not watched":            {earlier, contact{}, 13 * time.Second},
-		"of an earlier version":            {limited, contact{watchedAt: seen}, Grace},
-		"the same, with unlimited leases":  {unlimited, contact{watchedAt: seen}, Grace + lease},
-		"reported since, of a new term":    {newTerm, contact{reportedAt: seen.Add(time.Second)}, lease},
-		"reported before, earlier leaders": {earlier, contact{watchedAt: seen, reportedAt: seen.Add(time.Second)}, 13 * time.Second},
+		"watched":                         {row, contact{watchedAt: seen}, lease},
+		"answered before":                 {row, contact{watchedAt: seen, answeredAt: seen.Add(-time.Second)}, lease},
+		"answered since":                  {row, contact{watchedAt: seen, answeredAt: seen.Add(time.Second)}, lease + time.Second},
+		"answered for long":               {row, contact{watchedAt: seen, answeredAt: seen.Add(9 * time.Second)}, Grace},
+		"not watched":                     {row, contact{}, Grace},
+		"not watched for long":            {row, contact{watchedAt: seen.Add(-watchMemory)}, Grace},
+		"not watched, of a new term":      {newTerm, contact{}, lease},
+		"leases of an earlier leader":     {earlier, contact{watchedAt: seen}, 13 * time.Second},
+		"the same, not watched":           {earlier, contact{}, 13 * time.Second},
+		"of an earlier version":           {limited, contact{watchedAt: seen}, Grace},
+		"the same, with unlimited leases": {unlimited, contact{watchedAt: seen}, Grace + lease},
+		"answered since, of a new term":   {newTerm, contact{answeredAt: seen.Add(time.Second)}, lease},
+		"answered since, earlier leaders": {earlier, contact{watchedAt: seen, answeredAt: seen.Add(time.Second)}, 13 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -45,9 +45,9 @@
 	}
 }
 
-// Each watcher has to report an outage. Guards against a term whose time is over and is extended by reports
-// that arrive then, and against reports that a new term counts on.
-func TestTermIsExtendedByReportsOfAllWatchers(t *testing.T) {
+// Each watcher has to have an answer of the leader. Guards against a term whose time is over and is extended by
+// watches that arrive then, and against watches that a new term counts on.
+func TestTermIsExtendedByWatchesOfAllHosts(t *testing.T) {
 	is := is.New(t)
 	began := time.Unix(1000, 0)
 	at := func(seconds float64) time.Time { return began.Add(time.Duration(seconds * float64(time.Second))) }
@@ -63,7 +63,7 @@
 	renew(newTermBeats+1, at(1.5))
 	term.watched("c", time.Time{}, at(2))
 	term.watched("b", at(3), at(3))
-	is.Equal(term.Deadline(), at(7.5)) // c has not reported
+	is.Equal(term.Deadline(), at(7.5)) // c is not known to have an answer
 	term.watched("c", at(4), at(4.5))
 	is.Equal(term.Deadline(), at(9))
 	term.watched("b", at(5), at(5))
--- a/internal/host/rpc/watch.go
+++ b/internal/host/rpc/watch.go
@@ -21,7 +21,7 @@
 	Peers   []peerInfo   `json:"peers,omitempty"` // hosts to which the store is available, as the leader knows them, largest first
 	Zone    string       `json:"zone,omitempty"`  // availability zone of the watcher
 	Reach   reachability `json:"reach,omitzero"`  // of the leader
-	Mark    int64        `json:"mark,omitempty"`  // leader.Answer.Mark, or leader.Watch.StoreAwayAt in a request
+	Mark    int64        `json:"mark,omitempty"`  // leader.Answer.Mark, or leader.Watch.Mark in a request
 }
 
 // reachability describes what a leader reaches.
@@ -56,7 +56,7 @@
 // configuration if that is newer.
 func (e *Endpoint) handleWatch(ctx context.Context, in watchMessage) (any, error) {
 	e.recordWatcher(in)
-	e.election.Watched(in.From, leader.Watch{Term: in.Row.Term, StoreAwayAt: in.Mark})
+	e.election.Watched(in.From, leader.Watch{Term: in.Row.Term, Mark: in.Mark})
 	if in.Version > e.keeper.Version() && in.From != "" {
 		go e.fetchConfiguration(context.WithoutCancel(ctx), in.From)
 	}
@@ -213,7 +213,7 @@
 	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	var out watchMessage
-	in := watchMessage{Row: leader.Row{Term: w.Term}, Mark: w.StoreAwayAt, Version: e.keeper.Version(), From: e.address, StoreUp: e.storeUp(), Cores: e.cores, Zone: e.zone}
+	in := watchMessage{Row: leader.Row{Term: w.Term}, Mark: w.Mark, Version: e.keeper.Version(), From: e.address, StoreUp: e.storeUp(), Cores: e.cores, Zone: e.zone}
 	if err := e.transport.Call(ctx, address, methodWatch, in, &out); err != nil {
 		if !peer.Answered(err) {
 			e.leaderLost()
