review: a machine that goes down and up ends a job that lasts

Five crashes of workers under a long-running task have its job shown as failed for good, though no run has ended as failed.

--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -98,6 +99,7 @@
 	token                   int64
 	leaseEnd                int64 // on its clock
 	seq                     int
+	server                  *http.Server
 }
 
 func (w *worker) clock(now time.Time) int64 { return now.Sub(w.began).Milliseconds() + 1000 }
@@ -115,6 +117,7 @@
 	changed chan struct{}
 	log     *record
 	breach  []string
+	lives   int         // of machines that have crashed
 	orders  []time.Time // when workers got orders
 	load    float64     // the tail of tasks that serve, in milliseconds, with nothing beside them
 	// latePace reports whether a pace order is left unanswered, and how much later it is carried
@@ -130,28 +133,13 @@
 func (f *fleet) launch(racks int, zones []string) error {
 	for r := range racks {
 		for i := range 8 {
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				return err
-			}
-			kind := "a"
+			w := &worker{kind: "a", id: fmt.Sprintf("i-%02d%02d7f3a", r, i), address: "127.0.0.1:0", zone: zones[r%len(zones)], rack: fmt.Sprintf("r1-%d", r)}
 			if r == 0 && i == 0 {
-				kind = "b" // the only one of its kind
-			}
-			w := &worker{
-				kind: kind,
-				id:   fmt.Sprintf("i-%02d%02d7f3a", r, i), address: l.Addr().String(), zone: zones[r%len(zones)], rack: fmt.Sprintf("r1-%d", r),
-				began: time.Now(), runs: map[string]*run{}, stopped: map[string]int{},
+				w.kind = "b" // the only one of its kind
 			}
-			f.workers = append(f.workers, w)
-			mux := http.NewServeMux()
-			for path, serve := range map[string]func(*worker, *order, time.Time) (int, any){
-				"/run-start": f.start, "/run-stop": f.stop, "/pace": f.pace,
-			} {
-				mux.HandleFunc("POST "+path, func(rw http.ResponseWriter, q *http.Request) { f.order(rw, q, w, serve) })
+			if err := f.launchOne(w); err != nil {
+				return err
 			}
-			mux.HandleFunc("POST /hold", func(rw http.ResponseWriter, q *http.Request) { f.hold(rw, q, w) })
-			go func() { _ = (&http.Server{Handler: mux}).Serve(l) }()
 		}
 	}
 	go f.beat()
@@ -159,23 +147,73 @@
 	return nil
 }
 
+// launchOne starts one life of a machine at its address.
+func (f *fleet) launchOne(w *worker) error {
+	l, err := net.Listen("tcp", w.address)
+	if err != nil {
+		return err
+	}
+	w.address, w.began, w.runs, w.stopped = l.Addr().String(), time.Now(), map[string]*run{}, map[string]int{}
+	mux := http.NewServeMux()
+	for path, serve := range map[string]func(*worker, *order, time.Time) (int, any){
+		"/run-start": f.start, "/run-stop": f.stop, "/pace": f.pace,
+	} {
+		mux.HandleFunc("POST "+path, func(rw http.ResponseWriter, q *http.Request) { f.order(rw, q, w, serve) })
+	}
+	mux.HandleFunc("POST /hold", func(rw http.ResponseWriter, q *http.Request) { f.hold(rw, q, w) })
+	w.server = &http.Server{Handler: mux}
+	go func() { _ = w.server.Serve(l) }()
+	f.mu.Lock()
+	f.workers = append(f.workers, w)
+	f.mu.Unlock()
+	return nil
+}
+
+// crash ends a life of a machine, and starts the next one after a time under a new id at the same
+// address. The entry of the life that has ended goes after three heartbeats.
+func (f *fleet) crash(w *worker, down time.Duration) error {
+	f.mu.Lock()
+	f.log.line("worker %s crashes", w.id)
+	for _, x := range w.sorted() {
+		f.log.line("worker %s: %s run %d is lost", w.id, x.task, x.number)
+		delete(w.runs, runName(x.task, x.number))
+	}
+	f.workers = slices.DeleteFunc(f.workers, func(o *worker) bool { return o == w })
+	f.mu.Unlock()
+	_ = w.server.Close()
+	time.AfterFunc(3*heartbeat, func() { f.store.remove(rowKey{"servers", "", w.id}) })
+	time.Sleep(down)
+	f.lives++
+	next := &worker{kind: w.kind, id: fmt.Sprintf("%s%02d3a", w.id[:6], f.lives), address: w.address, zone: w.zone, rack: w.rack}
+	err := f.launchOne(next)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.register(next, time.Now())
+	f.log.line("worker %s starts at the address of %s", next.id, w.id)
+	return err
+}
+
 // beat writes the workers' registrations.
 func (f *fleet) beat() {
 	for ; ; time.Sleep(heartbeat) {
 		f.mu.Lock()
-		now := time.Now()
 		for _, w := range f.workers {
-			w.seq++
-			value, _ := json.Marshal(map[string]any{
-				"service": f.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
-				"capacity": map[string]int{"cpu": 64000, "memMb": 262144, "gpu": 8}, "labels": []string{w.kind, w.rack}, "clockMs": w.clock(now), "seq": w.seq,
-			})
-			f.store.put(rowKey{"servers", "", w.id}, value)
+			f.register(w, time.Now())
 		}
 		f.mu.Unlock()
 	}
 }
 
+// register writes the registration of a worker. The caller holds the lock.
+func (f *fleet) register(w *worker, now time.Time) {
+	w.seq++
+	value, _ := json.Marshal(map[string]any{
+		"service": f.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
+		"capacity": map[string]int{"cpu": 64000, "memMb": 262144, "gpu": 8}, "labels": []string{w.kind, w.rack}, "clockMs": w.clock(now), "seq": w.seq,
+	})
+	f.store.put(rowKey{"servers", "", w.id}, value)
+}
+
 // tick ends runs that are done, stopped or without a lease.
 func (f *fleet) tick() {
 	for last := time.Now(); ; time.Sleep(10 * time.Millisecond) {
