--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -217,7 +217,7 @@
 		select {
 		case <-end:
 			return
-		case <-time.After(250 * time.Millisecond):
+		case <-time.After(120 * time.Millisecond):
 			go func() {
 				_, _, _ = s.submit(urgentPrefix, "key-sur", []*step{{Count: 3, CPU: 7500, MemMB: 39000, GPU: 1, EstimatedMS: 2500, work: 2500 * time.Millisecond}}, nil)
 			}()
@@ -385,3 +385,53 @@
 	}
 	return nil
 }
+
+func init() { cases["reserved"] = reserved }
+
+// reserved has a large urgent gang beyond its tenant's guarantee wait for capacity, while another
+// tenant hands in a small urgent job within its own.
+func reserved(s *site, trouble bool) (int, string, error) {
+	s.configure(usualQueues, usualTenants)
+	if err := s.awaitReady(15 * time.Second); err != nil {
+		return failed, "", err
+	}
+	time.Sleep(4 * time.Second)
+	full := &step{Count: 48, CPU: 26000, MemMB: 75000, GPU: 8, EstimatedMS: 90000, work: 90 * time.Second}
+	id, _, err := s.submit(batchPrefix, "key-sur", []*step{full}, nil)
+	if err != nil {
+		return failed, "", err
+	}
+	time.Sleep(26 * time.Second)
+	if n, _ := s.fleet.begun(id); n != full.Count {
+		return failed, "", fmt.Errorf("job %s has begun %d of %d tasks", id, n, full.Count)
+	}
+	if trouble {
+		gang := &step{Count: 48, CPU: 7500, MemMB: 39000, GPU: 8, EstimatedMS: 5000, Gang: true, work: 5 * time.Second}
+		if _, _, err := s.submit(urgentPrefix, "key-sur", []*step{gang}, nil); err != nil {
+			return failed, "", err
+		}
+		time.Sleep(2 * time.Second)
+	}
+	id, acked, err := s.submit(urgentPrefix, "key-norte", []*step{{Count: 4, CPU: 7500, MemMB: 39000, GPU: 8, EstimatedMS: 2500, work: 2500 * time.Millisecond}}, nil)
+	if err != nil {
+		return failed, "", err
+	}
+	time.Sleep(time.Until(acked.Add(reclaimTime)))
+	n, _ := s.fleet.begun(id)
+	s.log.line("reclaimMs after the acknowledgement %d of 4 tasks of norte's job %s have begun", n, id)
+	inTime := n == 4
+	for range 150 {
+		if n, _ = s.fleet.begun(id); n == 4 {
+			break
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	_, last := s.fleet.begun(id)
+	switch {
+	case inTime:
+		return held, fmt.Sprintf("norte's job began %v after its acknowledgement", last.Sub(acked).Round(10*time.Millisecond)), nil
+	case n == 4:
+		return broken, fmt.Sprintf("RECLAIM: norte's job began %v after its acknowledgement", last.Sub(acked).Round(10*time.Millisecond)), nil
+	}
+	return broken, fmt.Sprintf("RECLAIM: norte needs 32 of its 96 guaranteed accelerators; %d of 4 tasks had begun %v after the acknowledgement", n, time.Since(acked).Round(time.Second)), nil
+}
