--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -435,3 +435,29 @@
 	}
 	return broken, fmt.Sprintf("RECLAIM: norte needs 32 of its 96 guaranteed accelerators; %d of 4 tasks had begun %v after the acknowledgement", n, time.Since(acked).Round(time.Second)), nil
 }
+
+func init() { cases["public"] = public }
+
+// public has a caller without a key read and cancel a tenant's job by way of a queue that is public.
+func public(s *site, trouble bool) (int, string, error) {
+	queues := append([]queue{{name: "r-open", prefix: openPrefix, priority: 2, objectiveMS: 3000, public: trouble}}, usualQueues...)
+	s.configure(queues, usualTenants)
+	if err := s.awaitReady(15 * time.Second); err != nil {
+		return failed, "", err
+	}
+	time.Sleep(4 * time.Second)
+	id, _, err := s.submit(batchPrefix, "key-norte", []*step{{Count: 1, CPU: 2000, MemMB: 8000, GPU: 1, EstimatedMS: 60000, work: time.Minute}}, nil)
+	if err != nil {
+		return failed, "", err
+	}
+	time.Sleep(time.Second)
+	s.call(s.anyHost(), http.MethodGet, batchPrefix+id, "", nil)
+	read, _ := s.call(s.anyHost(), http.MethodGet, openPrefix+id, "", nil)
+	cancelled, _ := s.call(s.anyHost(), http.MethodDelete, openPrefix+id, "", nil)
+	time.Sleep(2 * time.Second)
+	_, state := s.call(s.anyHost(), http.MethodGet, batchPrefix+id, "key-norte", nil)
+	if read == http.StatusOK || cancelled == http.StatusOK {
+		return broken, fmt.Sprintf("a caller without a key: GET %d, DELETE %d; norte's job is shown as %s", read, cancelled, state), nil
+	}
+	return held, fmt.Sprintf("a caller without a key: GET %d, DELETE %d; norte's job is shown as %s", read, cancelled, state), nil
+}
--- a/review/standin-2/host.go
+++ b/review/standin-2/host.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -185,6 +186,7 @@
 	h.cmd = exec.Command("target/guavaglade", "host")
 	h.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C", "GUAVAGLADE_BOOT=" + h.settings}
 	h.cmd.Stdout, h.cmd.Stderr = out, out
+	h.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // no process outlives the case
 	if err := h.cmd.Start(); err != nil {
 		return err
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"syscall"
 	"time"
 )
@@ -24,6 +25,7 @@
 		fmt.Println("usage: standin-2 CASE FOLDER")
 		os.Exit(failed)
 	}
+	runtime.LockOSThread() // the hosts are killed when the thread that has started them ends
 	os.Exit(play(os.Args[1], os.Args[2]))
 }
 
