host/entry: an answered cancellation binds submissions that are under way

Cause: a host that finds no row of the job answers and leaves no trace. Each write of the job expects only that its row is missing, which is as true after the answer as before. Three writers can still meet that condition: the store, which performs a call without an answer later, a peer to which the job was relayed, and the host itself if it still retries. Ruled out: the leader, which has never heard of the job; the check of accounts; a read that is not linearizable.

Change: a cancellation that finds no job is stored in one of 256 rows, whose version each write of a job expects. A job is therefore stored only by a host that knew all cancellations stored before that moment, however late the store performs the call, and whichever hosts are gone. The rows are never removed, since a write that expects none would find none again. A cancellation covers what its caller may cancel: an account's jobs, those of a public queue, or for operators all. A later submission of the id is answered with 410, for 150 s. No request makes calls for longer than a minute, and relayed submissions that are older are not taken. Write calls for unknown jobs are limited to a tenth of the store's rate, a row to 128 entries, 16 of one caller; beyond that 429. The answer 504 of the own API names the job's id, without which its client could not cancel.

Chaos scripts cancel unaccepted jobs, too, and count "no such job" as an acknowledgement.

--- a/internal/host/api/jobs.go
+++ b/internal/host/api/jobs.go
@@ -67,7 +67,7 @@
 		err = a.scheduler.Entry().Submit(r.Context(), j)
 	}
 	if err != nil {
-		writeSubmitError(w, err)
+		writeSubmitError(w, request.JobID(c.account.Name(), body.RequestID), err)
 		return
 	}
 	a.replySubmitted(w, r, j, until)
@@ -114,22 +114,28 @@
 	}
 }
 
-// writeSubmitError writes why a job was not accepted.
-func writeSubmitError(w http.ResponseWriter, err error) {
-	const retryDelay = time.Second // outages of the store or the leader are rarely shorter
+// retryDelay is the time after which a request that was refused should be repeated: outages of the
+// store or the leader are rarely shorter.
+const retryDelay = time.Second
+
+// writeSubmitError writes why a job was not accepted. If its outcome is not known, the answer has its
+// id, by which the client can read or cancel it.
+func writeSubmitError(w http.ResponseWriter, id graph.JobID, err error) {
 	now := time.Now()
 	switch {
 	case errors.Is(err, request.ErrInvalid), errors.Is(err, graph.ErrInvalid):
 		Problem{Status: http.StatusBadRequest, Detail: err.Error(), State: string(progress.NotRun)}.write(w, now)
 	case errors.Is(err, request.ErrNotFound):
 		Problem{Status: http.StatusNotFound, Detail: err.Error(), State: string(progress.NotRun)}.write(w, now)
+	case errors.Is(err, entry.ErrCancelled):
+		Problem{Status: http.StatusGone, Type: "cancelled", Detail: err.Error(), State: string(progress.NotRun), ID: id}.write(w, now)
 	case errors.Is(err, entry.ErrNotAccepted):
 		Problem{
 			Status: http.StatusServiceUnavailable, Type: "notAccepted", Detail: err.Error(),
 			State: string(progress.NotRun), RetryAfter: now.Add(retryDelay),
 		}.write(w, now)
 	default:
-		Problem{Status: http.StatusGatewayTimeout, Type: "notKnownYet", Detail: err.Error(), RetryAfter: now.Add(retryDelay)}.write(w, now)
+		Problem{Status: http.StatusGatewayTimeout, Type: "notKnownYet", Detail: err.Error(), ID: id, RetryAfter: now.Add(retryDelay)}.write(w, now)
 	}
 }
 
@@ -149,11 +155,15 @@
 
 // writeJobError writes an error of the entry about a job.
 func writeJobError(w http.ResponseWriter, id graph.JobID, err error) {
-	if errors.Is(err, entry.ErrNoJob) {
+	switch {
+	case errors.Is(err, entry.ErrNoJob):
 		writeJobNotFound(w, id)
-		return
+	case errors.Is(err, entry.ErrTooManyCancellations):
+		now := time.Now()
+		Problem{Status: http.StatusTooManyRequests, Detail: err.Error(), RetryAfter: now.Add(retryDelay)}.write(w, now)
+	default:
+		writeUnavailable(w, err)
 	}
-	writeUnavailable(w, err)
 }
 
 // get answers with the state of a job, after the job has ended or the wait that the
@@ -178,7 +188,8 @@
 	Views{a.scheduler}.history(w, r, c.entry())
 }
 
-// cancel answers once the cancellation is stored. Running tasks are stopped later.
+// cancel answers once the cancellation is stored, also with 404, that of a job which is not there: none
+// of its id is stored later. Running tasks are stopped later.
 func (a *API) cancel(w http.ResponseWriter, r *http.Request, c caller) {
 	id := jobID(r)
 	if err := a.scheduler.Entry().Cancel(r.Context(), id, c.entry()); err != nil {
--- a/internal/host/api/problem.go
+++ b/internal/host/api/problem.go
@@ -5,18 +5,21 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"guavaglade.example/guavaglade/internal/work/graph"
 )
 
 // Problem is the body of an error response (RFC 9457).
 type Problem struct {
-	Type       string    `json:"type"`  // about:blank, notAccepted or notKnownYet
-	Title      string    `json:"title"` // the text of the status
-	Status     int       `json:"status"`
-	Detail     string    `json:"detail,omitempty"`
-	State      string    `json:"state,omitempty"` // notRun if a job was refused
-	RetryAfter time.Time `json:"retryAfter,omitzero"`
-	Current    int64     `json:"current,omitempty"` // current version, on a conflict
-	Faults     []string  `json:"faults,omitempty"`  // of a configuration text
+	Type       string      `json:"type"`  // about:blank, cancelled, notAccepted or notKnownYet
+	Title      string      `json:"title"` // the text of the status
+	Status     int         `json:"status"`
+	Detail     string      `json:"detail,omitempty"`
+	State      string      `json:"state,omitempty"` // notRun if a job was refused
+	ID         graph.JobID `json:"id,omitempty"`    // of a job whose outcome is not known or that was cancelled
+	RetryAfter time.Time   `json:"retryAfter,omitzero"`
+	Current    int64       `json:"current,omitempty"` // current version, on a conflict
+	Faults     []string    `json:"faults,omitempty"`  // of a configuration text
 }
 
 // write sends the problem. Type and Title have defaults. If it has RetryAfter, the
--- a/internal/host/dispatcher/rows.go
+++ b/internal/host/dispatcher/rows.go
@@ -10,17 +10,19 @@
 	"time"
 
 	"guavaglade.example/guavaglade/internal/platform/store"
+	"guavaglade.example/guavaglade/internal/work/cancellation"
 	"guavaglade.example/guavaglade/internal/work/graph"
 	"guavaglade.example/guavaglade/internal/work/progress"
 )
 
 // Tables and names of the system's own rows.
 const (
-	jobsTable     = "jobs"
-	progressTable = "progress"
-	fenceTable    = "fence"
-	fenceName     = "term"
-	cancelSuffix  = ".cancel"
+	jobsTable      = "jobs"
+	progressTable  = "progress"
+	fenceTable     = "fence"
+	fenceName      = "term"
+	cancelSuffix   = ".cancel"
+	cancelledTable = "cancelled"
 )
 
 // Partitions is the number of partitions over which the rows of jobs are spread. A
@@ -38,6 +40,16 @@
 	return store.Key{Table: jobsTable, Partition: strconv.Itoa(partition), Name: string(id) + cancelSuffix}
 }
 
+// CancelledSetKey returns the key of the row that holds the cancellations of a job which is not
+// stored, and of others. The row is never removed: a write of a job that was made before the row
+// existed, and is performed late, would take effect after its removal.
+func CancelledSetKey(partition int, id graph.JobID) store.Key {
+	return store.Key{Table: cancelledTable, Partition: strconv.Itoa(partition), Name: strconv.Itoa(cancellation.Index(id))}
+}
+
+// IsCancelledSet reports whether a key is one of CancelledSetKey.
+func IsCancelledSet(k store.Key) bool { return k.Table == cancelledTable }
+
 // ProgressKey returns the key of a job's progress row.
 func ProgressKey(partition int, id graph.JobID) store.Key {
 	return store.Key{Table: progressTable, Partition: strconv.Itoa(partition), Name: string(id)}
--- a/internal/host/rpc/endpoint.go
+++ b/internal/host/rpc/endpoint.go
@@ -113,6 +113,7 @@
 	ranking          []peerInfo              // the last such list that was not empty
 	reach            reachability            // of the leader, as last reported
 	maxZones         int                     // the most zones that a leader reached at once
+	hosts            int                     // as of Hosts
 	listed           []peerInfo              // sent to watchers, immutable; nil before the first
 	listedAt         time.Time               // when listed was made
 	pendingCounts    map[string]pendingCount // by queue
--- a/internal/host/rpc/endpoint_test.go
+++ b/internal/host/rpc/endpoint_test.go
@@ -262,6 +262,8 @@
 		{"neither can", entry.ErrNotAccepted, entry.ErrNotAccepted, entry.ErrNotAccepted, 1},
 		{"outcome unknown", entry.ErrOutcomeUnknown, nil, entry.ErrOutcomeUnknown, 0},
 		{"no such job", entry.ErrNoJob, nil, entry.ErrNoJob, 0},
+		{"cancelled before", entry.ErrCancelled, nil, entry.ErrCancelled, 0},
+		{"over the rate", entry.ErrTooManyCancellations, nil, entry.ErrTooManyCancellations, 0},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -471,3 +473,15 @@
 		is.True(!follower.LeaderReports())
 	})
 }
+
+// Each host knows how many hosts share the store's write rate: the leader by its watchers, the others by
+// its report.
+func TestHostsAreCounted(t *testing.T) {
+	withHosts(t, 3, func(ctx context.Context, is *is.I, hosts []*host) {
+		is.Equal(hosts[1].Hosts(), 0) // not known yet
+		watch(ctx, is, 2, hosts[0], hosts[1], hosts[2])
+		for _, h := range hosts {
+			is.Equal(h.Hosts(), 3)
+		}
+	})
+}
--- a/internal/host/rpc/relay.go
+++ b/internal/host/rpc/relay.go
@@ -23,6 +23,8 @@
 	Done        bool   `json:"done"`
 	NotAccepted bool   `json:"notAccepted,omitempty"` // nothing was stored and nothing will be
 	NoJob       bool   `json:"noJob,omitempty"`
+	Cancelled   bool   `json:"cancelled,omitempty"`
+	TooMany     bool   `json:"tooMany,omitempty"` // entry.ErrTooManyCancellations
 	Reason      string `json:"why,omitempty"`
 }
 
@@ -31,7 +33,10 @@
 	if err == nil {
 		return relayReply{Done: true}
 	}
-	return relayReply{NotAccepted: errors.Is(err, entry.ErrNotAccepted), NoJob: errors.Is(err, entry.ErrNoJob), Reason: err.Error()}
+	return relayReply{
+		NotAccepted: errors.Is(err, entry.ErrNotAccepted), NoJob: errors.Is(err, entry.ErrNoJob), Cancelled: errors.Is(err, entry.ErrCancelled),
+		TooMany: errors.Is(err, entry.ErrTooManyCancellations), Reason: err.Error(),
+	}
 }
 
 // err returns the error that the reply reports, which wraps one of package entry's, or nil.
@@ -41,6 +46,10 @@
 		return nil
 	case r.NoJob:
 		return entry.ErrNoJob
+	case r.Cancelled:
+		return relayError{entry.ErrCancelled, r.Reason}
+	case r.TooMany:
+		return relayError{entry.ErrTooManyCancellations, r.Reason}
 	case r.NotAccepted:
 		return relayError{entry.ErrNotAccepted, r.Reason}
 	}
@@ -71,7 +80,7 @@
 
 // relay has another host write to the store: the leader, or else one with access to the
 // store. It tries the next host only if the last one certainly stored nothing. The error wraps
-// entry.ErrNotAccepted, ErrOutcomeUnknown or ErrNoJob.
+// entry.ErrNotAccepted, ErrOutcomeUnknown, ErrNoJob, ErrCancelled or ErrTooManyCancellations.
 func (e *Endpoint) relay(ctx context.Context, method string, in any) error {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
 	defer cancel()
--- a/internal/host/rpc/watch.go
+++ b/internal/host/rpc/watch.go
@@ -26,8 +26,9 @@
 
 // reachability describes what a leader reaches.
 type reachability struct {
-	StoreUp bool `json:"storeUp"` // the store is available to it
-	Zones   int  `json:"zones"`   // availability zones with a host that watches it, including its own; 0 if unknown
+	StoreUp bool `json:"storeUp"`         // the store is available to it
+	Zones   int  `json:"zones"`           // availability zones with a host that watches it, including its own; 0 if unknown
+	Hosts   int  `json:"hosts,omitempty"` // that watch it, and itself; 0 if unknown
 }
 
 // peerInfo is a host as the leader knows it.
@@ -95,14 +96,23 @@
 	up := e.storeUp()
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	zones := map[string]bool{e.zone: true}
+	zones, hosts := map[string]bool{e.zone: true}, 1
 	for _, w := range e.watchers {
 		if time.Since(w.at) <= reachableFor { // a zone counts if one of its hosts is reachable
 			zones[w.zone] = true
+			hosts++
 		}
 	}
-	e.maxZones = max(e.maxZones, len(zones))
-	return reachability{StoreUp: up, Zones: len(zones)}
+	e.maxZones, e.hosts = max(e.maxZones, len(zones)), hosts
+	return reachability{StoreUp: up, Zones: len(zones), Hosts: hosts}
+}
+
+// Hosts returns how many hosts the leader has reached when it last reported that, itself included; 0 if
+// no leader has. A leader's own count is as of the last watch that it answered.
+func (e *Endpoint) Hosts() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.hosts
 }
 
 // storePeerAddresses returns the addresses of the hosts that watch this one, have access to
@@ -226,6 +236,9 @@
 	e.mu.Lock()
 	e.peers, e.reach, e.leaderReportedAt = out.Peers, out.Reach, time.Now()
 	e.maxZones = max(e.maxZones, out.Reach.Zones)
+	if out.Reach.Hosts > 0 {
+		e.hosts = out.Reach.Hosts
+	}
 	if len(out.Peers) > 0 {
 		e.ranking = out.Peers
 	}
--- a/internal/host/scheduler/scheduler.go
+++ b/internal/host/scheduler/scheduler.go
@@ -83,6 +83,7 @@
 	peerTLS     peer.ClientTLS // nil: peers are reached without TLS
 	unreadyTime time.Duration
 	applyTime   time.Duration
+	storeWrites float64 // 0: not known
 }
 
 // WithMetrics sets the scope of the metrics, by default none.
@@ -101,6 +102,11 @@
 // WithApplyTime sets within which time a new configuration has to be in force, by default 2 s.
 func WithApplyTime(d time.Duration) Option { return func(o *options) { o.applyTime = d } }
 
+// WithStoreWrites sets how many write calls a second the store takes from all hosts; 0: not known.
+func WithStoreWrites(perSecond float64) Option {
+	return func(o *options) { o.storeWrites = perSecond }
+}
+
 // WithBounds sets the bounds of dispatching, by default dispatch.DefaultBounds.
 func WithBounds(b dispatch.Bounds) Option { return func(o *options) { o.bounds = b } }
 
@@ -140,7 +146,11 @@
 	)
 	s.peerTransport = peer.New(s.endpoint.Handle, set.peerTLS, nil, log)
 	s.election = leader.New(s.store, s.endpoint, s.dispatcher.Lead, holder, id.PeerAddress, log, leader.WithCores(id.Cores), leader.WithLease(set.bounds.GrantedLease(), set.bounds.Lease), leader.WithStoreLatency(s.store.TypicalLatency))
-	s.entry = entry.New(s.store, s.endpoint, s.endpoint, log)
+	entryOpts := []entry.Option{entry.WithMetrics(set.metrics), entry.WithRetention(set.bounds.Retention), entry.WithHosts(s.endpoint.Hosts)}
+	if set.storeWrites > 0 {
+		entryOpts = append(entryOpts, entry.WithStoreWrites(set.storeWrites))
+	}
+	s.entry = entry.New(s.store, s.endpoint, s.endpoint, log, entryOpts...)
 	s.endpoint.Bind(s.peerTransport, s.election, s.entry)
 	return s
 }
--- a/internal/platform/store/store.go
+++ b/internal/platform/store/store.go
@@ -69,6 +69,7 @@
 type Result struct {
 	Version int64 // of the written rows
 	Rows    []Row // on a conflict: the expected rows that exist
+	Now     int64 // as of Page
 }
 
 // Range selects the rows of a partition whose names are in [From, To).
@@ -83,6 +84,7 @@
 	Rows    []Row // of a range in order of names, of a feed in order of changes
 	More    bool  // of a range: more rows follow
 	Version int64 // current version of the store
+	Now     int64 // the store's steady clock, in milliseconds; 0: not given
 }
 
 // Store is the platform's table store.
--- a/internal/proof/deployment/deployment_test.go
+++ b/internal/proof/deployment/deployment_test.go
@@ -272,7 +272,8 @@
 }
 
 // cancel has a client cancel a job at a random host, in the background, until that is
-// acknowledged, at most five times. The pool learns of an acknowledged cancellation.
+// acknowledged, at most five times. That there is no such job acknowledges it, too. The pool learns of
+// an acknowledged cancellation.
 func (d *deployment) cancel(s *submission) {
 	h := d.anyHost()
 	d.clients.Add(1)
@@ -282,7 +283,7 @@
 			ctx, cancel := context.WithTimeout(d.ctx, 3*time.Second)
 			err := h.entry.Cancel(ctx, s.job.ID, entry.Caller{Account: s.job.Account})
 			cancel()
-			if err == nil {
+			if err == nil || errors.Is(err, entry.ErrNoJob) {
 				s.update(func() { s.cancelled = true })
 				d.pool.Do(func(p *pool.Pool, now time.Time) { p.RecordCancelled(s.job.ID, now) })
 				return
--- a/internal/proof/deployment/store_test.go
+++ b/internal/proof/deployment/store_test.go
@@ -1,11 +1,16 @@
 package deployment
 
 import (
+	"context"
+	"errors"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"guavaglade.example/guavaglade/internal/host/entry"
+	"guavaglade.example/guavaglade/internal/standin/pool"
 	"guavaglade.example/guavaglade/internal/standin/rows"
 	"guavaglade.example/guavaglade/internal/work/graph"
 	"guavaglade.example/guavaglade/internal/work/progress"
@@ -68,6 +73,51 @@
 	}
 }
 
+// Guards against a job that runs after its cancellation was answered, by a write that is performed when
+// the host that made it is gone and all others have been restarted: jobs that last and recur, too.
+func TestLateJobOfAnsweredCancellation(t *testing.T) {
+	for name, change := range map[string]func(*graph.Job){
+		"plain":   func(*graph.Job) {},
+		"lasting": func(j *graph.Job) { j.Steps[0].LongRunning = true },
+		"recurs":  func(j *graph.Job) { j.Repeat, j.Every, j.FirstAt = 20, 2*time.Second, j.AcceptedAt },
+	} {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, 15, 4, 2, func(d *deployment) {
+				is := is.New(d.t)
+				time.Sleep(2 * time.Second)
+				j := d.singleStepJob(1, graph.Step{Count: 3, Needs: needs(1), Estimate: time.Second})
+				change(j)
+				d.pool.Do(func(p *pool.Pool, _ time.Time) { p.Submit(j, succeedsAfter(time.Second)) })
+				first := d.hosts[0]
+				d.setStoreFaults(rows.Faults{LateWrites: 1, LateBy: 20 * time.Second})
+				ctx, cancel := context.WithTimeout(d.ctx, 3*time.Second)
+				is.True(first.entry.Submit(ctx, j) != nil)
+				cancel()
+				time.Sleep(2 * time.Second) // until no peer is storing it
+				d.setStoreFaults(rows.Faults{})
+				ctx, cancel = context.WithTimeout(d.ctx, 3*time.Second)
+				err := d.hosts[1].entry.Cancel(ctx, j.ID, entry.Caller{Account: j.Account})
+				cancel()
+				is.True(err == nil || errors.Is(err, entry.ErrNoJob))
+				d.pool.Do(func(p *pool.Pool, now time.Time) { p.RecordCancelled(j.ID, now) })
+				d.kill(first)
+				for _, h := range d.hosts[1:] {
+					d.kill(h)
+				}
+				for _, h := range slices.Clone(d.hosts) {
+					d.restart(h)
+				}
+				time.Sleep(40 * time.Second)
+				d.pool.Do(func(p *pool.Pool, _ time.Time) {
+					is.Equal(p.RunningOf(j.ID), 0)
+					is.Equal(p.Starts(), 0)
+				})
+				d.awaitEnds(time.Second)
+			})
+		})
+	}
+}
+
 // Jobs are submitted while no peer can reach the leader, and the store compacts its feed of
 // changes soon after: the leader reads all jobs again, and all accepted jobs end.
 func TestHistoryCompacted(t *testing.T) {
