host/entry: a late cancellation does not meet the next job of its id

The write that cancels a stored job expected only that no cancellation was there. Performed late, after the rows of the ended job were removed, it would have cancelled the next job that is submitted under the id, and nothing would have removed its row.

It expects the job's row as it was read now. TestLateCancellationOfForgottenJob fails without it.

--- a/internal/host/entry/cancel.go
+++ b/internal/host/entry/cancel.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"guavaglade.example/guavaglade/internal/host/dispatcher"
@@ -103,7 +104,7 @@
 	if stored.cancelled {
 		return nil
 	}
-	if _, err := e.commit(ctx, &storedCancellation{id: id}); err != nil {
+	if _, err := e.commit(ctx, &storedCancellation{id: id, job: stored.job}); err != nil {
 		return err
 	}
 	e.metrics.Tagged(map[string]string{"job": "stored"}).Counter("cancellations_total").Inc(1)
@@ -120,23 +121,31 @@
 	return nil
 }
 
-// storedCancellation is the write of the cancellation of a stored job.
+// storedCancellation is the write of the cancellation of a stored job. It expects the job's row as it
+// was read: performed late, after the job's rows were removed, it would cancel a later job of the id,
+// and nothing would remove it.
 type storedCancellation struct {
-	id graph.JobID
+	id  graph.JobID
+	job store.Row
 }
 
 func (c *storedCancellation) key() store.Key { return dispatcher.CancelKey(partitionOf(c.id), c.id) }
 
 func (c *storedCancellation) prepare(context.Context) (store.Tx, error) {
 	return store.Tx{
-		Expect: []store.Expect{{Key: c.key()}},
+		Expect: []store.Expect{{Key: c.key()}, {Key: c.job.Key, Version: c.job.Version}},
 		Put:    []store.Put{{Key: c.key(), Value: []byte("{}")}},
 	}, nil
 }
 
 func (c *storedCancellation) found(store.Row) bool { return true }
 
-func (c *storedCancellation) conflict([]store.Row) (bool, error) { return true, nil }
+func (c *storedCancellation) conflict(rows []store.Row) (bool, error) {
+	if slices.ContainsFunc(rows, func(r store.Row) bool { return r.Key == c.key() }) {
+		return true, nil
+	}
+	return false, errJobChanged
+}
 
 // cancelUnstored stores the cancellation of a job that is not stored, or that is not the caller's.
 // The error wraps ErrNoJob once it is stored.
--- a/internal/host/entry/cancel_test.go
+++ b/internal/host/entry/cancel_test.go
@@ -182,6 +182,22 @@
 	})
 }
 
+// Guards against a cancellation, performed late, of a job whose rows were removed meanwhile: it would
+// cancel the next job of the id.
+func TestLateCancellationOfForgottenJob(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newFixture(ErrOutcomeUnknown)
+		is.NoErr(r.submit(job(someJob, "kiosks")))
+		r.link.SetFaults(rows.Faults{LateWrites: 1, LateBy: time.Minute})
+		is.True(r.entry.Cancel(ctx, someJob, kiosks) != nil)
+		r.table.Remove(dispatcher.JobKey(partitionOf(someJob), someJob))
+		is.NoErr(r.addHost(5).submit(job(someJob, "kiosks")))
+		time.Sleep(2 * time.Minute)
+		is.True(r.runs(someJob))
+	})
+}
+
 // Guards against a submission that a peer has sent long ago, and that arrives when a cancellation of
 // the job has expired.
 func TestOldSubmissionIsNotAccepted(t *testing.T) {
