host/dispatcher: ignore the notification of a job that is a minute old

Found by reading beside the fault before: the leader took a job from any notification. One that a disconnected link holds up until the job has ended and its rows are removed, 150 s later, would have had it run again, also a cancelled one. The notification only saves the time until the next scan, which finds each job that is stored, so an old one is dropped.

--- a/internal/host/dispatcher/requests.go
+++ b/internal/host/dispatcher/requests.go
@@ -9,8 +9,17 @@
 	"guavaglade.example/guavaglade/internal/work/graph"
 )
 
-// Submitted notifies the leader of a job that was accepted and stored.
+// maxNoticeAge is how long after its acceptance a job's notification counts. One that was held up
+// longer, such as by a link that was disconnected, may arrive when the job has ended and its rows are
+// removed, and the job would run again. The scan finds a job that is stored.
+const maxNoticeAge = time.Minute
+
+// Submitted notifies the leader of a job that was accepted and stored. It ignores one that is older
+// than maxNoticeAge.
 func (d *Dispatcher) Submitted(ctx context.Context, j *graph.Job) error {
+	if j.AcceptedAt > 0 && time.Since(time.UnixMilli(j.AcceptedAt)) > maxNoticeAge {
+		return nil
+	}
 	return d.onLoop(ctx, func(m *dispatch.Machine, now time.Time) { m.Accept(j, now) })
 }
 
