host/entry: bound the time of a write also without a client's deadline

A relayed write has no deadline of its own. On a slow store its calls were repeated for as long as they failed, and a cancellation that kept finding another row would have been as long. The soak's callers give up a quarter of the submissions whose outcome is not known, cancel them, and hold the hosts to the answer "no such job".

TestSubmissionEndsWithSuspension fails without the check of the clock.

--- a/internal/host/entry/cancel.go
+++ b/internal/host/entry/cancel.go
@@ -83,6 +83,8 @@
 	if !e.store.Up() {
 		return fmt.Errorf("%w: %w", ErrNotAccepted, errStoreDown)
 	}
+	ctx, cancel := context.WithTimeout(ctx, maxWriteTime)
+	defer cancel()
 	for {
 		stored, err := e.readJob(ctx, id)
 		if err != nil {
--- a/internal/host/entry/cancel_test.go
+++ b/internal/host/entry/cancel_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -211,6 +212,25 @@
 	})
 }
 
+// Guards against a host that goes on with a submission after a suspension, in which a cancellation of the
+// job may have been answered and have expired.
+func TestSubmissionEndsWithSuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newFixture(ErrOutcomeUnknown)
+		var suspended atomic.Int64
+		WithClock(func() time.Time { return time.Now().Add(time.Duration(suspended.Load())) })(r.entry)
+		r.link.SetFaults(rows.Faults{LateWrites: 1, LateBy: time.Hour})
+		submitted := make(chan error)
+		go func() { submitted <- r.submit(job(someJob, "kiosks")) }()
+		time.Sleep(50 * time.Millisecond)
+		suspended.Store(int64(5 * time.Minute))
+		r.link.SetFaults(rows.Faults{})
+		is.True(errors.Is(<-submitted, ErrOutcomeUnknown))
+		is.True(!r.runs(someJob))
+	})
+}
+
 // Guards against a store that is filled, or whose write rate is used up, by cancellations of unknown jobs
 // of one account: another account's are stored, and so is a job.
 func TestCancellationsOfUnknownJobsAreLimited(t *testing.T) {
--- a/internal/host/entry/write.go
+++ b/internal/host/entry/write.go
@@ -76,8 +76,8 @@
 
 // commit makes a write and repeats it until its outcome is known. again reports that the row was
 // certainly there before. The error wraps ErrNotAccepted, at once if the store is down, or
-// ErrOutcomeUnknown after the context's time, or after storeCallTimeout if the store is not slow, or
-// one of which settles is true.
+// ErrOutcomeUnknown after the context's time, or after storeCallTimeout if the store is not slow and
+// maxWriteTime if it is, or it is one of which settles is true.
 //
 // With a store that applies writes and loses the answers, each client would wait for a
 // timeout. So the row of an overdue call is read; if it is not there, the call is
@@ -87,11 +87,12 @@
 	if !e.store.Up() {
 		return false, fmt.Errorf("%w: %w", ErrNotAccepted, errStoreDown)
 	}
-	if !e.storeSlow() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, storeCallTimeout)
-		defer cancel()
+	limit := storeCallTimeout
+	if e.storeSlow() {
+		limit = maxWriteTime
 	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	w := &pendingWrite{entry: e, write: x, deadline: e.clock().Add(maxWriteTime), answers: make(chan callAnswer)}
 	w.start(ctx, w.call)
 	next := time.After(e.overdue())
@@ -188,6 +189,10 @@
 		return true, false, a.err
 	case errors.Is(a.err, ErrTooManyCancellations) && !w.mayHaveApplied:
 		return true, false, a.err
+	case errors.Is(a.err, errWriteTimeout) && w.mayHaveApplied:
+		return true, false, fmt.Errorf("%w: %w", ErrOutcomeUnknown, a.err)
+	case errors.Is(a.err, errWriteTimeout):
+		return true, false, fmt.Errorf("%w: %w", ErrNotAccepted, a.err)
 	case errors.Is(a.err, store.ErrUnavailable) && !w.mayHaveApplied:
 		return true, false, fmt.Errorf("%w: %w", ErrNotAccepted, a.err)
 	}
--- a/internal/proof/soak/caller_test.go
+++ b/internal/proof/soak/caller_test.go
@@ -24,6 +24,8 @@
 	outcomeUnknown bool // a try may have been accepted without an answer
 	cancelAcked    bool // a cancellation was acknowledged
 	cancelSent     bool // a cancellation was sent
+	givesUp        bool // the caller cancels it instead of trying again when the outcome is not known
+	notStored      bool // a cancellation was answered as that of no job
 }
 
 // callers submit jobs to the hosts that are ready, each over its own persistent
@@ -78,7 +80,7 @@
 }
 
 // run submits one job after the other until the context ends, and cancels about a tenth of
-// those accepted. The caller's number and the seed decide which.
+// those accepted, and those that it gives up. The caller's number and the seed decide which.
 func (c *callers) run(ctx context.Context, number int, seed uint64) {
 	rnd := rand.New(rand.NewPCG(seed, uint64(number)+1))
 	transport := &http.Transport{}
@@ -86,10 +88,18 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		kind := jobKinds[rnd.IntN(len(jobKinds))]
 		r := request.Request{RequestID: fmt.Sprintf("c%d-%d", number, i), Service: "refill", Job: kind, Input: []byte(taskInputs[kind])}
-		s := &submission{id: request.JobID("norte", r.RequestID), kind: kind}
+		s := &submission{id: request.JobID("norte", r.RequestID), kind: kind, givesUp: rnd.IntN(4) == 0}
 		c.submit(s, r, rnd, transport)
-		if s.accepted && rnd.IntN(10) == 0 {
+		switch {
+		case s.accepted && rnd.IntN(10) == 0:
 			c.cancel(s, rnd, transport)
+		case !s.accepted && s.outcomeUnknown:
+			for range maxTries {
+				if c.cancel(s, rnd, transport); s.cancelAcked {
+					break
+				}
+				time.Sleep(pause)
+			}
 		}
 		c.mu.Lock()
 		c.submissions = append(c.submissions, s)
@@ -110,7 +120,7 @@
 	c.mu.Unlock()
 }
 
-// submit sends a request to random ready hosts until it is accepted, at most maxTries times.
+// submit sends a request to random ready hosts until it is accepted or given up, at most maxTries times.
 // A time when no host is ready counts as a try.
 func (c *callers) submit(s *submission, r request.Request, rnd *rand.Rand, transport http.RoundTripper) {
 	for range maxTries {
@@ -127,6 +137,9 @@
 			return
 		}
 		c.recordError(s, h, err)
+		if s.givesUp && s.outcomeUnknown {
+			return
+		}
 		time.Sleep(pause)
 	}
 }
@@ -160,9 +173,10 @@
 	s.cancelSent = true
 	ctx, cancel := context.WithTimeout(context.Background(), tryTimeout)
 	defer cancel()
-	if client.New([]string{h.caller}, accountKey, transport).Cancel(ctx, string(s.id)) == nil {
-		s.cancelAcked = true
-	}
+	err := client.New([]string{h.caller}, accountKey, transport).Cancel(ctx, string(s.id))
+	var answer *client.Error
+	s.notStored = errors.As(err, &answer) && answer.Status == http.StatusNotFound
+	s.cancelAcked = err == nil || s.notStored
 }
 
 // awaitFinal waits until a job has ended and returns its state. It asks the hosts in turn, and
--- a/internal/proof/soak/soak_test.go
+++ b/internal/proof/soak/soak_test.go
@@ -235,7 +235,7 @@
 
 // summary returns counts of what the callers and targets saw, for the log of the test.
 func (c *callers) summary() string {
-	accepted, cancelled, starts := 0, 0, 0
+	accepted, cancelled, notStored, starts := 0, 0, 0, 0
 	for _, s := range c.submissions {
 		if s.accepted {
 			accepted++
@@ -243,9 +243,12 @@
 		if s.cancelAcked {
 			cancelled++
 		}
+		if s.notStored {
+			notStored++
+		}
 	}
 	c.deployment.site.Shared.Do(func(p *pool.Pool, _ time.Time) { starts = p.Starts() })
-	return fmt.Sprintf("%d requests, %d accepted, %d cancelled, %d connections broken, %d starts", len(c.submissions), accepted, cancelled, len(c.brokenConns), starts)
+	return fmt.Sprintf("%d requests, %d accepted, %d cancelled (%d of which were not stored), %d connections broken, %d starts", len(c.submissions), accepted, cancelled, notStored, len(c.brokenConns), starts)
 }
 
 // checkSubmission returns a violation if a bill started twice, if a job answered as not run
@@ -257,6 +260,9 @@
 	if s.kind == "bill" && starts > 1 {
 		violations = append(violations, fmt.Sprintf("%s must run at most once and was started %d times", s.id, starts))
 	}
+	if s.notStored && (s.accepted || starts > 0) {
+		violations = append(violations, fmt.Sprintf("%s was answered as not there when it was cancelled; accepted %t, %d starts", s.id, s.accepted, starts))
+	}
 	if !s.accepted {
 		if !s.outcomeUnknown && starts > 0 {
 			violations = append(violations, fmt.Sprintf("%s was answered as not run and was started", s.id))
