host/entry: four accounts can cancel unknown jobs without starving each other

An account that cancels as many unknown jobs as it can took half of the calls that are left for such cancellations, so that two could use them up and a third one's were refused. An account has a quarter now.

--- a/internal/host/entry/cancel_limit.go
+++ b/internal/host/entry/cancel_limit.go
@@ -14,7 +14,7 @@
 	// cancelShare is their share of the store's write calls, of all hosts together.
 	cancelShare = 0.1
 	// scopeShare is the share of them that one account, public queue or the operators may use.
-	scopeShare = 0.5
+	scopeShare = 0.25
 	// cancelBurst is how much of the rate may be saved up, and minCancelBurst how many calls may at least.
 	cancelBurst    = 2 * time.Second
 	minCancelBurst = 2
