host/entry: store no cancellation under an id that no job can have

Found by reading: the own API takes any text for a job's id, and the cancellation of a job that is not stored would have kept it, up to the size of a request's header, in a row that other accounts share. Ids of jobs are 16 hexadecimal digits; any other is answered as not there without a call. TestCancellationOfImpossibleID fails without it.

--- a/internal/host/entry/cancel.go
+++ b/internal/host/entry/cancel.go
@@ -77,9 +77,12 @@
 
 // CancelHere stores a cancellation by a direct call from this host to the store, and waits up
 // to cancelNotifyWait until the leader is notified. It does nothing if the cancellation is
-// stored already. The error wraps ErrNoJob, ErrNotAccepted, ErrOutcomeUnknown or
-// ErrTooManyCancellations.
+// stored already, and stores nothing under an id that no job can have. The error wraps ErrNoJob,
+// ErrNotAccepted, ErrOutcomeUnknown or ErrTooManyCancellations.
 func (e *Entry) CancelHere(ctx context.Context, id graph.JobID, by Caller) error {
+	if !id.Valid() {
+		return ErrNoJob
+	}
 	if !e.store.Up() {
 		return fmt.Errorf("%w: %w", ErrNotAccepted, errStoreDown)
 	}
--- a/internal/host/entry/cancel_test.go
+++ b/internal/host/entry/cancel_test.go
@@ -271,6 +271,19 @@
 	})
 }
 
+// Guards against a row of cancellations that is filled by ids of any length, which no job can have.
+func TestCancellationOfImpossibleID(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		r := newFixture(ErrNotAccepted)
+		calls := r.link.Calls()
+		for _, id := range []graph.JobID{"", "nothing", graph.JobID(strings.Repeat("a", 10000))} {
+			is.True(errors.Is(r.entry.Cancel(ctx, id, kiosks), ErrNoJob))
+		}
+		is.Equal(r.link.Calls(), calls)
+	})
+}
+
 // A row of cancellations that another writer has written is an empty one, and so is one that it has
 // removed.
 func TestMalformedCancellations(t *testing.T) {
