operator/client: errors name the job that an answer is about

A submission with unknown outcome was reported without the id under which the operator can read or cancel the job. The answer has it since the cancellation of jobs that are not stored was made binding; the command line shows it now.

--- a/internal/operator/client/client.go
+++ b/internal/operator/client/client.go
@@ -51,9 +51,13 @@
 	Peer string // the host's address
 }
 
-// Error returns the detail, status and host, and the faults, one on each line.
+// Error returns the detail, status and host, the job if the answer names one, and the faults, one on each
+// line.
 func (e *Error) Error() string {
 	s := fmt.Sprintf("%s (%d) from %s", e.Detail, e.Status, e.Peer)
+	if e.ID != "" {
+		s += ", job " + string(e.ID)
+	}
 	for _, f := range e.Faults {
 		s += "\n" + f
 	}
