--- a/internal/host/entry/entry_test.go
+++ b/internal/host/entry/entry_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -36,6 +37,7 @@
 	unreachable bool
 	notLeading  atomic.Int32 // number of calls that fail with ErrNotLeading
 	notified    atomic.Int32 // notifications that arrived
+	mu          sync.Mutex   // guards cancelled, which several hosts notify
 	cancelled   map[graph.JobID]bool
 	known       map[graph.JobID]view.JobStatus
 }
@@ -60,6 +62,8 @@
 	if err := l.notify(ctx); err != nil {
 		return err
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.cancelled[id] = true
 	return nil
 }
