host/peer: bound the messages and calls that arrive from peers

What callers saw: empty lines without end at the port for other hosts end a host by its memory within seconds, with all its jobs if it leads.

Cause: the JSON decoder keeps what it reads until a value is whole, white space as well, and nothing limits a message, the calls in progress or the connections. No key is needed there.

Change: a message of a peer that dialed has at most 4 MB, and 10 s to arrive. The connection is charged for it, and for each call in progress until it is answered; while the calls use up the memory for them, no further message is read. A peer that does not take an answer for 10 s is disconnected. A connection with a call in progress, as each host has one to the leader, does not give way to others. Answers to own calls are not limited, as before.

--- a/internal/host/peer/clientconn.go
+++ b/internal/host/peer/clientconn.go
@@ -17,7 +17,7 @@
 // newClientConn starts JSON-RPC on a connection that this host dialed.
 func (t *Transport) newClientConn(c net.Conn) *clientConn {
 	conn := &clientConn{}
-	conn.Conn = t.newConn(c, jsonrpc2.OnRecv(func(*jsonrpc2.Request, *jsonrpc2.Response) {
+	conn.Conn = t.newConn(jsonrpc2.NewPlainObjectStream(c), nil, jsonrpc2.OnRecv(func(*jsonrpc2.Request, *jsonrpc2.Response) {
 		now := time.Now()
 		conn.lastReceived.Store(&now)
 	}))
--- a/internal/host/peer/transport.go
+++ b/internal/host/peer/transport.go
@@ -12,6 +12,8 @@
 
 	"github.com/go-logr/logr"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"guavaglade.example/guavaglade/internal/host/admission"
 )
 
 // Timeouts of connection setup.
@@ -101,7 +103,7 @@
 			return
 		}
 	}
-	conn := t.newConn(c)
+	conn := t.newConn(newMessageStream(c), admission.Of(c))
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.closed {
@@ -117,10 +119,31 @@
 	}()
 }
 
-// newConn starts JSON-RPC on a connection.
-func (t *Transport) newConn(c net.Conn, opts ...jsonrpc2.ConnOpt) *jsonrpc2.Conn {
+// newConn starts JSON-RPC on a stream. Calls that arrive on it are charged to the admitted
+// connection, which may be nil.
+func (t *Transport) newConn(s jsonrpc2.ObjectStream, admitted *admission.Conn, opts ...jsonrpc2.ConnOpt) *jsonrpc2.Conn {
 	opts = append(opts, jsonrpc2.SetLogger(rpcLogger{t.log}))
-	return jsonrpc2.NewConn(context.Background(), jsonrpc2.NewPlainObjectStream(c), t.rpcHandler(), opts...)
+	return jsonrpc2.NewConn(context.Background(), s, callHandler{t.rpcHandler(), admitted}, opts...)
+}
+
+// callHandler runs each call in its own goroutine. It accepts none, and so reads no further
+// messages, while the calls in progress use up the memory for them.
+type callHandler struct {
+	next     jsonrpc2.Handler
+	admitted *admission.Conn
+}
+
+// Handle implements jsonrpc2.Handler. It closes the connection if the call is refused.
+func (h callHandler) Handle(ctx context.Context, c *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	cost := callCharge(r)
+	if err := h.admitted.BeginCall(cost); err != nil {
+		_ = c.Close()
+		return
+	}
+	go func() {
+		defer h.admitted.EndCall(cost)
+		h.next.Handle(ctx, c, r)
+	}()
 }
 
 // rpcLogger logs each message of the JSON-RPC library as one line of keys and values.
@@ -131,7 +154,7 @@
 	l.log.V(1).Info("peer connection", "step", "rpc", "text", fmt.Sprintf(format, args...))
 }
 
-// rpcHandler returns a handler that runs each call in its own goroutine.
+// rpcHandler returns a handler that answers each call.
 func (t *Transport) rpcHandler() jsonrpc2.Handler {
 	handle := func(ctx context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) (any, error) {
 		var params json.RawMessage
@@ -141,7 +164,7 @@
 		res, err := t.handler(ctx, r.Method, params)
 		return res, rpcError(err)
 	}
-	return jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(handle).SuppressErrClosed())
+	return jsonrpc2.HandlerWithError(handle).SuppressErrClosed()
 }
 
 // rpcError returns the JSON-RPC error for an error of the handler, with a code that tells an
