host/process: bound the connections and requests of callers and peers

What callers saw: 1,500 POSTs of 1 MB that stop 100 bytes short, with a valid key, take `serve` to 2.7 GB; empty lines without end at the port for peers end it. Where connections reach maxConnections, it accepts none, so that stalled ones keep everybody out.

Cause: as on the platform, the sum is not bounded, and the listener waits for a free place instead of making one.

Evidence: 800 connections with default settings, on (peak and with unread bytes, MB): whole bodies 351 and 382, short of 100 bytes 468 and 538, large chunks 458 and 529, empty lines to peers 367 and 520; the last three killed by the test at 512 MB. Heads of many fields held (47 and 136), as maxHeader is applied.

Change: callers and peers pass gates, below TLS. The new setting maxMemory, 256 MB by default, gives their budgets, and the collector's limit; settings with requests that it does not allow beside others are refused with the least value. maxConnections stays an upper bound: the default memory allows 1,024. A request that is not received whole is answered with 503, notAccepted, state notRun; decoding reads the body to its end, as a request counts as received only then.

--- a/internal/host/admission/budget.go
+++ b/internal/host/admission/budget.go
@@ -36,8 +36,8 @@
 // Memory returns the memory of messages in bytes.
 func (b Budget) Memory() int64 { return b.memory }
 
-// Largest returns the largest cost of a message that is received beside others, in bytes.
-func (b Budget) Largest() int64 { return b.memory - b.memory/largeShare }
+// largest returns the largest cost of a message that is received beside others, in bytes.
+func (b Budget) largest() int64 { return b.memory - b.memory/largeShare }
 
 // Limited returns the budget with at most a number of connections.
 func (b Budget) Limited(connections int) Budget {
@@ -45,10 +45,11 @@
 	return b
 }
 
-// RequestCost returns what receiving a request with a head and a body of given sizes is charged
-// at most; all are in bytes.
-func RequestCost(head, body int) int64 {
-	return int64(head)*headByteCost + int64(body)*bodyByteCost
+// MemoryFor returns the least memory of a host that receives a request with a head and a body of
+// the given sizes beside others; all are in bytes.
+func MemoryFor(head, body int) int64 {
+	cost := int64(head)*headByteCost + int64(body)*bodyByteCost
+	return cost * callerShare * largeShare / (largeShare - 1)
 }
 
 // CallerBudget returns the budget of the listener for callers, on a host with a memory in bytes
--- a/internal/host/admission/gate.go
+++ b/internal/host/admission/gate.go
@@ -249,7 +249,7 @@
 func (g *Gate) fits(c *Conn, bytes int64) bool {
 	limit := g.budget.memory
 	if c.charged+bytes > smallMessage {
-		limit = g.budget.Largest()
+		limit = g.budget.largest()
 	}
 	return g.used+bytes <= limit || g.used == c.charged
 }
--- a/internal/host/api/api.go
+++ b/internal/host/api/api.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -13,10 +14,12 @@
 	"github.com/gorilla/mux"
 
 	"guavaglade.example/guavaglade/internal/config/text"
+	"guavaglade.example/guavaglade/internal/host/admission"
 	"guavaglade.example/guavaglade/internal/host/credential"
 	"guavaglade.example/guavaglade/internal/host/scheduler"
 	"guavaglade.example/guavaglade/internal/host/settings"
 	"guavaglade.example/guavaglade/internal/report/metrics"
+	"guavaglade.example/guavaglade/internal/work/progress"
 )
 
 // API serves the HTTP API of one host.
@@ -205,14 +208,23 @@
 }
 
 // decodeBody decodes a request's body. On invalid input, which includes unknown fields,
-// it counts the request, writes the error and returns false.
+// it counts the request, writes the error and returns false, as for a body that the host has
+// refused to receive.
 func (a *API) decodeBody(w http.ResponseWriter, r *http.Request, into any) bool {
 	d := json.NewDecoder(r.Body)
 	d.DisallowUnknownFields()
 	err := d.Decode(into)
 	if err == nil {
+		_, err = io.Copy(io.Discard, r.Body) // the request counts as received at the end of its body
+	}
+	if err == nil {
+		admission.Decoded(r)
 		return true
 	}
+	if errors.Is(err, admission.ErrRefused) {
+		Refuse(w, http.StatusServiceUnavailable, err.Error())
+		return false
+	}
 	a.scheduler.Metrics().Counter("callers_bad_input").Inc(1)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -223,6 +235,18 @@
 	return false
 }
 
+// Refuse answers a request that has not run: the host refused to receive or to handle it. It
+// closes the connection.
+func Refuse(w http.ResponseWriter, status int, detail string) {
+	now := time.Now()
+	p := Problem{Status: status, Detail: detail, State: string(progress.NotRun)}
+	if status == http.StatusServiceUnavailable {
+		p.Type, p.RetryAfter = "notAccepted", now.Add(retryDelay)
+	}
+	w.Header().Set("Connection", "close")
+	p.write(w, now)
+}
+
 // writeUnavailable writes the error of a request that needed the leader or the store and
 // reached neither: status 504 if the deadline has passed, otherwise 503.
 func writeUnavailable(w http.ResponseWriter, err error) {
--- a/internal/host/api/problem.go
+++ b/internal/host/api/problem.go
@@ -15,7 +15,7 @@
 	Title      string      `json:"title"` // the text of the status
 	Status     int         `json:"status"`
 	Detail     string      `json:"detail,omitempty"`
-	State      string      `json:"state,omitempty"` // notRun if a job was refused
+	State      string      `json:"state,omitempty"` // notRun if a request was refused and has not run
 	ID         graph.JobID `json:"id,omitempty"`    // of a job whose outcome is not known or that was cancelled
 	RetryAfter time.Time   `json:"retryAfter,omitzero"`
 	Current    int64       `json:"current,omitempty"` // current version, on a conflict
--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -8,13 +8,14 @@
 	"net"
 	"net/http"
 	"runtime"
+	"runtime/debug"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/uber-go/tally/v4"
-	"golang.org/x/net/netutil"
 
 	"guavaglade.example/guavaglade/internal/config/version"
+	"guavaglade.example/guavaglade/internal/host/admission"
 	"guavaglade.example/guavaglade/internal/host/api"
 	"guavaglade.example/guavaglade/internal/host/credential"
 	"guavaglade.example/guavaglade/internal/host/scheduler"
@@ -36,11 +37,11 @@
 
 // Listen opens the listeners on the addresses in the settings.
 func Listen(s settings.Settings) (callers, peers net.Listener, err error) {
-	callers, err = net.Listen("tcp", s.CallerAddress())
+	callers, err = admission.Listen(s.CallerAddress())
 	if err != nil {
 		return nil, nil, fmt.Errorf("listen for callers: %w", err)
 	}
-	peers, err = net.Listen("tcp", s.PeerAddress())
+	peers, err = admission.Listen(s.PeerAddress())
 	if err != nil {
 		_ = callers.Close() // the first error is returned
 		return nil, nil, fmt.Errorf("listen for peers: %w", err)
@@ -52,8 +53,15 @@
 // the ports. The handler serves the metrics; it may be nil. The error is that of reading the
 // TLS files; the listeners stay open then.
 func New(s settings.Settings, callers, peers net.Listener, ports scheduler.Ports, scope tally.Scope, metricsHandler http.Handler, log logr.Logger) (*Process, error) {
+	common := []admission.Option{admission.WithMetrics(scope), admission.WithLog(log)}
+	callerGate := admission.New("callers", admission.CallerBudget(s.MaxMemory(), 0).Limited(s.MaxConnections()), append(common,
+		admission.WithWriteTimeout(s.RequestTimeout()),
+		admission.WithTimeouts(func() admission.Timeouts {
+			return admission.Timeouts{Header: s.RequestTimeout(), Body: s.RequestTimeout(), Idle: s.RequestTimeout()}
+		}))...)
+	peerGate := admission.NewForPeers("peers", admission.PeerBudget(s.MaxMemory(), 0), common...)
 	p := &Process{
-		settings: s, callers: netutil.LimitListener(callers, s.MaxConnections()), peers: peers,
+		settings: s, callers: callerGate.Listener(callers), peers: peerGate.Listener(peers),
 		certExpiries: map[string]func() time.Time{}, metrics: scope, log: log,
 	}
 	opts := []scheduler.Option{
@@ -69,10 +77,8 @@
 	}
 	p.scheduler = scheduler.New(id, ports, scheduler.Configuration{Key: version.Key, Decode: version.DecodeCatalog}, log, opts...)
 	p.api = api.New(p.scheduler, s, metricsHandler)
-	p.http = &http.Server{
-		Handler: p.api.Handler(), MaxHeaderBytes: s.MaxHeaderBytes(),
-		ReadTimeout: s.RequestTimeout(), ReadHeaderTimeout: s.RequestTimeout(), WriteTimeout: s.MaxWait() + s.RequestTimeout(),
-	}
+	p.http = callerGate.Server(p.api.Handler(), api.Refuse)
+	p.http.MaxHeaderBytes = s.MaxHeaderBytes()
 	return p, nil
 }
 
@@ -136,6 +142,7 @@
 // listener for callers fails, that is logged and begins a planned stop as well; if the one
 // for peers does, Run returns the error at once.
 func (p *Process) Run(ctx context.Context) error {
+	debug.SetMemoryLimit(p.settings.MaxMemory() / 2) // the rest is for sockets and what the collector lags behind
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	p.reportExpiries()
--- a/internal/host/settings/field.go
+++ b/internal/host/settings/field.go
@@ -44,6 +44,7 @@
 		func(s, from *Settings) { s.limits.MaxBodyBytes = from.limits.MaxBodyBytes }),
 	intField("maxHeader", "bytes of a request's headers", 1<<10, 1<<20, func(s *Settings) *int { return &s.limits.MaxHeaderBytes }),
 	intField("maxConnections", "callers' connections at once", 1, 1<<20, func(s *Settings) *int { return &s.limits.MaxConnections }),
+	intField("maxMemory", "megabytes that the process may use, which bound the connections and what is received", 64, 1<<20, func(s *Settings) *int { return &s.limits.MaxMemory }),
 	durationField("requestTimeout", "duration to read a request, and to write an answer", 100*time.Millisecond, time.Hour, func(s *Settings) *time.Duration { return &s.limits.RequestTimeout }),
 	durationField("maxWait", "duration, longest ?wait= of a caller", 0, 24*time.Hour, func(s *Settings) *time.Duration { return &s.limits.MaxWait }),
 	durationField("unreadyTime", "duration that a planned stop goes on taking requests while the balancer sees that the host is not ready", 0, time.Hour, func(s *Settings) *time.Duration { return &s.limits.UnreadyTime }),
--- a/internal/host/settings/parse.go
+++ b/internal/host/settings/parse.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"guavaglade.example/guavaglade/internal/config/document"
+	"guavaglade.example/guavaglade/internal/host/admission"
 )
 
 // Error contains all faults of a settings file.
@@ -50,6 +51,7 @@
 		}
 	}
 	s.checkTLS(d)
+	s.checkMemory(d)
 	checkSections(d)
 	if faults := d.Faults(); len(faults) > 0 {
 		return Settings{}, &Error{file: name, faults: faults}
@@ -79,6 +81,15 @@
 	}
 }
 
+// checkMemory refuses limits of a request that the memory does not allow beside others: such a
+// request would be accepted on an idle host only.
+func (s *Settings) checkMemory(d *document.Document) {
+	const megabyte = 1 << 20
+	if least := admission.MemoryFor(s.limits.MaxHeaderBytes, s.limits.MaxBodyBytes); least > s.MaxMemory() {
+		d.Section("limits").Faultf("maxMemory", "%d: requests of maxHeader and maxBody need at least %d", s.limits.MaxMemory, (least+megabyte-1)/megabyte)
+	}
+}
+
 // checkSections adds a fault for each unknown section and each unknown key of a known
 // one. It must be called after all fields are read.
 func checkSections(d *document.Document) {
--- a/internal/host/settings/settings.go
+++ b/internal/host/settings/settings.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"log/slog"
 	"time"
+
+	"guavaglade.example/guavaglade/internal/host/admission"
 )
 
 // Settings are the settings of a process. They are immutable. The zero Settings is
@@ -31,7 +33,8 @@
 type Limits struct {
 	MaxBodyBytes   int           // bytes of a request's body
 	MaxHeaderBytes int           // bytes of a request's headers
-	MaxConnections int           // open connections of callers
+	MaxConnections int           // open connections of callers, if MaxMemory allows as many
+	MaxMemory      int           // megabytes that the process may use
 	RequestTimeout time.Duration // to read a request, and to write a response
 	MaxWait        time.Duration // longest ?wait= of a caller
 	StopGrace      time.Duration // of a planned stop, to finish requests in progress
@@ -78,6 +81,7 @@
 			MaxBodyBytes:   1 << 20,
 			MaxHeaderBytes: 16 << 10,
 			MaxConnections: 4096,
+			MaxMemory:      admission.DefaultMemory >> 20,
 			RequestTimeout: 10 * time.Second,
 			MaxWait:        60 * time.Second,
 			StopGrace:      20 * time.Second,
@@ -115,6 +119,10 @@
 // MaxConnections returns the maximum number of open connections of callers.
 func (s Settings) MaxConnections() int { return s.limits.MaxConnections }
 
+// MaxMemory returns the memory that the process may use in bytes. It bounds the connections and
+// what is received on them.
+func (s Settings) MaxMemory() int64 { return int64(s.limits.MaxMemory) << 20 }
+
 // RequestTimeout returns how long reading a request and writing its response may take,
 // not counting the wait that a caller asked for.
 func (s Settings) RequestTimeout() time.Duration { return s.limits.RequestTimeout }
--- a/internal/host/settings/settings_test.go
+++ b/internal/host/settings/settings_test.go
@@ -57,6 +57,7 @@
 		{"bad duration", "90s", "90", `line 10: [limits] maxWait: "90" is not a duration`},
 		{"out of range", "90s", "-1s", `line 10: [limits] maxWait: "-1s" is out of range, want 0s to 24h0m0s`},
 		{"short hash", "9f86d08", "9f", "line 8: [operator] keyHash: not a SHA-256"},
+		{"too little memory for a request", "[limits]", "[limits]\nmaxMemory = 100", "[limits] maxMemory: 100: requests of maxHeader and maxBody need at least 176"},
 		{"incomplete TLS", "[limits]", "[tls]\ncallerCert = a.pem\n[limits]", "line 9: [tls] callerKey: missing; callerCert, callerKey are set together"},
 	}
 	for _, c := range cases {
