host/peer: charge a call for its method as well

What callers saw: nothing yet; found by reading.

Cause: a call in progress is charged for its parameters. A method of megabytes costs as much, in the request and in the error that names it.

Change: the charge counts both. No change for peers, whose methods are words.

--- a/internal/host/peer/stream.go
+++ b/internal/host/peer/stream.go
@@ -13,10 +13,10 @@
 	// maxMessageBytes is the largest message that is accepted from a peer that dialed, in bytes.
 	// The largest that peers send is a job, whose body is a fraction of it.
 	maxMessageBytes = 4 << 20
-	// callCost is what a call in progress is charged, in bytes, and paramCost what each byte of
-	// its parameters is: most of it while they are decoded.
-	callCost  = 8 << 10
-	paramCost = 32
+	// callCost is what a call in progress is charged, in bytes, and callByteCost what each byte of
+	// it is: most of it while the parameters are decoded.
+	callCost     = 8 << 10
+	callByteCost = 32
 )
 
 // errMessageTooLong is the error of reading a message of more than maxMessageBytes.
@@ -62,10 +62,11 @@
 	return nil
 }
 
-// callCharge is the charge for a call in progress, in bytes.
+// callCharge returns what a call in progress is charged, in bytes.
 func callCharge(r *jsonrpc2.Request) int64 {
-	if r.Params == nil {
-		return callCost
+	size := len(r.Method)
+	if r.Params != nil {
+		size += len(*r.Params)
 	}
-	return callCost + paramCost*int64(len(*r.Params))
+	return callCost + callByteCost*int64(size)
 }
