--- a/internal/host/admission/budget.go
+++ b/internal/host/admission/budget.go
@@ -10,8 +10,8 @@
 // goroutine, the buffers of the library, a TLS session, and the bytes that wait in its socket.
 const connectionCost = 64 << 10
 
-// Shares of a host's memory and files. The shares of memory of all listeners add up to less than
-// a half of it if each is used up, and the rest is for what the host keeps.
+// Shares of a host's memory and files. Those of the memory add up to three quarters over all
+// listeners; where the files allow fewer connections, as on all hosts of today, to less.
 const (
 	connectionShare  = 4  // of the memory, for the connections of callers, and as much for those of peers
 	callerShare      = 8  // of the memory, for the messages of callers
