--- a/internal/proof/crowd/process.go
+++ b/internal/proof/crowd/process.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"fmt"
 	"net"
 	"os"
@@ -13,6 +14,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"guavaglade.example/guavaglade/platform/standin"
 )
 
 // sampleInterval is short enough to end a process whose memory grows by gigabytes a second
@@ -36,6 +39,23 @@
 	output    bytes.Buffer
 }
 
+// Platform starts a stand-in platform with two workers of the service refill, whose tasks take what
+// the jobs in its store say. The test's cleanup stops it.
+func Platform(t *testing.T) *standin.Site {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	site, err := standin.Open(ctx, "127.0.0.1:0", "refill", standin.Size{Racks: 1, PerRack: 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cancel()
+		site.Close()
+	})
+	site.ReadJobsFromStore()
+	return site
+}
+
 // Build builds the program as it is deployed and returns its path.
 func Build(t *testing.T) string {
 	t.Helper()
--- a/internal/proof/crowd/serve_test.go
+++ b/internal/proof/crowd/serve_test.go
@@ -17,7 +17,6 @@
 	"guavaglade.example/guavaglade/internal/operator/client"
 	"guavaglade.example/guavaglade/internal/proof/crowd"
 	"guavaglade.example/guavaglade/internal/work/request"
-	"guavaglade.example/guavaglade/platform/standin"
 )
 
 const (
@@ -40,16 +39,7 @@
 // start starts a host on a stand-in platform and applies a configuration.
 func start(t *testing.T) *host {
 	t.Helper()
-	ctx, cancel := context.WithCancel(context.Background())
-	site, err := standin.Open(ctx, "127.0.0.1:0", "refill", standin.Size{Racks: 1, PerRack: 2})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		cancel()
-		site.Close()
-	})
-	site.ReadJobsFromStore()
+	site := crowd.Platform(t)
 	addresses := crowd.FreeAddresses(t, 2)
 	hash := func(key string) string { return credential.NewKey(key).Hash() }
 	path := filepath.Join(t.TempDir(), "host.ini")
